--- /dev/null
+++ b/crates/citrongw/src/caller.rs
@@ -0,0 +1,45 @@
+//! The caller interface: paths, keys, answers.
+
+mod answer;
+mod attempt;
+mod auth;
+mod completion;
+mod refusal;
+
+use std::sync::{Arc, atomic::Ordering};
+
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::id::RequestId;
+use viz::{Request, Response, Router};
+
+use crate::node::Shared;
+
+/// Routes of the caller interface.
+pub fn router(shared: &Arc<Shared>) -> Router {
+    let on = || Arc::clone(shared);
+    let (chat, text, models, ready) = (on(), on(), on(), on());
+    Router::new()
+        .post("/v1/chat/completions", move |req| completion::chat(Arc::clone(&chat), req))
+        .post("/v1/completions", move |req| completion::text(Arc::clone(&text), req))
+        .get("/v1/models", move |req| completion::models(Arc::clone(&models), req))
+        .get("/ready", move |req| check_ready(Arc::clone(&ready), req))
+        .any("/*path", |_: Request| async {
+            Ok::<Response, viz::Error>(refusal::response(ResultCode::NotFound, new_request_id()))
+        })
+}
+
+/// Draws the id of a request.
+fn new_request_id() -> RequestId {
+    RequestId(rand::random())
+}
+
+async fn check_ready(shared: Arc<Shared>, _req: Request) -> viz::Result<Response> {
+    let code = if shared.stopping.load(Ordering::Relaxed) {
+        ResultCode::Stopping
+    } else if shared.config.load().is_none() {
+        ResultCode::NotConfirmed
+    } else {
+        return Ok(answer::json(&"ready"));
+    };
+    Ok(refusal::response(code, new_request_id()))
+}
--- /dev/null
+++ b/crates/citrongw/src/cmd/args.rs
@@ -0,0 +1,27 @@
+//! Arguments of the node program.
+#![allow(missing_docs, unreachable_pub, reason = "the macro writes the items")]
+
+use std::{net::SocketAddr, path::PathBuf};
+
+xflags::xflags! {
+    /// Serving system for models whose replicas span several instances.
+    cmd citrongw {
+        /// Runs a node.
+        cmd run {
+            /// Settings, an INI file.
+            required --config path: PathBuf
+        }
+
+        /// Checks a settings file and names every fault.
+        cmd check {
+            /// Settings, an INI file.
+            required --config path: PathBuf
+        }
+
+        /// Runs a node beside stand-ins of all that it needs, in one process.
+        cmd demo {
+            /// Address for callers.
+            optional --listen addr: SocketAddr
+        }
+    }
+}
--- /dev/null
+++ b/crates/citrongw/src/cmd/check.rs
@@ -0,0 +1,10 @@
+//! `citrongw check`.
+
+use crate::{cmd::args, error::Result, settings};
+
+/// Reads the settings and says whether they hold.
+pub(super) fn run(args: &args::Check) -> Result<()> {
+    settings::open(&args.config)?;
+    println!("{}: no faults", args.config.display());
+    Ok(())
+}
--- /dev/null
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -0,0 +1,25 @@
+//! `citrongw demo`.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use crate::{
+    cmd::{args, run},
+    demo,
+    error::Result,
+    log,
+};
+
+/// Address for callers, unless told otherwise.
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
+
+/// Runs the demo until it is told to stop.
+pub(super) async fn run(args: &args::Demo) -> Result<()> {
+    log::open("info");
+    let demo = demo::spawn(args.listen.unwrap_or(DEFAULT_LISTEN)).await?;
+    let addr = demo.node.caller_addr();
+    println!("citrongw is serving on http://{addr}; try:");
+    println!("{}", demo::curl_line(addr));
+    run::stop_signal().await?;
+    demo.node.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/citrongw/src/demo.rs
@@ -0,0 +1,195 @@
+//! One node with stand-ins of all that it needs, in one process.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use citrongw_fakes::{
+    engine::{self, EngineSettings, FakeEngine},
+    kv::{self, mem::MemStore},
+    plain_service,
+    platform::{self, Platform},
+};
+use citrongw_protocol::{
+    instance_list::{InstanceState, ListedInstance},
+    record::{self, CONFIG_KEY, DomainRecord},
+    store::{Change, Expected, Key, Store, Write},
+};
+use citrongw_state::{
+    config::{Config, KeyDigest},
+    id::{Epoch, FabricDomainId, Incarnation, ReplicaId},
+    replica::{Member, ReplicaSpec},
+};
+use citrongw_transport::http_server::HttpServer;
+
+use crate::{
+    error::{Result, could_not},
+    node::{self, Node},
+    settings::Settings,
+};
+
+/// API key of the demo.
+pub const DEMO_KEY: &str = "demo-key";
+/// Configuration of the demo.
+const DEMO_CONFIG: &str = include_str!("../../../contrib/demo-config.json");
+/// Any free port of this machine.
+const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Instances of one replica.
+const MEMBERS: u64 = 4;
+/// Replicas.
+const REPLICAS: u64 = 2;
+
+/// Stand-ins around a node.
+pub struct Surroundings {
+    /// Key-value service.
+    pub store: MemStore,
+    /// Its address.
+    pub store_addr: SocketAddr,
+    /// Instance list.
+    pub platform: Platform,
+    /// Address of the instance list and the weight store.
+    pub platform_addr: SocketAddr,
+    /// Engines, the members of each replica in order.
+    pub engines: Vec<FakeEngine>,
+    /// Runs of the plain service.
+    pub runs: plain_service::Runs,
+    /// Servers of the stand-ins, in the order of the engines, then the others.
+    pub servers: Vec<HttpServer>,
+}
+
+/// Running demo.
+pub struct Demo {
+    /// The node.
+    pub node: Node,
+    /// What stands around it.
+    pub surroundings: Surroundings,
+}
+
+/// Spawns the demo.
+pub async fn spawn(listen: SocketAddr) -> Result<Demo> {
+    let surroundings = open_surroundings().await?;
+    let node = node::spawn(settings(&surroundings, listen)).await?;
+    Ok(Demo { node, surroundings })
+}
+
+/// Line that shows a newcomer the first answer.
+pub fn curl_line(addr: SocketAddr) -> String {
+    format!(
+        "curl http://{addr}/v1/completions -H 'authorization: Bearer {DEMO_KEY}' \
+         -d '{{\"model\":\"plans\",\"prompt\":\"climb and cut\",\"max_tokens\":8}}'"
+    )
+}
+
+/// Settings of a node among the stand-ins.
+pub fn settings(surroundings: &Surroundings, listen: SocketAddr) -> Settings {
+    Settings {
+        zone: "demo-a".into(),
+        region: "demo".into(),
+        caller_addr: listen,
+        peer_addr: ANY_PORT,
+        admin_addr: ANY_PORT,
+        store_addr: surroundings.store_addr,
+        store_timeout: Duration::from_secs(1),
+        instance_list_addr: surroundings.platform_addr,
+        weight_store_addr: surroundings.platform_addr,
+        report_freshness: Duration::from_secs(2),
+        balancer_lag: Duration::ZERO,
+        log_level: "info".to_owned(),
+    }
+}
+
+/// Starts the stand-ins.
+pub async fn open_surroundings() -> Result<Surroundings> {
+    let cause = |error| could_not("start stand-ins", "demo", error);
+    let store = kv::mem::open();
+    let platform = Platform::default();
+    let runs = plain_service::Runs::default();
+    let mut servers = Vec::new();
+    let mut engines = Vec::new();
+    let mut record = DomainRecord { epoch: Epoch(1), ..DomainRecord::default() };
+    for replica in 1..=REPLICAS {
+        let mut members = Vec::new();
+        for member in 1..=MEMBERS {
+            let incarnation = Incarnation(replica * 100 + member);
+            let engine = engine::open(incarnation, EngineSettings::default());
+            engine.join(ReplicaId(replica), Epoch(1));
+            let server = engine::bind(ANY_PORT, engine.clone()).await.map_err(cause)?;
+            let instance = listed(replica, member, incarnation, server.local_addr());
+            members.push(Member {
+                instance: instance.id.clone(),
+                incarnation,
+                engine_addr: instance.engine_addr,
+            });
+            platform.put(instance);
+            servers.push(server);
+            engines.push(engine);
+        }
+        record.replicas.push(spec(ReplicaId(replica), members));
+    }
+    let plain = plain_service::bind(ANY_PORT, runs.clone()).await.map_err(cause)?;
+    write(&store, CONFIG_KEY.into(), &config(plain.local_addr())?).await?;
+    write(&store, record::domain_key(&demo_domain()), &record).await?;
+    let store_server = kv::server::bind(ANY_PORT, store.clone()).await.map_err(cause)?;
+    let platform_server = platform::bind(ANY_PORT, platform.clone()).await.map_err(cause)?;
+    let (store_addr, platform_addr) = (store_server.local_addr(), platform_server.local_addr());
+    servers.extend([plain, store_server, platform_server]);
+    Ok(Surroundings { store, store_addr, platform, platform_addr, engines, runs, servers })
+}
+
+fn config(plain_addr: SocketAddr) -> Result<Config> {
+    let mut config: Config = serde_json::from_str(DEMO_CONFIG)
+        .map_err(|error| could_not("read configuration", "demo", error))?;
+    for service in &mut config.services {
+        service.key_digests = vec![KeyDigest::of(DEMO_KEY)];
+    }
+    for service in &mut config.plain_services {
+        service.addrs = vec![plain_addr];
+    }
+    Ok(config)
+}
+
+fn demo_domain() -> FabricDomainId {
+    "demo-domain".into()
+}
+
+fn listed(
+    replica: u64,
+    member: u64,
+    incarnation: Incarnation,
+    engine_addr: SocketAddr,
+) -> ListedInstance {
+    ListedInstance {
+        id: format!("instance-{replica}-{member}").into(),
+        domain: demo_domain(),
+        zone: "demo-a".into(),
+        region: "demo".into(),
+        accelerators: 8,
+        engine_addr,
+        incarnation,
+        state: InstanceState::Live,
+    }
+}
+
+fn spec(id: ReplicaId, members: Vec<Member>) -> ReplicaSpec {
+    ReplicaSpec {
+        id,
+        epoch: Epoch(1),
+        deployment: "plans".into(),
+        model: "plans".into(),
+        version: "1".into(),
+        adapters: Vec::new(),
+        domain: demo_domain(),
+        zone: "demo-a".into(),
+        members,
+    }
+}
+
+async fn write<T: serde::Serialize>(store: &MemStore, key: Key, value: &T) -> Result<()> {
+    let value = serde_json::to_vec(value).map_err(|error| could_not("write", &key, error))?;
+    let change = Change::Put(Bytes::from(value));
+    let write = Write { key: key.clone(), expected: Expected::Absent, change, lease: None };
+    let res = store.compare_and_swap(write).await;
+    res.map(drop).map_err(|error| could_not("write", key, error))
+}
--- /dev/null
+++ b/crates/citrongw/src/node.rs
@@ -0,0 +1,135 @@
+//! Wiring of a node: clients, drivers, the caller interface, and the stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use citrongw_coordination::{
+    clock::{self, Clock},
+    config_watch::{self, ConfigCell},
+    decision_log::{self, DecisionLog},
+    news_board::{self, NewsBoard},
+    node_view::{self, NodeInfo, NodeView},
+    replica_table::ReplicaTable,
+    replica_watch,
+};
+use citrongw_protocol::{engine::Engine, store::Store};
+use citrongw_state::id::NodeId;
+use citrongw_transport::{
+    engine_client,
+    http_server::{self, HttpServer},
+    store_client,
+};
+use tokio::task::JoinHandle;
+
+use crate::{
+    caller,
+    error::{Result, could_not},
+    settings::Settings,
+};
+
+/// Longest time for a call to an engine that is not a stream.
+const ENGINE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the parts of a node share.
+pub struct Shared {
+    /// The node.
+    pub node: NodeId,
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub config: Arc<ConfigCell>,
+    /// News of this node and its peers.
+    pub news: Arc<NewsBoard>,
+    /// Live nodes.
+    pub nodes: Arc<NodeView>,
+    /// Decisions of this node.
+    pub decisions: Arc<DecisionLog>,
+    /// Replicas known.
+    pub replicas: Arc<ReplicaTable>,
+    /// Client of the key-value service.
+    pub store: Arc<dyn Store>,
+    /// Client of the engines.
+    pub engine: Arc<dyn Engine>,
+    /// Whether the node refuses new work because it stops.
+    pub stopping: AtomicBool,
+}
+
+/// Running node.
+pub struct Node {
+    shared: Arc<Shared>,
+    server: HttpServer,
+    drivers: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Address for callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.server.local_addr()
+    }
+
+    /// What its parts share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Refuses new work, lets the balancer see it, finishes all that is in
+    /// flight, and ends.
+    pub async fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(self.shared.settings.balancer_lag).await;
+        self.server.stop().await;
+        for driver in &self.drivers {
+            driver.abort();
+        }
+    }
+}
+
+/// Spawns a node.
+pub async fn spawn(settings: Settings) -> Result<Node> {
+    let store: Arc<dyn Store> =
+        Arc::new(store_client::open(settings.store_addr, settings.store_timeout));
+    let engine: Arc<dyn Engine> = Arc::new(engine_client::open(ENGINE_CALL_TIMEOUT));
+    let clock = clock::open();
+    let node = NodeId(rand::random());
+    let this = NodeInfo {
+        id: node,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer_addr: settings.peer_addr,
+    };
+    let shared = Arc::new(Shared {
+        node,
+        clock,
+        news: Arc::new(news_board::open()),
+        nodes: Arc::new(node_view::open(this)),
+        decisions: Arc::new(decision_log::open(clock)),
+        config: Arc::default(),
+        replicas: Arc::default(),
+        store,
+        engine,
+        stopping: AtomicBool::new(false),
+        settings,
+    });
+    let drivers = vec![
+        config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
+        replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
+        replica_watch::spawn_status(
+            Arc::clone(&shared.engine),
+            Arc::clone(&shared.replicas),
+            shared.clock,
+        ),
+    ];
+    let addr = shared.settings.caller_addr;
+    let server = http_server::bind(addr, caller::router(&shared))
+        .await
+        .map_err(|error| could_not("listen for callers", addr, error))?;
+    Ok(Node { shared, server, drivers })
+}
--- /dev/null
+++ b/crates/citrongw/src/settings.rs
@@ -0,0 +1,116 @@
+//! Settings of a node, read from an INI file.
+//!
+//! A file is read whole: every fault is named with its section, key, line, the
+//! value and what is allowed. Unknown keys are faults.
+
+pub mod reader;
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use citrongw_state::id::{AvailabilityZone, Region};
+
+use crate::error::{NodeError, Result, could_not};
+
+/// Settings of one node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Its region.
+    pub region: Region,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address for other nodes, UDP and TCP.
+    pub peer_addr: SocketAddr,
+    /// Address for operators.
+    pub admin_addr: SocketAddr,
+    /// Address of the key-value service.
+    pub store_addr: SocketAddr,
+    /// Longest time for one call to it.
+    pub store_timeout: Duration,
+    /// Address of the platform's instance list.
+    pub instance_list_addr: SocketAddr,
+    /// Address of the weight store.
+    pub weight_store_addr: SocketAddr,
+    /// Age up to which a member's report counts.
+    pub report_freshness: Duration,
+    /// Time between refusing new work and the stop, for the balancer to see it.
+    pub balancer_lag: Duration,
+    /// What is logged.
+    pub log_level: String,
+}
+
+/// Reads a settings file.
+pub fn open(path: &Path) -> Result<Settings> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| could_not("read settings", path.display(), error))?;
+    parse(&text).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let message = format!("settings have faults: {}\n{}", path.display(), faults.join("\n"));
+        error_stack::Report::new(NodeError { message })
+    })
+}
+
+/// Reads settings from text.
+pub fn parse(text: &str) -> std::result::Result<Settings, Vec<reader::Fault>> {
+    let mut reader = reader::open(text)?;
+    let settings = Settings {
+        zone: reader.name("node", "zone").into(),
+        region: reader.name("node", "region").into(),
+        caller_addr: reader.addr("node", "caller-addr"),
+        peer_addr: reader.addr("node", "peer-addr"),
+        admin_addr: reader.addr("node", "admin-addr"),
+        store_addr: reader.addr("store", "addr"),
+        store_timeout: reader.duration("store", "timeout", Duration::from_secs(1)),
+        instance_list_addr: reader.addr("platform", "instance-list-addr"),
+        weight_store_addr: reader.addr("platform", "weight-store-addr"),
+        report_freshness: reader.duration("node", "report-freshness", Duration::from_secs(2)),
+        balancer_lag: reader.duration("node", "balancer-lag", Duration::from_secs(2)),
+        log_level: reader.text("log", "level", "info"),
+    };
+    reader.finish()?;
+    Ok(settings)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = include_str!("../../../contrib/citrongw.ini");
+
+    #[test]
+    fn sample_is_read() {
+        let settings = parse(GOOD).unwrap();
+        assert_eq!(settings.zone.as_str(), "johor-a");
+        assert_eq!(settings.store_timeout, Duration::from_secs(1));
+    }
+
+    #[test]
+    fn every_fault_is_named_with_its_place() {
+        let cases = [
+            (
+                "zone = johor-a",
+                "zone =",
+                "[node] zone, line 3: value \"\", allowed: a name without blanks",
+            ),
+            (
+                "caller-addr = 127.0.0.1:8080",
+                "caller-addr = here",
+                "[node] caller-addr, line 5: value \"here\", allowed: IP address and port",
+            ),
+            (
+                "timeout = 1s",
+                "timeout = soon",
+                "[store] timeout, line 13: value \"soon\", allowed: a duration such as 500ms",
+            ),
+            ("timeout = 1s", "tiemout = 1s", "[store] tiemout, line 13: unknown key"),
+            ("addr = 127.0.0.1:2379", "", "[store] addr: missing, allowed: IP address and port"),
+        ];
+        for (from, to, expected) in cases {
+            assert!(GOOD.contains(from), "{from}");
+            let faults = parse(&GOOD.replacen(from, to, 1)).unwrap_err();
+            let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+            assert_eq!(faults, [expected]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/citrongwctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,10 @@
+//! What nodes agree on and know of each other and of replicas: decisions as
+//! step functions, and the small drivers that feed them.
+
+pub mod clock;
+pub mod config_watch;
+pub mod decision_log;
+pub mod news_board;
+pub mod node_view;
+pub mod replica_table;
+pub mod replica_watch;
--- /dev/null
+++ b/crates/coordination/src/news_board.rs
@@ -0,0 +1,49 @@
+//! Where the parts of a node give out news and take in those of other nodes.
+//!
+//! Membership takes what is published here to the peers, and puts in what they
+//! sent. Published news also reach this node's own subscribers.
+
+use citrongw_protocol::news::News;
+use tokio::sync::broadcast;
+
+/// News kept for a slow subscriber.
+const CAPACITY: usize = 4096;
+
+/// Board of one node.
+#[derive(Debug)]
+pub struct NewsBoard {
+    outgoing_tx: broadcast::Sender<News>,
+    heard_tx: broadcast::Sender<News>,
+}
+
+/// Opens a board.
+pub fn open() -> NewsBoard {
+    NewsBoard {
+        outgoing_tx: broadcast::channel(CAPACITY).0,
+        heard_tx: broadcast::channel(CAPACITY).0,
+    }
+}
+
+impl NewsBoard {
+    /// Tells this node's subscribers and all peers.
+    pub fn publish(&self, news: News) {
+        // Without a receiver there is nobody to tell.
+        let _ = self.heard_tx.send(news.clone());
+        let _ = self.outgoing_tx.send(news);
+    }
+
+    /// Tells this node's subscribers what a peer sent.
+    pub fn deliver(&self, news: News) {
+        let _ = self.heard_tx.send(news);
+    }
+
+    /// News of this node and its peers, from now on.
+    pub fn subscribe(&self) -> broadcast::Receiver<News> {
+        self.heard_tx.subscribe()
+    }
+
+    /// News that this node publishes, from now on.
+    pub fn subscribe_outgoing(&self) -> broadcast::Receiver<News> {
+        self.outgoing_tx.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,327 @@
+//! Stand-in for a model engine. It answers a prompt with words made from it,
+//! one by one, and keeps its streams for resuming.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use citrongw_protocol::engine::{
+    Chunk, EngineStatus, GenerateRequest, LoadReport, Order, OrderKind, OrderReply,
+};
+use citrongw_state::{
+    id::{Epoch, Incarnation, ReplicaId, StreamId},
+    replica::MemberReport,
+};
+use citrongw_transport::{
+    engine_client::{CancelBody, RefusalBody, ResumeBody},
+    event_stream,
+    http_server::{self, HttpServer},
+};
+use futures::{StreamExt, stream};
+use http_body_util::Full;
+use tokio::sync::watch;
+use viz::{Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
+
+use crate::http;
+
+/// Speed and manners of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineSettings {
+    /// Time until the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub between_tokens: Duration,
+    /// Time that loading weights takes.
+    pub load_time: Duration,
+    /// Whether it refuses an order of an older epoch.
+    pub honours_fencing: bool,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(5),
+            between_tokens: Duration::from_millis(1),
+            load_time: Duration::ZERO,
+            honours_fencing: true,
+        }
+    }
+}
+
+/// Engine, shared with its server.
+#[derive(Debug, Clone)]
+pub struct FakeEngine {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: EngineSettings,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    member: MemberReport,
+    load: LoadReport,
+    streams: BTreeMap<StreamId, StreamState>,
+    break_after: Option<u64>,
+    silent: bool,
+    generated: u64,
+    cancelled: u64,
+}
+
+#[derive(Debug)]
+struct StreamState {
+    words: Vec<String>,
+    cancel_tx: watch::Sender<bool>,
+}
+
+/// Makes an engine; it belongs to no replica yet.
+pub fn open(incarnation: Incarnation, settings: EngineSettings) -> FakeEngine {
+    let state = State {
+        member: MemberReport {
+            replica: None,
+            epoch: Epoch(0),
+            incarnation,
+            ready: false,
+            leaving: false,
+        },
+        load: LoadReport::default(),
+        streams: BTreeMap::new(),
+        break_after: None,
+        silent: false,
+        generated: 0,
+        cancelled: 0,
+    };
+    FakeEngine { shared: Arc::new(Shared { settings, state: Mutex::new(state) }) }
+}
+
+impl FakeEngine {
+    /// Makes it a ready member of a replica.
+    pub fn join(&self, replica: ReplicaId, epoch: Epoch) {
+        let mut state = self.state();
+        state.member.replica = Some(replica);
+        state.member.epoch = epoch;
+        state.member.ready = true;
+    }
+
+    /// Changes what it reports.
+    pub fn set_report(&self, change: impl FnOnce(&mut MemberReport)) {
+        change(&mut self.state().member);
+    }
+
+    /// What it reports.
+    pub fn report(&self) -> MemberReport {
+        self.state().member
+    }
+
+    /// Breaks the connection of each stream once, after so many tokens.
+    pub fn break_streams_after(&self, tokens: Option<u64>) {
+        self.state().break_after = tokens;
+    }
+
+    /// Takes requests and never answers them.
+    pub fn set_silent(&self, silent: bool) {
+        self.state().silent = silent;
+    }
+
+    /// Requests that it began.
+    pub fn generated(&self) -> u64 {
+        self.state().generated
+    }
+
+    /// Streams that were cancelled.
+    pub fn cancelled(&self) -> u64 {
+        self.state().cancelled
+    }
+
+    /// Answer to a prompt.
+    pub fn answer(prompt: &str, max_tokens: u32) -> Vec<String> {
+        let words = prompt.split_whitespace().cycle().take(max_tokens as usize);
+        words.enumerate().map(|(idx, word)| format!("{word}{idx} ")).collect()
+    }
+
+    /// Carries out an order.
+    pub fn order(&self, order: &Order) -> OrderReply {
+        let honours_fencing = self.shared.settings.honours_fencing;
+        let mut state = self.state();
+        let member = &mut state.member;
+        if order.incarnation != member.incarnation {
+            return OrderReply::OtherIncarnation { incarnation: member.incarnation };
+        }
+        if honours_fencing && order.epoch < member.epoch {
+            return OrderReply::OldEpoch { seen: member.epoch };
+        }
+        member.epoch = order.epoch;
+        match &order.kind {
+            OrderKind::Load { replica, .. } => {
+                member.replica = Some(*replica);
+                member.leaving = false;
+                member.ready = self.shared.settings.load_time.is_zero();
+            }
+            OrderKind::Drain => member.leaving = true,
+            OrderKind::Release => {
+                member.replica = None;
+                member.ready = false;
+                member.leaving = false;
+            }
+        }
+        OrderReply::Taken
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn refusal(&self, request: &GenerateRequest) -> Option<RefusalBody> {
+        let member = self.report();
+        let reason = if member.leaving {
+            "leaving"
+        } else if !member.ready {
+            "not ready"
+        } else if member.replica != Some(request.replica) || member.epoch != request.epoch {
+            "other replica"
+        } else if member.incarnation != request.incarnation {
+            "other start"
+        } else {
+            return None;
+        };
+        Some(RefusalBody { reason: reason.to_owned(), leaving: member.leaving, not_run: true })
+    }
+
+    fn begin(&self, request: &GenerateRequest) {
+        let words = Self::answer(&request.prompt, request.max_tokens);
+        let cancel_tx = watch::channel(false).0;
+        let mut state = self.state();
+        state.generated += 1;
+        state.streams.insert(request.stream.clone(), StreamState { words, cancel_tx });
+    }
+
+    fn body(&self, stream: &StreamId, offset: u64, first: Duration) -> Option<Body> {
+        let mut state = self.state();
+        let break_after = state.break_after.take();
+        let between = self.shared.settings.between_tokens;
+        let stream = state.streams.get(stream)?;
+        let words = stream.words.clone();
+        let cancel_rx = stream.cancel_tx.subscribe();
+        let total = words.len() as u64;
+        let chunks = stream::iter(offset..=total).then(move |sequence| {
+            let pause = if sequence == offset { first } else { between };
+            let chunk = chunk(&words, sequence);
+            let mut cancel_rx = cancel_rx.clone();
+            async move {
+                if break_after.is_some_and(|tokens| offset + tokens <= sequence) {
+                    return Err(io::Error::from(io::ErrorKind::BrokenPipe));
+                }
+                tokio::select! {
+                    () = tokio::time::sleep(pause) => {}
+                    res = cancel_rx.wait_for(|it| *it) => {
+                        drop(res);
+                        return Err(io::Error::from(io::ErrorKind::BrokenPipe));
+                    }
+                }
+                event_stream::event(&chunk).map_err(io::Error::from)
+            }
+        });
+        Some(Body::from_stream(chunks))
+    }
+}
+
+fn chunk(words: &[String], sequence: u64) -> Chunk {
+    let word = usize::try_from(sequence).ok().and_then(|idx| words.get(idx));
+    match word {
+        Some(text) => Chunk::Token { sequence, text: text.clone() },
+        None => Chunk::End {
+            tokens: words.len() as u64,
+            reason: "stop".to_owned(),
+            load: Some(LoadReport::default()),
+        },
+    }
+}
+
+/// Serves `engine` on `addr`.
+pub async fn bind(addr: SocketAddr, engine: FakeEngine) -> io::Result<HttpServer> {
+    let on = |engine: &FakeEngine| engine.clone();
+    let (a, b, c, d, e) = (on(&engine), on(&engine), on(&engine), on(&engine), on(&engine));
+    let router = Router::new()
+        .post("/engine/generate", move |req| generate(a.clone(), req))
+        .post("/engine/resume", move |req| resume(b.clone(), req))
+        .post("/engine/cancel", move |req| cancel(c.clone(), req))
+        .post("/engine/order", move |req| order(d.clone(), req))
+        .get("/engine/status", move |req| status(e.clone(), req))
+        .post("/engine/cache/export", |_: Request| async {
+            Ok::<Response, viz::Error>(Response::with(Body::Full(Full::from("cache")), "x/cache"))
+        })
+        .post("/engine/cache/import/:digest", |_: Request| async {
+            Ok::<Response, viz::Error>(http::json(StatusCode::OK, &()))
+        });
+    http_server::bind(addr, router).await
+}
+
+async fn generate(engine: FakeEngine, mut req: Request) -> viz::Result<Response> {
+    let request: GenerateRequest = req.json().await?;
+    if let Some(refusal) = engine.refusal(&request) {
+        return Ok(http::json(StatusCode::CONFLICT, &refusal));
+    }
+    engine.begin(&request);
+    let silent = engine.state().silent;
+    if silent {
+        std::future::pending::<()>().await;
+    }
+    Ok(events(engine.body(&request.stream, 0, engine.shared.settings.first_token)))
+}
+
+async fn resume(engine: FakeEngine, mut req: Request) -> viz::Result<Response> {
+    let body: ResumeBody = req.json().await?;
+    Ok(events(engine.body(&body.stream, body.offset, Duration::ZERO)))
+}
+
+fn events(body: Option<Body>) -> Response {
+    match body {
+        Some(body) => Response::with(body, "text/event-stream"),
+        None => {
+            let reason = "unknown stream".to_owned();
+            let refusal = RefusalBody { reason, leaving: false, not_run: true };
+            http::json(StatusCode::CONFLICT, &refusal)
+        }
+    }
+}
+
+async fn cancel(engine: FakeEngine, mut req: Request) -> viz::Result<Response> {
+    let body: CancelBody = req.json().await?;
+    let mut state = engine.state();
+    if let Some(stream) = state.streams.remove(&body.stream) {
+        stream.cancel_tx.send_replace(true);
+        state.cancelled += 1;
+    }
+    Ok(http::json(StatusCode::OK, &()))
+}
+
+async fn order(engine: FakeEngine, mut req: Request) -> viz::Result<Response> {
+    let body: Order = req.json().await?;
+    let reply = engine.order(&body);
+    let load_time = engine.shared.settings.load_time;
+    if reply == OrderReply::Taken && !load_time.is_zero() {
+        tokio::spawn(async move {
+            tokio::time::sleep(load_time).await;
+            let mut state = engine.state();
+            if state.member.epoch == body.epoch && state.member.replica.is_some() {
+                state.member.ready = true;
+            }
+        });
+    }
+    Ok(http::json(StatusCode::OK, &reply))
+}
+
+async fn status(engine: FakeEngine, _req: Request) -> viz::Result<Response> {
+    let status = {
+        let state = engine.state();
+        EngineStatus { member: state.member, load: state.load }
+    };
+    Ok(http::json(StatusCode::OK, &status))
+}
--- /dev/null
+++ b/crates/fakes/src/kv/core.rs
@@ -0,0 +1,137 @@
+//! State of the key-value service: values by key, one revision counter, and
+//! the log that watches read.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use citrongw_protocol::store::{
+    Change, Entry, Expected, Key, LeaseId, Snapshot, WatchEvent, Write, WriteResult,
+};
+use citrongw_state::{id::Revision, time::Time};
+
+/// State of the service.
+#[derive(Debug, Default)]
+pub struct KvCore {
+    revision: u64,
+    entries: BTreeMap<Key, Stored>,
+    log: Vec<WatchEvent>,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+    /// Reads carried out.
+    pub reads: u64,
+    /// Writes carried out or refused.
+    pub writes: u64,
+}
+
+#[derive(Debug)]
+struct Stored {
+    entry: Entry,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    ends_at: Time,
+}
+
+impl KvCore {
+    /// Revision of the last change.
+    pub fn revision(&self) -> Revision {
+        Revision(self.revision)
+    }
+
+    /// Reads one key.
+    pub fn get(&mut self, key: &Key) -> Snapshot {
+        self.reads += 1;
+        let entries = self.entries.get(key).map(|it| it.entry.clone()).into_iter().collect();
+        Snapshot { revision: self.revision(), entries }
+    }
+
+    /// Reads all keys that begin with `prefix`.
+    pub fn list(&mut self, prefix: &Key) -> Snapshot {
+        self.reads += 1;
+        let matching = self.entries.range(prefix.clone()..);
+        let entries = matching
+            .take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()))
+            .map(|(_, stored)| stored.entry.clone())
+            .collect();
+        Snapshot { revision: self.revision(), entries }
+    }
+
+    /// Changes one key if it is as expected.
+    pub fn compare_and_swap(&mut self, write: Write) -> WriteResult {
+        self.writes += 1;
+        let found = self.entries.get(&write.key).map(|it| &it.entry);
+        let as_expected = match write.expected {
+            Expected::Absent => found.is_none(),
+            Expected::Revision(revision) => found.is_some_and(|it| it.revision == revision),
+        };
+        if !as_expected {
+            return WriteResult::Conflict(found.cloned());
+        }
+        match write.change {
+            Change::Put(value) => self.put(write.key, value, write.lease),
+            Change::Delete => self.delete(&write.key),
+        }
+        WriteResult::Committed(self.revision())
+    }
+
+    /// Opens a lease.
+    pub fn grant_lease(&mut self, ttl: Duration, now: Time) -> LeaseId {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, Lease { ttl, ends_at: now + ttl });
+        LeaseId(self.next_lease)
+    }
+
+    /// Renews a lease. False if it has lapsed.
+    pub fn renew_lease(&mut self, id: LeaseId, now: Time) -> bool {
+        self.lapse(now);
+        let Some(lease) = self.leases.get_mut(&id.0) else { return false };
+        lease.ends_at = now + lease.ttl;
+        true
+    }
+
+    /// Removes the keys of all leases that ended by `now`.
+    pub fn lapse(&mut self, now: Time) {
+        let ended: Vec<i64> =
+            self.leases.iter().filter(|(_, it)| it.ends_at <= now).map(|(id, _)| *id).collect();
+        for id in ended {
+            self.leases.remove(&id);
+            let of_lease = |stored: &&Stored| stored.lease == Some(LeaseId(id));
+            let keys: Vec<Key> =
+                self.entries.values().filter(of_lease).map(|it| it.entry.key.clone()).collect();
+            for key in keys {
+                self.delete(&key);
+            }
+        }
+    }
+
+    /// Changes below `prefix` after the first `seen` of the log, with the place
+    /// to go on from.
+    pub fn events(&self, prefix: &Key, seen: usize, from: Revision) -> (Vec<WatchEvent>, usize) {
+        let wanted = |event: &&WatchEvent| match event {
+            WatchEvent::Put(entry) => {
+                from <= entry.revision && entry.key.as_str().starts_with(prefix.as_str())
+            }
+            WatchEvent::Deleted(key, revision) => {
+                from <= *revision && key.as_str().starts_with(prefix.as_str())
+            }
+            WatchEvent::Progress(_) => false,
+        };
+        let events = self.log.iter().skip(seen).filter(wanted).cloned().collect();
+        (events, self.log.len())
+    }
+
+    fn put(&mut self, key: Key, value: bytes::Bytes, lease: Option<LeaseId>) {
+        self.revision += 1;
+        let entry = Entry { key: key.clone(), value, revision: self.revision() };
+        self.log.push(WatchEvent::Put(entry.clone()));
+        self.entries.insert(key, Stored { entry, lease });
+    }
+
+    fn delete(&mut self, key: &Key) {
+        self.revision += 1;
+        self.entries.remove(key);
+        self.log.push(WatchEvent::Deleted(key.clone(), self.revision()));
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins for the systems around citrongw, for tests, benches and the
+//! demo. Not part of the product.
+
+pub mod engine;
+pub mod http;
+pub mod kv;
+pub mod plain_service;
+pub mod platform;
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages, result codes and the narrow interfaces to the systems around
+//! citrongw.
+//!
+//! The traits here are all that decisions and drivers know of the platform and
+//! of the engines; `transport` holds the clients behind them.
+
+pub mod caller;
+pub mod code;
+pub mod decision;
+pub mod engine;
+pub mod instance_list;
+pub mod news;
+pub mod record;
+pub mod store;
+pub mod weight_store;
--- /dev/null
+++ b/crates/transport/src/event_stream.rs
@@ -0,0 +1,82 @@
+//! Streams of JSON: server-sent events, and one document a line.
+
+use bytes::{Bytes, BytesMut};
+use futures::{Stream, StreamExt, stream};
+use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::http_client::HttpError;
+
+/// Longest event.
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+/// Prefix of a data line.
+const DATA: &[u8] = b"data:";
+
+/// One event.
+pub fn event<T: Serialize>(data: &T) -> serde_json::Result<Bytes> {
+    let mut buf = b"data: ".to_vec();
+    serde_json::to_writer(&mut buf, data)?;
+    buf.extend_from_slice(b"\n\n");
+    Ok(Bytes::from(buf))
+}
+
+/// Reads the events of a body. Lines other than data are passed over.
+pub fn read<T: DeserializeOwned + Send + 'static>(
+    body: Incoming,
+) -> impl Stream<Item = Result<T, HttpError>> + Send {
+    read_prefixed(body, DATA)
+}
+
+/// Reads one document a line. Empty lines are passed over.
+pub fn read_lines<T: DeserializeOwned + Send + 'static>(
+    body: Incoming,
+) -> impl Stream<Item = Result<T, HttpError>> + Send {
+    read_prefixed(body, b"")
+}
+
+fn read_prefixed<T: DeserializeOwned + Send + 'static>(
+    body: Incoming,
+    prefix: &'static [u8],
+) -> impl Stream<Item = Result<T, HttpError>> + Send {
+    let reader = Reader { body: BodyDataStream::new(body), buf: BytesMut::new(), prefix };
+    stream::unfold(Some(reader), |reader| async move {
+        let mut reader = reader?;
+        match reader.next_line().await {
+            Ok(Some(line)) => match serde_json::from_slice(&line) {
+                Ok(event) => Some((Ok(event), Some(reader))),
+                Err(_) => Some((Err(HttpError::BadAnswer), None)),
+            },
+            Ok(None) => None,
+            Err(error) => Some((Err(error), None)),
+        }
+    })
+}
+
+struct Reader {
+    body: BodyDataStream<Incoming>,
+    buf: BytesMut,
+    prefix: &'static [u8],
+}
+
+impl Reader {
+    async fn next_line(&mut self) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            while let Some(end) = self.buf.iter().position(|byte| *byte == b'\n') {
+                let line = self.buf.split_to(end + 1).freeze();
+                let blank = line.trim_ascii().is_empty();
+                if !blank && line.starts_with(self.prefix) {
+                    return Ok(Some(line.slice(self.prefix.len()..)));
+                }
+            }
+            if MAX_EVENT_BYTES < self.buf.len() {
+                return Err(HttpError::BadAnswer);
+            }
+            match self.body.next().await {
+                Some(Ok(data)) => self.buf.extend_from_slice(&data),
+                Some(Err(_)) => return Err(HttpError::BrokenOff),
+                None => return Ok(None),
+            }
+        }
+    }
+}
