Add what the benches share

Cause: seven benches are to print the same lines from the same arguments. Conclusion: benches add only what they measure.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! What the benches share: their arguments and the lines they print.
+
+pub mod args;
+pub mod report;
