Move unit tests into test files

Cause: the users ask that tests live in test files; the model for layout keeps them at the foot of each file, and the users' word goes first. Change: each module's cases stand in a file of their own beside it.

--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -116,15 +116,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn numbers_are_unique_and_ascend() {
-        for pair in ResultCode::ALL.windows(2) {
-            assert!(pair[0].number() < pair[1].number());
-        }
-        assert_eq!(ResultCode::from_number(2005), Some(ResultCode::Stopping));
-        assert_eq!(ResultCode::from_number(1), None);
-    }
-}
+mod tests;
