Add the decisions on the path of a request

Routing, admission, concurrency, limits, retries, hedges, stragglers, breaker and suspicion stood only in the starting design, so the node chose the replica with the least of its own work and refused nothing. Each is now a module of the state crate: pure, with the time passed in, atomics where the path of a request writes, and a typed reason for what it decides. The module heads tell how a node drives them. News gains the clearing of a suspect, and the decision log a sentence for each new kind of decision.

--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use citrongw_state::id::{ReplicaId, RequestId};
+use citrongw_state::{
+    admission,
+    id::{ReplicaId, RequestId},
+    retry, routing, straggler,
+};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +33,66 @@
         /// The code.
         code: ResultCode,
     },
+    /// A replica was chosen among the candidates of a request.
+    #[display("replica {replica} was chosen for request {request}: {reason}")]
+    Chosen {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// Why.
+        reason: routing::Reason,
+    },
+    /// No replica was chosen for a request.
+    #[display("no replica was chosen for request {request}: {reason}")]
+    NotChosen {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: routing::NoChoice,
+    },
+    /// A request was not admitted.
+    #[display("request {request} was not admitted: {refusal}")]
+    NotAdmitted {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        refusal: admission::Refusal,
+    },
+    /// A failed attempt was not made again.
+    #[display("request {request} was not tried again: {reason}")]
+    NotRetried {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: retry::NoRetry,
+    },
+    /// A replica was ejected as a straggler, tried again, or returned.
+    #[display("replica {replica} {change}")]
+    Straggler {
+        /// The replica.
+        replica: ReplicaId,
+        /// What changed.
+        change: straggler::Change,
+    },
+    /// A request runs alone among suspects.
+    #[display("request {request} runs on replica {replica} in isolation after {deaths} deaths")]
+    Isolated {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// Replicas that died with it in flight.
+        deaths: u32,
+    },
+    /// A request is refused for the replicas that it crashed.
+    #[display("request {request} was refused: {deaths} replicas died with it in flight")]
+    Contained {
+        /// The request.
+        request: RequestId,
+        /// Replicas that died with it in flight.
+        deaths: u32,
+    },
 }
 
 /// Decision with its time.
@@ -54,11 +118,32 @@
     pub fn concerns(&self, subject: Subject) -> bool {
         match (self, subject) {
             (
-                Self::Routed { request, .. } | Self::Refused { request, .. },
+                Self::Routed { request, .. }
+                | Self::Refused { request, .. }
+                | Self::Chosen { request, .. }
+                | Self::NotChosen { request, .. }
+                | Self::NotAdmitted { request, .. }
+                | Self::NotRetried { request, .. }
+                | Self::Isolated { request, .. }
+                | Self::Contained { request, .. },
                 Subject::Request(id),
             ) => *request == id,
-            (Self::Routed { replica, .. }, Subject::Replica(id)) => *replica == id,
-            (Self::Refused { .. }, Subject::Replica(_)) => false,
+            (
+                Self::Routed { replica, .. }
+                | Self::Chosen { replica, .. }
+                | Self::Straggler { replica, .. }
+                | Self::Isolated { replica, .. },
+                Subject::Replica(id),
+            ) => *replica == id,
+            (
+                Self::Refused { .. }
+                | Self::NotChosen { .. }
+                | Self::NotAdmitted { .. }
+                | Self::NotRetried { .. }
+                | Self::Contained { .. },
+                Subject::Replica(_),
+            )
+            | (Self::Straggler { .. }, Subject::Request(_)) => false,
         }
     }
 }
--- a/crates/protocol/src/news.rs
+++ b/crates/protocol/src/news.rs
@@ -15,6 +15,8 @@
     Leaving(LeavingInstance),
     /// Replicas died with a request in flight.
     Suspicion(RequestSuspicion),
+    /// A suspected request succeeded.
+    Cleared(RequestCleared),
     /// Demand of an organisation at one node.
     Demand(OrganisationDemand),
     /// A domain's record changed: read it.
@@ -43,6 +45,13 @@
     pub beside: u32,
 }
 
+/// Success of a request that was suspected.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestCleared {
+    /// The request.
+    pub fingerprint: Fingerprint,
+}
+
 /// Demand of an organisation at one node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OrganisationDemand {
--- /dev/null
+++ b/crates/state/src/admission/tests.rs
@@ -0,0 +1,103 @@
+//! Cases of the queue.
+
+use super::*;
+
+fn arrival(organisation: &str, start_by_ms: u64) -> Arrival {
+    Arrival {
+        organisation: organisation.into(),
+        weight: 1,
+        priority: Priority::Normal,
+        cost: Tokens(100),
+        size: Bytes(10),
+        start_by: Time::from_millis(start_by_ms),
+    }
+}
+
+fn queue(max_requests: usize) -> Queue<u32> {
+    open(QueueBounds { max_requests, max_bytes: 1000 })
+}
+
+const LATE: u64 = 1_000_000;
+
+#[test]
+fn organisations_take_turns_by_weight() {
+    let mut queue = queue(100);
+    for item in 0..20 {
+        queue.offer(arrival("large", LATE), item, Time::START);
+    }
+    for item in 20..24 {
+        queue.offer(arrival("small", LATE), item, Time::START);
+    }
+    let weighted = Arrival { weight: 2, ..arrival("weighted", LATE) };
+    for item in 30..38 {
+        queue.offer(weighted.clone(), item, Time::START);
+    }
+    let first: Vec<OrganisationId> = (0..16)
+        .filter_map(|_| queue.take(Time::START).next)
+        .map(|(arrival, _)| arrival.organisation)
+        .collect();
+    let count = |name: &str| first.iter().filter(|it| it.as_str() == name).count();
+    assert_eq!((count("large"), count("small"), count("weighted")), (4, 4, 8));
+}
+
+#[test]
+fn higher_class_goes_first() {
+    let mut queue = queue(100);
+    for (item, priority) in [(1, Priority::Low), (2, Priority::Normal), (3, Priority::High)] {
+        queue.offer(Arrival { priority, ..arrival("a", LATE) }, item, Time::START);
+    }
+    let order: Vec<u32> =
+        std::iter::from_fn(|| queue.take(Time::START).next.map(|(_, item)| item)).collect();
+    assert_eq!(order, [3, 2, 1]);
+}
+
+#[test]
+fn full_queue_gives_up_what_the_largest_holds() {
+    let mut queue = queue(4);
+    for item in 0..4 {
+        assert!(queue.offer(arrival("large", LATE), item, Time::START).ticket.is_some());
+    }
+    let own = queue.offer(arrival("large", LATE), 4, Time::START);
+    assert_eq!(own.refused[0].refusal, Refusal::Full);
+    let small = queue.offer(arrival("small", LATE), 5, Time::START);
+    assert!(small.ticket.is_some());
+    assert_eq!((small.refused[0].item, small.refused[0].refusal), (3, Refusal::Displaced));
+    assert_eq!(queue.len(), 4);
+    let large_body = Arrival { size: Bytes(2000), ..arrival("small", LATE) };
+    assert_eq!(queue.offer(large_body, 6, Time::START).ticket, None);
+}
+
+#[test]
+fn refuses_at_once_what_would_be_late() {
+    let mut queue = queue(100);
+    for item in 0..40 {
+        queue.offer(arrival("large", LATE), item, Time::START);
+    }
+    // One request leaves every 100 ms.
+    for step in 1..=10 {
+        assert!(queue.take(Time::from_millis(step * 100)).next.is_some());
+    }
+    let now = Time::from_millis(1000);
+    let late = queue.offer(arrival("large", 2000), 50, now);
+    assert_eq!(late.refused[0].refusal, Refusal::TooLate);
+    assert!(Duration::from_secs(2) < late.refused[0].retry_after);
+    let small = queue.offer(arrival("small", 2000), 51, now);
+    assert!(small.ticket.is_some(), "its turn comes before those of the large one");
+}
+
+#[test]
+fn expired_and_removed_are_not_served() {
+    let mut queue = queue(100);
+    queue.offer(arrival("a", 50), 1, Time::START);
+    let ticket = queue.offer(arrival("a", LATE), 2, Time::START).ticket.unwrap();
+    queue.offer(arrival("a", LATE), 3, Time::START);
+    assert_eq!(queue.remove(&ticket), Some(2));
+    assert_eq!(queue.remove(&ticket), None);
+    let taken = queue.take(Time::from_millis(100));
+    assert_eq!(taken.refused[0].refusal, Refusal::Expired);
+    let (arrival, item) = taken.next.unwrap();
+    assert_eq!(item, 3);
+    queue.put_back(arrival, item, Time::from_millis(100));
+    assert_eq!(queue.take(Time::from_millis(100)).next.map(|it| it.1), Some(3));
+    assert!(queue.is_empty());
+}
--- /dev/null
+++ b/crates/state/src/concurrency/tests.rs
@@ -0,0 +1,35 @@
+//! Cases of the limit.
+
+use super::*;
+
+const TARGET: Duration = Duration::from_millis(500);
+const FAST: Sample = Sample::FirstToken(Duration::from_millis(200));
+const SLOW: Sample = Sample::FirstToken(Duration::from_millis(900));
+
+#[test]
+fn grows_only_while_used_up() {
+    let limit = ConcurrencyLimit::default();
+    let start = limit.get();
+    for _ in 0..100 {
+        limit.add(FAST, 1, TARGET, Time::START);
+    }
+    assert_eq!(limit.get(), start);
+    for _ in 0..start + 1 {
+        limit.add(FAST, start, TARGET, Time::START);
+    }
+    assert_eq!(limit.get(), start + 1);
+}
+
+#[test]
+fn shrinks_once_a_round_and_never_below_one() {
+    let limit = ConcurrencyLimit::default();
+    let start = limit.get();
+    for _ in 0..50 {
+        limit.add(SLOW, start, TARGET, Time::from_millis(10));
+    }
+    assert_eq!(limit.get(), (f64::from(start) * SHRINK) as u32);
+    for round in 1..200 {
+        limit.add(Sample::Overloaded, start, TARGET, Time::from_millis(10 + round * 1000));
+    }
+    assert_eq!(limit.get(), 1);
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,8 +5,18 @@
 //! state, event and time, so that a bench can drive thousands of nodes' worth
 //! of them without sockets.
 
+pub mod admission;
+pub mod breaker;
+pub mod concurrency;
 pub mod config;
+pub mod hash;
+pub mod hedge;
 pub mod id;
+pub mod limit;
 pub mod replica;
+pub mod retry;
+pub mod routing;
+pub mod straggler;
+pub mod suspicion;
 pub mod time;
 pub mod unit;
--- /dev/null
+++ b/crates/state/src/suspicion/tests.rs
@@ -0,0 +1,96 @@
+//! Cases of blame.
+
+use super::*;
+
+fn group(len: u32) -> Group {
+    Group::of((0..len).map(|idx| (ReplicaId(u64::from(idx)), Slot(idx))))
+}
+
+fn evidence(fingerprint: u128, replica: u64) -> Evidence {
+    let death = DeathId { replica: ReplicaId(replica), incarnation: Incarnation(1) };
+    Evidence { fingerprint: Fingerprint(fingerprint), death }
+}
+
+fn verdict(suspicions: &Suspicions, fingerprint: u128, now: Time) -> Verdict {
+    suspicions.verdict(Fingerprint(fingerprint), &group(50), now, |_| Health::Usable)
+}
+
+const SETTLED: Time = Time(SETTLE);
+
+#[test]
+fn shared_blame_is_told_apart_by_the_intersection() {
+    let mut known = Suspicions::default();
+    for fingerprint in 1..=10 {
+        known.add(evidence(fingerprint, 1), Time::START);
+        assert!(matches!(verdict(&known, fingerprint, Time::START), Verdict::Wait { .. }));
+    }
+    let isolated: BTreeSet<Slot> = (1..=10)
+        .map(|fingerprint| match verdict(&known, fingerprint, SETTLED) {
+            Verdict::Isolate { slot, deaths: 1 } => slot,
+            other => panic!("{fingerprint}: {other:?}"),
+        })
+        .collect();
+    assert_eq!(isolated.len(), 10, "no two on one replica");
+    known.add(evidence(7, 2), SETTLED);
+    known.add(evidence(99, 2), SETTLED);
+    assert!(matches!(verdict(&known, 7, SETTLED), Verdict::Wait { .. }));
+    let later = SETTLED + SETTLE;
+    for fingerprint in [1, 2, 3, 4, 5, 6, 8, 9, 10, 99] {
+        assert_eq!(verdict(&known, fingerprint, later), Verdict::Free, "{fingerprint}");
+    }
+    assert_eq!(verdict(&known, 7, later), Verdict::Refuse { deaths: 2 });
+}
+
+#[test]
+fn nobody_is_refused_while_two_fit() {
+    let mut known = Suspicions::default();
+    for fingerprint in [1, 2] {
+        for replica in [1, 2] {
+            known.add(evidence(fingerprint, replica), Time::START);
+        }
+    }
+    assert!(matches!(verdict(&known, 1, SETTLED), Verdict::Isolate { deaths: 2, .. }));
+    known.clear(Fingerprint(2), SETTLED);
+    assert_eq!(verdict(&known, 1, SETTLED), Verdict::Refuse { deaths: 2 });
+    assert_eq!(verdict(&known, 2, SETTLED), Verdict::Free);
+}
+
+#[test]
+fn success_protects_for_a_while() {
+    let mut known = Suspicions::default();
+    known.clear(Fingerprint(1), Time::START);
+    assert!(!known.add(evidence(1, 1), Time::START));
+    assert_eq!(verdict(&known, 1, SETTLED), Verdict::Free);
+    assert!(known.add(evidence(1, 1), Time::START + CLEARED));
+    assert_ne!(verdict(&known, 1, Time::START + CLEARED), Verdict::Free);
+    let completions = Completions::default();
+    completions.add(Fingerprint(1), SETTLED);
+    assert!(completions.is_recent(Fingerprint(1), SETTLED + CLEARED / 2));
+    assert!(!completions.is_recent(Fingerprint(1), SETTLED + CLEARED));
+    assert!(!completions.is_recent(Fingerprint(2), SETTLED));
+}
+
+#[test]
+fn many_deaths_at_once_make_nobody_wait() {
+    let mut known = Suspicions::default();
+    known.add_death(ReplicaId(0), Time::START);
+    assert_eq!(known.newly_dead(ReplicaId(0), Time::START), Some(SETTLED));
+    assert_eq!(known.newly_dead(ReplicaId(0), SETTLED), None);
+    for replica in 1..20 {
+        known.add_death(ReplicaId(replica), Time::START);
+    }
+    assert_eq!(known.newly_dead(ReplicaId(0), Time::START), None);
+}
+
+#[test]
+fn refused_request_outlasts_other_suspects() {
+    let mut known = Suspicions::default();
+    for replica in [1, 2] {
+        known.add(evidence(7, replica), Time::START);
+    }
+    known.add(evidence(8, 1), Time::START);
+    known.forget(Time::START + KEEP);
+    assert_eq!(known.evidence().len(), 2);
+    assert!(!known.is_suspected(Fingerprint(8)));
+    assert!(known.is_suspected(Fingerprint(7)));
+}
