Add the operators' interface, metrics and the state dump

Cause: nothing of a running node could be seen or changed. Change: a port of its own with bearer tokens kept as digests and two roles; status, replicas, nodes, explanations, dump (also on SIGUSR1), log level, metrics with organisations as labels within a bound. A token in the settings counts only until the configuration names operators. Conclusion: the reading side stands; edits wait for the configuration's functions.

--- /dev/null
+++ b/crates/citrongw/src/admin.rs
@@ -0,0 +1,104 @@
+//! The operators' interface: JSON on a port of its own, with bearer tokens.
+
+mod auth;
+mod dump;
+mod explain;
+mod status;
+
+use std::sync::Arc;
+
+use citrongw_protocol::{
+    admin::{Explanation, LogLevel},
+    caller::ErrorBody,
+    code::ResultCode,
+    decision::Subject,
+};
+use citrongw_state::{config::Role, id::RequestId};
+use serde::{Serialize, de::DeserializeOwned};
+use viz::{Request, RequestExt, Response, Router, StatusCode};
+
+pub(crate) use self::{dump::dump, status::status};
+use crate::{http_answer, node::Shared};
+
+/// Content type of the metrics page.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Routes of the operators' interface.
+pub fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .get("/admin/status", read(shared, |shared, _| Ok(status(shared))))
+        .get("/admin/replicas", read(shared, |shared, _| Ok(status::replicas(shared))))
+        .get("/admin/nodes", read(shared, |shared, _| Ok(status::nodes(shared))))
+        .get("/admin/dump", read(shared, |shared, _| Ok(dump(shared))))
+        .get("/admin/explain/refusals", read(shared, |shared, _| Ok(explain::refusals(shared))))
+        .get("/admin/explain/request/:id", read(shared, explain_request))
+        .get("/admin/explain/replica/:id", read(shared, explain_replica))
+        .get("/metrics", {
+            let shared = Arc::clone(shared);
+            move |_: Request| {
+                let text = shared.metrics.text(&shared);
+                async move { Ok::<Response, viz::Error>(http_answer::text(text, METRICS_TYPE)) }
+            }
+        })
+        .put("/admin/log-level", {
+            let shared = Arc::clone(shared);
+            move |req| set_log_level(Arc::clone(&shared), req)
+        })
+}
+
+/// Handler that looks and changes nothing.
+fn read<T, F>(
+    shared: &Arc<Shared>,
+    look: F,
+) -> impl Fn(Request) -> std::future::Ready<viz::Result<Response>> + Clone + use<T, F>
+where
+    T: Serialize,
+    F: Fn(&Shared, &Request) -> Result<T, ResultCode> + Clone + Send + Sync + 'static,
+{
+    let shared = Arc::clone(shared);
+    move |req| {
+        let found = auth::check(&shared, &req, Role::Read).and_then(|_| look(&shared, &req));
+        std::future::ready(Ok(answer(found)))
+    }
+}
+
+fn explain_request(shared: &Shared, req: &Request) -> Result<Explanation, ResultCode> {
+    Ok(explain::about(shared, Subject::Request(path_param(req)?)))
+}
+
+fn explain_replica(shared: &Shared, req: &Request) -> Result<Explanation, ResultCode> {
+    Ok(explain::about(shared, Subject::Replica(path_param(req)?)))
+}
+
+async fn set_log_level(shared: Arc<Shared>, mut req: Request) -> viz::Result<Response> {
+    let changed = match auth::check(&shared, &req, Role::Operate) {
+        Ok(operator) => read_json::<LogLevel>(&mut req).await.and_then(|wanted| {
+            crate::log::set_level(&wanted.level).map_err(|_| ResultCode::Malformed)?;
+            tracing::info!(operator = %operator.id, level = wanted.level, "log level changed");
+            Ok(wanted)
+        }),
+        Err(code) => Err(code),
+    };
+    Ok(answer(changed))
+}
+
+/// A part of the path as a typed value.
+fn path_param<T: std::str::FromStr>(req: &Request) -> Result<T, ResultCode> {
+    let text: String = req.param("id").map_err(|_| ResultCode::NotFound)?;
+    text.parse().map_err(|_| ResultCode::Malformed)
+}
+
+async fn read_json<T: DeserializeOwned>(req: &mut Request) -> Result<T, ResultCode> {
+    req.json().await.map_err(|_| ResultCode::Malformed)
+}
+
+fn answer<T: Serialize>(res: Result<T, ResultCode>) -> Response {
+    match res {
+        Ok(body) => http_answer::json(StatusCode::OK, &body),
+        Err(code) => {
+            let status = StatusCode::from_u16(code.http_status());
+            let body = ErrorBody::new(code, RequestId(rand::random()));
+            http_answer::json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &body)
+        }
+    }
+}
--- /dev/null
+++ b/crates/citrongw/src/admin/dump.rs
@@ -0,0 +1,67 @@
+//! State of the node: complete but for secrets, and bounded.
+
+use citrongw_protocol::admin::{Dump, SettingValue};
+use citrongw_state::config::{Config, KeyDigest};
+
+use super::status;
+use crate::node::Shared;
+
+/// Replicas in a dump.
+const MAX_REPLICAS: usize = 1000;
+/// Decisions in a dump.
+const MAX_DECISIONS: usize = 1000;
+/// What stands in place of a secret.
+const REDACTED: &str = "redacted";
+
+/// State of this node.
+pub(crate) fn dump(shared: &Shared) -> Dump {
+    let mut replicas = status::replicas(shared);
+    let left_out = replicas.len().saturating_sub(MAX_REPLICAS) as u64;
+    replicas.truncate(MAX_REPLICAS);
+    let mut decisions = shared.decisions.select(|_| true);
+    let surplus = decisions.len().saturating_sub(MAX_DECISIONS);
+    decisions.drain(..surplus);
+    Dump {
+        status: status::status(shared),
+        nodes: status::nodes(shared),
+        replicas,
+        replicas_left_out: left_out,
+        config: shared.config.load().as_ref().map(|it| redact(&it.config)),
+        decisions: decisions.into_iter().map(Into::into).collect(),
+        settings: settings(shared),
+    }
+}
+
+/// Configuration without the digests of keys and tokens.
+pub(super) fn redact(config: &Config) -> Config {
+    let mut config = config.clone();
+    for service in &mut config.services {
+        for digest in &mut service.key_digests {
+            *digest = KeyDigest(REDACTED.to_owned());
+        }
+    }
+    for operator in &mut config.operators {
+        operator.token_digest = KeyDigest(REDACTED.to_owned());
+    }
+    config
+}
+
+fn settings(shared: &Shared) -> Vec<SettingValue> {
+    let settings = &shared.settings;
+    let value = |name: &str, value: String| SettingValue { name: name.to_owned(), value };
+    let duration = |it| humantime::format_duration(it).to_string();
+    vec![
+        value("node.zone", settings.zone.to_string()),
+        value("node.region", settings.region.to_string()),
+        value("node.caller-addr", settings.caller_addr.to_string()),
+        value("node.peer-addr", settings.peer_addr.to_string()),
+        value("node.admin-addr", settings.admin_addr.to_string()),
+        value("node.report-freshness", duration(settings.report_freshness)),
+        value("node.balancer-lag", duration(settings.balancer_lag)),
+        value("store.addr", settings.store_addr.to_string()),
+        value("store.timeout", duration(settings.store_timeout)),
+        value("platform.instance-list-addr", settings.instance_list_addr.to_string()),
+        value("platform.weight-store-addr", settings.weight_store_addr.to_string()),
+        value("log.level", settings.log_level.clone()),
+    ]
+}
--- a/crates/citrongw/src/cmd/demo.rs
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -19,6 +19,8 @@
     let addr = demo.node.caller_addr();
     println!("citrongw is serving on http://{addr}; try:");
     println!("{}", demo::curl_line(addr));
+    let admin_addr = demo.node.admin_addr();
+    println!("citrongwctl --node {admin_addr} --token {} status", demo::DEMO_TOKEN);
     run::stop_signal().await?;
     demo.node.stop().await;
     Ok(())
--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -1,11 +1,16 @@
 //! `citrongw run`.
 
+use std::sync::Arc;
+
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
+    admin,
     cmd::args,
     error::{Result, could_not},
-    log, node, settings,
+    log,
+    node::{self, Shared},
+    settings,
 };
 
 /// Runs a node until it is told to stop.
@@ -14,11 +19,23 @@
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
     println!("callers on {}", node.caller_addr());
+    println!("operators on {}", node.admin_addr());
+    let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
     stop_signal().await?;
+    dumper.abort();
     node.stop().await;
     Ok(())
 }
 
+/// Logs the state of the node on each SIGUSR1.
+async fn dump_on_signal(shared: Arc<Shared>) {
+    let Ok(mut signals) = signal(SignalKind::user_defined1()) else { return };
+    while signals.recv().await.is_some() {
+        let dump = serde_json::to_string(&admin::dump(&shared)).unwrap_or_default();
+        tracing::info!(dump, "state dump");
+    }
+}
+
 /// Waits for the signal that asks for the planned stop.
 pub(super) async fn stop_signal() -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -32,6 +32,8 @@
 
 /// API key of the demo.
 pub const DEMO_KEY: &str = "demo-key";
+/// Operator's token of the demo.
+pub const DEMO_TOKEN: &str = "demo-token";
 /// Configuration of the demo.
 const DEMO_CONFIG: &str = include_str!("../../../contrib/demo-config.json");
 /// Any free port of this machine.
@@ -90,6 +92,7 @@
         caller_addr: listen,
         peer_addr: ANY_PORT,
         admin_addr: ANY_PORT,
+        first_token_digest: Some(KeyDigest::of(DEMO_TOKEN)),
         store_addr: surroundings.store_addr,
         store_timeout: Duration::from_secs(1),
         instance_list_addr: surroundings.platform_addr,
--- a/crates/citrongw/src/lib.rs
+++ b/crates/citrongw/src/lib.rs
@@ -1,9 +1,12 @@
 //! The node of citrongw: its settings, its wiring and its caller interface.
 
+pub mod admin;
 pub mod caller;
 pub mod cmd;
 pub mod demo;
 pub mod error;
+pub mod http_answer;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod settings;
--- /dev/null
+++ b/crates/citrongw/src/metrics.rs
@@ -0,0 +1,183 @@
+//! Metrics in the OpenMetrics text form.
+//!
+//! What the request path counts is kept here; what other parts know already is
+//! read from them when the page is asked for.
+
+use std::{
+    collections::BTreeSet,
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
+    time::Duration,
+};
+
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::id::OrganisationId;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::node::Shared;
+
+/// Organisations with a label of their own; all others share one.
+const MAX_ORGANISATIONS: usize = 64;
+/// Label of the organisations beyond the bound.
+const OTHER_ORGANISATIONS: &str = "other";
+/// Upper bounds of request times, in seconds.
+const REQUEST_BUCKETS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.52, 1.0, 2.5, 5.0, 15.0, 60.0];
+
+/// Labels of a request that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    organisation: String,
+    code: u16,
+    outcome: String,
+}
+
+/// Labels of a deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ModelLabels {
+    model: String,
+}
+
+/// Labels of lost serving time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    model: String,
+    cause: String,
+}
+
+/// Metrics of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    organisations: Mutex<BTreeSet<OrganisationId>>,
+    request_time: Histogram,
+    replicas_wanted: Family<ModelLabels, Gauge>,
+    replicas_serving: Family<ModelLabels, Gauge>,
+    group_downtime: Family<CauseLabels, Counter<f64, AtomicU64>>,
+    stranded: Family<CauseLabels, Counter<f64, AtomicU64>>,
+    nodes: Gauge,
+    config_revision: Gauge,
+    ready: Gauge,
+}
+
+/// Opens the metrics of a node.
+pub fn open() -> Metrics {
+    let mut metrics = Metrics {
+        registry: Registry::with_prefix("citrongw"),
+        requests: Family::default(),
+        organisations: Mutex::default(),
+        request_time: Histogram::new(REQUEST_BUCKETS_S),
+        replicas_wanted: Family::default(),
+        replicas_serving: Family::default(),
+        group_downtime: Family::default(),
+        stranded: Family::default(),
+        nodes: Gauge::default(),
+        config_revision: Gauge::default(),
+        ready: Gauge::default(),
+    };
+    metrics.register();
+    metrics
+}
+
+impl Metrics {
+    /// Counts a request that ended; `code` is absent for a whole answer.
+    pub fn add_request(
+        &self,
+        organisation: &OrganisationId,
+        code: Option<ResultCode>,
+        took: Duration,
+    ) {
+        let outcome = code.map_or_else(|| "completed".to_owned(), |it| it.outcome().to_string());
+        let labels = RequestLabels {
+            organisation: self.organisation_label(organisation),
+            code: code.map_or(0, ResultCode::number),
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.request_time.observe(took.as_secs_f64());
+    }
+
+    /// Adds time that a replica of a model was not serving.
+    pub fn add_group_downtime(&self, model: &str, cause: &str, time: Duration) {
+        let labels = CauseLabels { model: model.to_owned(), cause: cause.to_owned() };
+        self.group_downtime.get_or_create(&labels).inc_by(time.as_secs_f64());
+    }
+
+    /// Adds accelerators times the time that they were idle because their
+    /// replica could not form.
+    pub fn add_stranded(&self, model: &str, cause: &str, accelerator_seconds: f64) {
+        let labels = CauseLabels { model: model.to_owned(), cause: cause.to_owned() };
+        self.stranded.get_or_create(&labels).inc_by(accelerator_seconds);
+    }
+
+    /// The page.
+    pub fn text(&self, shared: &Shared) -> String {
+        self.read(shared);
+        let mut page = String::new();
+        if text::encode(&mut page, &self.registry).is_err() {
+            page.clear();
+        }
+        page
+    }
+
+    fn organisation_label(&self, organisation: &OrganisationId) -> String {
+        let mut known = self.organisations.lock().unwrap_or_else(PoisonError::into_inner);
+        if !known.contains(organisation) {
+            if MAX_ORGANISATIONS <= known.len() {
+                return OTHER_ORGANISATIONS.to_owned();
+            }
+            known.insert(organisation.clone());
+        }
+        organisation.to_string()
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register_with_unit(
+            "request_time",
+            "Time from arrival to the end of the answer",
+            Unit::Seconds,
+            self.request_time.clone(),
+        );
+        registry.register("replicas_wanted", "Replicas wanted", self.replicas_wanted.clone());
+        registry.register("replicas_serving", "Replicas serving", self.replicas_serving.clone());
+        registry.register_with_unit(
+            "group_downtime",
+            "Time that replicas were not serving",
+            Unit::Seconds,
+            self.group_downtime.clone(),
+        );
+        registry.register(
+            "stranded_accelerator_seconds",
+            "Accelerator time idle because its replica could not form",
+            self.stranded.clone(),
+        );
+        registry.register("nodes_alive", "Nodes held for alive", self.nodes.clone());
+        registry.register(
+            "config_revision",
+            "Revision of the configuration in force",
+            self.config_revision.clone(),
+        );
+        registry.register("ready", "Whether the node takes new work", self.ready.clone());
+    }
+
+    fn read(&self, shared: &Shared) {
+        let status = crate::admin::status(shared);
+        self.nodes.set(i64::from(status.nodes));
+        let revision = status.config_revision.map_or(0, |it| it.0);
+        self.config_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.ready.set(i64::from(status.ready));
+        let config = shared.config.load_full();
+        let wanted = config.iter().flat_map(|it| &it.config.deployments);
+        for (deployment, status) in wanted.zip(&status.deployments) {
+            let labels = ModelLabels { model: deployment.model.to_string() };
+            self.replicas_wanted.get_or_create(&labels).set(i64::from(status.wanted));
+            self.replicas_serving.get_or_create(&labels).set(i64::from(status.serving));
+        }
+    }
+}
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -28,8 +28,9 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    caller,
+    admin, caller,
     error::{Result, could_not},
+    metrics::{self, Metrics},
     settings::Settings,
 };
 
@@ -54,6 +55,8 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Metrics of this node.
+    pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
     /// Client of the engines.
@@ -66,6 +69,7 @@
 pub struct Node {
     shared: Arc<Shared>,
     server: HttpServer,
+    admin_server: HttpServer,
     drivers: Vec<JoinHandle<()>>,
 }
 
@@ -75,6 +79,11 @@
         self.server.local_addr()
     }
 
+    /// Address for operators.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_server.local_addr()
+    }
+
     /// What its parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -86,6 +95,7 @@
         self.shared.stopping.store(true, Ordering::Relaxed);
         tokio::time::sleep(self.shared.settings.balancer_lag).await;
         self.server.stop().await;
+        self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
         }
@@ -115,6 +125,7 @@
         replicas: Arc::default(),
         store,
         engine,
+        metrics: metrics::open(),
         stopping: AtomicBool::new(false),
         settings,
     });
@@ -131,5 +142,9 @@
     let server = http_server::bind(addr, caller::router(&shared))
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
-    Ok(Node { shared, server, drivers })
+    let addr = shared.settings.admin_addr;
+    let admin_server = http_server::bind(addr, admin::router(&shared))
+        .await
+        .map_err(|error| could_not("listen for operators", addr, error))?;
+    Ok(Node { shared, server, admin_server, drivers })
 }
--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -7,7 +7,10 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use citrongw_state::id::{AvailabilityZone, Region};
+use citrongw_state::{
+    config::KeyDigest,
+    id::{AvailabilityZone, Region},
+};
 
 use crate::error::{NodeError, Result, could_not};
 
@@ -24,6 +27,8 @@
     pub peer_addr: SocketAddr,
     /// Address for operators.
     pub admin_addr: SocketAddr,
+    /// Digest of the token that counts until the configuration names operators.
+    pub first_token_digest: Option<KeyDigest>,
     /// Address of the key-value service.
     pub store_addr: SocketAddr,
     /// Longest time for one call to it.
@@ -60,6 +65,7 @@
         caller_addr: reader.addr("node", "caller-addr"),
         peer_addr: reader.addr("node", "peer-addr"),
         admin_addr: reader.addr("node", "admin-addr"),
+        first_token_digest: reader.digest("admin", "first-token-digest"),
         store_addr: reader.addr("store", "addr"),
         store_timeout: reader.duration("store", "timeout", Duration::from_secs(1)),
         instance_list_addr: reader.addr("platform", "instance-list-addr"),
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -6,13 +6,18 @@
     time::Duration,
 };
 
+use citrongw_state::config::KeyDigest;
 use derive_more::Display;
 use ini::Ini;
 
 const ADDR_ALLOWED: &str = "IP address and port";
+const DIGEST_ALLOWED: &str = "64 hexadecimal digits, from citrongwctl digest";
 const DURATION_ALLOWED: &str = "a duration such as 500ms";
 const NAME_ALLOWED: &str = "a name without blanks";
 
+/// Length of a digest in hexadecimal.
+const DIGEST_DIGITS: usize = 64;
+
 /// Fault of a settings file.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Fault {
@@ -97,6 +102,15 @@
         self.optional(section, key, DURATION_ALLOWED, parse).unwrap_or(default)
     }
 
+    /// A digest of a key or token.
+    pub fn digest(&mut self, section: &str, key: &str) -> Option<KeyDigest> {
+        let hexadecimal = |it: &str| it.chars().all(|digit| digit.is_ascii_hexdigit());
+        let parse = |it: &str| {
+            (it.len() == DIGEST_DIGITS && hexadecimal(it)).then(|| KeyDigest(it.to_lowercase()))
+        };
+        self.optional(section, key, DIGEST_ALLOWED, parse)
+    }
+
     /// Any text.
     pub fn text(&mut self, section: &str, key: &str, default: &str) -> String {
         let value = self.optional(section, key, "any text", |it| Some(it.to_owned()));
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits here are all that decisions and drivers know of the platform and
 //! of the engines; `transport` holds the clients behind them.
 
+pub mod admin;
 pub mod caller;
 pub mod code;
 pub mod decision;
