Extend the domain record and add the life cycle and ownership

A record could name only whole replicas of one owner. It now also holds half-made claims across domains, draining replicas, instances withheld until their engine says that they are free, marks of leaving instances, weight loads, and planned changes that failed; nodes go on routing by `replicas` alone. The life cycle is typestate, so that routing before loading or releasing before draining does not compile. Ownership and watching are rendezvous hashes, alike on all nodes. Records written before are read.

--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -1,9 +1,17 @@
 //! Records in the key-value service, and their keys.
+//!
+//! One record per fabric domain holds all that is agreed of its instances. An
+//! instance is allocated while any part of its domain's record names it, and
+//! free only when none does and its engine says that it serves nothing.
 
 use citrongw_state::{
-    id::{AttemptId, Epoch, FabricDomainId, NodeId},
-    replica::ReplicaSpec,
+    id::{
+        AdapterId, AttemptId, DeploymentId, Epoch, FabricDomainId, Incarnation, InstanceId,
+        ModelVersion, NodeId, ReplicaId,
+    },
+    replica::{Member, ReplicaSpec},
 };
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::store::Key;
@@ -18,10 +26,15 @@
     format!("{DOMAIN_PREFIX}{domain}").into()
 }
 
+/// Domain of a record's key.
+pub fn key_domain(key: &Key) -> Option<FabricDomainId> {
+    key.as_str().strip_prefix(DOMAIN_PREFIX).map(FabricDomainId::from)
+}
+
 /// Allocations of one fabric domain. Every change is one compare-and-swap.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct DomainRecord {
-    /// Fencing number; grows with each owner.
+    /// Fencing number; grows with each owner and with each change of members.
     pub epoch: Epoch,
     /// Node that controls the domain.
     pub owner: Option<NodeId>,
@@ -29,4 +42,162 @@
     pub attempt: AttemptId,
     /// Replicas whose first member is in this domain.
     pub replicas: Vec<ReplicaSpec>,
+    /// Replicas across domains whose instances are still being claimed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pending: Vec<ReplicaSpec>,
+    /// Replicas that take no new work, with their members still allocated.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub draining: Vec<DrainingReplica>,
+    /// Instances of this domain that replicas of other domains hold.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub foreign: Vec<ForeignClaim>,
+    /// Members that left a replica and have not said that they are free.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub releasing: Vec<Member>,
+    /// Instances that take no new work.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<LeavingMark>,
+    /// Weight loads under way or waiting for the store's rate.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<WeightLoad>,
+    /// Planned changes that failed here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_changes: Vec<FailedChange>,
+    /// Changes asked for by operators, the newest last.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub asked: Vec<AttemptId>,
+}
+
+/// Why a replica drains.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum DrainCause {
+    /// An operator asked for it.
+    #[display("operator")]
+    Operator,
+    /// There are more replicas than wanted.
+    #[display("more replicas than wanted")]
+    Excess,
+    /// Its version or adapters are to change.
+    #[display("planned change")]
+    Change,
+    /// It cannot be repaired, or completes others.
+    #[display("members complete other replicas")]
+    TakenApart,
+}
+
+/// Replica that takes no new work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainingReplica {
+    /// The replica.
+    pub spec: ReplicaSpec,
+    /// Why.
+    pub cause: DrainCause,
+}
+
+/// Instance held by a replica of another domain. It holds while that domain's
+/// record names both.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForeignClaim {
+    /// The instance, and the start that was claimed.
+    pub member: Member,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Domain of the replica.
+    pub home: FabricDomainId,
+}
+
+/// Why an instance is leaving.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum LeavingCause {
+    /// The platform's list says so.
+    #[display("instance list")]
+    Listed,
+    /// Its engine says so.
+    #[display("engine")]
+    Engine,
+    /// An operator asked for it.
+    #[display("operator")]
+    Operator,
+    /// It is slower than its peers.
+    #[display("straggler")]
+    Straggler,
+}
+
+/// Mark that an instance takes no new work. It sticks to one start of the
+/// instance's process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingMark {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The start that is leaving.
+    pub incarnation: Incarnation,
+    /// Why.
+    pub cause: LeavingCause,
 }
+
+/// Weights that members of a replica load.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightLoad {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Members that load.
+    pub members: u32,
+    /// Accelerators that serve once it is done.
+    pub accelerators: u32,
+    /// Whether it has begun.
+    pub running: bool,
+}
+
+/// Planned change that was halted and is rolled back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailedChange {
+    /// Deployment that was to change.
+    pub deployment: DeploymentId,
+    /// Version that failed.
+    pub version: ModelVersion,
+    /// Adapters that it came with.
+    pub adapters: Vec<AdapterId>,
+    /// Version to go back to.
+    pub previous_version: ModelVersion,
+    /// Adapters to go back to.
+    pub previous_adapters: Vec<AdapterId>,
+}
+
+impl DomainRecord {
+    /// Every allocation of an instance: who names it, without those released.
+    pub fn allocated(&self) -> impl Iterator<Item = &Member> {
+        let specs = self.replicas.iter().chain(&self.pending);
+        let specs = specs.chain(self.draining.iter().map(|it| &it.spec));
+        specs.flat_map(|it| &it.members).chain(self.foreign.iter().map(|it| &it.member))
+    }
+
+    /// Whether anything here names the instance.
+    pub fn holds(&self, instance: &InstanceId) -> bool {
+        self.allocated().chain(&self.releasing).any(|it| it.instance == *instance)
+    }
+
+    /// Whether this start of the instance is marked as leaving.
+    pub fn is_leaving(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        self.leaving.iter().any(|it| it.instance == *instance && it.incarnation == incarnation)
+    }
+
+    /// Replica by id, in whatever part of the record.
+    pub fn replica(&self, id: ReplicaId) -> Option<&ReplicaSpec> {
+        let specs = self.replicas.iter().chain(&self.pending);
+        specs.chain(self.draining.iter().map(|it| &it.spec)).find(|it| it.id == id)
+    }
+
+    /// Whether a replica homed here still holds the foreign instance.
+    pub fn backs(&self, replica: ReplicaId, instance: &InstanceId) -> bool {
+        self.replica(replica).is_some_and(|it| it.members.iter().any(|m| m.instance == *instance))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/protocol/src/record/tests.rs
@@ -0,0 +1,30 @@
+//! Cases of the records.
+
+use super::*;
+
+#[test]
+fn a_record_written_before_the_newer_parts_is_read() {
+    let text = r#"{"epoch":1,"owner":null,"attempt":"00","replicas":[]}"#;
+    let record: DomainRecord = serde_json::from_str(text).unwrap();
+    assert_eq!(record, DomainRecord { epoch: Epoch(1), ..DomainRecord::default() });
+}
+
+#[test]
+fn keys_name_their_domain() {
+    let domain = FabricDomainId::from("rack-7");
+    assert_eq!(key_domain(&domain_key(&domain)), Some(domain));
+    assert_eq!(key_domain(&CONFIG_KEY.into()), None);
+}
+
+#[test]
+fn leaving_sticks_to_the_start_of_the_process() {
+    let mark = LeavingMark {
+        instance: "i".into(),
+        incarnation: Incarnation(3),
+        cause: LeavingCause::Listed,
+    };
+    let record = DomainRecord { leaving: vec![mark], ..DomainRecord::default() };
+    for (incarnation, expected) in [(2, false), (3, true), (4, false)] {
+        assert_eq!(record.is_leaving(&"i".into(), Incarnation(incarnation)), expected);
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod config;
 pub mod id;
+pub mod lifecycle;
+pub mod ownership;
 pub mod replica;
 pub mod time;
 pub mod unit;
