Commit configuration edits from a named version

Operators race each other and the reply to a write can be lost after it took effect, so an edit names its version and carries an id. The head of the document is now a small value that names an immutable body, which keeps the frequent reads of watching nodes small. A change is looked up by its id before an answer is given; what can still land is answered as unknown.

--- /dev/null
+++ b/crates/coordination/src/config/edit.rs
@@ -0,0 +1,252 @@
+//! Edits by compare-and-swap from a named version.
+//!
+//! The body is written first, under the id of the change; the swap of the head
+//! commits it. When the reply to the swap is lost the change is looked up by
+//! its id before anything is said. A change that is neither in the head nor in
+//! the history can still land as long as the head has not moved, so that case
+//! is answered as unknown and never as not made.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use citrongw_protocol::{
+    admin_config::{ChangeRecord, EditConflict, EditRequest, EditResult},
+    config_delta::{self, ItemChange},
+    config_record::{ConfigBody, ConfigHead, ConfigValue, MAX_HISTORY, body_key, digest_text},
+    record::CONFIG_KEY,
+    store::{
+        Change, Entry, Expected, Key, MAX_VALUE_BYTES, Store, StoreError, StoreResult, Write,
+        WriteResult,
+    },
+};
+use citrongw_state::{
+    config::Config,
+    id::{ChangeId, Revision},
+};
+use serde::Serialize;
+
+use super::VersionedConfig;
+
+/// Times that a change whose reply was lost is looked up.
+const LOOK_UP_ATTEMPTS: u32 = 3;
+/// Pause between two of them.
+const LOOK_UP_PAUSE: Duration = Duration::from_millis(200);
+/// Versions whose bodies stay in the service.
+const BODIES_KEPT: usize = 8;
+
+/// Document of the service with what is known of its past.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Current {
+    /// Its version.
+    pub revision: Revision,
+    /// The change that made it, with its version. None if put by hand.
+    pub made: Option<ChangeRecord>,
+    /// The document.
+    pub config: Config,
+    /// Changes before it, oldest first.
+    pub history: Vec<ChangeRecord>,
+}
+
+/// Commits an edit. `held` is what this node has in force; it serves to show
+/// both sides of a conflict.
+pub async fn propose(
+    store: &dyn Store,
+    held: Option<&VersionedConfig>,
+    request: EditRequest,
+) -> EditResult {
+    let faults: Vec<String> = request.config.check().iter().map(ToString::to_string).collect();
+    if !faults.is_empty() {
+        return EditResult::Invalid { faults };
+    }
+    let current = match read(store).await {
+        Ok(current) => current,
+        Err(error) => return EditResult::NotMade { reason: error.to_string() },
+    };
+    if let Some(revision) = current.as_ref().and_then(|it| it.revision_of(request.change)) {
+        return EditResult::Committed { revision };
+    }
+    if current.as_ref().map(|it| it.revision) != request.from {
+        return conflict(current.as_ref(), held, &request);
+    }
+    let made = ChangeRecord {
+        change: request.change,
+        operator: request.operator.clone(),
+        at_unix_ms: request.at_unix_ms,
+        from: request.from,
+        revision: None,
+    };
+    let history = current.as_ref().map(Current::chain).unwrap_or_default();
+    if let Err(reason) = put_body(store, &request, history.clone()).await {
+        return EditResult::NotMade { reason };
+    }
+    let head = ConfigHead {
+        made,
+        digest: digest_text(&request.config),
+        replaces_lost: request.replaces_lost,
+    };
+    let expected = request.from.map_or(Expected::Absent, Expected::Revision);
+    match store.compare_and_swap(put(CONFIG_KEY.into(), expected, &head)).await {
+        Ok(WriteResult::Committed(revision)) => {
+            remove_old_body(store, &history).await;
+            EditResult::Committed { revision }
+        }
+        Ok(WriteResult::Conflict(_)) | Err(StoreError::NoAnswer) => {
+            settle(store, held, &request).await
+        }
+        Err(error) => EditResult::NotMade { reason: error.to_string() },
+    }
+}
+
+/// Finds out what became of a swap that was not answered or not expected.
+async fn settle(
+    store: &dyn Store,
+    held: Option<&VersionedConfig>,
+    request: &EditRequest,
+) -> EditResult {
+    for attempt in 0..LOOK_UP_ATTEMPTS {
+        if 0 < attempt {
+            tokio::time::sleep(LOOK_UP_PAUSE).await;
+        }
+        let Ok(current) = read(store).await else { continue };
+        if let Some(revision) = current.as_ref().and_then(|it| it.revision_of(request.change)) {
+            return EditResult::Committed { revision };
+        }
+        if current.as_ref().map(|it| it.revision) != request.from {
+            return conflict(current.as_ref(), held, request);
+        }
+    }
+    EditResult::Unknown { change: request.change }
+}
+
+/// Looks up the version that a change became. None if it is not in the
+/// document's past; it may still be committed while the version that it was
+/// made from stands.
+pub async fn look_up(store: &dyn Store, change: ChangeId) -> StoreResult<Option<Revision>> {
+    Ok(read(store).await?.and_then(|it| it.revision_of(change)))
+}
+
+/// Changes kept, oldest first, the one in the service last.
+pub async fn history(store: &dyn Store) -> StoreResult<Vec<ChangeRecord>> {
+    Ok(read(store).await?.map(|it| it.chain()).unwrap_or_default())
+}
+
+/// Reads the document of the service whole.
+pub async fn read(store: &dyn Store) -> StoreResult<Option<Current>> {
+    let Some(entry) = store.get(CONFIG_KEY.into()).await?.into_entry() else { return Ok(None) };
+    read_entry(store, &entry).await.map(Some)
+}
+
+/// Reads the document that the entry of the configuration key stands for.
+pub async fn read_entry(store: &dyn Store, entry: &Entry) -> StoreResult<Current> {
+    let refused = |reason: String| StoreError::Refused { reason };
+    let value = ConfigValue::parse(&entry.value).map_err(|error| refused(error.to_string()))?;
+    let head = match value {
+        ConfigValue::Plain(config) => {
+            let revision = entry.revision;
+            return Ok(Current { revision, made: None, config: *config, history: Vec::new() });
+        }
+        ConfigValue::Head(head) => head,
+    };
+    let found = store.get(body_key(head.made.change)).await?.into_entry();
+    let found = found.ok_or_else(|| refused("body of the configuration is missing".to_owned()))?;
+    let body: ConfigBody =
+        serde_json::from_slice(&found.value).map_err(|error| refused(error.to_string()))?;
+    if !head.fits(&body.config) {
+        return Err(refused("digest of the configuration does not fit".to_owned()));
+    }
+    let made = ChangeRecord { revision: Some(entry.revision), ..head.made };
+    Ok(Current {
+        revision: entry.revision,
+        made: Some(made),
+        config: body.config,
+        history: body.history,
+    })
+}
+
+impl Current {
+    /// Version that `change` became.
+    fn revision_of(&self, change: ChangeId) -> Option<Revision> {
+        let mut records = self.history.iter().chain(&self.made);
+        records.find(|it| it.change == change).and_then(|it| it.revision)
+    }
+
+    /// History with the last change.
+    fn chain(&self) -> Vec<ChangeRecord> {
+        let records: Vec<_> = self.history.iter().chain(&self.made).cloned().collect();
+        let skipped = records.len().saturating_sub(MAX_HISTORY);
+        records.into_iter().skip(skipped).collect()
+    }
+}
+
+async fn put_body(
+    store: &dyn Store,
+    request: &EditRequest,
+    history: Vec<ChangeRecord>,
+) -> Result<(), String> {
+    let body = ConfigBody { config: request.config.clone(), history };
+    let write = put(body_key(request.change), Expected::Absent, &body);
+    if let Change::Put(value) = &write.change
+        && MAX_VALUE_BYTES < value.len()
+    {
+        return Err(format!("document is larger than {MAX_VALUE_BYTES} bytes"));
+    }
+    let wanted = write.change.clone();
+    match store.compare_and_swap(write).await {
+        Ok(WriteResult::Committed(_)) => Ok(()),
+        // An earlier try of the same change may have written it.
+        Ok(WriteResult::Conflict(Some(entry))) if wanted == Change::Put(entry.value.clone()) => {
+            Ok(())
+        }
+        Ok(WriteResult::Conflict(Some(_))) => {
+            Err("id of the change was used for another document or version".to_owned())
+        }
+        Ok(WriteResult::Conflict(None)) => Err("body could not be written".to_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Removes the body of a version that nobody reads any more. A failure leaves a
+/// value behind, which harms nothing.
+async fn remove_old_body(store: &dyn Store, history: &[ChangeRecord]) {
+    let Some(old) = history.len().checked_sub(BODIES_KEPT).and_then(|idx| history.get(idx)) else {
+        return;
+    };
+    let key = body_key(old.change);
+    let Ok(snapshot) = store.get(key.clone()).await else { return };
+    let Some(entry) = snapshot.into_entry() else { return };
+    let expected = Expected::Revision(entry.revision);
+    let write = Write { key, expected, change: Change::Delete, lease: None };
+    if let Err(error) = store.compare_and_swap(write).await {
+        tracing::warn!(%error, change = %old.change, "could not remove old configuration body");
+    }
+}
+
+fn put(key: Key, expected: Expected, value: &impl Serialize) -> Write {
+    let value = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
+    Write { key, expected, change: Change::Put(value), lease: None }
+}
+
+fn conflict(
+    current: Option<&Current>,
+    held: Option<&VersionedConfig>,
+    request: &EditRequest,
+) -> EditResult {
+    let base = held.filter(|it| Some(it.revision) == request.from).map(|it| &it.config);
+    let wanted = |base: &Config| config_delta::diff(base, &request.config);
+    let yours: Vec<ItemChange> =
+        base.or(current.map(|it| &it.config)).map(wanted).unwrap_or_default();
+    let theirs = match (base, current) {
+        (Some(base), Some(current)) => config_delta::diff(base, &current.config),
+        _ => Vec::new(),
+    };
+    EditResult::Conflict(Box::new(EditConflict {
+        from: request.from,
+        current: current.map(|it| it.revision),
+        made_by: current.and_then(|it| it.made.clone()),
+        yours,
+        theirs,
+    }))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -2,6 +2,7 @@
 //! step functions, and the small drivers that feed them.
 
 pub mod clock;
+pub mod config;
 pub mod config_watch;
 pub mod decision_log;
 pub mod news_board;
--- /dev/null
+++ b/crates/protocol/src/config_record/tests.rs
@@ -0,0 +1,27 @@
+//! Cases of the stored form.
+
+use super::*;
+
+#[test]
+fn a_document_put_by_hand_is_taken() {
+    let config = Config::default();
+    let value = ConfigValue::parse(&serde_json::to_vec(&config).unwrap()).unwrap();
+    assert_eq!(value, ConfigValue::Plain(Box::new(config)));
+    assert!(ConfigValue::parse(b"{\"organisations\": 3}").is_err());
+}
+
+#[test]
+fn a_head_is_taken() {
+    let made = ChangeRecord {
+        change: ChangeId(7),
+        operator: "maria".into(),
+        at_unix_ms: 1,
+        from: Some(Revision(3)),
+        revision: None,
+    };
+    let digest = digest_text(&Config::default());
+    let head = ConfigHead { made, digest, replaces_lost: None };
+    assert!(head.fits(&Config::default()));
+    let value = ConfigValue::parse(&serde_json::to_vec(&head).unwrap()).unwrap();
+    assert_eq!(value, ConfigValue::Head(head));
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,8 +4,11 @@
 //! The traits here are all that decisions and drivers know of the platform and
 //! of the engines; `transport` holds the clients behind them.
 
+pub mod admin_config;
 pub mod caller;
 pub mod code;
+pub mod config_delta;
+pub mod config_record;
 pub mod decision;
 pub mod engine;
 pub mod instance_list;
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -121,6 +121,8 @@
     RequestId(u128, "{:032x}");
     /// One try of a write or of a call.
     AttemptId(u128, "{:032x}");
+    /// Change of the configuration, drawn by the client that asks for it.
+    ChangeId(u128, "{:032x}");
     /// Digest of what a request asks for, alike for each resend of it.
     Fingerprint(u128, "{:032x}");
 }
