--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod hedge;
 pub mod id;
 pub mod limit;
+pub mod lifecycle;
+pub mod ownership;
 pub mod replica;
 pub mod retry;
 pub mod routing;
