Measure routing and overload against their baselines

Two benches drive the decisions of many nodes over a small model of batching replicas on simulated time. What they showed changed the decisions. The node now also learns the batch of a full replica.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,8 @@
 //! What the benches share: their arguments and the lines they print.
 
 pub mod args;
+pub mod model;
+pub mod overload;
 pub mod report;
+pub mod routing;
+pub mod timeline;
--- /dev/null
+++ b/crates/bench/src/routing/run.rs
@@ -0,0 +1,313 @@
+//! One run: arrivals, reports that lag, streams, ticks.
+
+use citrongw_state::{
+    id::{Fingerprint, ReplicaId},
+    routing::{Group, Slot},
+    time::Time,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::{
+    node::{Asked, HeardLoad, Node, Policy, World},
+    outcome::Outcome,
+};
+use crate::{
+    model::{
+        replica::{self, Happened, Job, ReplicaModel, ReplicaSettings},
+        seconds, time_of,
+        workload::{self, Workload, WorkloadSettings},
+    },
+    timeline::Timeline,
+};
+
+/// Time that a stream runs before its pace is noted.
+const PACE_NOTED_AFTER_S: f64 = 0.7;
+/// Pause between two ticks of a node.
+const TICK_S: f64 = 1.0;
+/// One way to a replica in the node's zone.
+const OWN_ZONE_S: f64 = 0.0001;
+/// One way to a replica in another zone.
+const OTHER_ZONE_S: f64 = 0.0005;
+/// Time for requests under way when arrivals end.
+const RUN_OUT_S: f64 = 30.0;
+
+/// What a run is made of.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Scenario {
+    /// Replicas.
+    pub replicas: usize,
+    /// Nodes.
+    pub nodes: usize,
+    /// Zones, over which both are spread.
+    pub zones: usize,
+    /// Offered load as a share of the capacity.
+    pub load: f64,
+    /// Replicas that become stragglers.
+    pub stragglers: usize,
+    /// How many times slower they are.
+    pub slowness: f64,
+    /// Pause between two reports of a replica.
+    pub report_interval_s: f64,
+    /// Time until a report reaches the nodes.
+    pub report_lag_s: f64,
+    /// Time before anything is measured.
+    pub warm_up_s: f64,
+    /// Time that is measured.
+    pub measured_s: f64,
+    /// Speed and size of the replicas.
+    pub replica: ReplicaSettings,
+    /// Requests; their rate follows from the load.
+    pub workload: WorkloadSettings,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            replicas: 70,
+            nodes: 18,
+            zones: 3,
+            load: 0.8,
+            stragglers: 4,
+            slowness: 2.5,
+            report_interval_s: 1.0,
+            report_lag_s: 1.5,
+            warm_up_s: 40.0,
+            measured_s: 40.0,
+            replica: ReplicaSettings::default(),
+            workload: WorkloadSettings::default(),
+        }
+    }
+}
+
+impl Scenario {
+    fn requests_per_s(&self) -> f64 {
+        let fast = (self.replicas - self.stragglers) as f64;
+        fast * self.replica.capacity_per_s(self.workload.mean_tokens) * self.load
+    }
+
+    fn end_s(&self) -> f64 {
+        self.warm_up_s + self.measured_s
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive,
+    Enter { job: Job, replica: usize },
+    Wake { replica: usize, version: u64 },
+    Report { replica: usize },
+    Heard { replica: usize, loads: Vec<HeardLoad> },
+    Pace { node: usize, replica: usize },
+    Tick,
+}
+
+/// Request under way.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    node: usize,
+    replica: usize,
+    arrived_at_s: f64,
+    has_first_token: bool,
+}
+
+struct Run<'a> {
+    scenario: &'a Scenario,
+    policy: Policy,
+    rng: SmallRng,
+    workload: Workload,
+    timeline: Timeline<Event>,
+    group: Group,
+    zones: Vec<usize>,
+    nodes: Vec<Node>,
+    replicas: Vec<ReplicaModel>,
+    versions: Vec<u64>,
+    flights: Vec<Flight>,
+    outcome: Outcome,
+}
+
+/// Runs a policy. Each policy sees the same arrivals under the same seed.
+pub fn run(scenario: &Scenario, policy: Policy, seed: u64) -> Outcome {
+    let mut run = open(scenario, policy, seed);
+    run.start();
+    let end = time_of(scenario.end_s() + RUN_OUT_S);
+    while let Some((at, event)) = run.timeline.next(end) {
+        run.step(seconds(at), event);
+    }
+    run.finish()
+}
+
+fn open(scenario: &Scenario, policy: Policy, seed: u64) -> Run<'_> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let requests_per_s = scenario.requests_per_s();
+    let len = scenario.replicas;
+    let ids = (0..).map(ReplicaId).zip((0..).map(Slot)).take(len);
+    let nodes = (0..scenario.nodes).map(|idx| Node::open(idx % scenario.zones, len, &mut rng));
+    Run {
+        scenario,
+        policy,
+        workload: workload::open(WorkloadSettings { requests_per_s, ..scenario.workload }),
+        timeline: Timeline::default(),
+        group: Group::of(ids),
+        zones: (0..len).map(|idx| idx % scenario.zones).collect(),
+        nodes: nodes.collect(),
+        replicas: (0..len).map(|_| replica::open(scenario.replica)).collect(),
+        versions: vec![0; len],
+        flights: Vec::new(),
+        outcome: Outcome::default(),
+        rng: SmallRng::seed_from_u64(seed.wrapping_add(1)),
+    }
+}
+
+impl Run<'_> {
+    fn start(&mut self) {
+        self.timeline.add(Time::START, Event::Arrive);
+        self.timeline.add(time_of(TICK_S), Event::Tick);
+        for replica in 0..self.scenario.replicas {
+            let phase_s = self.rng.random::<f64>() * self.scenario.report_interval_s;
+            self.timeline.add(time_of(phase_s), Event::Report { replica });
+        }
+        for replica in self.replicas.iter_mut().take(self.scenario.stragglers) {
+            replica.set_slowness(self.scenario.slowness, 0.0);
+        }
+    }
+
+    fn step(&mut self, now_s: f64, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(now_s),
+            Event::Enter { job, replica } => {
+                self.advance(replica, now_s);
+                self.replicas[replica].enter(job, now_s);
+                self.schedule_wake(replica);
+            }
+            Event::Wake { replica, version } if self.versions[replica] == version => {
+                self.advance(replica, now_s);
+                self.schedule_wake(replica);
+            }
+            Event::Wake { .. } => {}
+            Event::Report { replica } => self.report(replica, now_s),
+            Event::Heard { replica, loads } => {
+                for (node, load) in self.nodes.iter_mut().zip(loads) {
+                    node.heard[replica] = Some(load);
+                }
+            }
+            Event::Pace { node, replica } => {
+                let pace_s = self.replicas[replica].between_tokens_s();
+                self.nodes[node].add_pace(replica, pace_s);
+            }
+            Event::Tick => self.tick(now_s),
+        }
+    }
+
+    fn arrive(&mut self, now_s: f64) {
+        if self.scenario.end_s() <= now_s {
+            return;
+        }
+        self.timeline.add(time_of(now_s + self.workload.gap_s(&mut self.rng)), Event::Arrive);
+        let settings = *self.workload.settings();
+        let job = Job {
+            id: self.flights.len() as u64,
+            prefix: self.workload.prefix(&mut self.rng),
+            prefix_tokens: settings.prefix_tokens,
+            prompt_tokens: settings.prompt_tokens,
+            tokens: self.workload.tokens(&mut self.rng),
+        };
+        let asked = Asked {
+            prefix: job.prefix,
+            fingerprint: Fingerprint(self.rng.random()),
+            prompt_tokens: job.prefix_tokens + job.prompt_tokens,
+        };
+        let node = self.rng.random_range(0..self.nodes.len());
+        let world = World {
+            group: &self.group,
+            zones: &self.zones,
+            nodes: u32::try_from(self.nodes.len()).unwrap_or(u32::MAX),
+            now: time_of(now_s),
+        };
+        let choice = self.nodes[node].choose(self.policy, &world, &asked, &mut self.rng);
+        let replica = choice.expect("every replica is usable and unbounded");
+        self.nodes[node].own[replica] += 1;
+        let flight = Flight { node, replica, arrived_at_s: now_s, has_first_token: false };
+        self.flights.push(flight);
+        let way_s = self.way_s(&flight);
+        self.timeline.add(time_of(now_s + way_s), Event::Enter { job, replica });
+    }
+
+    fn advance(&mut self, replica: usize, now_s: f64) {
+        let mut happened = Vec::new();
+        self.replicas[replica].advance(now_s, &mut happened);
+        let is_measured = self.scenario.warm_up_s <= now_s && now_s <= self.scenario.end_s();
+        for pace in self.replicas[replica].take_paces() {
+            if is_measured {
+                self.outcome.add_tokens(pace.between_tokens_s, pace.tokens);
+            }
+        }
+        for it in happened {
+            match it {
+                Happened::FirstToken { id, at_s, hit } => self.first_token(id, at_s, hit),
+                Happened::Finished { id, .. } => {
+                    let flight = self.flights[id as usize];
+                    self.nodes[flight.node].own[replica] -= 1;
+                }
+            }
+        }
+    }
+
+    fn first_token(&mut self, id: u64, at_s: f64, hit: bool) {
+        let flight = &mut self.flights[id as usize];
+        flight.has_first_token = true;
+        let flight = *flight;
+        let took_s = at_s + self.way_s(&flight) - flight.arrived_at_s;
+        if self.scenario.warm_up_s <= flight.arrived_at_s {
+            self.outcome.add_first_token(took_s, hit);
+        }
+        let noted_at = time_of(at_s + PACE_NOTED_AFTER_S);
+        let pace = Event::Pace { node: flight.node, replica: flight.replica };
+        self.timeline.add(noted_at, pace);
+    }
+
+    fn report(&mut self, replica: usize, now_s: f64) {
+        self.advance(replica, now_s);
+        self.schedule_wake(replica);
+        let model = &self.replicas[replica];
+        let (running, queued) = (model.running() as u32, model.queued() as u32);
+        let at = time_of(now_s);
+        let load = |node: &Node| HeardLoad { running, queued, own_then: node.own[replica], at };
+        let loads = self.nodes.iter().map(load).collect();
+        let lag_s = self.scenario.report_lag_s;
+        self.timeline.add(time_of(now_s + lag_s), Event::Heard { replica, loads });
+        let next_s = now_s + self.scenario.report_interval_s;
+        self.timeline.add(time_of(next_s), Event::Report { replica });
+    }
+
+    fn tick(&mut self, now_s: f64) {
+        for node in &mut self.nodes {
+            node.tick(time_of(now_s));
+        }
+        self.timeline.add(time_of(now_s + TICK_S), Event::Tick);
+    }
+
+    fn schedule_wake(&mut self, replica: usize) {
+        self.versions[replica] += 1;
+        if let Some(at_s) = self.replicas[replica].wake_at_s() {
+            let version = self.versions[replica];
+            self.timeline.add(time_of(at_s), Event::Wake { replica, version });
+        }
+    }
+
+    fn way_s(&self, flight: &Flight) -> f64 {
+        match self.nodes[flight.node].zone == self.zones[flight.replica] {
+            true => OWN_ZONE_S,
+            false => OTHER_ZONE_S,
+        }
+    }
+
+    /// Requests without a first token count with the time that they waited.
+    fn finish(mut self) -> Outcome {
+        let end_s = self.scenario.end_s() + RUN_OUT_S;
+        let measured = self.flights.iter().filter(|it| self.scenario.warm_up_s <= it.arrived_at_s);
+        for flight in measured.filter(|it| !it.has_first_token) {
+            self.outcome.add_first_token(end_s - flight.arrived_at_s, false);
+        }
+        self.outcome
+    }
+}
--- a/crates/state/src/limit.rs
+++ b/crates/state/src/limit.rs
@@ -1,20 +1,24 @@
 //! Limits of an organisation over all nodes, without a call to the service.
 //!
 //! Each node tells the others the demand that it sees and takes a share of the
-//! limit in proportion to it. Shares shrink as soon as they are known to and
-//! grow only after [`SETTLE`], when every node has heard of it: while news
-//! takes no longer, the shares never sum to more than the limit.
+//! limit in proportion to it. A share shrinks as soon as its cause is known and
+//! grows only after [`SETTLE`], when every node has heard of it: while news
+//! takes no longer than [`NEWS_DELAY`], the shares do not sum to more than the
+//! limit. What no settled demand lays claim to is divided evenly, so that a
+//! sudden demand at all nodes is let through at once.
 //!
 //! Error bound: over a time T a limit of L requests/s lets through at most
-//! L·T + n·max(1, burst), where n is the number of nodes that see the
-//! organisation, and at least (1 − RESERVE)·L·T less what shares lag behind
-//! demand. It is exceeded when news takes longer than [`SETTLE`], when nodes
-//! can't hear each other for longer than [`FORGET`] (each side then hands out
-//! the whole limit), and when L·T is below twenty requests a node.
+//! L·T + L·[`BURST`] + n, where n is the number of nodes. It lets through less
+//! by what moves between nodes: at most L·(SETTLE + a tick) for each time that
+//! the whole demand moves. The first is exceeded when news takes longer than
+//! [`NEWS_DELAY`], and when nodes can't hear each other for longer than
+//! [`FORGET`]: each side then hands out the whole limit. Below some twenty
+//! requests a node in T, n is no longer small.
 //!
 //! How a node drives it: [`DemandMeter::add`] at each arrival, before
-//! [`ShareBucket::take`]; about once a second [`DemandMeter::tick`], publish
-//! the result, [`ShareTable::tell_own`]; on news [`ShareTable::hear`]; on tick
+//! [`ShareBucket::take`]; about once a second [`DemandMeter::tick`], then
+//! [`ShareTable::tell_own`] and publish what it gives, if anything; on news
+//! [`ShareTable::hear`]; on tick [`ShareTable::forget_silent`] and
 //! [`ShareTable::share`] into [`ShareBucket::set_rate`].
 
 use std::{
@@ -31,16 +35,26 @@
     unit::{RequestsPerSecond, Share},
 };
 
-/// Time after which every node has heard what one of them told.
+/// Longest time until news reaches every node.
+pub const NEWS_DELAY: Duration = Duration::from_secs(2);
+/// Time after which every node has heard and acted upon what one of them told.
 pub const SETTLE: Duration = Duration::from_secs(3);
 /// Time after which a silent node's demand counts no more.
 pub const FORGET: Duration = Duration::from_secs(15);
 /// Part of a limit that is spread evenly, for nodes whose demand is not known.
 const RESERVE: f64 = 0.01;
-/// Weight of a second's demand in the smoothed one.
-const DEMAND_WEIGHT: f64 = 0.5;
 /// Burst of a bucket, as the time that it takes to fill.
-const BURST: Duration = Duration::from_millis(500);
+pub const BURST: Duration = Duration::from_secs(1);
+/// Weight of a tick's demand in the smoothed one.
+const DEMAND_WEIGHT: f64 = 0.2;
+/// The same when the demand has clearly changed.
+const CHANGED_WEIGHT: f64 = 0.9;
+/// Standard errors from which a demand has clearly changed.
+const CHANGED_ERRORS: f64 = 4.0;
+/// Change of the smoothed demand that is worth telling.
+const TOLD_CHANGE: f64 = 0.1;
+/// Time after which an unchanged demand is told again.
+const TELL_AGAIN: Duration = Duration::from_secs(5);
 /// Fixed-point steps of one request.
 const STEPS: f64 = 1_000_000.0;
 
@@ -58,63 +72,116 @@
 
     /// Smoothed demand after `passed` since the last call.
     pub fn tick(&self, old: RequestsPerSecond, passed: Duration) -> RequestsPerSecond {
-        let arrived = self.arrived.swap(0, Ordering::Relaxed) as f64;
-        let rate = arrived / passed.as_secs_f64().max(f64::EPSILON);
-        RequestsPerSecond(old.0 + DEMAND_WEIGHT * (rate - old.0))
+        let passed_s = passed.as_secs_f64().max(f64::EPSILON);
+        let rate = self.arrived.swap(0, Ordering::Relaxed) as f64 / passed_s;
+        let error = (old.0.max(1.0) / passed_s).sqrt();
+        let has_changed = CHANGED_ERRORS * error < (rate - old.0).abs();
+        let weight = if has_changed { CHANGED_WEIGHT } else { DEMAND_WEIGHT };
+        RequestsPerSecond(old.0 + weight * (rate - old.0))
     }
 }
 
-/// Demand told by a node.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// What a node has told lately, in order.
+#[derive(Debug, Clone, Default)]
 struct Told {
-    sequence: u64,
-    demand: f64,
-    heard_at: Time,
+    sequence: Option<u64>,
+    demands: Vec<(Time, f64)>,
+}
+
+impl Told {
+    /// Adds a value; keeps those of the last `window` and the one before.
+    fn add(&mut self, demand: f64, window: Duration, now: Time) {
+        self.demands.push((now, demand));
+        self.trim(window, now);
+    }
+
+    fn trim(&mut self, window: Duration, now: Time) {
+        let before = self.demands.partition_point(|(at, _)| *at + window <= now);
+        self.demands.drain(..before.saturating_sub(1));
+    }
+
+    fn latest(&self) -> f64 {
+        self.demands.last().map_or(0.0, |(_, demand)| *demand)
+    }
+
+    /// Least value since `window` ago; zero if it had told nothing by then.
+    fn settled(&self, window: Duration, now: Time) -> f64 {
+        let is_settled = self.demands.first().is_some_and(|(at, _)| *at + window <= now);
+        if !is_settled {
+            return 0.0;
+        }
+        let recent = self.demands.iter().rev().take_while(|(at, _)| now < *at + window);
+        let recent: Vec<f64> = recent.map(|(_, demand)| *demand).collect();
+        let before = self.demands[self.demands.len() - 1 - recent.len()].1;
+        recent.into_iter().fold(before, f64::min)
+    }
 }
 
 /// Demand of one organisation at all nodes, as this node knows it.
 #[derive(Debug, Clone, Default)]
 pub struct ShareTable {
     others: BTreeMap<NodeId, Told>,
-    own: Vec<(Time, f64)>,
+    own: Told,
 }
 
 impl ShareTable {
-    /// Takes in what this node has just told the others.
-    pub fn tell_own(&mut self, demand: RequestsPerSecond, now: Time) {
-        self.own.push((now, demand.0));
-        // The last value told before the window still counts in it.
-        let before = self.own.partition_point(|(at, _)| *at + SETTLE <= now);
-        self.own.drain(..before.saturating_sub(1));
+    /// Takes in this node's demand. Gives the sequence number to tell it with,
+    /// if it is worth telling.
+    pub fn tell_own(&mut self, demand: RequestsPerSecond, now: Time) -> Option<u64> {
+        let told_at = self.own.demands.last().map(|(at, _)| *at);
+        let last = self.own.latest();
+        let noise = (last * DEMAND_WEIGHT).sqrt();
+        let is_changed = (last * TOLD_CHANGE).max(noise) < (demand.0 - last).abs();
+        let is_due = told_at.is_none_or(|at| TELL_AGAIN <= now.since(at));
+        if !is_changed && !is_due {
+            self.own.trim(SETTLE, now);
+            return None;
+        }
+        let sequence = self.own.sequence.map_or(1, |it| it + 1);
+        self.own.sequence = Some(sequence);
+        // Told again for those that missed it; shares rest on it as it was.
+        let told = if is_changed { demand.0 } else { last };
+        self.own.add(told, SETTLE, now);
+        Some(sequence)
+    }
+
+    /// This node's demand as it was told last.
+    pub fn told_own(&self) -> RequestsPerSecond {
+        RequestsPerSecond(self.own.latest())
     }
 
     /// Takes in what another node told; older than known is ignored.
     pub fn hear(&mut self, node: NodeId, sequence: u64, demand: RequestsPerSecond, now: Time) {
-        let told = Told { sequence, demand: demand.0.max(0.0), heard_at: now };
-        match self.others.get(&node) {
-            Some(known) if sequence <= known.sequence => {}
-            _ => {
-                self.others.insert(node, told);
-            }
+        let known = self.others.entry(node).or_default();
+        if known.sequence < Some(sequence) {
+            known.sequence = Some(sequence);
+            known.add(demand.0.max(0.0), SETTLE, now);
         }
     }
 
     /// Drops nodes that have told nothing for [`FORGET`].
     pub fn forget_silent(&mut self, now: Time) {
-        self.others.retain(|_, told| now.since(told.heard_at) < FORGET);
+        let is_silent =
+            |told: &Told| told.demands.last().is_none_or(|it| FORGET <= now.since(it.0));
+        self.others.retain(|_, told| !is_silent(told));
     }
 
     /// Share of this node, of `nodes` live ones.
     pub fn share(&self, nodes: u32, now: Time) -> Share {
-        let settled = self.own.first().is_some_and(|(at, _)| *at + SETTLE <= now);
-        let least = self.own.iter().map(|(_, demand)| *demand).fold(f64::INFINITY, f64::min);
-        let own = if settled && least.is_finite() { least } else { 0.0 };
-        let most = self.own.iter().map(|(_, demand)| *demand).fold(0.0, f64::max);
-        let others: f64 = self.others.values().map(|it| it.demand).sum();
-        let total = others + most;
-        let by_demand = if 0.0 < total { own / total } else { 0.0 };
         let even = 1.0 / f64::from(nodes.max(1));
-        Share((1.0 - RESERVE) * by_demand + RESERVE * even)
+        let others: f64 = self.others.values().map(Told::latest).sum();
+        let total = others + self.own.latest();
+        if total <= 0.0 {
+            return Share(even);
+        }
+        // Others are taken to act upon their news before this node would hear
+        // of it at the latest.
+        let window = SETTLE - NEWS_DELAY;
+        let settled: f64 = self.others.values().map(|it| it.settled(window, now)).sum();
+        let own = self.own.settled(SETTLE, now);
+        let unclaimed = (1.0 - (settled + own) / total).max(0.0);
+        let by_demand = own / total;
+        Share((1.0 - RESERVE) * (by_demand + unclaimed * even) + RESERVE * even)
     }
 }
 
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -25,7 +25,11 @@
 use crate::time::Time;
 
 /// Time after which half of a load report is held for outdated.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Share of the other nodes taken to have acted like this one since a report.
+const OTHERS_ALIKE: f64 = 0.5;
+/// Usual time that a request stays on a replica.
+const SERVICE_S: f64 = 10.0;
 /// Cost of one more request in the batch of a replica.
 const RUNNING_COST_MS: f64 = 4.0;
 /// Cost of one more request in the queue of a replica.
@@ -156,7 +160,7 @@
 
 /// Chooses among the homes of a request. `look` reads one replica.
 pub fn select(
-    homes: &Homes,
+    homes: &Homes<'_>,
     request: &RouteRequest,
     mut look: impl FnMut(Slot) -> Look,
 ) -> Result<Choice, NoChoice> {
@@ -178,12 +182,17 @@
             full = true;
             continue;
         }
+        if 0 < seen.load.queued {
+            homes.batch.add(seen.load.running);
+        }
         let is_prefix_home = rank == 0;
-        if is_prefix_home && is_overloaded(&seen.load, request) {
-            pair.spare = Some(choice(slot, &seen, request, true));
+        let batch = homes.batch.get();
+        let choice = choice(slot, &seen, request, batch, is_prefix_home);
+        if is_prefix_home && is_overloaded(&seen.load, request, batch) {
+            pair.spare = Some(choice);
             continue;
         }
-        pair.add(choice(slot, &seen, request, is_prefix_home));
+        pair.add(choice);
         if pair.is_complete() {
             break;
         }
@@ -193,7 +202,7 @@
     }
     match ejected {
         Some((rank, slot, seen)) if seen.load.own < seen.load.own_limit => {
-            let choice = choice(slot, &seen, request, rank == 0);
+            let choice = choice(slot, &seen, request, homes.batch.get(), rank == 0);
             Ok(Choice { reason: Reason::StragglerForWant, ..choice })
         }
         Some(_) => Err(NoChoice::AllFull),
@@ -205,29 +214,46 @@
 /// Requests on the replica now, as far as can be told.
 ///
 /// What this node sent since the report is known. The other nodes saw the same
-/// report and are taken to have acted alike, in proportion to their part of
-/// the reported load. With its age the report gives way to the typical load.
+/// report, and are taken to have acted alike in part. With its age the report
+/// gives way to the typical load.
 pub fn estimate_load(load: &LoadView, request: &RouteRequest) -> f64 {
     let own = f64::from(load.own);
     let Some(age) = load.report_age else { return own.max(request.typical_load) };
     let reported = f64::from(load.running + load.queued);
     let own_then = f64::from(load.own_at_report);
-    let others = (reported / own_then.max(1.0)).clamp(1.0, f64::from(request.nodes.max(1)));
+    let others = (OTHERS_ALIKE * f64::from(request.nodes)).max(1.0);
     let trust = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
     let then = trust * reported + (1.0 - trust) * request.typical_load.max(own_then);
     let sent_since = (own - own_then) * others * trust;
     (then + sent_since).max(own)
 }
 
-fn is_overloaded(load: &LoadView, request: &RouteRequest) -> bool {
-    let bound = request.typical_load * OVERLOADED_FACTOR + OVERLOADED_SLACK;
+fn is_overloaded(load: &LoadView, request: &RouteRequest, batch: Option<u32>) -> bool {
+    let by_typical = request.typical_load * OVERLOADED_FACTOR + OVERLOADED_SLACK;
+    let bound = batch.map_or(by_typical, |it| by_typical.min(f64::from(it)));
     bound < estimate_load(load, request)
 }
 
-fn choice(slot: Slot, seen: &Look, request: &RouteRequest, is_prefix_home: bool) -> Choice {
+/// Requests that wait on a replica whose load is `load` within the error of a
+/// report of this age.
+fn expected_queue(load: f64, batch: f64, report_age: Option<Duration>) -> f64 {
+    let age_s = report_age.map_or(SERVICE_S, |it| it.as_secs_f64().min(SERVICE_S));
+    let error = (2.0 * load * age_s / SERVICE_S).sqrt().max(1.0);
+    error * ((load - batch) / error).exp().ln_1p()
+}
+
+fn choice(
+    slot: Slot,
+    seen: &Look,
+    request: &RouteRequest,
+    batch: Option<u32>,
+    is_prefix_home: bool,
+) -> Choice {
     let uncached = if is_prefix_home { 0.0 } else { f64::from(request.prompt_tokens) };
-    let cost_ms = estimate_load(&seen.load, request) * RUNNING_COST_MS
-        + f64::from(seen.load.queued) * QUEUED_COST_MS
+    let load = estimate_load(&seen.load, request);
+    let queued = batch.map_or(0.0, |it| expected_queue(load, f64::from(it), seen.load.report_age));
+    let cost_ms = load * RUNNING_COST_MS
+        + queued * QUEUED_COST_MS
         + uncached * PROMPT_TOKEN_COST_MS
         + distance_cost_ms(seen.distance);
     let reason = if is_prefix_home { Reason::PrefixHome } else { Reason::SmallerWait };
--- a/crates/state/src/routing/index.rs
+++ b/crates/state/src/routing/index.rs
@@ -4,7 +4,10 @@
 //! Each group keeps a hash ring: a home is found by one binary search, and a
 //! replica that joins or leaves moves only the homes next to its points.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicU32, Ordering},
+};
 
 use crate::{
     hash::{mix, mix_pair, mix_wide},
@@ -45,15 +48,41 @@
     }
 }
 
+/// Streams in the batch of a full replica, learned from reports.
+#[derive(Debug, Default)]
+pub(super) struct LearnedBatch(AtomicU32);
+
+impl LearnedBatch {
+    /// The largest seen, if any.
+    pub(super) fn get(&self) -> Option<u32> {
+        match self.0.load(Ordering::Relaxed) {
+            0 => None,
+            batch => Some(batch),
+        }
+    }
+
+    /// Takes in the batch of a replica whose requests wait.
+    pub(super) fn add(&self, running: u32) {
+        self.0.fetch_max(running, Ordering::Relaxed);
+    }
+}
+
+impl Clone for LearnedBatch {
+    fn clone(&self) -> Self {
+        Self(AtomicU32::new(self.0.load(Ordering::Relaxed)))
+    }
+}
+
 /// Candidates of a request in order: the home of its prefix, then those of its
 /// fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Homes {
+#[derive(Debug, Clone, Copy)]
+pub struct Homes<'a> {
     slots: [Slot; MAX_HOMES],
     len: usize,
+    pub(super) batch: &'a LearnedBatch,
 }
 
-impl Homes {
+impl Homes<'_> {
     /// Candidates in order.
     pub fn slots(&self) -> &[Slot] {
         &self.slots[..self.len]
@@ -87,6 +116,7 @@
     adapter: Option<AdapterId>,
     replicas: Vec<(ReplicaId, Slot)>,
     ring: Vec<Point>,
+    batch: LearnedBatch,
 }
 
 impl Group {
@@ -122,8 +152,8 @@
     }
 
     /// Candidates of a request.
-    pub fn homes(&self, prefix: PrefixHash, fingerprint: Fingerprint) -> Homes {
-        let mut homes = Homes::default();
+    pub fn homes(&self, prefix: PrefixHash, fingerprint: Fingerprint) -> Homes<'_> {
+        let mut homes = Homes { slots: Default::default(), len: 0, batch: &self.batch };
         if let Some(slot) = self.successors(mix(prefix.0)).next() {
             homes.add(slot);
         }
@@ -152,7 +182,7 @@
         after.iter().chain(before).map(|it| it.slot)
     }
 
-    fn fill(&self, homes: &mut Homes, seed: u64) {
+    fn fill(&self, homes: &mut Homes<'_>, seed: u64) {
         for slot in self.successors(seed) {
             homes.add(slot);
             if homes.is_full() || homes.len == self.replicas.len() {
