Pool connections so that a silent one is retired and not its server

The client library's own pool can't close the idle connections to one address, and its errors don't tell a request that was never written from one that left. A thin pool over single connections does both: an exchange given up after a silence retires the idle neighbours that haven't answered since, a request the connection gave back unwritten goes over another one, and anything else after a write is unknown. Idle connections close after 20 s and all after 300 s; unanswered keepalive ends a dead one.

--- a/crates/transport/src/engine_client.rs
+++ b/crates/transport/src/engine_client.rs
@@ -73,7 +73,8 @@
         body: &T,
     ) -> EngineResult<ChunkStream> {
         let body = self.http.post_open(addr, path, body).await.map_err(engine_error)?;
-        let chunks = event_stream::read::<Chunk>(body);
+        let is_last = |chunk: &Chunk| matches!(chunk, Chunk::End { .. });
+        let chunks = event_stream::read_until(body, is_last);
         Ok(chunks.map(|item| item.map_err(engine_error)).boxed())
     }
 
--- a/crates/transport/src/event_stream.rs
+++ b/crates/transport/src/event_stream.rs
@@ -1,12 +1,11 @@
 //! Streams of JSON: server-sent events, and one document a line.
 
 use bytes::{Bytes, BytesMut};
-use futures::{Stream, StreamExt, stream};
-use http_body_util::BodyDataStream;
-use hyper::body::Incoming;
+use futures::{Stream, stream};
+use http_body_util::BodyExt;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::http_client::HttpError;
+use crate::http_client::{HttpError, PooledBody};
 
 /// Longest event.
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
@@ -21,29 +20,36 @@
     Ok(Bytes::from(buf))
 }
 
-/// Reads the events of a body. Lines other than data are passed over.
-pub fn read<T: DeserializeOwned + Send + 'static>(
-    body: Incoming,
+/// Reads the events of a body up to the one that `is_last` knows. Lines other
+/// than data are passed over.
+pub fn read_until<T: DeserializeOwned + Send + 'static>(
+    body: PooledBody,
+    is_last: fn(&T) -> bool,
 ) -> impl Stream<Item = Result<T, HttpError>> + Send {
-    read_prefixed(body, DATA)
+    read_prefixed(body, DATA, is_last)
 }
 
 /// Reads one document a line. Empty lines are passed over.
 pub fn read_lines<T: DeserializeOwned + Send + 'static>(
-    body: Incoming,
+    body: PooledBody,
 ) -> impl Stream<Item = Result<T, HttpError>> + Send {
-    read_prefixed(body, b"")
+    read_prefixed(body, b"", |_| false)
 }
 
 fn read_prefixed<T: DeserializeOwned + Send + 'static>(
-    body: Incoming,
+    body: PooledBody,
     prefix: &'static [u8],
+    is_last: fn(&T) -> bool,
 ) -> impl Stream<Item = Result<T, HttpError>> + Send {
-    let reader = Reader { body: BodyDataStream::new(body), buf: BytesMut::new(), prefix };
-    stream::unfold(Some(reader), |reader| async move {
+    let reader = Reader { body: body, buf: BytesMut::new(), prefix };
+    stream::unfold(Some(reader), move |reader| async move {
         let mut reader = reader?;
         match reader.next_line().await {
             Ok(Some(line)) => match serde_json::from_slice(&line) {
+                Ok(event) if is_last(&event) => {
+                    reader.body.spawn_drain();
+                    Some((Ok(event), None))
+                }
                 Ok(event) => Some((Ok(event), Some(reader))),
                 Err(_) => Some((Err(HttpError::BadAnswer), None)),
             },
@@ -54,7 +60,7 @@
 }
 
 struct Reader {
-    body: BodyDataStream<Incoming>,
+    body: PooledBody,
     buf: BytesMut,
     prefix: &'static [u8],
 }
@@ -72,8 +78,12 @@
             if MAX_EVENT_BYTES < self.buf.len() {
                 return Err(HttpError::BadAnswer);
             }
-            match self.body.next().await {
-                Some(Ok(data)) => self.buf.extend_from_slice(&data),
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buf.extend_from_slice(&data);
+                    }
+                }
                 Some(Err(_)) => return Err(HttpError::BrokenOff),
                 None => return Ok(None),
             }
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -1,25 +1,24 @@
-//! Pool of HTTP connections to backend servers and the platform.
+//! Client of backend servers and the platform, over a pool of connections.
 //!
 //! An error tells whether any byte of the request can have left: only a failed
-//! connect cannot have reached anybody.
+//! connect, or a request that the connection gave back unwritten, cannot have
+//! reached anybody.
 
-use std::{net::SocketAddr, time::Duration};
+mod body;
+mod connection;
+mod pool;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::{TokioExecutor, TokioTimer},
-};
 use serde::{Serialize, de::DeserializeOwned};
 
-/// Longest time that a connect may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle connections are closed before the devices in between forget them.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+pub use self::body::PooledBody;
+pub use self::pool::PoolCounters;
+
 /// Largest body of an answer that is read whole.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -48,32 +47,29 @@
 /// Client with its pool of connections. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    pool: Arc<pool::Pool>,
 }
 
 /// Opens a client.
 pub fn open() -> HttpClient {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    let inner = Client::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .retry_canceled_requests(false)
-        .build(connector);
-    HttpClient { inner }
+    HttpClient { pool: Arc::new(pool::open()) }
 }
 
 impl HttpClient {
     /// Sends a request and returns the answer's head with its body unread.
+    ///
+    /// An exchange that is dropped before its end closes its connection, so
+    /// that a late answer reaches nobody.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, HttpError> {
-        self.inner.request(request).await.map_err(|error| {
-            if error.is_connect() { HttpError::NotReached } else { HttpError::BrokenOff }
-        })
+    ) -> Result<Response<PooledBody>, HttpError> {
+        self.pool.send(request).await
+    }
+
+    /// Counters of the pool.
+    pub fn counters(&self) -> &PoolCounters {
+        self.pool.counters()
     }
 
     /// Posts JSON and returns the open answer, or the error that it carries.
@@ -82,7 +78,7 @@
         addr: SocketAddr,
         path: &str,
         body: &T,
-    ) -> Result<Incoming, HttpError> {
+    ) -> Result<PooledBody, HttpError> {
         let request = json_request(addr, path, body)?;
         let response = self.send(request).await?;
         if response.status().is_success() {
@@ -143,18 +139,21 @@
         .map_err(|_| HttpError::NotReached)
 }
 
-async fn read_json<R: DeserializeOwned>(body: Incoming) -> Result<R, HttpError> {
+async fn read_json<R: DeserializeOwned>(body: PooledBody) -> Result<R, HttpError> {
     let bytes = read_bytes(body).await?;
     serde_json::from_slice(&bytes).map_err(|_| HttpError::BadAnswer)
 }
 
 /// Reads a whole body within the size bound.
-pub async fn read_bytes(body: Incoming) -> Result<Bytes, HttpError> {
+pub async fn read_bytes(body: PooledBody) -> Result<Bytes, HttpError> {
     let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     collected.map(http_body_util::Collected::to_bytes).map_err(|_| HttpError::BrokenOff)
 }
 
-async fn status_error(status: StatusCode, body: Incoming) -> HttpError {
+async fn status_error(status: StatusCode, body: PooledBody) -> HttpError {
     let body = read_bytes(body).await.unwrap_or_default();
     HttpError::Status { status: status.as_u16(), body: String::from_utf8_lossy(&body).into_owned() }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/transport/src/http_client/connection.rs
@@ -0,0 +1,74 @@
+//! One connection: opening it, and its age.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, time::Instant};
+
+use super::HttpError;
+
+/// Longest time that a connect may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time that a connection stays unused; devices in between forget
+/// connections later than this.
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest life of a connection.
+pub(super) const MAX_AGE: Duration = Duration::from_secs(300);
+/// Silence after which the system asks whether the other end is there.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(10);
+/// Pause between two such questions.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Unanswered questions that end a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+/// Longest time that written bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Open connection that carries one exchange at a time.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    opened_at: Instant,
+    pub(super) used_at: Instant,
+}
+
+/// Connects to `addr`.
+pub(super) async fn open(addr: SocketAddr) -> Result<Connection, HttpError> {
+    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let Ok(Ok(stream)) = connect else { return Err(HttpError::NotReached) };
+    if let Err(error) = set_options(&stream) {
+        tracing::debug!(%error, %addr, "could not set options of a connection");
+    }
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = shaken.map_err(|_| HttpError::NotReached)?;
+    tokio::spawn(async move {
+        if let Err(error) = driver.await {
+            tracing::debug!(%error, %addr, "connection ended early");
+        }
+    });
+    let now = Instant::now();
+    Ok(Connection { sender, opened_at: now, used_at: now })
+}
+
+impl Connection {
+    /// Whether it may carry another exchange.
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed()
+            && now < self.used_at + IDLE_TIMEOUT
+            && now < self.opened_at + MAX_AGE
+    }
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
--- /dev/null
+++ b/crates/transport/src/http_client/pool.rs
@@ -0,0 +1,262 @@
+//! Idle connections by address.
+//!
+//! A connection leaves the pool for each exchange and returns when the answer
+//! has been read to its end. An exchange that is given up after a silence
+//! retires the idle connections to the same address that have not proven
+//! themselves since that silence began: whatever forgot the one may have
+//! forgotten the others. The address itself stays in use.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, Uri, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::{
+    HttpError, PooledBody,
+    connection::{self, Connection, IDLE_TIMEOUT},
+};
+
+/// Idle connections kept to one address.
+const MAX_IDLE: usize = 256;
+/// Silence of a given-up exchange from which on its neighbours are doubted.
+const DOUBTED_SILENCE: Duration = Duration::from_millis(200);
+
+/// What the pool did so far.
+#[derive(Debug, Default)]
+pub struct PoolCounters {
+    opened: AtomicU64,
+    reused: AtomicU64,
+    retired: AtomicU64,
+}
+
+impl PoolCounters {
+    /// Connections opened.
+    pub fn opened(&self) -> u64 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Exchanges over a connection that had carried another.
+    pub fn reused(&self) -> u64 {
+        self.reused.load(Ordering::Relaxed)
+    }
+
+    /// Connections closed after a silence.
+    pub fn retired(&self) -> u64 {
+        self.retired.load(Ordering::Relaxed)
+    }
+}
+
+/// Connections to all addresses.
+#[derive(Debug)]
+pub(super) struct Pool {
+    hosts: ArcSwap<HashMap<SocketAddr, Arc<Host>>>,
+    counters: Arc<PoolCounters>,
+}
+
+/// Opens an empty pool.
+pub(super) fn open() -> Pool {
+    Pool { hosts: ArcSwap::default(), counters: Arc::default() }
+}
+
+impl Pool {
+    pub(super) fn counters(&self) -> &PoolCounters {
+        &self.counters
+    }
+
+    /// Sends a request over an idle connection, or a new one.
+    pub(super) async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, HttpError> {
+        let host = self.host(prepare(&mut request)?);
+        while let Some(mut connection) = host.take_idle() {
+            if connection.sender.ready().await.is_err() {
+                continue;
+            }
+            match exchange(connection, &host, request).await {
+                Sent::Answered(response) => {
+                    self.counters.reused.fetch_add(1, Ordering::Relaxed);
+                    return Ok(response);
+                }
+                Sent::Unwritten(returned) => request = returned,
+                Sent::BrokenOff => return Err(HttpError::BrokenOff),
+            }
+        }
+        let connection = connection::open(host.addr).await?;
+        self.counters.opened.fetch_add(1, Ordering::Relaxed);
+        match exchange(connection, &host, request).await {
+            Sent::Answered(response) => Ok(response),
+            Sent::Unwritten(_) => Err(HttpError::NotReached),
+            Sent::BrokenOff => Err(HttpError::BrokenOff),
+        }
+    }
+
+    /// Whether an idle connection to `addr` is still open.
+    #[cfg(test)]
+    pub(super) fn has_open_idle(&self, addr: SocketAddr) -> bool {
+        self.host(addr).idle().iter().any(|it| !it.sender.is_closed())
+    }
+
+    fn host(&self, addr: SocketAddr) -> Arc<Host> {
+        if let Some(host) = self.hosts.load().get(&addr) {
+            return Arc::clone(host);
+        }
+        let new = Arc::new(Host {
+            addr,
+            idle: Mutex::default(),
+            counters: Arc::clone(&self.counters),
+        });
+        self.hosts.rcu(|old| {
+            let mut hosts = HashMap::clone(old);
+            hosts.retain(|_, host| host.is_in_use());
+            hosts.entry(addr).or_insert_with(|| Arc::clone(&new));
+            hosts
+        });
+        let host = self.hosts.load().get(&addr).map(Arc::clone).unwrap_or(new);
+        spawn_sweep(Arc::downgrade(&host));
+        host
+    }
+}
+
+/// Connections to one address.
+#[derive(Debug)]
+pub(super) struct Host {
+    addr: SocketAddr,
+    idle: Mutex<Vec<Connection>>,
+    counters: Arc<PoolCounters>,
+}
+
+impl Host {
+    /// Puts a connection back whose exchange has ended.
+    pub(super) fn put_back(&self, mut connection: Connection) {
+        let now = Instant::now();
+        connection.used_at = now;
+        let mut idle = self.idle();
+        if connection.is_usable(now) && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Takes in that an exchange was given up that was silent since `heard_at`.
+    pub(super) fn give_up(&self, heard_at: Instant) {
+        if heard_at.elapsed() < DOUBTED_SILENCE {
+            return;
+        }
+        let mut idle = self.idle();
+        let before = idle.len();
+        idle.retain(|it| heard_at < it.used_at);
+        let retired = before - idle.len() + 1;
+        self.counters.retired.fetch_add(retired as u64, Ordering::Relaxed);
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle();
+        while let Some(connection) = idle.pop() {
+            if connection.is_usable(now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn is_in_use(self: &Arc<Self>) -> bool {
+        1 < Arc::strong_count(self) || !self.idle().is_empty()
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Closes idle connections in time, until the host is gone.
+fn spawn_sweep(host: Weak<Host>) {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(IDLE_TIMEOUT / 2).await;
+            let Some(host) = host.upgrade() else { return };
+            let now = Instant::now();
+            host.idle().retain(|it| it.is_usable(now));
+        }
+    });
+}
+
+enum Sent {
+    Answered(Response<PooledBody>),
+    Unwritten(Request<Full<Bytes>>),
+    BrokenOff,
+}
+
+async fn exchange(
+    mut connection: Connection,
+    host: &Arc<Host>,
+    request: Request<Full<Bytes>>,
+) -> Sent {
+    let guard = SilenceGuard { host, sent_at: Some(Instant::now()) };
+    let res = connection.sender.try_send_request(request).await;
+    guard.disarm();
+    match res {
+        Ok(response) => Sent::Answered(pooled(response, connection, host)),
+        Err(mut error) => match error.take_message() {
+            Some(request) => Sent::Unwritten(request),
+            None => Sent::BrokenOff,
+        },
+    }
+}
+
+fn pooled(
+    response: Response<Incoming>,
+    connection: Connection,
+    host: &Arc<Host>,
+) -> Response<PooledBody> {
+    let closes = response
+        .headers()
+        .get(header::CONNECTION)
+        .is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
+    let connection = (!closes).then_some(connection);
+    response.map(|body| PooledBody::new(body, connection, Arc::clone(host)))
+}
+
+/// Takes note when an exchange is dropped before any answer came.
+struct SilenceGuard<'a> {
+    host: &'a Arc<Host>,
+    sent_at: Option<Instant>,
+}
+
+impl SilenceGuard<'_> {
+    fn disarm(mut self) {
+        self.sent_at = None;
+    }
+}
+
+impl Drop for SilenceGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(sent_at) = self.sent_at {
+            self.host.give_up(sent_at);
+        }
+    }
+}
+
+/// Puts the request into the form of a direct exchange; returns its address.
+fn prepare(request: &mut Request<Full<Bytes>>) -> Result<SocketAddr, HttpError> {
+    let uri = request.uri();
+    let authority = uri.authority().ok_or(HttpError::NotReached)?;
+    let addr = authority.as_str().parse().map_err(|_| HttpError::NotReached)?;
+    let host = HeaderValue::from_str(authority.as_str()).map_err(|_| HttpError::NotReached)?;
+    let path = uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    *request.uri_mut() = path.parse::<Uri>().map_err(|_| HttpError::NotReached)?;
+    request.headers_mut().entry(header::HOST).or_insert(host);
+    Ok(addr)
+}
--- /dev/null
+++ b/crates/transport/src/http_client/tests.rs
@@ -0,0 +1,162 @@
+//! Cases of the connection pool against small servers.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::*;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    (listener, addr)
+}
+
+fn get(addr: SocketAddr) -> Request<Full<Bytes>> {
+    request_builder(Method::GET, addr, "/").body(Full::default()).unwrap()
+}
+
+async fn read_head(stream: &mut TcpStream) -> bool {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\n") {
+        let mut buf = [0; 256];
+        match stream.read(&mut buf).await {
+            Ok(0) | Err(_) => return false,
+            Ok(count) => seen.extend_from_slice(&buf[..count]),
+        }
+    }
+    true
+}
+
+#[tokio::test]
+async fn connection_is_used_again_after_a_whole_answer() {
+    let (listener, addr) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        while read_head(&mut stream).await {
+            stream.write_all(ANSWER).await.unwrap();
+        }
+    });
+    let http = open();
+    for _ in 0..3 {
+        let response = http.send(get(addr)).await.unwrap();
+        assert_eq!(read_bytes(response.into_body()).await.unwrap(), "ok");
+    }
+    assert_eq!((http.counters().opened(), http.counters().reused()), (1, 2));
+}
+
+#[tokio::test]
+async fn nobody_listening_is_not_reached() {
+    let (listener, addr) = listen().await;
+    drop(listener);
+    assert_eq!(open().send(get(addr)).await.unwrap_err(), HttpError::NotReached);
+}
+
+#[tokio::test]
+async fn reused_connection_that_breaks_after_the_request_is_unknown() {
+    let (listener, addr) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(ANSWER).await.unwrap();
+        // Takes the second request whole, then ends; nobody listens from now on.
+        read_head(&mut stream).await;
+    });
+    let http = open();
+    read_bytes(http.send(get(addr)).await.unwrap().into_body()).await.unwrap();
+    assert_eq!(http.send(get(addr)).await.unwrap_err(), HttpError::BrokenOff);
+    assert_eq!(http.counters().opened(), 1);
+}
+
+#[tokio::test]
+async fn idle_connection_closed_by_the_server_is_replaced() {
+    let (listener, addr) = listen().await;
+    let (closed_tx, closed_rx) = tokio::sync::oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(ANSWER).await.unwrap();
+        drop(stream);
+        closed_tx.send(()).unwrap();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(ANSWER).await.unwrap();
+    });
+    let http = open();
+    read_bytes(http.send(get(addr)).await.unwrap().into_body()).await.unwrap();
+    closed_rx.await.unwrap();
+    while http.pool.has_open_idle(addr) {
+        tokio::task::yield_now().await;
+    }
+    let response = http.send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(response.into_body()).await.unwrap(), "ok");
+}
+
+#[tokio::test]
+async fn silence_retires_the_idle_connections_and_not_the_server() {
+    let (listener, addr) = listen().await;
+    tokio::spawn(async move {
+        let (silent_tx, silent_rx) = tokio::sync::watch::channel(0);
+        let mut accepted = 0;
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            accepted += 1;
+            let old = accepted <= 2;
+            let (silent_tx, silent_rx) = (silent_tx.clone(), silent_rx.clone());
+            tokio::spawn(async move {
+                let mut answered = 0;
+                while read_head(&mut stream).await {
+                    // The first two connections go silent after one answer each.
+                    if old && 1 <= answered {
+                        std::future::pending::<()>().await;
+                    }
+                    answered += 1;
+                    silent_tx.send_modify(|it| *it += 1);
+                    let mut both = silent_rx.clone();
+                    both.wait_for(|it| 2 <= *it).await.unwrap();
+                    stream.write_all(ANSWER).await.unwrap();
+                }
+            });
+        }
+    });
+    let http = open();
+    let (a, b) = tokio::join!(http.send(get(addr)), http.send(get(addr)));
+    read_bytes(a.unwrap().into_body()).await.unwrap();
+    read_bytes(b.unwrap().into_body()).await.unwrap();
+    let res = tokio::time::timeout(Duration::from_millis(300), http.send(get(addr))).await;
+    assert!(res.is_err(), "the silent connection answered");
+    assert_eq!(http.counters().retired(), 2);
+    let response = http.send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(response.into_body()).await.unwrap(), "ok");
+}
+
+#[tokio::test]
+async fn late_answer_of_an_abandoned_exchange_reaches_nobody() {
+    let (listener, addr) = listen().await;
+    tokio::spawn(async move {
+        for body in ["late", "mine"] {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_head(&mut stream).await;
+            let late = body == "late";
+            tokio::spawn(async move {
+                if late {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{body}");
+                stream.write_all(answer.as_bytes()).await.ok();
+                read_head(&mut stream).await;
+            });
+        }
+    });
+    let http = open();
+    let res = tokio::time::timeout(Duration::from_millis(20), http.send(get(addr))).await;
+    assert!(res.is_err());
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    let response = http.send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(response.into_body()).await.unwrap(), "mine");
+}
