Answer bad heads, slow heads and connections above the bound by number

The HTTP library answers a flood of headers or a malformed head with a bare status and cuts a slow head off without a word, so callers had no code and no outcome. The stream of a connection now replaces those bare answers (told apart by the request id that every answer of ours carries), a slow head gets 1005, and a connection above the bound gets 2002 with Retry-After. A peer that takes no byte for 20 s is let go, so that a stop cannot hang on it. Ports may take TLS; certificates are read again and a bad file leaves the old one in force.

--- a/crates/transport/src/event_stream.rs
+++ b/crates/transport/src/event_stream.rs
@@ -41,7 +41,7 @@
     prefix: &'static [u8],
     is_last: fn(&T) -> bool,
 ) -> impl Stream<Item = Result<T, HttpError>> + Send {
-    let reader = Reader { body: body, buf: BytesMut::new(), prefix };
+    let reader = Reader { body, buf: BytesMut::new(), prefix };
     stream::unfold(Some(reader), move |reader| async move {
         let mut reader = reader?;
         match reader.next_line().await {
--- a/crates/transport/src/http_client/pool.rs
+++ b/crates/transport/src/http_client/pool.rs
@@ -113,11 +113,8 @@
         if let Some(host) = self.hosts.load().get(&addr) {
             return Arc::clone(host);
         }
-        let new = Arc::new(Host {
-            addr,
-            idle: Mutex::default(),
-            counters: Arc::clone(&self.counters),
-        });
+        let new =
+            Arc::new(Host { addr, idle: Mutex::default(), counters: Arc::clone(&self.counters) });
         self.hosts.rcu(|old| {
             let mut hosts = HashMap::clone(old);
             hosts.retain(|_, host| host.is_in_use());
--- a/crates/transport/src/http_client/tests.rs
+++ b/crates/transport/src/http_client/tests.rs
@@ -138,25 +138,25 @@
 #[tokio::test]
 async fn late_answer_of_an_abandoned_exchange_reaches_nobody() {
     let (listener, addr) = listen().await;
+    let (given_up_tx, given_up_rx) = tokio::sync::oneshot::channel::<()>();
+    let (sent_tx, sent_rx) = tokio::sync::oneshot::channel::<()>();
     tokio::spawn(async move {
-        for body in ["late", "mine"] {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            read_head(&mut stream).await;
-            let late = body == "late";
-            tokio::spawn(async move {
-                if late {
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{body}");
-                stream.write_all(answer.as_bytes()).await.ok();
-                read_head(&mut stream).await;
-            });
-        }
+        let (mut first, _) = listener.accept().await.unwrap();
+        read_head(&mut first).await;
+        given_up_rx.await.unwrap();
+        // The peer may have closed by now.
+        first.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate").await.ok();
+        sent_tx.send(()).unwrap();
+        let (mut second, _) = listener.accept().await.unwrap();
+        read_head(&mut second).await;
+        second.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nmine").await.unwrap();
+        read_head(&mut second).await;
     });
     let http = open();
     let res = tokio::time::timeout(Duration::from_millis(20), http.send(get(addr))).await;
     assert!(res.is_err());
-    tokio::time::sleep(Duration::from_millis(60)).await;
+    given_up_tx.send(()).unwrap();
+    sent_rx.await.unwrap();
     let response = http.send(get(addr)).await.unwrap();
     assert_eq!(read_bytes(response.into_body()).await.unwrap(), "mine");
 }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -1,26 +1,58 @@
-//! HTTP serving with bounds on slow and large senders, and a stop that lets
-//! every open exchange end.
+//! HTTP serving with bounds on slow and large senders and on connections, and a
+//! stop that lets every open exchange end.
+//!
+//! What the HTTP library refuses by itself, such as a flood of headers, is
+//! answered with a numbered code as well.
+
+mod connection;
+mod guarded;
+mod refused;
+#[cfg(test)]
+mod tests;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
-    task::JoinHandle,
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    task::{JoinHandle, JoinSet},
 };
-use viz::{Responder, Router, Tree};
-
-/// Longest time that the headers of a request may take.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Most headers of one request.
-const MAX_HEADERS: usize = 64;
-/// Largest size of the headers of one request.
-const MAX_HEADER_BYTES: usize = 32 * 1024;
+use viz::{Router, Tree};
+
+use crate::tls::TlsCell;
+
+/// Connections at once, unless told otherwise.
+pub const DEFAULT_MAX_CONNECTIONS: usize = 8192;
+/// Connections above the bound that are told so at once; others are dropped.
+const MAX_REFUSING: usize = 64;
 /// Pause after a failed accept, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How a port is served.
+#[derive(Debug, Clone)]
+pub struct ServerOptions {
+    /// Certificates, if the port takes TLS.
+    pub tls: Option<Arc<TlsCell>>,
+    /// Connections at once, at most.
+    pub max_connections: usize,
+    /// Longest time that the headers of a request may take, and that a
+    /// connection may stay idle.
+    pub header_timeout: Duration,
+    /// Longest time that a peer may take no byte of an answer.
+    pub write_timeout: Duration,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            tls: None,
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            header_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(20),
+        }
+    }
+}
+
 /// Running HTTP server.
 #[derive(Debug)]
 pub struct HttpServer {
@@ -48,26 +80,49 @@
     }
 }
 
-/// Listens on `addr` and serves `router`.
+/// Listens on `addr` and serves `router` with the default options.
 pub async fn bind(addr: SocketAddr, router: Router) -> io::Result<HttpServer> {
+    bind_with(addr, router, ServerOptions::default()).await
+}
+
+/// Listens on `addr` and serves `router`.
+pub async fn bind_with(
+    addr: SocketAddr,
+    router: Router,
+    options: ServerOptions,
+) -> io::Result<HttpServer> {
     let listener = TcpListener::bind(addr).await?;
     let local_addr = listener.local_addr()?;
     let (stop_tx, stop_rx) = watch::channel(false);
-    let tree = Arc::new(Tree::from(router));
-    let accept_task = tokio::spawn(accept(listener, tree, stop_rx));
+    let port = Port {
+        tree: Arc::new(Tree::from(router)),
+        free: Arc::new(Semaphore::new(options.max_connections)),
+        free_refusing: Arc::new(Semaphore::new(MAX_REFUSING)),
+        options: Arc::new(options),
+        stop_rx,
+    };
+    let accept_task = tokio::spawn(accept(listener, port));
     Ok(HttpServer { local_addr, stop_tx, accept_task })
 }
 
-async fn accept(listener: TcpListener, tree: Arc<Tree>, mut stop_rx: watch::Receiver<bool>) {
-    let mut connections = tokio::task::JoinSet::new();
+/// What the connections of one port share.
+#[derive(Clone)]
+struct Port {
+    tree: Arc<Tree>,
+    free: Arc<Semaphore>,
+    free_refusing: Arc<Semaphore>,
+    options: Arc<ServerOptions>,
+    stop_rx: watch::Receiver<bool>,
+}
+
+async fn accept(listener: TcpListener, mut port: Port) {
+    let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
         tokio::select! {
-            () = stopped(&mut stop_rx) => break,
+            () = stopped(&mut port.stop_rx) => break,
             res = listener.accept() => match res {
-                Ok((stream, peer)) => {
-                    connections.spawn(serve(stream, peer, Arc::clone(&tree), stop_rx.clone()));
-                }
+                Ok((stream, peer)) => admit(&mut connections, &port, stream, peer),
                 Err(error) => {
                     tracing::warn!(%error, "could not accept a connection");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -79,36 +134,42 @@
     while connections.join_next().await.is_some() {}
 }
 
+fn admit(connections: &mut JoinSet<()>, port: &Port, stream: TcpStream, peer: SocketAddr) {
+    if let Ok(permit) = Arc::clone(&port.free).try_acquire_owned() {
+        connections.spawn(serve(port.clone(), stream, peer, permit));
+        return;
+    }
+    // A TLS peer would have to be greeted first; it is dropped.
+    if port.options.tls.is_some() {
+        return;
+    }
+    if let Ok(permit) = Arc::clone(&port.free_refusing).try_acquire_owned() {
+        connections.spawn(async move {
+            refused::refuse_connection(stream).await;
+            drop(permit);
+        });
+    }
+}
+
 async fn stopped(stop_rx: &mut watch::Receiver<bool>) {
     // A handle that was dropped asked for the stop as well.
     let _ = stop_rx.wait_for(|stop| *stop).await;
 }
 
-async fn serve(
-    stream: TcpStream,
-    peer: SocketAddr,
-    tree: Arc<Tree>,
-    mut stop_rx: watch::Receiver<bool>,
-) {
+async fn serve(port: Port, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "could not set no-delay");
     }
-    let service = Responder::new(tree, Some(peer));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let res = tokio::select! {
-        res = connection.as_mut() => res,
-        () = stopped(&mut stop_rx) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    match port.options.tls.clone() {
+        None => connection::serve(port, stream, peer).await,
+        Some(tls) => {
+            let accepted = tokio::time::timeout(port.options.header_timeout, tls.accept(stream));
+            match accepted.await {
+                Ok(Ok(stream)) => connection::serve(port, stream, peer).await,
+                Ok(Err(error)) => tracing::debug!(%error, %peer, "could not agree on TLS"),
+                Err(_) => tracing::debug!(%peer, "TLS took too long"),
+            }
         }
-    };
-    if let Err(error) = res {
-        tracing::debug!(%error, %peer, "connection ended early");
     }
+    drop(permit);
 }
--- /dev/null
+++ b/crates/transport/src/http_server/connection.rs
@@ -0,0 +1,101 @@
+//! One connection of a port.
+
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
+
+use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode};
+use http::{HeaderValue, Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::Service};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use viz::{Body, Responder};
+
+use super::{Port, guarded::Guarded, refused, stopped};
+
+/// Most headers of one request.
+const MAX_HEADERS: usize = 64;
+/// Largest size of the headers of one request.
+const MAX_HEADER_BYTES: usize = 32 * 1024;
+/// Longest time that a peer is read from after its connection was given up, so
+/// that the answer isn't lost to a reset.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Bytes read from such a peer, at most.
+const LINGER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Serves one connection to its end.
+pub(super) async fn serve<S>(mut port: Port, stream: S, peer: SocketAddr)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send,
+{
+    let stream = Guarded::new(stream, port.options.write_timeout);
+    let service = Numbered(Responder::new(port.tree.clone(), Some(peer)));
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(port.options.header_timeout)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let res = tokio::select! {
+        res = &mut connection => res,
+        () = stopped(&mut port.stop_rx) => {
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    let mut stream = connection.into_parts().io.into_inner();
+    if let Err(error) = res {
+        tracing::debug!(%error, %peer, "connection ended early");
+        if error.is_timeout() && stream.is_mid_request() {
+            // The peer may be gone; then nobody misses the answer.
+            let _ = stream.write_all(&refused::answer(ResultCode::TooSlow)).await;
+        }
+    }
+    linger(stream).await;
+}
+
+/// Lets a peer that is still sending read its answer first.
+async fn linger<S: AsyncRead + AsyncWrite + Unpin>(mut stream: Guarded<S>) {
+    if stream.is_at_end() || stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buf = [0; 8 * 1024];
+    let read = async {
+        let mut seen = 0;
+        while let Ok(count @ 1..) = stream.read(&mut buf).await {
+            seen += count;
+            if LINGER_BYTES < seen {
+                return;
+            }
+        }
+    };
+    // A peer that neither sends nor closes has had its time.
+    let _ = tokio::time::timeout(LINGER_TIME, read).await;
+}
+
+/// Service whose answers all carry a request id. What the HTTP library answers
+/// by itself does not, and is told apart by that.
+struct Numbered(Responder<SocketAddr>);
+
+impl Service<Request<Incoming>> for Numbered {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = futures::future::Map<
+        <Responder<SocketAddr> as Service<Request<Incoming>>>::Future,
+        fn(Result<Response<Body>, Infallible>) -> Result<Response<Body>, Infallible>,
+    >;
+
+    fn call(&self, req: Request<Incoming>) -> Self::Future {
+        futures::FutureExt::map(self.0.call(req), number)
+    }
+}
+
+fn number(res: Result<Response<Body>, Infallible>) -> Result<Response<Body>, Infallible> {
+    let Ok(mut response) = res;
+    let headers = response.headers_mut();
+    if !headers.contains_key(REQUEST_ID_HEADER) {
+        let id = refused::new_request_id().to_string();
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            headers.insert(REQUEST_ID_HEADER, value);
+        }
+    }
+    Ok(response)
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod http_server;
 pub mod instance_list_client;
 pub mod store_client;
+pub mod tls;
 pub mod weight_store_client;
