Serve idempotent calls of plain services

Calls of plain services had no path through a node. /services/NAME/... now reads a call whole, finds its rule by method and path, and sends idempotent calls with retries bounded by the profile's attempts and deadline; the time left is divided among the attempts left. Paths that a backend server could read as another one are refused, since their rule would not be the rule of the call that runs. The claim table, its encoding and the settings of at-most-once calls are laid; until claims are kept those calls are refused as not_run.

--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -5,6 +5,7 @@
 mod auth;
 mod completion;
 mod refusal;
+pub mod service;
 
 use std::sync::{Arc, atomic::Ordering};
 
@@ -18,11 +19,13 @@
 pub fn router(shared: &Arc<Shared>) -> Router {
     let on = || Arc::clone(shared);
     let (chat, text, models, ready) = (on(), on(), on(), on());
+    let services = on();
     Router::new()
         .post("/v1/chat/completions", move |req| completion::chat(Arc::clone(&chat), req))
         .post("/v1/completions", move |req| completion::text(Arc::clone(&text), req))
         .get("/v1/models", move |req| completion::models(Arc::clone(&models), req))
         .get("/ready", move |req| check_ready(Arc::clone(&ready), req))
+        .any("/services/*path", move |req| service::serve(Arc::clone(&services), req))
         .any("/*path", |_: Request| async {
             Ok::<Response, viz::Error>(refusal::response(ResultCode::NotFound, new_request_id()))
         })
--- a/crates/citrongw/src/caller/auth.rs
+++ b/crates/citrongw/src/caller/auth.rs
@@ -3,7 +3,10 @@
 use std::sync::atomic::Ordering;
 
 use citrongw_protocol::code::ResultCode;
-use citrongw_state::config::{KeyDigest, Profile};
+use citrongw_state::{
+    config::{KeyDigest, Profile},
+    id::{OrganisationId, ServiceId},
+};
 use viz::{Request, RequestExt, header};
 
 use crate::node::Shared;
@@ -11,6 +14,10 @@
 /// Caller as the configuration knows it.
 #[derive(Debug, Clone)]
 pub(super) struct Caller {
+    /// Its organisation.
+    pub(super) organisation: OrganisationId,
+    /// Its service.
+    pub(super) service: ServiceId,
     /// The profile of its service.
     pub(super) profile: Profile,
 }
@@ -26,5 +33,6 @@
     let service = config.config.service_by_key(&KeyDigest::of(key));
     let service = service.ok_or(ResultCode::Unauthorised)?;
     let profile = config.config.profile(&service.profile).ok_or(ResultCode::UnknownModel)?.clone();
-    Ok(Caller { profile })
+    let (organisation, service) = (service.organisation.clone(), service.id.clone());
+    Ok(Caller { organisation, service, profile })
 }
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -28,7 +28,10 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    caller,
+    caller::{
+        self,
+        service::{self, ServiceClients},
+    },
     error::{Result, could_not},
     settings::Settings,
 };
@@ -56,6 +59,8 @@
     pub replicas: Arc<ReplicaTable>,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
+    /// Clients of the plain services.
+    pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
     /// Whether the node refuses new work because it stops.
@@ -114,6 +119,7 @@
         config: Arc::default(),
         replicas: Arc::default(),
         store,
+        services: service::open(),
         engine,
         stopping: AtomicBool::new(false),
         settings,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! of the engines; `transport` holds the clients behind them.
 
 pub mod caller;
+pub mod claim;
 pub mod code;
 pub mod decision;
 pub mod engine;
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -14,6 +14,11 @@
     ProfileId, ServiceId,
 };
 
+/// Shortest retention of at-most-once calls.
+const MIN_RETENTION_MS: u64 = 60_000;
+/// Largest answer of an at-most-once call that may be stored.
+const MAX_ANSWER_BYTES: u32 = 64 * 1024;
+
 /// The whole configuration of one installation.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -201,6 +206,34 @@
     /// Whether the backend server takes the idempotency key itself.
     #[serde(default)]
     pub passes_key: bool,
+    /// Whether an at-most-once call without an idempotency key is refused.
+    #[serde(default = "default_key_required")]
+    pub key_required: bool,
+    /// Largest answer of an at-most-once call that is stored for resends.
+    #[serde(default = "default_answer_bytes")]
+    pub answer_bytes: u32,
+    /// Time after the end of an at-most-once call for which it answers resends.
+    #[serde(default = "default_retention_ms")]
+    pub retention_ms: u64,
+}
+
+impl CallRule {
+    /// Whether the rule is for a call.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        self.method == method && path.starts_with(&self.path)
+    }
+
+    /// Time after the end of a call for which it answers resends.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+}
+
+impl PlainService {
+    /// Rule of a call. None if the service doesn't take it.
+    pub fn rule(&self, method: &str, path: &str) -> Option<&CallRule> {
+        self.calls.iter().find(|it| it.matches(method, path))
+    }
 }
 
 /// Role of an operator.
@@ -249,6 +282,18 @@
     1
 }
 
+fn default_key_required() -> bool {
+    true
+}
+
+fn default_answer_bytes() -> u32 {
+    4096
+}
+
+fn default_retention_ms() -> u64 {
+    3_600_000
+}
+
 /// Fault of a configuration document.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 #[display("{place}: {message}")]
@@ -345,6 +390,23 @@
                     message: "addrs is empty, allowed from one address".to_owned(),
                 });
             }
+            check_calls(service, faults);
+        }
+    }
+}
+
+fn check_calls(service: &PlainService, faults: &mut Vec<ConfigFault>) {
+    for rule in service.calls.iter().filter(|it| it.class == CallClass::AtMostOnce) {
+        let place = format!("plain service {}, call {} {}", service.id, rule.method, rule.path);
+        if rule.retention_ms < MIN_RETENTION_MS {
+            let message =
+                format!("retention_ms is {}, allowed from {MIN_RETENTION_MS}", rule.retention_ms);
+            faults.push(ConfigFault { place: place.clone(), message });
+        }
+        if MAX_ANSWER_BYTES < rule.answer_bytes {
+            let message =
+                format!("answer_bytes is {}, allowed up to {MAX_ANSWER_BYTES}", rule.answer_bytes);
+            faults.push(ConfigFault { place, message });
         }
     }
 }
--- a/crates/state/src/config/tests.rs
+++ b/crates/state/src/config/tests.rs
@@ -12,7 +12,10 @@
         ],
         "deployments": [{"id": "d", "model": "n", "version": "1", "replicas": 1,
                          "instances_per_replica": 0}],
-        "plain_services": [{"id": "x", "addrs": [], "calls": []}]
+        "plain_services": [{"id": "x", "addrs": [], "calls": [
+            {"method": "POST", "path": "/", "class": "at-most-once",
+             "retention_ms": 1, "answer_bytes": 65537}
+        ]}]
     }"#;
     let config: Config = serde_json::from_str(text).unwrap();
     let faults: Vec<String> = config.check().iter().map(ToString::to_string).collect();
@@ -25,6 +28,8 @@
         "profile q: no deployment serves model m",
         "deployment d: instances_per_replica is 0, allowed from 1",
         "plain service x: addrs is empty, allowed from one address",
+        "plain service x, call POST /: retention_ms is 1, allowed from 60000",
+        "plain service x, call POST /: answer_bytes is 65537, allowed up to 65536",
     ];
     assert_eq!(faults, expected);
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,6 +5,7 @@
 //! state, event and time, so that a bench can drive thousands of nodes' worth
 //! of them without sockets.
 
+pub mod claim;
 pub mod config;
 pub mod id;
 pub mod replica;
