--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -28,11 +28,13 @@
 use tokio::task::JoinHandle;
 
 use crate::{
+    admin,
     caller::{
         self,
         service::{self, ServiceClients},
     },
     error::{Result, could_not},
+    metrics::{self, Metrics},
     settings::Settings,
 };
 
@@ -57,6 +59,8 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Metrics of this node.
+    pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
     /// Clients of the plain services.
@@ -71,6 +75,7 @@
 pub struct Node {
     shared: Arc<Shared>,
     server: HttpServer,
+    admin_server: HttpServer,
     drivers: Vec<JoinHandle<()>>,
 }
 
@@ -80,6 +85,11 @@
         self.server.local_addr()
     }
 
+    /// Address for operators.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_server.local_addr()
+    }
+
     /// What its parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -91,6 +101,7 @@
         self.shared.stopping.store(true, Ordering::Relaxed);
         tokio::time::sleep(self.shared.settings.balancer_lag).await;
         self.server.stop().await;
+        self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
         }
@@ -121,6 +132,7 @@
         store,
         services: service::open(),
         engine,
+        metrics: metrics::open(),
         stopping: AtomicBool::new(false),
         settings,
     });
@@ -137,5 +149,9 @@
     let server = http_server::bind(addr, caller::router(&shared))
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
-    Ok(Node { shared, server, drivers })
+    let addr = shared.settings.admin_addr;
+    let admin_server = http_server::bind(addr, admin::router(&shared))
+        .await
+        .map_err(|error| could_not("listen for operators", addr, error))?;
+    Ok(Node { shared, server, admin_server, drivers })
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod claim;
 pub mod config;
 pub mod id;
+pub mod lifecycle;
+pub mod ownership;
 pub mod replica;
 pub mod time;
 pub mod unit;
