--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod admin_config;
 pub mod caller;
+pub mod claim;
 pub mod code;
 pub mod config_delta;
 pub mod config_record;
