--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -28,7 +28,11 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    admin, caller,
+    admin,
+    caller::{
+        self,
+        service::{self, ServiceClients},
+    },
     error::{Result, could_not},
     metrics::{self, Metrics},
     settings::Settings,
@@ -59,6 +63,8 @@
     pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
+    /// Clients of the plain services.
+    pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
     /// Whether the node refuses new work because it stops.
@@ -124,6 +130,7 @@
         config: Arc::default(),
         replicas: Arc::default(),
         store,
+        services: service::open(),
         engine,
         metrics: metrics::open(),
         stopping: AtomicBool::new(false),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,8 +5,12 @@
 //! of the engines; `transport` holds the clients behind them.
 
 pub mod admin;
+pub mod admin_config;
 pub mod caller;
+pub mod claim;
 pub mod code;
+pub mod config_delta;
+pub mod config_record;
 pub mod decision;
 pub mod engine;
 pub mod instance_list;
