--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -3,9 +3,16 @@
 mod answer;
 mod attempt;
 mod auth;
+mod body;
 mod completion;
+mod directory;
+mod events;
 mod refusal;
+mod request_log;
+mod running;
+mod select;
 pub mod service;
+mod work;
 
 use std::sync::{Arc, atomic::Ordering};
 
@@ -15,6 +22,13 @@
 
 use crate::node::Shared;
 
+/// What the requests of a node share.
+#[derive(Debug, Default)]
+pub struct Callers {
+    directory: directory::DirectoryCell,
+    bodies: body::BodyBudget,
+}
+
 /// Routes of the caller interface.
 pub fn router(shared: &Arc<Shared>) -> Router {
     let on = || Arc::clone(shared);
@@ -26,9 +40,12 @@
         .get("/v1/models", move |req| completion::models(Arc::clone(&models), req))
         .get("/ready", move |req| check_ready(Arc::clone(&ready), req))
         .any("/services/*path", move |req| service::serve(Arc::clone(&services), req))
-        .any("/*path", |_: Request| async {
-            Ok::<Response, viz::Error>(refusal::response(ResultCode::NotFound, new_request_id()))
-        })
+        .any("/", |_: Request| not_found())
+        .any("/*path", |_: Request| not_found())
+}
+
+async fn not_found() -> viz::Result<Response> {
+    Ok(refusal::response(ResultCode::NotFound, new_request_id()))
 }
 
 /// Draws the id of a request.
--- a/crates/citrongw/src/caller/answer.rs
+++ b/crates/citrongw/src/caller/answer.rs
@@ -1,19 +1,13 @@
 //! Answers in the shape of the OpenAI interface.
 
-use bytes::Bytes;
-use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode, engine::Chunk};
+use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode};
 use citrongw_state::id::{ModelId, RequestId};
-use citrongw_transport::event_stream;
-use futures::stream;
 use http_body_util::Full;
 use serde::Serialize;
 use serde_json::{Value, json};
 use viz::{Body, Response, ResponseExt};
 
-use super::{attempt::Running, refusal};
-
-/// Last event of a whole stream.
-const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+use super::running::{Piece, Running};
 
 /// Shape of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,57 +25,22 @@
 }
 
 /// Reads the whole answer before any of it is sent.
-pub(super) async fn whole(
-    mut running: Running,
-    shape: Shape,
-    model: &ModelId,
-    request: RequestId,
-) -> Result<Response, ResultCode> {
+pub(super) async fn whole(running: &mut Running, shape: Shape) -> Result<Response, ResultCode> {
     let mut text = String::new();
     loop {
         match running.next().await? {
-            Chunk::Token { text: token, .. } => text.push_str(&token),
-            Chunk::End { tokens, reason, .. } => {
-                let body = whole_json(shape, model, request, &text, tokens, &reason);
-                return Ok(with_request_id(json(&body), request));
+            Piece::Token(token) => text.push_str(&token),
+            Piece::Restart => text.clear(),
+            Piece::End { tokens, reason } => {
+                let work = running.work();
+                let model = &work.profile().model;
+                let body = whole_json(shape, model, work.request, &text, tokens, &reason);
+                return Ok(with_request_id(json(&body), work.request));
             }
         }
     }
 }
 
-/// Sends the answer as events while it is generated. An error is the last
-/// event, without the one that marks a whole answer.
-pub(super) fn events(
-    running: Running,
-    shape: Shape,
-    model: ModelId,
-    request: RequestId,
-) -> Response {
-    let events = stream::unfold(Some(running), move |running| {
-        let model = model.clone();
-        async move {
-            let mut running = running?;
-            let res = running.next().await;
-            let (event, rest) = match res {
-                Ok(Chunk::Token { text, .. }) => {
-                    (event(&piece_json(shape, &model, request, Some(&text), None)), Some(running))
-                }
-                Ok(Chunk::End { reason, .. }) => {
-                    let last = event(&piece_json(shape, &model, request, None, Some(&reason)));
-                    (Bytes::from([&last[..], DONE_EVENT].concat()), None)
-                }
-                Err(code) => (event(&refusal::body(code, request)), None),
-            };
-            Some((Ok::<_, std::io::Error>(event), rest))
-        }
-    });
-    with_request_id(Response::with(Body::from_stream(events), "text/event-stream"), request)
-}
-
-fn event<T: Serialize>(data: &T) -> Bytes {
-    event_stream::event(data).unwrap_or_default()
-}
-
 fn whole_json(
     shape: Shape,
     model: &ModelId,
@@ -111,28 +70,8 @@
     })
 }
 
-fn piece_json(
-    shape: Shape,
-    model: &ModelId,
-    request: RequestId,
-    text: Option<&str>,
-    reason: Option<&str>,
-) -> Value {
-    let (object, choice) = match shape {
-        Shape::Chat => {
-            let delta = text.map_or_else(|| json!({}), |text| json!({ "content": text }));
-            let choice = json!({ "index": 0, "delta": delta, "finish_reason": reason });
-            ("chat.completion.chunk", choice)
-        }
-        Shape::Text => {
-            let text = text.unwrap_or_default();
-            ("text_completion", json!({ "index": 0, "text": text, "finish_reason": reason }))
-        }
-    };
-    json!({ "id": request, "object": object, "model": model, "choices": [choice] })
-}
-
-fn with_request_id(mut response: Response, request: RequestId) -> Response {
+/// Puts the request id into an answer.
+pub(super) fn with_request_id(mut response: Response, request: RequestId) -> Response {
     if let Ok(value) = request.to_string().parse() {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
--- a/crates/citrongw/src/caller/attempt.rs
+++ b/crates/citrongw/src/caller/attempt.rs
@@ -1,206 +1,167 @@
-//! One request over the replicas: selection, the stream, and taking it up
-//! again when it breaks.
+//! One attempt of a request on one replica. An attempt that may be running when
+//! it is dropped is cancelled, once.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use citrongw_coordination::replica_table::{InFlight, ReplicaEntry};
 use citrongw_protocol::{
-    code::ResultCode,
-    engine::{Chunk, ChunkStream, EngineError, GenerateRequest},
-};
-use citrongw_state::{
-    config::Profile,
-    id::{RequestId, StreamId},
-    time::Time,
+    decision::Decision,
+    engine::{Chunk, ChunkStream, EngineError, EngineResult, GenerateRequest},
 };
+use citrongw_state::id::StreamId;
 use futures::StreamExt;
-use tokio::time::Instant;
 
+use super::work::Work;
 use crate::node::Shared;
 
-/// Request of a caller, as attempts need it.
-#[derive(Debug, Clone)]
-pub(super) struct Work {
-    /// The request.
-    pub(super) request: RequestId,
-    /// Profile that it runs under.
-    pub(super) profile: Profile,
-    /// Prompt.
-    pub(super) prompt: String,
-    /// Most tokens to generate.
-    pub(super) max_tokens: u32,
-    /// When it arrived.
-    pub(super) arrived_at: Time,
+/// Pause before a cancellation is sent again, in case it overtook its request.
+const CANCEL_AGAIN_PAUSE: Duration = Duration::from_millis(250);
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// The engine may have the request.
+    Sent,
+    /// The engine answers.
+    Answering,
+    /// The engine has nothing of it left.
+    Over,
 }
 
-/// Answer under way. Dropping it before the end cancels the stream.
-pub(super) struct Running {
+/// Attempt on a replica.
+pub(super) struct Attempt {
     shared: Arc<Shared>,
-    work: Work,
     replica: Arc<ReplicaEntry>,
     stream: StreamId,
-    chunks: ChunkStream,
-    next_sequence: u64,
-    resumes_left: u32,
-    ended: bool,
+    chunks: Option<ChunkStream>,
+    progress: Progress,
+    resumed: bool,
     _in_flight: InFlight,
 }
 
-/// Starts the request on a replica.
-pub(super) async fn start(shared: Arc<Shared>, work: Work) -> Result<Running, ResultCode> {
-    let mut refused = Vec::new();
-    loop {
-        let replica = select(&shared, &work, &refused)?;
-        let in_flight = replica.enter();
-        let stream = StreamId::from(format!("{}-{}", work.request, refused.len()));
-        let request = generate_request(&work, &replica, &stream);
-        let addr = replica.spec.members[0].engine_addr;
-        let limit = first_token_limit(&shared, &work);
-        let res = tokio::time::timeout_at(limit, shared.engine.generate(addr, request)).await;
-        match res {
-            Ok(Ok(chunks)) => {
-                let resumes_left = work.profile.retries;
-                return Ok(Running {
-                    shared,
-                    work,
-                    replica,
-                    stream,
-                    chunks,
-                    next_sequence: 0,
-                    resumes_left,
-                    ended: false,
-                    _in_flight: in_flight,
-                });
-            }
-            Ok(Err(EngineError::NotReached | EngineError::Refused { .. })) => {
-                refused.push(replica.spec.id);
-                if work.profile.retries < u32::try_from(refused.len()).unwrap_or(u32::MAX) {
-                    return Err(ResultCode::NotReached);
-                }
-            }
-            Ok(Err(EngineError::Failed { .. })) => return Err(ResultCode::EngineError),
-            Ok(Err(EngineError::BrokenOff)) => return Err(ResultCode::BrokenOff),
-            Err(_) => {
-                spawn_cancel(&shared, &replica, stream);
-                return Err(ResultCode::DeadlinePassed);
-            }
+impl Attempt {
+    /// Prepares an attempt; nothing is sent.
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        work: &Work,
+        replica: Arc<ReplicaEntry>,
+        number: u32,
+    ) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            stream: StreamId::from(format!("{}-{number}", work.request)),
+            chunks: None,
+            progress: Progress::Over,
+            resumed: false,
+            _in_flight: replica.enter(),
+            replica,
         }
     }
-}
 
-/// Routable replica of the model with the least of this node's work.
-fn select(
-    shared: &Shared,
-    work: &Work,
-    refused: &[citrongw_state::id::ReplicaId],
-) -> Result<Arc<ReplicaEntry>, ResultCode> {
-    let now = shared.clock.now();
-    let entries = shared.replicas.entries();
-    let fits = |entry: &&Arc<ReplicaEntry>| {
-        entry.spec.model == work.profile.model
-            && work.profile.version.as_ref().is_none_or(|it| *it == entry.spec.version)
-            && !refused.contains(&entry.spec.id)
-            && entry.check_routable(now, shared.settings.report_freshness).is_ok()
-    };
-    let least = entries.iter().filter(fits).min_by_key(|entry| entry.in_flight());
-    least.cloned().ok_or(ResultCode::NoReplica)
-}
-
-fn generate_request(work: &Work, replica: &ReplicaEntry, stream: &StreamId) -> GenerateRequest {
-    GenerateRequest {
-        request: work.request,
-        stream: stream.clone(),
-        replica: replica.spec.id,
-        epoch: replica.spec.epoch,
-        incarnation: replica.spec.members[0].incarnation,
-        model: work.profile.model.clone(),
-        adapter: work.profile.adapter.clone(),
-        priority: work.profile.priority,
-        prompt: work.prompt.clone(),
-        max_tokens: work.max_tokens,
+    /// The replica.
+    pub(super) fn replica(&self) -> &Arc<ReplicaEntry> {
+        &self.replica
     }
-}
 
-fn first_token_limit(shared: &Shared, work: &Work) -> Instant {
-    let first = work.arrived_at + work.profile.first_token();
-    shared.clock.instant(first.min(work.arrived_at + work.profile.deadline()))
-}
+    /// Whether it was taken up again and has given no token since.
+    pub(super) fn was_resumed(&self) -> bool {
+        self.resumed
+    }
 
-fn spawn_cancel(shared: &Arc<Shared>, replica: &ReplicaEntry, stream: StreamId) {
-    let shared = Arc::clone(shared);
-    let addr = replica.spec.members[0].engine_addr;
-    tokio::spawn(async move {
-        if let Err(error) = shared.engine.cancel(addr, stream).await {
-            tracing::debug!(%error, "could not cancel stream");
-        }
-    });
-}
-
-impl Running {
-    /// The next piece of the answer, in order, without gap or repetition.
-    pub(super) async fn next(&mut self) -> Result<Chunk, ResultCode> {
-        loop {
-            let limit = self.next_limit();
-            let item = tokio::time::timeout_at(limit, self.chunks.next()).await;
-            match item {
-                Ok(Some(Ok(chunk))) => {
-                    if let Some(chunk) = self.take(chunk)? {
-                        return Ok(chunk);
-                    }
-                }
-                Ok(Some(Err(_)) | None) => self.resume().await?,
-                Err(_) => return Err(ResultCode::DeadlinePassed),
-            }
+    /// Sends the request, if the replica may still be routed to.
+    pub(super) async fn send(&mut self, work: &Work, number: u32) -> EngineResult<()> {
+        let now = self.shared.clock.now();
+        let freshness = self.shared.settings.report_freshness;
+        if let Err(reason) = self.replica.check_routable(now, freshness) {
+            return Err(EngineError::Refused { reason: format!("{reason:?}"), leaving: false });
         }
+        let request = generate_request(work, &self.replica, &self.stream);
+        self.shared.decisions.add(Decision::Routed {
+            request: work.request,
+            replica: self.replica.spec.id,
+            attempt: number,
+        });
+        self.progress = Progress::Sent;
+        let res = self.shared.engine.generate(self.addr(), request).await;
+        self.progress = match &res {
+            Ok(_) => Progress::Answering,
+            Err(EngineError::BrokenOff) => Progress::Sent,
+            Err(
+                EngineError::NotReached | EngineError::Refused { .. } | EngineError::Failed { .. },
+            ) => Progress::Over,
+        };
+        self.chunks = Some(res?);
+        Ok(())
     }
 
-    /// Checks a chunk's place. None if it was already passed on.
-    fn take(&mut self, chunk: Chunk) -> Result<Option<Chunk>, ResultCode> {
+    /// The next chunk; none if the stream ended without its last one.
+    pub(super) async fn next(&mut self) -> Option<EngineResult<Chunk>> {
+        let chunk = self.chunks.as_mut()?.next().await;
         match &chunk {
-            Chunk::Token { sequence, .. } if *sequence < self.next_sequence => Ok(None),
-            Chunk::Token { sequence, .. } if *sequence == self.next_sequence => {
-                self.next_sequence += 1;
-                Ok(Some(chunk))
-            }
-            Chunk::End { tokens, .. } if *tokens == self.next_sequence => {
-                self.ended = true;
-                Ok(Some(chunk))
-            }
-            Chunk::Token { .. } | Chunk::End { .. } => Err(ResultCode::BrokenOff),
+            Some(Ok(Chunk::End { .. })) => self.progress = Progress::Over,
+            Some(Ok(Chunk::Token { .. })) => self.resumed = false,
+            Some(Err(_)) | None => {}
         }
+        chunk
     }
 
-    async fn resume(&mut self) -> Result<(), ResultCode> {
-        while 0 < self.resumes_left {
-            self.resumes_left -= 1;
-            let addr = self.replica.spec.members[0].engine_addr;
-            let resume = self.shared.engine.resume(addr, self.stream.clone(), self.next_sequence);
-            match tokio::time::timeout_at(self.next_limit(), resume).await {
-                Ok(Ok(chunks)) => {
-                    self.chunks = chunks;
-                    return Ok(());
-                }
-                Ok(Err(_)) => {}
-                Err(_) => return Err(ResultCode::DeadlinePassed),
-            }
+    /// Takes the stream up again from token `offset` on, over another
+    /// connection.
+    pub(super) async fn resume(&mut self, offset: u64) -> EngineResult<()> {
+        self.chunks = None;
+        self.resumed = true;
+        let resume = self.shared.engine.resume(self.addr(), self.stream.clone(), offset);
+        let res = resume.await;
+        if let Err(EngineError::Refused { .. }) = res {
+            self.progress = Progress::Over;
         }
-        Err(ResultCode::BrokenOff)
+        self.chunks = Some(res?);
+        self.progress = Progress::Answering;
+        Ok(())
     }
 
-    fn next_limit(&self) -> Instant {
-        if self.next_sequence == 0 {
-            return first_token_limit(&self.shared, &self.work);
-        }
-        let deadline = self.work.arrived_at + self.work.profile.deadline();
-        let between = self.shared.clock.now() + self.work.profile.between_tokens();
-        self.shared.clock.instant(deadline.min(between))
+    fn addr(&self) -> SocketAddr {
+        self.replica.spec.members[0].engine_addr
     }
 }
 
-impl Drop for Running {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if !self.ended {
-            spawn_cancel(&self.shared, &self.replica, self.stream.clone());
-        }
+        let again = match self.progress {
+            Progress::Over => return,
+            Progress::Answering => false,
+            Progress::Sent => true,
+        };
+        let shared = Arc::clone(&self.shared);
+        let (addr, stream) = (self.addr(), self.stream.clone());
+        tokio::spawn(async move {
+            cancel(&shared, addr, &stream).await;
+            if again {
+                tokio::time::sleep(CANCEL_AGAIN_PAUSE).await;
+                cancel(&shared, addr, &stream).await;
+            }
+        });
+    }
+}
+
+async fn cancel(shared: &Shared, addr: SocketAddr, stream: &StreamId) {
+    if let Err(error) = shared.engine.cancel(addr, stream.clone()).await {
+        tracing::debug!(%error, %stream, "could not cancel stream");
+    }
+}
+
+fn generate_request(work: &Work, replica: &ReplicaEntry, stream: &StreamId) -> GenerateRequest {
+    let profile = work.profile();
+    GenerateRequest {
+        request: work.request,
+        stream: stream.clone(),
+        replica: replica.spec.id,
+        epoch: replica.spec.epoch,
+        incarnation: replica.spec.members[0].incarnation,
+        model: profile.model.clone(),
+        adapter: profile.adapter.clone(),
+        priority: profile.priority,
+        prompt: work.prompt.clone(),
+        max_tokens: work.max_tokens,
     }
 }
--- /dev/null
+++ b/crates/citrongw/src/caller/body/tests.rs
@@ -0,0 +1,15 @@
+//! Cases of the budget of bodies.
+
+use super::*;
+
+#[test]
+fn budget_is_given_back() {
+    let budget = BodyBudget::default();
+    let mut share = budget.open_share();
+    share.take(MAX_ALL_BODIES_BYTES).unwrap();
+    let mut other = budget.open_share();
+    assert_eq!(other.take(1), Err(ResultCode::Overloaded));
+    drop((share, other));
+    assert_eq!(budget.used_bytes.load(Ordering::Relaxed), 0);
+    budget.open_share().take(1).unwrap();
+}
--- a/crates/citrongw/src/caller/completion.rs
+++ b/crates/citrongw/src/caller/completion.rs
@@ -6,22 +6,21 @@
     caller::{ChatRequest, CompletionRequest},
     code::ResultCode,
 };
-use citrongw_state::id::RequestId;
-use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
 use serde_json::json;
-use viz::{Request, RequestExt, Response};
+use viz::{Request, Response};
 
 use super::{
     answer::{self, Shape},
-    attempt::{self, Work},
     auth::{self, Caller},
-    new_request_id, refusal,
+    body::{self, BodyShare},
+    events, new_request_id, refusal,
+    request_log::{self, Entry},
+    running,
+    work::Work,
 };
 use crate::node::Shared;
 
-/// Largest body of a request.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Tokens generated when the caller sets no number.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 
@@ -80,51 +79,71 @@
     read: impl FnOnce(T) -> Asked,
 ) -> viz::Result<Response> {
     let request = new_request_id();
-    let res = match auth::find(&shared, &req) {
-        Ok(caller) => match read_body(req).await {
-            Ok(body) => run(shared, request, caller, read(body)).await,
-            Err(code) => Err(code),
-        },
-        Err(code) => Err(code),
+    let mut entry = request_log::open(&shared, request);
+    let work = match prepare(&shared, req, &mut entry, read).await {
+        Ok(prepared) => prepared,
+        Err(code) => {
+            entry.end(Some(code));
+            return Ok(refusal::response(code, request));
+        }
     };
-    Ok(res.unwrap_or_else(|code| refusal::response(code, request)))
+    Ok(answer(shared, work, entry).await)
 }
 
-async fn read_body<T: DeserializeOwned>(req: Request) -> Result<T, ResultCode> {
-    if req.content_length().is_some_and(|length| (MAX_BODY_BYTES as u64) < length) {
-        return Err(ResultCode::TooLarge);
-    }
-    let body = Limited::new(req.into_body(), MAX_BODY_BYTES);
-    let collected = body.collect().await.map_err(|error| {
-        if error.is::<http_body_util::LengthLimitError>() {
-            ResultCode::TooLarge
-        } else {
-            ResultCode::Malformed
-        }
-    })?;
-    serde_json::from_slice(&collected.to_bytes()).map_err(|_| ResultCode::Malformed)
+/// Request that may run.
+struct Prepared {
+    work: Work,
+    shape: Shape,
+    stream: bool,
 }
 
-async fn run(
-    shared: Arc<Shared>,
-    request: RequestId,
-    caller: Caller,
-    asked: Asked,
-) -> Result<Response, ResultCode> {
+async fn prepare<T: DeserializeOwned>(
+    shared: &Shared,
+    req: Request,
+    entry: &mut Entry,
+    read: impl FnOnce(T) -> Asked,
+) -> Result<Prepared, ResultCode> {
+    let caller = auth::find(shared, &req)?;
+    entry.set_organisation(&caller.organisation);
+    let timeout = shared.settings.body_timeout.min(caller.profile.deadline());
+    let (body, share) = body::read_json(req, &shared.callers.bodies, timeout).await?;
+    let asked = read(body);
     if asked.model != caller.profile.model.as_str() {
         return Err(ResultCode::UnknownModel);
     }
-    let model = caller.profile.model.clone();
-    let work = Work {
-        request,
-        profile: caller.profile,
+    let (shape, stream) = (asked.shape, asked.stream);
+    let work = work(caller, asked, share, entry)?;
+    Ok(Prepared { work, shape, stream })
+}
+
+fn work(caller: Caller, asked: Asked, share: BodyShare, entry: &Entry) -> Result<Work, ResultCode> {
+    let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
+    Ok(Work {
+        request: entry.request(),
+        caller,
         prompt: asked.prompt,
         max_tokens: asked.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-        arrived_at: shared.clock.now(),
+        arrived_at: entry.arrived_at(),
+        _place: place,
+        _share: share,
+    })
+}
+
+async fn answer(shared: Arc<Shared>, prepared: Prepared, mut entry: Entry) -> Response {
+    let request = prepared.work.request;
+    let mut running = running::open(shared, prepared.work);
+    let res = if prepared.stream {
+        running.first().await
+    } else {
+        let res = answer::whole(&mut running, prepared.shape).await;
+        entry.end(res.as_ref().err().copied());
+        return res.unwrap_or_else(|code| refusal::response(code, request));
     };
-    let running = attempt::start(shared, work).await?;
-    if asked.stream {
-        return Ok(answer::events(running, asked.shape, model, request));
+    match res {
+        Ok(first) => events::response(running, first, prepared.shape, entry),
+        Err(code) => {
+            entry.end(Some(code));
+            refusal::response(code, request)
+        }
     }
-    answer::whole(running, asked.shape, &model, request).await
 }
--- /dev/null
+++ b/crates/citrongw/src/caller/directory.rs
@@ -0,0 +1,127 @@
+//! Callers by key, derived from the configuration in force and read on the path
+//! of a request without a search or a copy.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use citrongw_coordination::config_watch::VersionedConfig;
+use citrongw_state::{
+    config::{KeyDigest, Profile},
+    id::{OrganisationId, ProfileId, Revision, ServiceId},
+};
+use derive_more::Deref;
+
+/// Caller as its key names it.
+#[derive(Debug, Clone, Deref)]
+pub(super) struct Caller(Arc<CallerEntry>);
+
+/// Service of an organisation.
+#[derive(Debug)]
+pub(super) struct CallerEntry {
+    /// The service.
+    pub(super) service: ServiceId,
+    /// Its organisation.
+    pub(super) organisation: OrganisationId,
+    /// The profile that it runs under.
+    pub(super) profile: Arc<CallerProfile>,
+}
+
+/// Profile with its requests in flight on this node.
+#[derive(Debug, Deref)]
+pub(super) struct CallerProfile {
+    #[deref]
+    profile: Profile,
+    in_flight: Arc<AtomicU32>,
+}
+
+/// Place of a request under its profile's limit; left when dropped.
+#[derive(Debug)]
+pub(super) struct ProfilePlace {
+    in_flight: Arc<AtomicU32>,
+}
+
+impl Drop for ProfilePlace {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl CallerProfile {
+    /// Takes a place, unless the profile is at its limit.
+    pub(super) fn enter(&self) -> Option<ProfilePlace> {
+        let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let place = ProfilePlace { in_flight: Arc::clone(&self.in_flight) };
+        let fits = self.profile.limit_in_flight.is_none_or(|limit| before < limit);
+        fits.then_some(place)
+    }
+}
+
+/// Callers of one revision of the configuration.
+#[derive(Debug)]
+struct Directory {
+    revision: Revision,
+    by_key: HashMap<KeyDigest, Caller>,
+    profiles: HashMap<ProfileId, Arc<CallerProfile>>,
+}
+
+/// Directory in force.
+#[derive(Debug, Default)]
+pub(super) struct DirectoryCell {
+    current: ArcSwapOption<Directory>,
+}
+
+impl DirectoryCell {
+    /// Finds the caller that a key names in `config`.
+    pub(super) fn find(&self, config: &VersionedConfig, key: &str) -> Option<Caller> {
+        let digest = KeyDigest::of(key);
+        let current = self.current.load();
+        match current.as_ref().filter(|it| it.revision == config.revision) {
+            Some(directory) => directory.by_key.get(&digest).cloned(),
+            None => self.rebuild(config).by_key.get(&digest).cloned(),
+        }
+    }
+
+    fn rebuild(&self, config: &VersionedConfig) -> Arc<Directory> {
+        let old = self.current.load_full();
+        let new = Arc::new(build(config, old.as_deref()));
+        self.current.store(Some(Arc::clone(&new)));
+        new
+    }
+}
+
+/// Requests in flight keep counting across changes of the configuration.
+fn build(versioned: &VersionedConfig, old: Option<&Directory>) -> Directory {
+    let config = &versioned.config;
+    let mut directory = Directory {
+        revision: versioned.revision,
+        by_key: HashMap::new(),
+        profiles: HashMap::new(),
+    };
+    for profile in &config.profiles {
+        let kept = old.and_then(|it| it.profiles.get(&profile.id));
+        let in_flight = kept.map(|it| Arc::clone(&it.in_flight)).unwrap_or_default();
+        let entry = Arc::new(CallerProfile { profile: profile.clone(), in_flight });
+        directory.profiles.insert(profile.id.clone(), entry);
+    }
+    for service in &config.services {
+        let Some(profile) = directory.profiles.get(&service.profile) else { continue };
+        let caller = Caller(Arc::new(CallerEntry {
+            service: service.id.clone(),
+            organisation: service.organisation.clone(),
+            profile: Arc::clone(profile),
+        }));
+        for digest in &service.key_digests {
+            directory.by_key.insert(digest.clone(), caller.clone());
+        }
+    }
+    directory
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/citrongw/src/caller/directory/tests.rs
@@ -0,0 +1,45 @@
+//! Cases of the directory.
+
+use citrongw_state::config::Config;
+
+use super::*;
+
+fn config(revision: u64, limit: u32) -> VersionedConfig {
+    let digest = KeyDigest::of("key");
+    let config: Config = serde_json::from_value(serde_json::json!({
+        "organisations": [{ "id": "estates", "weight": 3 }],
+        "services": [
+            { "id": "a", "organisation": "estates", "profile": "p", "key_digests": [digest] },
+            { "id": "b", "organisation": "estates", "profile": "gone", "key_digests": ["x"] },
+        ],
+        "profiles": [{ "id": "p", "model": "m", "limit_in_flight": limit }],
+    }))
+    .unwrap();
+    VersionedConfig { revision: Revision(revision), config }
+}
+
+#[test]
+fn key_names_its_service_and_nothing_else_does() {
+    let cell = DirectoryCell::default();
+    let config = config(1, 1);
+    let caller = cell.find(&config, "key").unwrap();
+    assert_eq!(caller.service.as_str(), "a");
+    assert_eq!(caller.organisation.as_str(), "estates");
+    let digest = KeyDigest::of("key").0;
+    for wrong in ["", "KEY", "x", digest.as_str()] {
+        assert!(cell.find(&config, wrong).is_none(), "{wrong:?}");
+    }
+}
+
+#[test]
+fn limit_counts_across_changes_of_the_configuration() {
+    let cell = DirectoryCell::default();
+    let before = cell.find(&config(1, 1), "key").unwrap();
+    let place = before.profile.enter().unwrap();
+    assert!(before.profile.enter().is_none());
+    let after = cell.find(&config(2, 2), "key").unwrap();
+    let second = after.profile.enter().unwrap();
+    assert!(after.profile.enter().is_none());
+    drop((place, second));
+    assert!(after.profile.enter().is_some());
+}
--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -1,6 +1,6 @@
 //! `citrongw run`.
 
-use std::sync::Arc;
+use std::{io::Write, sync::Arc};
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -18,15 +18,26 @@
     let settings = settings::open(&args.config)?;
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
-    println!("callers on {}", node.caller_addr());
-    println!("operators on {}", node.admin_addr());
+    say(format_args!("callers on {}", node.caller_addr()));
+    say(format_args!("operators on {}", node.admin_addr()));
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
     stop_signal().await?;
     dumper.abort();
-    node.stop().await;
+    say(format_args!("stopping; a second signal ends sooner"));
+    node.stop_until(async {
+        if stop_signal().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    })
+    .await;
     Ok(())
 }
 
+/// Prints a line; nobody may be listening.
+fn say(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 /// Logs the state of the node on each SIGUSR1.
 async fn dump_on_signal(shared: Arc<Shared>) {
     let Ok(mut signals) = signal(SignalKind::user_defined1()) else { return };
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -22,7 +22,7 @@
     id::{Epoch, FabricDomainId, Incarnation, ReplicaId},
     replica::{Member, ReplicaSpec},
 };
-use citrongw_transport::http_server::HttpServer;
+use citrongw_transport::http_server::{DEFAULT_MAX_CONNECTIONS, HttpServer};
 
 use crate::{
     error::{Result, could_not},
@@ -99,6 +99,9 @@
         weight_store_addr: surroundings.platform_addr,
         report_freshness: Duration::from_secs(2),
         balancer_lag: Duration::ZERO,
+        max_connections: DEFAULT_MAX_CONNECTIONS,
+        body_timeout: Duration::from_secs(10),
+        tls: None,
         log_level: "info".to_owned(),
     }
 }
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -22,15 +22,16 @@
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
-    http_server::{self, HttpServer},
+    http_server::{self, HttpServer, ServerOptions},
     store_client,
+    tls::{self, TlsCell},
 };
-use tokio::task::JoinHandle;
+use tokio::{sync::watch, task::JoinHandle};
 
 use crate::{
     admin,
     caller::{
-        self,
+        self, Callers,
         service::{self, ServiceClients},
     },
     error::{Result, could_not},
@@ -41,6 +42,11 @@
 /// Longest time for a call to an engine that is not a stream.
 const ENGINE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause between two looks at the certificates.
+const CERTIFICATE_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest time for the last answers of a node that ends at once.
+const END_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the parts of a node share.
 pub struct Shared {
     /// The node.
@@ -67,8 +73,12 @@
     pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
+    /// What the requests of callers share.
+    pub callers: Callers,
     /// Whether the node refuses new work because it stops.
     pub stopping: AtomicBool,
+    /// Whether the node ends without waiting for what is in flight.
+    pub ended_tx: watch::Sender<bool>,
 }
 
 /// Running node.
@@ -98,9 +108,28 @@
     /// Refuses new work, lets the balancer see it, finishes all that is in
     /// flight, and ends.
     pub async fn stop(self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
-        tokio::time::sleep(self.shared.settings.balancer_lag).await;
-        self.server.stop().await;
+        self.stop_until(std::future::pending()).await;
+    }
+
+    /// Stops; once `sooner` is done it ends what is still in flight, and tells
+    /// each caller its outcome.
+    pub async fn stop_until(self, sooner: impl Future<Output = ()>) {
+        let shared = Arc::clone(&self.shared);
+        shared.stopping.store(true, Ordering::Relaxed);
+        let finish = async {
+            tokio::time::sleep(shared.settings.balancer_lag).await;
+            self.server.stop().await;
+        };
+        tokio::pin!(finish);
+        tokio::select! {
+            () = &mut finish => {}
+            () = sooner => {
+                shared.ended_tx.send_replace(true);
+                if tokio::time::timeout(END_TIMEOUT, finish).await.is_err() {
+                    tracing::warn!("ended while callers were still reading");
+                }
+            }
+        }
         self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
@@ -133,10 +162,12 @@
         services: service::open(),
         engine,
         metrics: metrics::open(),
+        callers: Callers::default(),
         stopping: AtomicBool::new(false),
+        ended_tx: watch::channel(false).0,
         settings,
     });
-    let drivers = vec![
+    let mut drivers = vec![
         config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
@@ -145,13 +176,27 @@
             shared.clock,
         ),
     ];
+    let tls = open_tls(&shared.settings)?;
+    let options = ServerOptions {
+        tls: tls.clone(),
+        max_connections: shared.settings.max_connections,
+        ..ServerOptions::default()
+    };
     let addr = shared.settings.caller_addr;
-    let server = http_server::bind(addr, caller::router(&shared))
+    let server = http_server::bind_with(addr, caller::router(&shared), options)
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
     let addr = shared.settings.admin_addr;
-    let admin_server = http_server::bind(addr, admin::router(&shared))
+    let options = ServerOptions { tls: tls.clone(), ..ServerOptions::default() };
+    let admin_server = http_server::bind_with(addr, admin::router(&shared), options)
         .await
         .map_err(|error| could_not("listen for operators", addr, error))?;
+    drivers.extend(tls.map(|it| tls::spawn(it, CERTIFICATE_INTERVAL)));
     Ok(Node { shared, server, admin_server, drivers })
 }
+
+fn open_tls(settings: &Settings) -> Result<Option<Arc<TlsCell>>> {
+    let Some(files) = settings.tls.clone() else { return Ok(None) };
+    let cell = tls::open(files).map_err(|error| could_not("read certificates", "[tls]", error))?;
+    Ok(Some(Arc::new(cell)))
+}
--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -3,6 +3,7 @@
 //! A file is read whole: every fault is named with its section, key, line, the
 //! value and what is allowed. Unknown keys are faults.
 
+mod lines;
 pub mod reader;
 
 use std::{net::SocketAddr, path::Path, time::Duration};
@@ -12,6 +13,8 @@
     id::{AvailabilityZone, Region},
 };
 
+use citrongw_transport::{http_server::DEFAULT_MAX_CONNECTIONS, tls::TlsFiles};
+
 use crate::error::{NodeError, Result, could_not};
 
 /// Settings of one node.
@@ -41,6 +44,12 @@
     pub report_freshness: Duration,
     /// Time between refusing new work and the stop, for the balancer to see it.
     pub balancer_lag: Duration,
+    /// Connections of callers at once, at most.
+    pub max_connections: usize,
+    /// Longest time that the body of a request may take.
+    pub body_timeout: Duration,
+    /// Certificate of the ports for callers and operators, if they take TLS.
+    pub tls: Option<TlsFiles>,
     /// What is logged.
     pub log_level: String,
 }
@@ -67,16 +76,41 @@
         admin_addr: reader.addr("node", "admin-addr"),
         first_token_digest: reader.digest("admin", "first-token-digest"),
         store_addr: reader.addr("store", "addr"),
-        store_timeout: reader.duration("store", "timeout", Duration::from_secs(1)),
+        store_timeout: reader.positive_duration("store", "timeout", Duration::from_secs(1)),
         instance_list_addr: reader.addr("platform", "instance-list-addr"),
         weight_store_addr: reader.addr("platform", "weight-store-addr"),
-        report_freshness: reader.duration("node", "report-freshness", Duration::from_secs(2)),
+        report_freshness: reader.positive_duration(
+            "node",
+            "report-freshness",
+            Duration::from_secs(2),
+        ),
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_secs(2)),
-        log_level: reader.text("log", "level", "info"),
+        max_connections: reader.count("callers", "max-connections", DEFAULT_MAX_CONNECTIONS),
+        body_timeout: reader.positive_duration("callers", "body-timeout", Duration::from_secs(10)),
+        tls: read_tls(&mut reader),
+        log_level: reader.log_level("log", "level", "info"),
     };
     reader.finish()?;
     Ok(settings)
 }
 
+/// Both files, or neither.
+fn read_tls(reader: &mut reader::Reader<'_>) -> Option<TlsFiles> {
+    let certificates = reader.path("tls", "certificates");
+    let key = reader.path("tls", "key");
+    match (certificates, key) {
+        (Some(certificates), Some(key)) => Some(TlsFiles { certificates, key }),
+        (Some(_), None) => {
+            reader.missing("tls", "key", reader::FILE_ALLOWED);
+            None
+        }
+        (None, Some(_)) => {
+            reader.missing("tls", "certificates", reader::FILE_ALLOWED);
+            None
+        }
+        (None, None) => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -1,8 +1,9 @@
 //! Reads values of an INI file and collects the faults.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     time::Duration,
 };
 
@@ -10,11 +11,21 @@
 use derive_more::Display;
 use ini::Ini;
 
+use super::lines::{self, Entry, Line};
+
 const ADDR_ALLOWED: &str = "IP address and port";
 const DIGEST_ALLOWED: &str = "64 hexadecimal digits, from citrongwctl digest";
 const DURATION_ALLOWED: &str = "a duration such as 500ms";
+const COUNT_ALLOWED: &str = "a number from 1";
+const LEVEL_ALLOWED: &str = "error, warn, info, debug, trace or off, or a list of target=level";
+const POSITIVE_ALLOWED: &str = "a duration above zero such as 500ms";
 const NAME_ALLOWED: &str = "a name without blanks";
 
+/// What is allowed where a file is named.
+pub(super) const FILE_ALLOWED: &str = "path of a PEM file";
+/// Levels of the log.
+const LEVELS: [&str; 6] = ["error", "warn", "info", "debug", "trace", "off"];
+
 /// Length of a digest in hexadecimal.
 const DIGEST_DIGITS: usize = 64;
 
@@ -54,7 +65,7 @@
         allowed: String,
     },
     /// No setting has this key.
-    #[display("[{section}] {key}, line {line}: unknown key")]
+    #[display("[{section}] {key}, line {line}: unknown key, value {value:?}, allowed: {allowed}")]
     Unknown {
         /// Section.
         section: String,
@@ -62,48 +73,79 @@
         key: String,
         /// Line, from 1.
         line: usize,
+        /// The value.
+        value: String,
+        /// Keys of the section.
+        allowed: String,
+    },
+    /// No setting has this section.
+    #[display("[{section}], line {line}: unknown section, allowed: {allowed}")]
+    UnknownSection {
+        /// Section.
+        section: String,
+        /// Line, from 1.
+        line: usize,
+        /// The sections.
+        allowed: String,
+    },
+    /// A key is there twice.
+    #[display(
+        "[{section}] {key}, line {line}: value {value:?}, allowed: once, and line {first} has it"
+    )]
+    Duplicate {
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+        /// Line, from 1.
+        line: usize,
+        /// The value.
+        value: String,
+        /// Line of its first place.
+        first: usize,
     },
 }
 
 /// Reader of one file.
 #[derive(Debug)]
 pub struct Reader<'a> {
-    text: &'a str,
     ini: Ini,
-    used: BTreeSet<(String, String)>,
+    lines: Vec<Line>,
+    known: BTreeMap<&'a str, BTreeSet<&'a str>>,
     faults: Vec<Fault>,
 }
 
 /// Opens a reader.
-pub fn open(text: &str) -> Result<Reader<'_>, Vec<Fault>> {
+pub fn open<'a>(text: &str) -> Result<Reader<'a>, Vec<Fault>> {
     let ini = Ini::load_from_str(text).map_err(|error| {
         vec![Fault::Syntax { line: error.line, message: error.msg.to_string() }]
     })?;
-    Ok(Reader { text, ini, used: BTreeSet::new(), faults: Vec::new() })
+    let lines = lines::read(text);
+    Ok(Reader { ini, lines, known: BTreeMap::new(), faults: Vec::new() })
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
     /// A name; required.
-    pub fn name(&mut self, section: &str, key: &str) -> String {
+    pub fn name(&mut self, section: &'a str, key: &'a str) -> String {
         let parse =
             |it: &str| (!it.is_empty() && !it.contains(char::is_whitespace)).then(|| it.to_owned());
         self.required(section, key, NAME_ALLOWED, parse).unwrap_or_default()
     }
 
     /// An address; required.
-    pub fn addr(&mut self, section: &str, key: &str) -> SocketAddr {
+    pub fn addr(&mut self, section: &'a str, key: &'a str) -> SocketAddr {
         let unset = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         self.required(section, key, ADDR_ALLOWED, |it| it.parse().ok()).unwrap_or(unset)
     }
 
     /// A duration.
-    pub fn duration(&mut self, section: &str, key: &str, default: Duration) -> Duration {
+    pub fn duration(&mut self, section: &'a str, key: &'a str, default: Duration) -> Duration {
         let parse = |it: &str| humantime::parse_duration(it).ok();
         self.optional(section, key, DURATION_ALLOWED, parse).unwrap_or(default)
     }
 
     /// A digest of a key or token.
-    pub fn digest(&mut self, section: &str, key: &str) -> Option<KeyDigest> {
+    pub fn digest(&mut self, section: &'a str, key: &'a str) -> Option<KeyDigest> {
         let hexadecimal = |it: &str| it.chars().all(|digit| digit.is_ascii_hexdigit());
         let parse = |it: &str| {
             (it.len() == DIGEST_DIGITS && hexadecimal(it)).then(|| KeyDigest(it.to_lowercase()))
@@ -111,8 +153,38 @@
         self.optional(section, key, DIGEST_ALLOWED, parse)
     }
 
+    /// A duration above zero.
+    pub fn positive_duration(
+        &mut self,
+        section: &'a str,
+        key: &'a str,
+        default: Duration,
+    ) -> Duration {
+        let parse =
+            |it: &str| humantime::parse_duration(it).ok().filter(|duration| !duration.is_zero());
+        self.optional(section, key, POSITIVE_ALLOWED, parse).unwrap_or(default)
+    }
+
+    /// A number from 1.
+    pub fn count(&mut self, section: &'a str, key: &'a str, default: usize) -> usize {
+        let parse = |it: &str| it.parse().ok().filter(|count| 1 <= *count);
+        self.optional(section, key, COUNT_ALLOWED, parse).unwrap_or(default)
+    }
+
+    /// A file; none if the key is not there.
+    pub fn path(&mut self, section: &'a str, key: &'a str) -> Option<PathBuf> {
+        let parse = |it: &str| (!it.is_empty()).then(|| PathBuf::from(it));
+        self.optional(section, key, FILE_ALLOWED, parse)
+    }
+
+    /// What is logged.
+    pub fn log_level(&mut self, section: &'a str, key: &'a str, default: &str) -> String {
+        let parse = |it: &str| it.split(',').all(is_log_directive).then(|| it.to_owned());
+        self.optional(section, key, LEVEL_ALLOWED, parse).unwrap_or_else(|| default.to_owned())
+    }
+
     /// Any text.
-    pub fn text(&mut self, section: &str, key: &str, default: &str) -> String {
+    pub fn text(&mut self, section: &'a str, key: &'a str, default: &str) -> String {
         let value = self.optional(section, key, "any text", |it| Some(it.to_owned()));
         value.unwrap_or_else(|| default.to_owned())
     }
@@ -120,17 +192,13 @@
     /// Value of a key that must be there.
     pub fn required<T>(
         &mut self,
-        section: &str,
-        key: &str,
+        section: &'a str,
+        key: &'a str,
         allowed: &str,
         parse: impl Fn(&str) -> Option<T>,
     ) -> Option<T> {
         if self.ini.get_from(Some(section), key).is_none() {
-            self.faults.push(Fault::Missing {
-                section: section.to_owned(),
-                key: key.to_owned(),
-                allowed: allowed.to_owned(),
-            });
+            self.missing(section, key, allowed);
         }
         self.optional(section, key, allowed, parse)
     }
@@ -138,19 +206,19 @@
     /// Value of a key that may be there.
     pub fn optional<T>(
         &mut self,
-        section: &str,
-        key: &str,
+        section: &'a str,
+        key: &'a str,
         allowed: &str,
         parse: impl Fn(&str) -> Option<T>,
     ) -> Option<T> {
-        self.used.insert((section.to_owned(), key.to_owned()));
+        self.known.entry(section).or_default().insert(key);
         let value = self.ini.get_from(Some(section), key)?.to_owned();
         let parsed = parse(&value);
         if parsed.is_none() {
             self.faults.push(Fault::Value {
                 section: section.to_owned(),
                 key: key.to_owned(),
-                line: line_of(self.text, section, key),
+                line: self.line_of(section, key),
                 value,
                 allowed: allowed.to_owned(),
             });
@@ -158,35 +226,84 @@
         parsed
     }
 
-    /// Ends the reading with the faults found, unknown keys among them.
+    /// Notes that a key must be there.
+    pub fn missing(&mut self, section: &str, key: &str, allowed: &str) {
+        self.faults.push(Fault::Missing {
+            section: section.to_owned(),
+            key: key.to_owned(),
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// Ends the reading with the faults found, unknown and doubled keys and
+    /// sections among them.
     pub fn finish(mut self) -> Result<(), Vec<Fault>> {
-        for (section, properties) in &self.ini {
-            let section = section.unwrap_or_default().to_owned();
-            for (key, _) in properties {
-                if !self.used.contains(&(section.clone(), key.to_owned())) {
-                    let line = line_of(self.text, &section, key);
-                    let key = key.to_owned();
-                    self.faults.push(Fault::Unknown { section: section.clone(), key, line });
-                }
-            }
+        let mut seen: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+        for line in &self.lines {
+            let Some(entry) = &line.entry else {
+                self.faults.extend(self.unknown_section(line));
+                continue;
+            };
+            let first = *seen.entry((&line.section, &entry.key)).or_insert(line.number);
+            self.faults.extend(if first == line.number {
+                self.unknown_key(line, entry)
+            } else {
+                Some(duplicate(line, entry, first))
+            });
         }
         if self.faults.is_empty() { Ok(()) } else { Err(self.faults) }
     }
-}
 
-/// Line of a key, from 1; 0 if it is not there.
-fn line_of(text: &str, section: &str, key: &str) -> usize {
-    let mut current = "";
-    for (idx, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if let Some(name) = line.strip_prefix('[').and_then(|it| it.strip_suffix(']')) {
-            current = name.trim();
-            continue;
+    fn unknown_section(&self, line: &Line) -> Option<Fault> {
+        if self.known.contains_key(line.section.as_str()) {
+            return None;
         }
-        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
-        if current == section && name == key {
-            return idx + 1;
+        Some(Fault::UnknownSection {
+            section: line.section.clone(),
+            line: line.number,
+            allowed: join(self.known.keys()),
+        })
+    }
+
+    /// Keys of an unknown section are named with it.
+    fn unknown_key(&self, line: &Line, entry: &Entry) -> Option<Fault> {
+        let keys = self.known.get(line.section.as_str());
+        if keys.is_some_and(|it| it.contains(entry.key.as_str())) {
+            return None;
         }
+        Some(Fault::Unknown {
+            section: line.section.clone(),
+            key: entry.key.clone(),
+            line: line.number,
+            value: entry.value.clone(),
+            allowed: keys.map_or_else(|| "none here".to_owned(), join),
+        })
+    }
+
+    /// Line of a key, from 1; 0 if it is not there.
+    fn line_of(&self, section: &str, key: &str) -> usize {
+        let is_it =
+            |it: &&Line| it.section == section && it.entry.as_ref().is_some_and(|it| it.key == key);
+        self.lines.iter().find(is_it).map_or(0, |it| it.number)
+    }
+}
+
+fn is_log_directive(directive: &str) -> bool {
+    let level = directive.split_once('=').map_or(directive, |(_, level)| level).trim();
+    LEVELS.iter().any(|it| it.eq_ignore_ascii_case(level))
+}
+
+fn duplicate(line: &Line, entry: &Entry, first: usize) -> Fault {
+    Fault::Duplicate {
+        section: line.section.clone(),
+        key: entry.key.clone(),
+        line: line.number,
+        value: entry.value.clone(),
+        first,
     }
-    0
+}
+
+fn join<'a>(names: impl IntoIterator<Item = &'a &'a str>) -> String {
+    let names: Vec<&str> = names.into_iter().copied().collect();
+    names.join(", ")
 }
--- a/crates/citrongw/src/settings/tests.rs
+++ b/crates/citrongw/src/settings/tests.rs
@@ -27,9 +27,45 @@
         (
             "timeout = 1s",
             "timeout = soon",
-            "[store] timeout, line 13: value \"soon\", allowed: a duration such as 500ms",
+            "[store] timeout, line 13: value \"soon\", allowed: a duration above zero such as 500ms",
+        ),
+        (
+            "timeout = 1s",
+            "tiemout = 1s",
+            "[store] tiemout, line 13: unknown key, value \"1s\", allowed: addr, timeout",
+        ),
+        (
+            "timeout = 1s",
+            "timeout = 0s",
+            "[store] timeout, line 13: value \"0s\", allowed: a duration above zero such as 500ms",
+        ),
+        (
+            "timeout = 1s",
+            "timeout = 1s\ntimeout = 2s",
+            "[store] timeout, line 14: value \"2s\", allowed: once, and line 13 has it",
+        ),
+        (
+            "[log]",
+            "[extra]\n[log]",
+            "[extra], line 19: unknown section, \
+             allowed: admin, callers, log, node, platform, store, tls",
+        ),
+        (
+            "level = info",
+            "level = loud",
+            "[log] level, line 20: value \"loud\", \
+             allowed: error, warn, info, debug, trace or off, or a list of target=level",
+        ),
+        (
+            "max-connections = 8192",
+            "max-connections = 0",
+            "[callers] max-connections, line 23: value \"0\", allowed: a number from 1",
+        ),
+        (
+            "[callers]",
+            "[tls]\nkey = key.pem\n[callers]",
+            "[tls] certificates: missing, allowed: path of a PEM file",
         ),
-        ("timeout = 1s", "tiemout = 1s", "[store] tiemout, line 13: unknown key"),
         ("addr = 127.0.0.1:2379", "", "[store] addr: missing, allowed: IP address and port"),
     ];
     for (from, to, expected) in cases {
@@ -39,3 +75,18 @@
         assert_eq!(faults, [expected]);
     }
 }
+
+#[test]
+fn all_faults_are_named_at_once() {
+    let text =
+        GOOD.replacen("zone = johor-a", "zone = a b", 1) + "[store]\naddr = x\n[more]\nk = v";
+    let faults = parse(&text).unwrap_err();
+    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let expected = [
+        "[node] zone, line 3: value \"a b\", allowed: a name without blanks",
+        "[store] addr, line 26: value \"x\", allowed: once, and line 12 has it",
+        "[more], line 27: unknown section, allowed: admin, callers, log, node, platform, store, tls",
+        "[more] k, line 28: unknown key, value \"v\", allowed: none here",
+    ];
+    assert_eq!(faults, expected);
+}
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -83,6 +83,8 @@
     BrokenOff = 3002, 502, Unknown, "backend server broke off";
     /// The backend server answered with an error.
     EngineError = 3003, 502, Unknown, "backend server failed";
+    /// The node ended while the request was running.
+    NodeEnded = 3004, 503, Unknown, "node ended before the answer";
     /// An at-most-once call has no idempotency key.
     KeyMissing = 4001, 400, NotRun, "idempotency key is missing";
     /// The idempotency key was used with another body.
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -25,6 +25,31 @@
         /// Attempts so far, this one among them.
         attempt: u32,
     },
+    /// A broken or silent stream was taken up again where it runs.
+    #[display("request {request} was taken up again on replica {replica} from token {offset}")]
+    Resumed {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// First token asked for.
+        offset: u64,
+    },
+    /// A request whose caller had no part of an answer was given up on a
+    /// replica, to run elsewhere.
+    #[display("request {request} was given up on replica {replica} and runs again")]
+    RunAgain {
+        /// The request.
+        request: RequestId,
+        /// The replica that lost it.
+        replica: ReplicaId,
+    },
+    /// A caller went away before its answer ended.
+    #[display("request {request} was cancelled: its caller left")]
+    CallerLeft {
+        /// The request.
+        request: RequestId,
+    },
     /// A request was answered with an error.
     #[display("request {request} was refused: {code} (outcome {})", code.outcome())]
     Refused {
@@ -119,6 +144,9 @@
         match (self, subject) {
             (
                 Self::Routed { request, .. }
+                | Self::Resumed { request, .. }
+                | Self::RunAgain { request, .. }
+                | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
                 | Self::NotChosen { request, .. }
@@ -130,6 +158,8 @@
             ) => *request == id,
             (
                 Self::Routed { replica, .. }
+                | Self::Resumed { replica, .. }
+                | Self::RunAgain { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
@@ -137,6 +167,7 @@
             ) => *replica == id,
             (
                 Self::Refused { .. }
+                | Self::CallerLeft { .. }
                 | Self::NotChosen { .. }
                 | Self::NotAdmitted { .. }
                 | Self::NotRetried { .. }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,16 +5,16 @@
 //! state, event and time, so that a bench can drive thousands of nodes' worth
 //! of them without sockets.
 
-pub mod claim;
 pub mod admission;
 pub mod breaker;
+pub mod claim;
 pub mod concurrency;
 pub mod config;
 pub mod hash;
 pub mod hedge;
 pub mod id;
-pub mod limit;
 pub mod lifecycle;
+pub mod limit;
 pub mod ownership;
 pub mod replica;
 pub mod retry;
