Bring about the failures on the path of a request

Twenty-five tests run a node among stand-ins that break, hang, skip or lose streams, die midway, never answer or answer late; among devices that forget connections; with callers that leave, send floods or trickle; and through stops with a hundred streams, with the key-value service down at start, while serving and at the stop. Found and mended: a generate call that broke off before its first byte ran elsewhere without being taken up where it ran; paths that the router doesn't know had no number; a doubted silence was doubted again although the engine had confirmed that it worked on the request.

--- a/crates/citrongw/src/caller/running.rs
+++ b/crates/citrongw/src/caller/running.rs
@@ -153,7 +153,6 @@
                     }
                 }
                 Heard::Silent => {
-                    self.doubted = true;
                     if self.recover(ResultCode::DeadlinePassed).await? == Recovered::RunAgain {
                         return Ok(Piece::Restart);
                     }
@@ -201,13 +200,14 @@
     }
 
     fn doubt_limit(&self, limit: Time) -> Time {
-        if self.retries_left == 0 || (self.doubted && self.begun) {
+        if self.retries_left == 0 || self.doubted {
             return limit;
         }
         doubt_limit(self.shared.clock.now(), limit)
     }
 
-    /// Runs the request on replicas not yet tried until one answers.
+    /// Runs the request on replicas not yet tried until one answers, or breaks
+    /// off so that it may be resumed.
     async fn run(&mut self) -> Result<(), ResultCode> {
         loop {
             let replica = select::select(&self.shared, &self.work, &self.tried)?;
@@ -223,7 +223,7 @@
                 }
                 Err(code) => {
                     self.may_have_run |= code.outcome() != Outcome::NotRun;
-                    if code == ResultCode::DeadlinePassed && !self.is_late() {
+                    if can_resume(code) && !self.is_late() {
                         self.attempt = Some(attempt);
                         return Ok(());
                     }
@@ -233,7 +233,7 @@
         }
     }
 
-    /// Sends one attempt. A deadline that passes here leaves it to be resumed.
+    /// Sends one attempt.
     async fn send(&mut self, attempt: &mut Attempt) -> Result<(), ResultCode> {
         let limit = self.limit();
         let wake_at = self.shared.clock.instant(self.doubt_limit(limit));
@@ -249,7 +249,12 @@
         loop {
             self.use_retry(cause)?;
             match self.resume().await {
-                Ok(()) => return Ok(Recovered::Resumed),
+                // The engine works on it; a silence from now on is its own.
+                Ok(()) => {
+                    self.doubted |= cause == ResultCode::DeadlinePassed;
+                    return Ok(Recovered::Resumed);
+                }
+                Err(_) if self.is_late() => return Err(ResultCode::DeadlinePassed),
                 Err(error) if self.begun => {
                     if matches!(error, EngineError::Refused { .. }) {
                         return Err(ResultCode::BrokenOff);
@@ -300,6 +305,7 @@
             });
         }
         self.next_sequence = 0;
+        self.doubted = false;
         self.run().await
     }
 
@@ -343,6 +349,11 @@
     RunAgain,
 }
 
+/// Whether an attempt that failed with this code may still be running.
+fn can_resume(code: ResultCode) -> bool {
+    matches!(code, ResultCode::BrokenOff | ResultCode::DeadlinePassed)
+}
+
 fn code_of(error: &EngineError) -> ResultCode {
     match error {
         EngineError::NotReached | EngineError::Refused { .. } => ResultCode::NotReached,
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -9,6 +9,7 @@
 use citrongw_fakes::{
     engine::{self, EngineSettings, FakeEngine},
     kv::{self, mem::MemStore},
+    middlebox::{self, Middlebox},
     plain_service,
     platform::{self, Platform},
 };
@@ -55,6 +56,8 @@
     pub platform_addr: SocketAddr,
     /// Engines, the members of each replica in order.
     pub engines: Vec<FakeEngine>,
+    /// Devices before the engines, in their order, if asked for.
+    pub middleboxes: Vec<Middlebox>,
     /// Runs of the plain service.
     pub runs: plain_service::Runs,
     /// Servers of the stand-ins, in the order of the engines, then the others.
@@ -106,23 +109,47 @@
     }
 }
 
+/// What the stand-ins differ in.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SurroundingsOptions {
+    /// Manners of the engines.
+    pub engine: EngineSettings,
+    /// Whether a device that can forget connections stands before each engine.
+    pub middleboxes: bool,
+}
+
 /// Starts the stand-ins.
 pub async fn open_surroundings() -> Result<Surroundings> {
+    open_surroundings_with(SurroundingsOptions::default(), |_| {}).await
+}
+
+/// Starts the stand-ins with a changed configuration.
+pub async fn open_surroundings_with(
+    options: SurroundingsOptions,
+    change: impl FnOnce(&mut Config),
+) -> Result<Surroundings> {
     let cause = |error| could_not("start stand-ins", "demo", error);
     let store = kv::mem::open();
     let platform = Platform::default();
     let runs = plain_service::Runs::default();
     let mut servers = Vec::new();
     let mut engines = Vec::new();
+    let mut middleboxes = Vec::new();
     let mut record = DomainRecord { epoch: Epoch(1), ..DomainRecord::default() };
     for replica in 1..=REPLICAS {
         let mut members = Vec::new();
         for member in 1..=MEMBERS {
             let incarnation = Incarnation(replica * 100 + member);
-            let engine = engine::open(incarnation, EngineSettings::default());
+            let engine = engine::open(incarnation, options.engine);
             engine.join(ReplicaId(replica), Epoch(1));
             let server = engine::bind(ANY_PORT, engine.clone()).await.map_err(cause)?;
-            let instance = listed(replica, member, incarnation, server.local_addr());
+            let mut addr = server.local_addr();
+            if options.middleboxes {
+                let middlebox = middlebox::bind(ANY_PORT, addr).await.map_err(cause)?;
+                addr = middlebox.local_addr();
+                middleboxes.push(middlebox);
+            }
+            let instance = listed(replica, member, incarnation, addr);
             members.push(Member {
                 instance: instance.id.clone(),
                 incarnation,
@@ -135,13 +162,24 @@
         record.replicas.push(spec(ReplicaId(replica), members));
     }
     let plain = plain_service::bind(ANY_PORT, runs.clone()).await.map_err(cause)?;
-    write(&store, CONFIG_KEY.into(), &config(plain.local_addr())?).await?;
+    let mut config = config(plain.local_addr())?;
+    change(&mut config);
+    write(&store, CONFIG_KEY.into(), &config).await?;
     write(&store, record::domain_key(&demo_domain()), &record).await?;
     let store_server = kv::server::bind(ANY_PORT, store.clone()).await.map_err(cause)?;
     let platform_server = platform::bind(ANY_PORT, platform.clone()).await.map_err(cause)?;
     let (store_addr, platform_addr) = (store_server.local_addr(), platform_server.local_addr());
     servers.extend([plain, store_server, platform_server]);
-    Ok(Surroundings { store, store_addr, platform, platform_addr, engines, runs, servers })
+    Ok(Surroundings {
+        store,
+        store_addr,
+        platform,
+        platform_addr,
+        engines,
+        middleboxes,
+        runs,
+        servers,
+    })
 }
 
 fn config(plain_addr: SocketAddr) -> Result<Config> {
--- /dev/null
+++ b/crates/citrongw/tests/request_path/main.rs
@@ -0,0 +1,7 @@
+//! The path of a request under failures, in a node among stand-ins.
+
+mod bad_input;
+mod broken_streams;
+mod deadlines;
+mod rig;
+mod stop;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -21,7 +21,7 @@
     event_stream,
     http_server::{self, HttpServer},
 };
-use futures::{StreamExt, stream};
+use futures::{StreamExt, TryStreamExt, stream};
 use http_body_util::Full;
 use tokio::sync::watch;
 use viz::{Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
@@ -52,6 +52,19 @@
     }
 }
 
+/// What goes wrong with one stream. Counts are tokens of that connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamFault {
+    /// The connection ends after so many.
+    Break(u64),
+    /// Nothing more comes after so many.
+    Hang(u64),
+    /// The one after so many is left out.
+    Skip(u64),
+    /// The stream is lost after so many: it cannot be resumed.
+    Lose(u64),
+}
+
 /// Engine, shared with its server.
 #[derive(Debug, Clone)]
 pub struct FakeEngine {
@@ -69,7 +82,7 @@
     member: MemberReport,
     load: LoadReport,
     streams: BTreeMap<StreamId, StreamState>,
-    break_after: Option<u64>,
+    stream_fault: Option<StreamFault>,
     silent: bool,
     generated: u64,
     cancelled: u64,
@@ -77,7 +90,7 @@
 
 #[derive(Debug)]
 struct StreamState {
-    words: Vec<String>,
+    words: Arc<Vec<String>>,
     cancel_tx: watch::Sender<bool>,
 }
 
@@ -93,7 +106,7 @@
         },
         load: LoadReport::default(),
         streams: BTreeMap::new(),
-        break_after: None,
+        stream_fault: None,
         silent: false,
         generated: 0,
         cancelled: 0,
@@ -122,7 +135,12 @@
 
     /// Breaks the connection of each stream once, after so many tokens.
     pub fn break_streams_after(&self, tokens: Option<u64>) {
-        self.state().break_after = tokens;
+        self.state().stream_fault = tokens.map(StreamFault::Break);
+    }
+
+    /// Does something wrong to the next stream.
+    pub fn set_stream_fault(&self, fault: StreamFault) {
+        self.state().stream_fault = Some(fault);
     }
 
     /// Takes requests and never answers them.
@@ -195,40 +213,70 @@
     }
 
     fn begin(&self, request: &GenerateRequest) {
-        let words = Self::answer(&request.prompt, request.max_tokens);
+        let words = Arc::new(Self::answer(&request.prompt, request.max_tokens));
         let cancel_tx = watch::channel(false).0;
         let mut state = self.state();
         state.generated += 1;
         state.streams.insert(request.stream.clone(), StreamState { words, cancel_tx });
     }
 
-    fn body(&self, stream: &StreamId, offset: u64, first: Duration) -> Option<Body> {
+    fn body(&self, id: &StreamId, offset: u64, first: Duration) -> Option<Body> {
         let mut state = self.state();
-        let break_after = state.break_after.take();
+        let fault = state.stream_fault.take();
         let between = self.shared.settings.between_tokens;
-        let stream = state.streams.get(stream)?;
-        let words = stream.words.clone();
+        let stream = state.streams.get(id)?;
+        let words = Arc::clone(&stream.words);
         let cancel_rx = stream.cancel_tx.subscribe();
         let total = words.len() as u64;
+        let (engine, id) = (self.clone(), id.clone());
         let chunks = stream::iter(offset..=total).then(move |sequence| {
             let pause = if sequence == offset { first } else { between };
             let chunk = chunk(&words, sequence);
             let mut cancel_rx = cancel_rx.clone();
+            let (engine, id) = (engine.clone(), id.clone());
             async move {
-                if break_after.is_some_and(|tokens| offset + tokens <= sequence) {
-                    return Err(io::Error::from(io::ErrorKind::BrokenPipe));
-                }
-                tokio::select! {
-                    () = tokio::time::sleep(pause) => {}
-                    res = cancel_rx.wait_for(|it| *it) => {
-                        drop(res);
-                        return Err(io::Error::from(io::ErrorKind::BrokenPipe));
-                    }
+                wait(pause, &mut cancel_rx).await?;
+                if !engine.suffer(fault, &id, sequence - offset).await? {
+                    return Ok(bytes::Bytes::new());
                 }
                 event_stream::event(&chunk).map_err(io::Error::from)
             }
         });
-        Some(Body::from_stream(chunks))
+        Some(Body::from_stream(chunks.try_filter(|it| std::future::ready(!it.is_empty()))))
+    }
+
+    /// Suffers the fault of a stream before its token `count`. False if the
+    /// token is left out.
+    async fn suffer(
+        &self,
+        fault: Option<StreamFault>,
+        id: &StreamId,
+        count: u64,
+    ) -> io::Result<bool> {
+        match fault {
+            Some(StreamFault::Break(after)) if after <= count => {
+                Err(io::ErrorKind::BrokenPipe.into())
+            }
+            Some(StreamFault::Hang(after)) if after <= count => std::future::pending().await,
+            Some(StreamFault::Skip(after)) if after == count => Ok(false),
+            Some(StreamFault::Lose(after)) if after <= count => {
+                self.state().streams.remove(id);
+                Err(io::ErrorKind::BrokenPipe.into())
+            }
+            Some(_) | None => Ok(true),
+        }
+    }
+}
+
+/// Waits for a token, unless the stream is cancelled.
+async fn wait(pause: Duration, cancel_rx: &mut watch::Receiver<bool>) -> io::Result<()> {
+    let cancelled = || Err(io::Error::from(io::ErrorKind::BrokenPipe));
+    if pause.is_zero() {
+        return if *cancel_rx.borrow() { cancelled() } else { Ok(()) };
+    }
+    tokio::select! {
+        () = tokio::time::sleep(pause) => Ok(()),
+        _ = cancel_rx.wait_for(|it| *it) => cancelled(),
     }
 }
 
@@ -278,6 +326,10 @@
 
 async fn resume(engine: FakeEngine, mut req: Request) -> viz::Result<Response> {
     let body: ResumeBody = req.json().await?;
+    let silent = engine.state().silent;
+    if silent {
+        std::future::pending::<()>().await;
+    }
     Ok(events(engine.body(&body.stream, body.offset, Duration::ZERO)))
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod engine;
 pub mod http;
 pub mod kv;
+pub mod middlebox;
 pub mod plain_service;
 pub mod platform;
--- a/crates/transport/src/http_server/connection.rs
+++ b/crates/transport/src/http_server/connection.rs
@@ -3,8 +3,12 @@
 use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode};
-use http::{HeaderValue, Request, Response};
-use hyper::{body::Incoming, server::conn::http1, service::Service};
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::Service,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use viz::{Body, Responder};
@@ -90,12 +94,16 @@
 
 fn number(res: Result<Response<Body>, Infallible>) -> Result<Response<Body>, Infallible> {
     let Ok(mut response) = res;
-    let headers = response.headers_mut();
-    if !headers.contains_key(REQUEST_ID_HEADER) {
-        let id = refused::new_request_id().to_string();
-        if let Ok(value) = HeaderValue::from_str(&id) {
-            headers.insert(REQUEST_ID_HEADER, value);
-        }
+    if response.headers().contains_key(REQUEST_ID_HEADER) {
+        return Ok(response);
+    }
+    // The router has no path or method that fits, and says so without a body.
+    if response.status() == StatusCode::NOT_FOUND && response.body().is_end_stream() {
+        return Ok(refused::response(ResultCode::NotFound));
+    }
+    let id = refused::new_request_id().to_string();
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
     Ok(response)
 }
--- a/crates/transport/src/http_server/refused.rs
+++ b/crates/transport/src/http_server/refused.rs
@@ -7,11 +7,13 @@
     code::ResultCode,
 };
 use citrongw_state::id::RequestId;
-use http::StatusCode;
+use http::{Response, StatusCode};
+use http_body_util::Full;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
+use viz::{Body, ResponseExt};
 
 /// Pause that a caller is asked to make before it tries again, in seconds.
 const RETRY_AFTER_S: u64 = 1;
@@ -43,6 +45,19 @@
     head.into_bytes()
 }
 
+/// Answer of a code to a request that nothing serves.
+pub(super) fn response(code: ResultCode) -> Response<Body> {
+    let request = new_request_id();
+    let body = serde_json::to_vec(&ErrorBody::new(code, request)).unwrap_or_default();
+    let mut response = Response::with(Body::Full(Full::from(body)), "application/json");
+    *response.status_mut() =
+        StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_REQUEST);
+    if let Ok(value) = request.to_string().parse() {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
 /// Answers a connection above the bound and closes it.
 pub(super) async fn refuse_connection(mut stream: TcpStream) {
     let exchange = async {
--- a/crates/transport/src/http_server/tests.rs
+++ b/crates/transport/src/http_server/tests.rs
@@ -27,11 +27,13 @@
     let many: String = (0..100).map(|idx| format!("x-{idx}: 1\r\n")).collect();
     let large = format!("x-large: {}\r\n", "a".repeat(1024 * 1024));
     let long_uri = format!("GET /{} HTTP/1.1\r\n\r\n", "a".repeat(70_000));
+    let unserved = "GET /none HTTP/1.1\r\nconnection: close\r\n\r\n";
     let cases = [
         ("nonsense\r\n\r\n".to_owned(), "400", "\"code\":1001"),
         (format!("GET / HTTP/1.1\r\n{many}\r\n"), "413", "\"code\":1004"),
         (format!("GET / HTTP/1.1\r\n{large}\r\n"), "413", "\"code\":1004"),
         (long_uri, "413", "\"code\":1004"),
+        (unserved.to_owned(), "404", "\"code\":1003"),
     ];
     let server = open(ServerOptions::default()).await;
     for (sent, status, code) in cases {
