--- /dev/null
+++ b/crates/citrongwctl/src/client.rs
@@ -0,0 +1,141 @@
+//! Calls to the operators' interface of the nodes.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use citrongw_protocol::{
+    caller::{ErrorBody, ErrorDetail},
+    code::ResultCode,
+};
+use citrongw_transport::http_client::{self, HttpClient, HttpError};
+use http::{Method, Request, header};
+use http_body_util::Full;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::error::{CtlError, Result, could_not};
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Node that is asked unless told otherwise.
+const DEFAULT_NODE: ([u8; 4], u16) = ([127, 0, 0, 1], 8082);
+/// Variable with the token.
+const TOKEN_VARIABLE: &str = "CITRONGW_TOKEN";
+
+/// Client of the nodes.
+#[derive(Debug)]
+pub(crate) struct Client {
+    http: HttpClient,
+    nodes: Vec<SocketAddr>,
+    token: String,
+}
+
+/// What came of a call that changes something.
+#[derive(Debug)]
+pub(crate) enum Sent<T> {
+    /// The node answered.
+    Answered(T),
+    /// The call may have taken effect.
+    NoAnswer,
+}
+
+/// Opens a client.
+pub(crate) fn open(nodes: Vec<SocketAddr>, token: Option<String>) -> Result<Client> {
+    let token = token.or_else(|| std::env::var(TOKEN_VARIABLE).ok()).ok_or_else(|| {
+        let message = format!("no token: give --token or set {TOKEN_VARIABLE}");
+        error_stack::Report::new(CtlError::NotAllowed { message })
+    })?;
+    let nodes = if nodes.is_empty() { vec![SocketAddr::from(DEFAULT_NODE)] } else { nodes };
+    Ok(Client { http: http_client::open(), nodes, token })
+}
+
+impl Client {
+    /// Reads from the first node that answers.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        for node in &self.nodes {
+            match self.call(*node, Method::GET, path, Bytes::new()).await {
+                Ok(body) => return parse(path, &body),
+                Err(HttpError::NotReached | HttpError::BrokenOff) => {}
+                Err(error) => return Err(refusal(path, &error)),
+            }
+        }
+        Err(self.no_node())
+    }
+
+    /// Sends a change to the first node that can be reached. A node that could
+    /// not be reached got nothing; one that did not answer may have carried the
+    /// change out, so no other one is asked.
+    pub(crate) async fn send<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Result<Sent<T>> {
+        let body = serde_json::to_vec(body).map_err(|error| could_not("write", path, error))?;
+        let body = Bytes::from(body);
+        for node in &self.nodes {
+            match self.call(*node, method.clone(), path, body.clone()).await {
+                Ok(body) => return parse(path, &body).map(Sent::Answered),
+                Err(HttpError::NotReached) => {}
+                Err(HttpError::BrokenOff | HttpError::BadAnswer) => return Ok(Sent::NoAnswer),
+                Err(error) => return Err(refusal(path, &error)),
+            }
+        }
+        Err(self.no_node())
+    }
+
+    async fn call(
+        &self,
+        node: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> std::result::Result<Bytes, HttpError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{node}{path}"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body))
+            .map_err(|_| HttpError::NotReached)?;
+        let exchange = async {
+            let response = self.http.send(request).await?;
+            let status = response.status();
+            let body = http_client::read_bytes(response.into_body()).await?;
+            if status.is_success() {
+                return Ok(body);
+            }
+            let body = String::from_utf8_lossy(&body).into_owned();
+            Err(HttpError::Status { status: status.as_u16(), body })
+        };
+        tokio::time::timeout(CALL_TIMEOUT, exchange).await.unwrap_or(Err(HttpError::BrokenOff))
+    }
+
+    fn no_node(&self) -> error_stack::Report<CtlError> {
+        let nodes: Vec<String> = self.nodes.iter().map(ToString::to_string).collect();
+        error_stack::Report::new(CtlError::NoNode { nodes: nodes.join(", ") })
+    }
+}
+
+fn parse<T: DeserializeOwned>(path: &str, body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| could_not("read answer", path, error))
+}
+
+fn refusal(path: &str, error: &HttpError) -> error_stack::Report<CtlError> {
+    let detail = match error {
+        HttpError::Status { body, .. } => serde_json::from_str::<ErrorBody>(body).ok(),
+        _ => None,
+    };
+    match detail {
+        Some(ErrorBody { error }) => error_stack::Report::new(coded(error)),
+        None => could_not("call", path, error),
+    }
+}
+
+fn coded(detail: ErrorDetail) -> CtlError {
+    let message = format!("{} (code {})", detail.message, detail.code);
+    match ResultCode::from_number(detail.code) {
+        Some(ResultCode::Unauthorised | ResultCode::Forbidden) => CtlError::NotAllowed { message },
+        Some(ResultCode::EditConflict) => CtlError::Conflict { message },
+        _ => CtlError::Failed { message },
+    }
+}
--- a/crates/protocol/src/code/tests.rs
+++ b/crates/protocol/src/code/tests.rs
@@ -10,3 +10,18 @@
     assert_eq!(ResultCode::from_number(2005), Some(ResultCode::Stopping));
     assert_eq!(ResultCode::from_number(1), None);
 }
+
+/// Every code stands in the documents' table with its status and outcome.
+#[test]
+fn documents_list_every_code() {
+    let table = include_str!("../../../../docs/result-codes.md");
+    for code in ResultCode::ALL {
+        let row = format!(
+            "| {} | {code:?} | {} | `{}` |",
+            code.number(),
+            code.http_status(),
+            code.outcome()
+        );
+        assert!(table.contains(&row), "missing: {row}");
+    }
+}
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -4,6 +4,8 @@
 //! versioned by the service's revision. [`Config::check`] names every fault of
 //! a document before it is written.
 
+pub mod change;
+
 use std::{net::SocketAddr, time::Duration};
 
 use derive_more::Display;
@@ -178,6 +180,13 @@
     pub calls: Vec<CallRule>,
 }
 
+impl PlainService {
+    /// First rule that takes a call; the path is what follows `/services/NAME`.
+    pub fn call_rule(&self, method: &str, path: &str) -> Option<&CallRule> {
+        self.calls.iter().find(|it| it.method == method && path.starts_with(&it.path))
+    }
+}
+
 /// How a call may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
