Let operators change the configuration, and make the program whole

Cause: edits, stops and acts on replicas had no interface. Change: edits by typed changes from a named version, looked up when the reply is lost, with both sides of a conflict shown; stop of a node by way of the news; acts with an id of their own; arguments one file a subcommand, since the argument library names types after the last word alone. Conclusion: acceptance and acts on replicas wait for membership and control.

--- a/crates/citrongw/src/admin.rs
+++ b/crates/citrongw/src/admin.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod dump;
+mod edit;
 mod explain;
 mod status;
 
@@ -12,8 +13,12 @@
     caller::ErrorBody,
     code::ResultCode,
     decision::Subject,
+    news::News,
+};
+use citrongw_state::{
+    config::Role,
+    id::{NodeId, RequestId},
 };
-use citrongw_state::{config::Role, id::RequestId};
 use serde::{Serialize, de::DeserializeOwned};
 use viz::{Request, RequestExt, Response, Router, StatusCode};
 
@@ -33,6 +38,11 @@
         .get("/admin/explain/refusals", read(shared, |shared, _| Ok(explain::refusals(shared))))
         .get("/admin/explain/request/:id", read(shared, explain_request))
         .get("/admin/explain/replica/:id", read(shared, explain_replica))
+        .get("/admin/config", edit::read_current(shared))
+        .get("/admin/config/:id", edit::read_earlier(shared))
+        .get("/admin/config-history", edit::read_history(shared))
+        .get("/admin/edits/:id", edit::read_change(shared))
+        .post("/admin/edits", edit::make_change(shared))
         .get("/metrics", {
             let shared = Arc::clone(shared);
             move |_: Request| {
@@ -40,6 +50,10 @@
                 async move { Ok::<Response, viz::Error>(http_answer::text(text, METRICS_TYPE)) }
             }
         })
+        .post("/admin/nodes/:id/stop", {
+            let shared = Arc::clone(shared);
+            move |req| std::future::ready(Ok(answer(stop_node(&shared, &req))))
+        })
         .put("/admin/log-level", {
             let shared = Arc::clone(shared);
             move |req| set_log_level(Arc::clone(&shared), req)
@@ -70,6 +84,18 @@
     Ok(explain::about(shared, Subject::Replica(path_param(req)?)))
 }
 
+/// Asks a live node for its planned stop, by way of the news if it is another.
+fn stop_node(shared: &Shared, req: &Request) -> Result<NodeId, ResultCode> {
+    let operator = auth::check(shared, req, Role::Operate)?;
+    let node: NodeId = path_param(req)?;
+    if !shared.nodes.alive().iter().any(|it| it.id == node) {
+        return Err(ResultCode::NotFound);
+    }
+    tracing::info!(operator = %operator.id, %node, "stop asked for");
+    shared.news.publish(News::StopNode(node));
+    Ok(node)
+}
+
 async fn set_log_level(shared: Arc<Shared>, mut req: Request) -> viz::Result<Response> {
     let changed = match auth::check(&shared, &req, Role::Operate) {
         Ok(operator) => read_json::<LogLevel>(&mut req).await.and_then(|wanted| {
--- a/crates/citrongw/src/cmd/demo.rs
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -21,7 +21,7 @@
     println!("{}", demo::curl_line(addr));
     let admin_addr = demo.node.admin_addr();
     println!("citrongwctl --node {admin_addr} --token {} status", demo::DEMO_TOKEN);
-    run::stop_signal().await?;
+    run::wait_for_stop(demo.node.shared()).await?;
     demo.node.stop().await;
     Ok(())
 }
--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -21,7 +21,7 @@
     println!("callers on {}", node.caller_addr());
     println!("operators on {}", node.admin_addr());
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
-    stop_signal().await?;
+    wait_for_stop(node.shared()).await?;
     dumper.abort();
     node.stop().await;
     Ok(())
@@ -36,13 +36,14 @@
     }
 }
 
-/// Waits for the signal that asks for the planned stop.
-pub(super) async fn stop_signal() -> Result<()> {
+/// Waits until a signal or an operator asks for the planned stop.
+pub(super) async fn wait_for_stop(shared: &Shared) -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
     let mut term = signal(SignalKind::terminate()).map_err(cause)?;
     tokio::select! {
         _ = term.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
+        () = shared.stop_asked.notified() => {}
     }
     Ok(())
 }
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -18,17 +18,24 @@
     replica_table::ReplicaTable,
     replica_watch,
 };
-use citrongw_protocol::{engine::Engine, store::Store};
+use citrongw_protocol::{engine::Engine, news::News, store::Store};
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
     http_server::{self, HttpServer},
     store_client,
 };
-use tokio::task::JoinHandle;
+use tokio::{
+    sync::{Notify, broadcast::error::RecvError},
+    task::JoinHandle,
+};
 
 use crate::{
-    admin, caller,
+    admin,
+    caller::{
+        self,
+        service::{self, ServiceClients},
+    },
     error::{Result, could_not},
     metrics::{self, Metrics},
     settings::Settings,
@@ -59,8 +66,12 @@
     pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
+    /// Clients of the plain services.
+    pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
+    /// Told when an operator asks for the planned stop.
+    pub stop_asked: Notify,
     /// Whether the node refuses new work because it stops.
     pub stopping: AtomicBool,
 }
@@ -124,12 +135,15 @@
         config: Arc::default(),
         replicas: Arc::default(),
         store,
+        services: service::open(),
         engine,
         metrics: metrics::open(),
+        stop_asked: Notify::new(),
         stopping: AtomicBool::new(false),
         settings,
     });
     let drivers = vec![
+        spawn_stop_watch(&shared),
         config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
@@ -148,3 +162,18 @@
         .map_err(|error| could_not("listen for operators", addr, error))?;
     Ok(Node { shared, server, admin_server, drivers })
 }
+
+/// Spawns the driver that hears when an operator asks this node to stop.
+fn spawn_stop_watch(shared: &Arc<Shared>) -> JoinHandle<()> {
+    let shared = Arc::clone(shared);
+    let mut news_rx = shared.news.subscribe();
+    tokio::spawn(async move {
+        loop {
+            match news_rx.recv().await {
+                Ok(News::StopNode(node)) if node == shared.node => shared.stop_asked.notify_one(),
+                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    })
+}
--- a/crates/citrongwctl/src/args.rs
+++ b/crates/citrongwctl/src/args.rs
@@ -1,180 +1,148 @@
-//! Arguments of the operator program.
-#![allow(missing_docs, unreachable_pub, reason = "the macro writes the items")]
+//! Arguments: those of every subcommand, given anywhere, and those of each
+//! subcommand, one file each.
 
-use std::{net::SocketAddr, path::PathBuf};
+pub(crate) mod config;
+pub(crate) mod digest;
+pub(crate) mod dump;
+pub(crate) mod explain;
+pub(crate) mod global;
+pub(crate) mod log;
+pub(crate) mod node;
+pub(crate) mod profile;
+pub(crate) mod replica;
+pub(crate) mod server;
+pub(crate) mod service;
+pub(crate) mod status;
 
-use citrongw_state::id::{
-    InstanceId, NodeId, ProfileId, ReplicaId, RequestId, Revision, ServiceId,
-};
+use std::ffi::OsString;
 
-use crate::edit::Pair;
+/// What `citrongwctl --help` says.
+const HELP: &str = "\
+Operator program of citrongw. Talks to any node.
 
-xflags::xflags! {
-    /// Operator program of citrongw. Talks to any node.
-    ///
-    /// Exit codes: 0 done; 1 failed; 2 wrong arguments; 3 conflict with another
-    /// change; 4 committed, not yet accepted by all; 5 not allowed; 6 no node
-    /// reached; 7 not confirmed by the operator.
-    cmd citrongwctl {
-        /// Operators' address of a node; several are tried in turn.
-        repeated --node addr: SocketAddr
-        /// Bearer token; the variable CITRONGW_TOKEN holds it otherwise.
-        optional --token token: String
-        /// Print JSON in place of tables.
-        optional --json
-        /// Don't ask before dangerous acts.
-        optional --yes
+USAGE:
+    citrongwctl [OPTIONS] SUBCOMMAND ...
 
-        /// Profiles: how classes of traffic are treated.
-        cmd profile {
-            /// Lists all profiles.
-            cmd list {}
-            /// Shows one profile.
-            cmd show {
-                /// Profile.
-                required id: ProfileId
-            }
-            /// Creates a profile from key=value pairs or a file.
-            cmd create {
-                /// Profile.
-                required id: ProfileId
-                /// Fields, such as deadline_ms=30000.
-                repeated pairs: Pair
-                /// JSON file with the fields.
-                optional --file path: PathBuf
-                /// Version that the change is made from; the newest otherwise.
-                optional --base revision: Revision
-            }
-            /// Edits a profile.
-            cmd edit {
-                /// Profile.
-                required id: ProfileId
-                /// Fields, such as deadline_ms=30000; an empty value removes one.
-                repeated pairs: Pair
-                /// JSON file with the fields.
-                optional --file path: PathBuf
-                /// Version that the change is made from; the newest otherwise.
-                optional --base revision: Revision
-            }
-            /// Retires a profile that no service runs under.
-            cmd retire {
-                /// Profile.
-                required id: ProfileId
-                /// Version that the change is made from; the newest otherwise.
-                optional --base revision: Revision
-            }
-        }
-
-        /// Services: who calls, under which profile.
-        cmd service {
-            /// Lists all services.
-            cmd list {}
-            /// Lets a service run under a profile.
-            cmd assign {
-                /// Service.
-                required id: ServiceId
-                /// Profile.
-                required profile: ProfileId
-                /// Version that the change is made from; the newest otherwise.
-                optional --base revision: Revision
-            }
-        }
+SUBCOMMANDS (each has a --help of its own):
+    profile   list, show, create, edit, retire
+    service   list, assign
+    replica   list, show, drain
+    server    leave, return
+    node      list, stop
+    config    history, diff, show, put
+    status    what is not serving, since when, and what is done about it
+    explain   request, replica, refusals
+    dump      state of a node as JSON
+    log       level of a node's logs
+    digest    digest of a key or token read from standard input
 
-        /// Replicas.
-        cmd replica {
-            /// Lists all replicas.
-            cmd list {}
-            /// Shows one replica.
-            cmd show {
-                /// Replica.
-                required id: ReplicaId
-            }
-            /// Lets a replica finish its work and takes it apart.
-            cmd drain {
-                /// Replica.
-                required id: ReplicaId
-            }
-        }
+OPTIONS:
+    --node ADDR     operators' address of a node; several are tried in turn
+    --token TOKEN   bearer token; the variable CITRONGW_TOKEN holds it otherwise
+    --json          print JSON in place of tables
+    --yes           don't ask before dangerous acts
 
-        /// Backend servers.
-        cmd server {
-            /// Gives an instance no new work.
-            cmd leave {
-                /// Instance.
-                required id: InstanceId
-            }
-            /// Lets an instance serve again.
-            cmd return {
-                /// Instance.
-                required id: InstanceId
-            }
-        }
+EXIT CODES:
+    0 done   1 failed   2 wrong arguments   3 conflict with another change
+    4 committed, not yet in force everywhere   5 not allowed
+    6 no node reached   7 not confirmed by the operator";
 
-        /// Nodes of citrongw.
-        cmd node {
-            /// Lists the live nodes.
-            cmd list {}
-            /// Starts the planned stop of a node.
-            cmd stop {
-                /// Node.
-                required id: NodeId
-            }
-        }
+/// Exit code of wrong arguments.
+const USAGE_EXIT_CODE: i32 = 2;
 
-        /// The configuration as a whole.
-        cmd config {
-            /// Lists the last changes.
-            cmd history {}
-            /// Shows what changed between two versions.
-            cmd diff {
-                /// Older version.
-                required from: Revision
-                /// Newer version; the newest otherwise.
-                optional to: Revision
-            }
-            /// Shows the configuration in force, or an earlier one.
-            cmd show {
-                /// Version.
-                optional revision: Revision
-            }
-            /// Writes the whole configuration from a file.
-            cmd put {
-                /// JSON file.
-                required path: PathBuf
-                /// Version that the change is made from; the newest otherwise.
-                optional --base revision: Revision
-            }
-        }
+/// Command line, parsed.
+#[derive(Debug)]
+pub(crate) struct Args {
+    /// Options of every subcommand.
+    pub(crate) global: global::Global,
+    /// The subcommand.
+    pub(crate) subcommand: Subcommand,
+}
 
-        /// What is not serving, since when, and what is done about it.
-        cmd status {}
+/// Subcommand with its arguments.
+#[derive(Debug)]
+pub(crate) enum Subcommand {
+    /// `config`.
+    Config(config::ConfigCmd),
+    /// `digest`.
+    Digest,
+    /// `dump`.
+    Dump,
+    /// `explain`.
+    Explain(explain::ExplainCmd),
+    /// `log`.
+    Log(log::Log),
+    /// `node`.
+    Node(node::NodeCmd),
+    /// `profile`.
+    Profile(profile::ProfileCmd),
+    /// `replica`.
+    Replica(replica::ReplicaCmd),
+    /// `server`.
+    Server(server::ServerCmd),
+    /// `service`.
+    Service(service::ServiceCmd),
+    /// `status`.
+    Status,
+}
 
-        /// What the system decided, and why.
-        cmd explain {
-            /// About a request.
-            cmd request {
-                /// Request.
-                required id: RequestId
-            }
-            /// About a replica.
-            cmd replica {
-                /// Replica.
-                required id: ReplicaId
-            }
-            /// The last refusals.
-            cmd refusals {}
+/// Reads the command line; prints help or what is wrong with it and exits.
+pub(crate) fn from_env_or_exit() -> Args {
+    let (global, rest) = split(std::env::args_os().skip(1).collect());
+    match parse(global, rest) {
+        Ok(Some(args)) => args,
+        Ok(None) => {
+            println!("{HELP}");
+            std::process::exit(0);
         }
+        Err(error) if error.is_help() => {
+            println!("{error}");
+            std::process::exit(0);
+        }
+        Err(error) => {
+            eprintln!("citrongwctl: {error}");
+            std::process::exit(USAGE_EXIT_CODE);
+        }
+    }
+}
 
-        /// State of a node as JSON.
-        cmd dump {}
-
-        /// Level of a node's logs, such as info or citrongw=debug.
-        cmd log {
-            /// Level.
-            required level: String
+/// Takes the options of every subcommand out of the arguments.
+fn split(args: Vec<OsString>) -> (Vec<OsString>, Vec<OsString>) {
+    let (mut global, mut rest) = (Vec::new(), Vec::new());
+    let mut args = args.into_iter();
+    while let Some(arg) = args.next() {
+        match arg.to_str() {
+            Some("--json" | "--yes") => global.push(arg),
+            Some("--node" | "--token") => {
+                global.push(arg);
+                global.extend(args.next());
+            }
+            _ => rest.push(arg),
         }
+    }
+    (global, rest)
+}
 
-        /// Digest of a key or token read from standard input.
-        cmd digest {}
+/// None asks for the help.
+fn parse(global: Vec<OsString>, mut rest: Vec<OsString>) -> xflags::Result<Option<Args>> {
+    if rest.is_empty() {
+        return Ok(None);
     }
+    let name = rest.remove(0).to_string_lossy().into_owned();
+    let subcommand = match name.as_str() {
+        "help" | "-h" | "--help" => return Ok(None),
+        "config" => Subcommand::Config(config::Config::from_vec(rest)?.subcommand),
+        "digest" => digest::Digest::from_vec(rest).map(|_| Subcommand::Digest)?,
+        "dump" => dump::Dump::from_vec(rest).map(|_| Subcommand::Dump)?,
+        "explain" => Subcommand::Explain(explain::Explain::from_vec(rest)?.subcommand),
+        "log" => Subcommand::Log(log::Log::from_vec(rest)?),
+        "node" => Subcommand::Node(node::Node::from_vec(rest)?.subcommand),
+        "profile" => Subcommand::Profile(profile::Profile::from_vec(rest)?.subcommand),
+        "replica" => Subcommand::Replica(replica::Replica::from_vec(rest)?.subcommand),
+        "server" => Subcommand::Server(server::Server::from_vec(rest)?.subcommand),
+        "service" => Subcommand::Service(service::Service::from_vec(rest)?.subcommand),
+        "status" => status::Status::from_vec(rest).map(|_| Subcommand::Status)?,
+        _ => return Err(xflags::Error::new(format!("unknown subcommand: {name}"))),
+    };
+    Ok(Some(Args { global: global::Global::from_vec(global)?, subcommand }))
 }
--- a/crates/citrongwctl/src/client.rs
+++ b/crates/citrongwctl/src/client.rs
@@ -49,6 +49,11 @@
 }
 
 impl Client {
+    /// Whether there is one node to ask.
+    pub(crate) fn asks_one_node(&self) -> bool {
+        self.nodes.len() == 1
+    }
+
     /// Reads from the first node that answers.
     pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         for node in &self.nodes {
@@ -126,12 +131,12 @@
         _ => None,
     };
     match detail {
-        Some(ErrorBody { error }) => error_stack::Report::new(coded(error)),
+        Some(ErrorBody { error }) => error_stack::Report::new(coded(&error)),
         None => could_not("call", path, error),
     }
 }
 
-fn coded(detail: ErrorDetail) -> CtlError {
+fn coded(detail: &ErrorDetail) -> CtlError {
     let message = format!("{} (code {})", detail.message, detail.code);
     match ResultCode::from_number(detail.code) {
         Some(ResultCode::Unauthorised | ResultCode::Forbidden) => CtlError::NotAllowed { message },
--- a/crates/citrongwctl/src/cmd.rs
+++ b/crates/citrongwctl/src/cmd.rs
@@ -13,7 +13,7 @@
 mod status;
 
 use crate::{
-    args::{Citrongwctl, CitrongwctlCmd},
+    args::{Args, Subcommand},
     client::{self, Client},
     error::{Result, could_not},
 };
@@ -30,12 +30,12 @@
 }
 
 /// Runs the subcommand that the command line names.
-pub(crate) fn run(args: Citrongwctl) -> Result<()> {
-    if let CitrongwctlCmd::Digest(_) = args.subcommand {
+pub(crate) fn run(args: Args) -> Result<()> {
+    if let Subcommand::Digest = args.subcommand {
         return digest::run();
     }
-    let client = client::open(args.node, args.token)?;
-    let context = Context { client, json: args.json, yes: args.yes };
+    let client = client::open(args.global.node, args.global.token)?;
+    let context = Context { client, json: args.global.json, yes: args.global.yes };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -43,18 +43,18 @@
     runtime.block_on(run_with(&context, args.subcommand))
 }
 
-async fn run_with(context: &Context, subcommand: CitrongwctlCmd) -> Result<()> {
+async fn run_with(context: &Context, subcommand: Subcommand) -> Result<()> {
     match subcommand {
-        CitrongwctlCmd::Profile(args) => profile::run(context, args.subcommand).await,
-        CitrongwctlCmd::Service(args) => service::run(context, args.subcommand).await,
-        CitrongwctlCmd::Replica(args) => replica::run(context, args.subcommand).await,
-        CitrongwctlCmd::Server(args) => server::run(context, args.subcommand).await,
-        CitrongwctlCmd::Node(args) => node::run(context, args.subcommand).await,
-        CitrongwctlCmd::Config(args) => config::run(context, args.subcommand).await,
-        CitrongwctlCmd::Status(_) => status::run(context).await,
-        CitrongwctlCmd::Explain(args) => explain::run(context, args.subcommand).await,
-        CitrongwctlCmd::Dump(_) => dump::run(context).await,
-        CitrongwctlCmd::Log(args) => log::run(context, args).await,
-        CitrongwctlCmd::Digest(_) => digest::run(),
+        Subcommand::Config(args) => config::run(context, args).await,
+        Subcommand::Digest => digest::run(),
+        Subcommand::Dump => dump::run(context).await,
+        Subcommand::Explain(args) => explain::run(context, args).await,
+        Subcommand::Log(args) => log::run(context, args).await,
+        Subcommand::Node(args) => node::run(context, args).await,
+        Subcommand::Profile(args) => profile::run(context, args).await,
+        Subcommand::Replica(args) => replica::run(context, args).await,
+        Subcommand::Server(args) => server::run(context, args).await,
+        Subcommand::Service(args) => service::run(context, args).await,
+        Subcommand::Status => status::run(context).await,
     }
 }
--- a/crates/citrongwctl/src/cmd/explain.rs
+++ b/crates/citrongwctl/src/cmd/explain.rs
@@ -3,11 +3,7 @@
 use citrongw_protocol::admin::Explanation;
 
 use super::Context;
-use crate::{
-    args::ExplainCmd,
-    error::Result,
-    output,
-};
+use crate::{args::explain::ExplainCmd, error::Result, output};
 
 /// Shows what the node decided and why.
 pub(super) async fn run(context: &Context, subcommand: ExplainCmd) -> Result<()> {
--- a/crates/citrongwctl/src/cmd/log.rs
+++ b/crates/citrongwctl/src/cmd/log.rs
@@ -5,7 +5,7 @@
 
 use super::Context;
 use crate::{
-    args::Log,
+    args::log::Log,
     client::Sent,
     error::{Result, failed},
 };
--- a/crates/citrongwctl/src/cmd/replica.rs
+++ b/crates/citrongwctl/src/cmd/replica.rs
@@ -1,13 +1,15 @@
 //! `citrongwctl replica`.
 
-use citrongw_protocol::admin::ReplicaStatus;
+use citrongw_protocol::admin::{ReplicaStatus, Status};
 use citrongw_state::id::ReplicaId;
 
 use super::Context;
 use crate::{
-    args::ReplicaCmd,
+    args::replica::ReplicaCmd,
+    confirm,
     error::{Result, failed},
     output::{self, table},
+    request,
 };
 
 /// Lists, shows or drains replicas.
@@ -15,6 +17,7 @@
     match subcommand {
         ReplicaCmd::List(_) => list(context).await,
         ReplicaCmd::Show(args) => show(context, args.id).await,
+        ReplicaCmd::Drain(args) => drain(context, args.id).await,
     }
 }
 
@@ -60,6 +63,28 @@
     Ok(())
 }
 
+async fn drain(context: &Context, id: ReplicaId) -> Result<()> {
+    let replicas = replicas(context).await?;
+    let found = replicas.iter().find(|it| it.id == id);
+    let replica = found.ok_or_else(|| failed(format!("replica {id} does not exist")))?;
+    let status: Status = context.client.get("/admin/status").await?;
+    let deployment = status.deployments.iter().find(|it| it.id == replica.deployment);
+    let serving = deployment.map_or(0, |it| it.serving);
+    let wanted = deployment.map_or(0, |it| it.wanted);
+    let left = serving.saturating_sub(u32::from(replica.not_routable.is_none()));
+    let mut dangers = Vec::new();
+    if left < wanted {
+        dangers.push(format!(
+            "deployment {} keeps {left} of {wanted} replicas serving until another one forms",
+            replica.deployment
+        ));
+    }
+    confirm::ask(context, &dangers)?;
+    request::ask(context, &format!("/admin/replicas/{id}/drain")).await?;
+    println!("replica {id} takes no new work and is taken apart when its work is done");
+    Ok(())
+}
+
 fn state(replica: &ReplicaStatus) -> String {
     match replica.not_routable {
         None => "serving".to_owned(),
--- a/crates/citrongwctl/src/edit.rs
+++ b/crates/citrongwctl/src/edit.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, path::Path, str::FromStr};
 
+use citrongw_protocol::config_delta::ItemChange;
 use citrongw_state::{config::Profile, id::ProfileId};
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -65,6 +66,19 @@
     }
 }
 
+/// Lines of changes of items, as two sides of a conflict show them.
+pub(crate) fn item_lines(changes: &[ItemChange]) -> Vec<String> {
+    let value = |text: &Option<String>| {
+        text.as_ref().and_then(|it| serde_json::from_str(it).ok()).unwrap_or(Value::Null)
+    };
+    let mut lines = Vec::new();
+    for it in changes {
+        let place = join(&it.list, &it.id);
+        compare(&place, &value(&it.before), &value(&it.after), &mut lines);
+    }
+    lines
+}
+
 /// Lines that differ between two documents, with their place.
 pub(crate) fn differences<T: Serialize>(before: &T, after: &T) -> Vec<String> {
     let before = serde_json::to_value(before).unwrap_or_default();
--- a/crates/citrongwctl/src/main.rs
+++ b/crates/citrongwctl/src/main.rs
@@ -1,16 +1,19 @@
 //! Operator program of citrongw.
 
 mod args;
+mod change;
 mod client;
 mod cmd;
+mod confirm;
 mod edit;
 mod error;
 mod output;
+mod request;
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let args = args::Citrongwctl::from_env_or_exit();
+    let args = args::from_env_or_exit();
     match cmd::run(args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/citrongwctl/src/output.rs
+++ b/crates/citrongwctl/src/output.rs
@@ -40,11 +40,8 @@
         let widths: Vec<usize> = (0..columns).map(width).collect();
         let mut text = String::new();
         for row in &self.rows {
-            let cells: Vec<String> = row
-                .iter()
-                .zip(&widths)
-                .map(|(cell, width)| format!("{cell:<width$}"))
-                .collect();
+            let cells: Vec<String> =
+                row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
             text.push_str(cells.join(GAP).trim_end());
             text.push('\n');
         }
--- a/crates/state/src/config/change.rs
+++ b/crates/state/src/config/change.rs
@@ -119,7 +119,7 @@
 fn call_risks(before: &PlainService, after: Option<&PlainService>) -> Vec<Risk> {
     let guarded = before.calls.iter().filter(|it| it.class == CallClass::AtMostOnce);
     let lost = guarded.filter(|rule| {
-        let new = after.and_then(|it| it.call_rule(&rule.method, &rule.path));
+        let new = after.and_then(|it| it.rule(&rule.method, &rule.path));
         new.is_some_and(|it| it.class != CallClass::AtMostOnce)
     });
     let risk = |rule: &super::CallRule| {
