Keep a node running when nobody reads its output

Cause: the second line on standard output ended the node when the reader of the first had gone: the print macro panics on a broken pipe. Change: addresses are written with failures ignored.

--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -1,6 +1,6 @@
 //! `citrongw run`.
 
-use std::sync::Arc;
+use std::{io::Write, sync::Arc};
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -9,7 +9,7 @@
     cmd::args,
     error::{Result, could_not},
     log,
-    node::{self, Shared},
+    node::{self, Node, Shared},
     settings,
 };
 
@@ -18,8 +18,7 @@
     let settings = settings::open(&args.config)?;
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
-    println!("callers on {}", node.caller_addr());
-    println!("operators on {}", node.admin_addr());
+    announce(&node);
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
     wait_for_stop(node.shared()).await?;
     dumper.abort();
@@ -27,6 +26,14 @@
     Ok(())
 }
 
+/// Prints the addresses. A reader that has gone away must not end the node.
+fn announce(node: &Node) {
+    let (callers, operators) = (node.caller_addr(), node.admin_addr());
+    let mut stdout = std::io::stdout();
+    let _ = writeln!(stdout, "callers on {callers}");
+    let _ = writeln!(stdout, "operators on {operators}");
+}
+
 /// Logs the state of the node on each SIGUSR1.
 async fn dump_on_signal(shared: Arc<Shared>) {
     let Ok(mut signals) = signal(SignalKind::user_defined1()) else { return };
