--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -9,7 +9,7 @@
     cmd::args,
     error::{Result, could_not},
     log,
-    node::{self, Node, Shared},
+    node::{self, Shared},
     settings,
 };
 
@@ -18,20 +18,24 @@
     let settings = settings::open(&args.config)?;
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
-    announce(&node);
+    say(format_args!("callers on {}", node.caller_addr()));
+    say(format_args!("operators on {}", node.admin_addr()));
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
     wait_for_stop(node.shared()).await?;
     dumper.abort();
-    node.stop().await;
+    say(format_args!("stopping; a second signal ends sooner"));
+    node.stop_until(async {
+        if stop_signal().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    })
+    .await;
     Ok(())
 }
 
-/// Prints the addresses. A reader that has gone away must not end the node.
-fn announce(node: &Node) {
-    let (callers, operators) = (node.caller_addr(), node.admin_addr());
-    let mut stdout = std::io::stdout();
-    let _ = writeln!(stdout, "callers on {callers}");
-    let _ = writeln!(stdout, "operators on {operators}");
+/// Prints a line; nobody may be listening.
+fn say(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stdout(), "{line}");
 }
 
 /// Logs the state of the node on each SIGUSR1.
@@ -45,12 +49,19 @@
 
 /// Waits until a signal or an operator asks for the planned stop.
 pub(super) async fn wait_for_stop(shared: &Shared) -> Result<()> {
+    tokio::select! {
+        res = stop_signal() => res,
+        () = shared.stop_asked.notified() => Ok(()),
+    }
+}
+
+/// Waits for a signal that asks for the end.
+async fn stop_signal() -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
     let mut term = signal(SignalKind::terminate()).map_err(cause)?;
     tokio::select! {
         _ = term.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
-        () = shared.stop_asked.notified() => {}
     }
     Ok(())
 }
