--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -21,7 +21,7 @@
     say(format_args!("callers on {}", node.caller_addr()));
     say(format_args!("operators on {}", node.admin_addr()));
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
-    stop_signal().await?;
+    wait_for_stop(node.shared()).await?;
     dumper.abort();
     say(format_args!("stopping; a second signal ends sooner"));
     node.stop_until(async {
@@ -47,8 +47,16 @@
     }
 }
 
-/// Waits for the signal that asks for the planned stop.
-pub(super) async fn stop_signal() -> Result<()> {
+/// Waits until a signal or an operator asks for the planned stop.
+pub(super) async fn wait_for_stop(shared: &Shared) -> Result<()> {
+    tokio::select! {
+        res = stop_signal() => res,
+        () = shared.stop_asked.notified() => Ok(()),
+    }
+}
+
+/// Waits for a signal that asks for the end.
+async fn stop_signal() -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
     let mut term = signal(SignalKind::terminate()).map_err(cause)?;
     tokio::select! {
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -18,7 +18,7 @@
     replica_table::ReplicaTable,
     replica_watch,
 };
-use citrongw_protocol::{engine::Engine, store::Store};
+use citrongw_protocol::{engine::Engine, news::News, store::Store};
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
@@ -26,7 +26,10 @@
     store_client,
     tls::{self, TlsCell},
 };
-use tokio::{sync::watch, task::JoinHandle};
+use tokio::{
+    sync::{Notify, broadcast::error::RecvError, watch},
+    task::JoinHandle,
+};
 
 use crate::{
     admin,
@@ -73,6 +76,8 @@
     pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
+    /// Told when an operator asks for the planned stop.
+    pub stop_asked: Notify,
     /// What the requests of callers share.
     pub callers: Callers,
     /// Whether the node refuses new work because it stops.
@@ -162,12 +167,14 @@
         services: service::open(),
         engine,
         metrics: metrics::open(),
+        stop_asked: Notify::new(),
         callers: Callers::default(),
         stopping: AtomicBool::new(false),
         ended_tx: watch::channel(false).0,
         settings,
     });
     let mut drivers = vec![
+        spawn_stop_watch(&shared),
         config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
@@ -195,6 +202,21 @@
     Ok(Node { shared, server, admin_server, drivers })
 }
 
+/// Spawns the driver that hears when an operator asks this node to stop.
+fn spawn_stop_watch(shared: &Arc<Shared>) -> JoinHandle<()> {
+    let shared = Arc::clone(shared);
+    let mut news_rx = shared.news.subscribe();
+    tokio::spawn(async move {
+        loop {
+            match news_rx.recv().await {
+                Ok(News::StopNode(node)) if node == shared.node => shared.stop_asked.notify_one(),
+                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    })
+}
+
 fn open_tls(settings: &Settings) -> Result<Option<Arc<TlsCell>>> {
     let Some(files) = settings.tls.clone() else { return Ok(None) };
     let cell = tls::open(files).map_err(|error| could_not("read certificates", "[tls]", error))?;
--- a/crates/coordination/src/config/edit.rs
+++ b/crates/coordination/src/config/edit.rs
@@ -130,6 +130,20 @@
     Ok(read(store).await?.map(|it| it.chain()).unwrap_or_default())
 }
 
+/// Reads an earlier version. None if it is no longer kept.
+pub async fn read_version(store: &dyn Store, revision: Revision) -> StoreResult<Option<Config>> {
+    let Some(current) = read(store).await? else { return Ok(None) };
+    if current.revision == revision {
+        return Ok(Some(current.config));
+    }
+    let record = current.history.iter().find(|it| it.revision == Some(revision));
+    let Some(record) = record else { return Ok(None) };
+    let found = store.get(body_key(record.change)).await?.into_entry();
+    Ok(found
+        .and_then(|it| serde_json::from_slice::<ConfigBody>(&it.value).ok())
+        .map(|it| it.config))
+}
+
 /// Reads the document of the service whole.
 pub async fn read(store: &dyn Store) -> StoreResult<Option<Current>> {
     let Some(entry) = store.get(CONFIG_KEY.into()).await?.into_entry() else { return Ok(None) };
