--- a/crates/citrongw/tests/request_path/stop.rs
+++ b/crates/citrongw/tests/request_path/stop.rs
@@ -3,7 +3,7 @@
 use std::{process::Stdio, time::Duration};
 
 use citrongw::demo;
-use citrongw_fakes::kv::mem::Fault;
+use citrongw_fakes::{engine::FakeEngine, kv::mem::Fault};
 use citrongw_protocol::{record::CONFIG_KEY, store::Store};
 
 use crate::rig::{self, Answer, Exchange, PROMPT, expected, options, wait_for};
@@ -94,7 +94,7 @@
     let answer = whole.read_all().await;
     assert_eq!((answer.status, answer.error()), (503, Some((3004, "unknown".to_owned()))));
     stopping.await.unwrap();
-    let cancelled = || engines.iter().map(|it| it.cancelled()).sum::<u64>();
+    let cancelled = || engines.iter().map(FakeEngine::cancelled).sum::<u64>();
     wait_for("cancellations", || cancelled() == STREAMS as u64 + 1).await;
     drop(surroundings);
 }
@@ -177,7 +177,7 @@
 #[tokio::test]
 async fn node_process_ends_by_signals() {
     let surroundings = demo::open_surroundings_with(slow(Duration::from_secs(60)), |config| {
-        config.profiles[0].between_tokens_ms = 120_000
+        config.profiles[0].between_tokens_ms = 120_000;
     })
     .await
     .unwrap();
