Put the decisions on the path of a request

Requests went to the replica with the least of this node's work. They now go through the pure decisions: homes of the prompt prefix bounded by load, admission with fair shares between organisations, a limit per replica that follows the first token time, organisation limits shared by news, one retry budget, hedges, stragglers, breakers, and containment of requests that crash replicas; each choice is recorded. What a replica's engine was told survives changes of the replica list. The second-signal test found that a request sent but not yet answered ended as 'not run' when the node ended; what may have run is now read from the attempt itself before any error is given. It grows by one a request until it first shrinks.

--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -7,17 +7,25 @@
 mod completion;
 mod directory;
 mod events;
+mod fleet;
+mod leaving;
+mod limits;
+mod quantile;
+mod queue;
 mod refusal;
 mod request_log;
+mod route;
 mod running;
-mod select;
 pub mod service;
+mod suspects;
+mod tick;
 mod work;
 
 use std::sync::{Arc, atomic::Ordering};
 
 use citrongw_protocol::code::ResultCode;
-use citrongw_state::id::RequestId;
+use citrongw_state::{id::RequestId, retry::RetryBudget};
+pub use tick::spawn;
 use viz::{Request, Response, Router};
 
 use crate::node::Shared;
@@ -27,6 +35,11 @@
 pub struct Callers {
     directory: directory::DirectoryCell,
     bodies: body::BodyBudget,
+    fleet: fleet::FleetCell,
+    leaving: leaving::LeavingMarks,
+    limits: limits::Limits,
+    retries: RetryBudget,
+    suspects: suspects::Suspects,
 }
 
 /// Routes of the caller interface.
--- a/crates/citrongw/src/caller/answer.rs
+++ b/crates/citrongw/src/caller/answer.rs
@@ -1,13 +1,16 @@
 //! Answers in the shape of the OpenAI interface.
 
-use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode};
+use citrongw_protocol::caller::REQUEST_ID_HEADER;
 use citrongw_state::id::{ModelId, RequestId};
 use http_body_util::Full;
 use serde::Serialize;
 use serde_json::{Value, json};
 use viz::{Body, Response, ResponseExt};
 
-use super::running::{Piece, Running};
+use super::{
+    refusal::Failure,
+    running::{Piece, Running},
+};
 
 /// Shape of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,7 +28,7 @@
 }
 
 /// Reads the whole answer before any of it is sent.
-pub(super) async fn whole(running: &mut Running, shape: Shape) -> Result<Response, ResultCode> {
+pub(super) async fn whole(running: &mut Running, shape: Shape) -> Result<Response, Failure> {
     let mut text = String::new();
     loop {
         match running.next().await? {
--- a/crates/citrongw/src/caller/auth.rs
+++ b/crates/citrongw/src/caller/auth.rs
@@ -18,5 +18,9 @@
     let value = req.headers().get(header::AUTHORIZATION).ok_or(ResultCode::Unauthorised)?;
     let token = value.to_str().map_err(|_| ResultCode::Unauthorised)?;
     let key = token.strip_prefix("Bearer ").ok_or(ResultCode::Unauthorised)?;
-    shared.callers.directory.find(config, key).ok_or(ResultCode::Unauthorised)
+    shared
+        .callers
+        .directory
+        .find(config, &shared.callers.limits, key)
+        .ok_or(ResultCode::Unauthorised)
 }
--- a/crates/citrongw/src/caller/completion.rs
+++ b/crates/citrongw/src/caller/completion.rs
@@ -6,6 +6,7 @@
     caller::{ChatRequest, CompletionRequest},
     code::ResultCode,
 };
+use citrongw_state::routing::PrefixHash;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use viz::{Request, Response};
@@ -14,8 +15,10 @@
     answer::{self, Shape},
     auth::{self, Caller},
     body::{self, BodyShare},
-    events, new_request_id, refusal,
+    events, new_request_id,
+    refusal::{self, Failure},
     request_log::{self, Entry},
+    route::{self, Want},
     running,
     work::Work,
 };
@@ -82,9 +85,9 @@
     let mut entry = request_log::open(&shared, request);
     let work = match prepare(&shared, req, &mut entry, read).await {
         Ok(prepared) => prepared,
-        Err(code) => {
-            entry.end(Some(code));
-            return Ok(refusal::response(code, request));
+        Err(failure) => {
+            entry.end(Some(failure.code));
+            return Ok(refusal::response(failure, request));
         }
     };
     Ok(answer(shared, work, entry).await)
@@ -102,20 +105,28 @@
     req: Request,
     entry: &mut Entry,
     read: impl FnOnce(T) -> Asked,
-) -> Result<Prepared, ResultCode> {
+) -> Result<Prepared, Failure> {
     let caller = auth::find(shared, &req)?;
     entry.set_organisation(&caller.organisation);
     let timeout = shared.settings.body_timeout.min(caller.profile.deadline());
     let (body, share) = body::read_json(req, &shared.callers.bodies, timeout).await?;
     let asked = read(body);
     if asked.model != caller.profile.model.as_str() {
-        return Err(ResultCode::UnknownModel);
+        return Err(ResultCode::UnknownModel.into());
     }
+    check_limit(shared, &caller)?;
     let (shape, stream) = (asked.shape, asked.stream);
     let work = work(caller, asked, share, entry)?;
     Ok(Prepared { work, shape, stream })
 }
 
+fn check_limit(shared: &Shared, caller: &Caller) -> Result<(), Failure> {
+    let Some(limit) = &caller.limit else { return Ok(()) };
+    limit
+        .take(shared.clock.now())
+        .map_err(|over| Failure::from(ResultCode::LimitReached).with_retry_after(over.retry_after))
+}
+
 fn work(caller: Caller, asked: Asked, share: BodyShare, entry: &Entry) -> Result<Work, ResultCode> {
     let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
     Ok(Work {
@@ -129,21 +140,34 @@
     })
 }
 
+fn want(work: &Work) -> Want {
+    let profile = &work.caller.profile;
+    Want {
+        request: work.request,
+        profile: Arc::clone(profile),
+        fingerprint: route::fingerprint(profile, &work.prompt, work.max_tokens),
+        prefix: PrefixHash::of(&work.prompt),
+        prompt_tokens: route::count_tokens(&work.prompt),
+        tried: Vec::new(),
+    }
+}
+
 async fn answer(shared: Arc<Shared>, prepared: Prepared, mut entry: Entry) -> Response {
     let request = prepared.work.request;
-    let mut running = running::open(shared, prepared.work);
+    let want = want(&prepared.work);
+    let mut running = running::open(shared, prepared.work, want);
     let res = if prepared.stream {
         running.first().await
     } else {
         let res = answer::whole(&mut running, prepared.shape).await;
-        entry.end(res.as_ref().err().copied());
-        return res.unwrap_or_else(|code| refusal::response(code, request));
+        entry.end(res.as_ref().err().map(|it| it.code));
+        return res.unwrap_or_else(|failure| refusal::response(failure, request));
     };
     match res {
         Ok(first) => events::response(running, first, prepared.shape, entry),
-        Err(code) => {
-            entry.end(Some(code));
-            refusal::response(code, request)
+        Err(failure) => {
+            entry.end(Some(failure.code));
+            refusal::response(failure, request)
         }
     }
 }
--- a/crates/citrongw/src/caller/directory.rs
+++ b/crates/citrongw/src/caller/directory.rs
@@ -17,6 +17,11 @@
 };
 use derive_more::Deref;
 
+use super::{
+    limits::{Limits, OrganisationLimit},
+    queue::{GroupKey, GroupQueue},
+};
+
 /// Caller as its key names it.
 #[derive(Debug, Clone, Deref)]
 pub(super) struct Caller(Arc<CallerEntry>);
@@ -28,6 +33,10 @@
     pub(super) service: ServiceId,
     /// Its organisation.
     pub(super) organisation: OrganisationId,
+    /// Weight of the organisation in fair sharing.
+    pub(super) weight: u32,
+    /// Limit of the organisation over all nodes, if it has one.
+    pub(super) limit: Option<Arc<OrganisationLimit>>,
     /// The profile that it runs under.
     pub(super) profile: Arc<CallerProfile>,
 }
@@ -37,6 +46,8 @@
 pub(super) struct CallerProfile {
     #[deref]
     profile: Profile,
+    /// Queue in front of the replicas that serve it.
+    pub(super) group: Arc<GroupQueue>,
     in_flight: Arc<AtomicU32>,
 }
 
@@ -68,6 +79,19 @@
     revision: Revision,
     by_key: HashMap<KeyDigest, Caller>,
     profiles: HashMap<ProfileId, Arc<CallerProfile>>,
+    groups: HashMap<GroupKey, Arc<GroupQueue>>,
+}
+
+impl Directory {
+    fn group(&mut self, profile: &Profile, old: Option<&Directory>) -> Arc<GroupQueue> {
+        let key = GroupKey {
+            model: profile.model.clone(),
+            version: profile.version.clone(),
+            adapter: profile.adapter.clone(),
+        };
+        let kept = old.and_then(|it| it.groups.get(&key)).cloned();
+        Arc::clone(self.groups.entry(key).or_insert_with(|| kept.unwrap_or_default()))
+    }
 }
 
 /// Directory in force.
@@ -78,42 +102,59 @@
 
 impl DirectoryCell {
     /// Finds the caller that a key names in `config`.
-    pub(super) fn find(&self, config: &VersionedConfig, key: &str) -> Option<Caller> {
+    pub(super) fn find(
+        &self,
+        config: &VersionedConfig,
+        limits: &Limits,
+        key: &str,
+    ) -> Option<Caller> {
         let digest = KeyDigest::of(key);
         let current = self.current.load();
         match current.as_ref().filter(|it| it.revision == config.revision) {
             Some(directory) => directory.by_key.get(&digest).cloned(),
-            None => self.rebuild(config).by_key.get(&digest).cloned(),
+            None => self.rebuild(config, limits).by_key.get(&digest).cloned(),
         }
     }
 
-    fn rebuild(&self, config: &VersionedConfig) -> Arc<Directory> {
+    /// Queues of all profiles.
+    pub(super) fn groups(&self) -> Vec<Arc<GroupQueue>> {
+        let current = self.current.load();
+        current.iter().flat_map(|it| it.groups.values()).cloned().collect()
+    }
+
+    fn rebuild(&self, config: &VersionedConfig, limits: &Limits) -> Arc<Directory> {
+        limits.replace(&config.config);
         let old = self.current.load_full();
-        let new = Arc::new(build(config, old.as_deref()));
+        let new = Arc::new(build(config, limits, old.as_deref()));
         self.current.store(Some(Arc::clone(&new)));
         new
     }
 }
 
-/// Requests in flight keep counting across changes of the configuration.
-fn build(versioned: &VersionedConfig, old: Option<&Directory>) -> Directory {
+/// Requests in flight and queues last across changes of the configuration.
+fn build(versioned: &VersionedConfig, limits: &Limits, old: Option<&Directory>) -> Directory {
     let config = &versioned.config;
     let mut directory = Directory {
         revision: versioned.revision,
         by_key: HashMap::new(),
         profiles: HashMap::new(),
+        groups: HashMap::new(),
     };
     for profile in &config.profiles {
         let kept = old.and_then(|it| it.profiles.get(&profile.id));
         let in_flight = kept.map(|it| Arc::clone(&it.in_flight)).unwrap_or_default();
-        let entry = Arc::new(CallerProfile { profile: profile.clone(), in_flight });
+        let group = directory.group(profile, old);
+        let entry = Arc::new(CallerProfile { profile: profile.clone(), group, in_flight });
         directory.profiles.insert(profile.id.clone(), entry);
     }
     for service in &config.services {
         let Some(profile) = directory.profiles.get(&service.profile) else { continue };
+        let organisation = config.organisations.iter().find(|it| it.id == service.organisation);
         let caller = Caller(Arc::new(CallerEntry {
             service: service.id.clone(),
             organisation: service.organisation.clone(),
+            weight: organisation.map_or(1, |it| it.weight),
+            limit: limits.get(&service.organisation),
             profile: Arc::clone(profile),
         }));
         for digest in &service.key_digests {
--- a/crates/citrongw/src/caller/directory/tests.rs
+++ b/crates/citrongw/src/caller/directory/tests.rs
@@ -22,22 +22,22 @@
 fn key_names_its_service_and_nothing_else_does() {
     let cell = DirectoryCell::default();
     let config = config(1, 1);
-    let caller = cell.find(&config, "key").unwrap();
+    let caller = cell.find(&config, &Limits::default(), "key").unwrap();
     assert_eq!(caller.service.as_str(), "a");
-    assert_eq!(caller.organisation.as_str(), "estates");
+    assert_eq!((caller.organisation.as_str(), caller.weight), ("estates", 3));
     let digest = KeyDigest::of("key").0;
     for wrong in ["", "KEY", "x", digest.as_str()] {
-        assert!(cell.find(&config, wrong).is_none(), "{wrong:?}");
+        assert!(cell.find(&config, &Limits::default(), wrong).is_none(), "{wrong:?}");
     }
 }
 
 #[test]
 fn limit_counts_across_changes_of_the_configuration() {
     let cell = DirectoryCell::default();
-    let before = cell.find(&config(1, 1), "key").unwrap();
+    let before = cell.find(&config(1, 1), &Limits::default(), "key").unwrap();
     let place = before.profile.enter().unwrap();
     assert!(before.profile.enter().is_none());
-    let after = cell.find(&config(2, 2), "key").unwrap();
+    let after = cell.find(&config(2, 2), &Limits::default(), "key").unwrap();
     let second = after.profile.enter().unwrap();
     assert!(after.profile.enter().is_none());
     drop((place, second));
--- a/crates/citrongw/src/caller/events.rs
+++ b/crates/citrongw/src/caller/events.rs
@@ -14,7 +14,7 @@
 
 use super::{
     answer::{self, Shape},
-    refusal,
+    refusal::{self, Failure},
     request_log::Entry,
     running::{Piece, Running},
 };
@@ -136,15 +136,15 @@
                 self.entry.end(None);
                 Some(Ok(self.writer.end(&reason)))
             }
-            Ok(Piece::Restart) => Some(Ok(self.error(ResultCode::BrokenOff))),
-            Err(code) => Some(Ok(self.error(code))),
+            Ok(Piece::Restart) => Some(Ok(self.error(ResultCode::BrokenOff.into()))),
+            Err(failure) => Some(Ok(self.error(failure))),
         }
     }
 
-    fn error(&mut self, code: ResultCode) -> Bytes {
+    fn error(&mut self, failure: Failure) -> Bytes {
         self.stage = Stage::Cut;
-        self.entry.end(Some(code));
-        let body = refusal::body(code, self.running.work().request);
+        self.entry.end(Some(failure.code));
+        let body = refusal::body(failure, self.running.work().request);
         citrongw_transport::event_stream::event(&body).unwrap_or_default()
     }
 }
--- /dev/null
+++ b/crates/citrongw/src/caller/limits.rs
@@ -0,0 +1,129 @@
+//! Limits of organisations over all nodes: what this node sees, tells and hears
+//! of their demand, and its share of each limit.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use citrongw_protocol::news::{News, OrganisationDemand};
+use citrongw_state::{
+    config::{Config, Organisation},
+    id::{NodeId, OrganisationId},
+    limit::{DemandMeter, OverLimit, ShareBucket, ShareTable},
+    time::Time,
+    unit::RequestsPerSecond,
+};
+
+use crate::node::Shared;
+
+/// Limit of one organisation at this node.
+#[derive(Debug)]
+pub(super) struct OrganisationLimit {
+    limit_per_s: f64,
+    meter: DemandMeter,
+    bucket: ShareBucket,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: ShareTable,
+    demand_per_s: f64,
+}
+
+impl OrganisationLimit {
+    fn open(limit_per_s: f64) -> Self {
+        let bucket = ShareBucket::default();
+        bucket.set_rate(RequestsPerSecond(limit_per_s));
+        Self { limit_per_s, meter: DemandMeter::default(), bucket, state: Mutex::default() }
+    }
+
+    /// Counts a request, and takes it out of this node's share.
+    pub(super) fn take(&self, now: Time) -> Result<(), OverLimit> {
+        self.meter.add();
+        self.bucket.take(now)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Measures this node's demand, and takes its share anew.
+    fn tick(&self, passed: Duration, nodes: u32, now: Time) -> RequestsPerSecond {
+        let mut state = self.state();
+        let demand = self.meter.tick(RequestsPerSecond(state.demand_per_s), passed);
+        state.demand_per_s = demand.0;
+        state.table.tell_own(demand, now);
+        state.table.forget_silent(now);
+        // A node alone has nobody to share with.
+        let share = if nodes <= 1 { 1.0 } else { state.table.share(nodes, now).0 };
+        self.bucket.set_rate(RequestsPerSecond(self.limit_per_s * share));
+        demand
+    }
+}
+
+/// Limits of all organisations that have one.
+#[derive(Debug, Default)]
+pub(super) struct Limits {
+    by_organisation: ArcSwap<HashMap<OrganisationId, Arc<OrganisationLimit>>>,
+    sequence: AtomicU64,
+}
+
+impl Limits {
+    /// Limit of an organisation, if it has one.
+    pub(super) fn get(&self, organisation: &OrganisationId) -> Option<Arc<OrganisationLimit>> {
+        self.by_organisation.load().get(organisation).cloned()
+    }
+
+    /// Takes in the limits that the configuration sets. What is known of an
+    /// unchanged one stays.
+    pub(super) fn replace(&self, config: &Config) {
+        let old = self.by_organisation.load_full();
+        let limit = |organisation: &Organisation| {
+            let limit_per_s = organisation.limit_requests_per_s?;
+            let kept = old.get(&organisation.id).filter(|it| it.limit_per_s == limit_per_s);
+            let limit =
+                kept.map_or_else(|| Arc::new(OrganisationLimit::open(limit_per_s)), Arc::clone);
+            Some((organisation.id.clone(), limit))
+        };
+        let limits = config.organisations.iter().filter_map(limit).collect();
+        self.by_organisation.store(Arc::new(limits));
+    }
+
+    /// Takes in what another node told.
+    pub(super) fn hear(&self, told: &OrganisationDemand, this: NodeId, now: Time) {
+        if told.node == this {
+            return;
+        }
+        if let Some(limit) = self.get(&told.organisation) {
+            let demand = RequestsPerSecond(f64::from(told.requests_per_s));
+            limit.state().table.hear(told.node, told.sequence, demand, now);
+        }
+    }
+}
+
+/// Measures and tells demand, and takes each share anew.
+pub(super) fn tick(shared: &Shared, passed: Duration) {
+    let limits = &shared.callers.limits;
+    let nodes = u32::try_from(shared.nodes.alive().len()).unwrap_or(u32::MAX);
+    let now = shared.clock.now();
+    let sequence = limits.sequence.fetch_add(1, Ordering::Relaxed);
+    for (organisation, limit) in limits.by_organisation.load().iter() {
+        let demand = limit.tick(passed, nodes, now);
+        shared.news.publish(News::Demand(OrganisationDemand {
+            organisation: organisation.clone(),
+            node: shared.node,
+            sequence,
+            requests_per_s: demand.0 as f32,
+        }));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/citrongw/src/caller/limits/tests.rs
@@ -0,0 +1,59 @@
+//! Cases of the shares of two nodes.
+
+use super::*;
+
+const LIMIT_PER_S: f64 = 100.0;
+
+fn config() -> Config {
+    serde_json::from_value(serde_json::json!({
+        "organisations": [{ "id": "a", "limit_requests_per_s": LIMIT_PER_S }, { "id": "b" }],
+    }))
+    .unwrap()
+}
+
+fn told(node: u64, sequence: u64, demand: RequestsPerSecond) -> OrganisationDemand {
+    OrganisationDemand {
+        organisation: "a".into(),
+        node: NodeId(node),
+        sequence,
+        requests_per_s: demand.0 as f32,
+    }
+}
+
+#[test]
+fn organisation_without_a_limit_has_none() {
+    let limits = Limits::default();
+    limits.replace(&config());
+    assert!(limits.get(&"a".into()).is_some());
+    assert!(limits.get(&"b".into()).is_none());
+}
+
+#[test]
+fn two_nodes_keep_one_limit_and_use_most_of_it() {
+    let nodes = [Limits::default(), Limits::default()];
+    for node in &nodes {
+        node.replace(&config());
+    }
+    let limits = nodes.each_ref().map(|it| it.get(&"a".into()).unwrap());
+    let mut taken = 0_u32;
+    let (from_ms, to_ms) = (20_000, 60_000);
+    for ms in 0..to_ms {
+        let now = Time::from_millis(ms);
+        // One node sees three times the demand of the other, four times the limit.
+        for (limit, every_ms) in limits.iter().zip([3, 10]) {
+            if ms % every_ms == 0 && limit.take(now).is_ok() && from_ms <= ms {
+                taken += 1;
+            }
+        }
+        if ms % 1000 == 0 {
+            for (idx, limit) in limits.iter().enumerate() {
+                let demand = limit.tick(Duration::from_secs(1), 2, now);
+                let news = told(idx as u64, ms, demand);
+                nodes[1 - idx].hear(&news, NodeId(1 - idx as u64), now);
+            }
+        }
+    }
+    let allowed = LIMIT_PER_S * f64::from(u32::try_from(to_ms - from_ms).unwrap()) / 1000.0;
+    let error = f64::from(taken) / allowed - 1.0;
+    assert!(error.abs() <= 0.05, "{error}");
+}
--- /dev/null
+++ b/crates/citrongw/src/caller/suspects.rs
@@ -0,0 +1,104 @@
+//! Requests suspected of crashing replicas, as this node knows them, and how it
+//! tells the others.
+
+use std::sync::{Arc, Mutex, PoisonError, atomic::Ordering};
+
+use arc_swap::ArcSwap;
+use citrongw_protocol::news::{News, RequestCleared, RequestSuspicion};
+use citrongw_state::{
+    id::Fingerprint,
+    suspicion::{Completions, DeathId, Evidence, Suspicions},
+    time::Time,
+};
+
+use super::fleet::Side;
+use crate::node::Shared;
+
+/// Suspects of one node.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    current: ArcSwap<Suspicions>,
+    change: Mutex<()>,
+    completions: Completions,
+}
+
+impl Suspects {
+    /// What is known now.
+    pub(super) fn current(&self) -> Arc<Suspicions> {
+        self.current.load_full()
+    }
+
+    /// Whether a request is suspected.
+    pub(super) fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+        self.current.load().is_suspected(fingerprint)
+    }
+
+    /// Takes in what another node told.
+    pub(super) fn hear(&self, told: &RequestSuspicion, now: Time) {
+        let death = DeathId { replica: told.replica, incarnation: told.incarnation };
+        let evidence = Evidence { fingerprint: told.fingerprint, death };
+        if !self.completions.is_recent(told.fingerprint, now) {
+            self.change(|it| {
+                it.add(evidence, now);
+            });
+        }
+    }
+
+    /// Takes in that a request succeeded somewhere.
+    pub(super) fn hear_cleared(&self, cleared: &RequestCleared, now: Time) {
+        self.change(|it| {
+            it.clear(cleared.fingerprint, now);
+        });
+    }
+
+    /// Drops what is too old to matter.
+    pub(super) fn forget(&self, now: Time) {
+        self.change(|it| it.forget(now));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Suspicions)) {
+        let _guard = self.change.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut next = Suspicions::clone(&self.current.load());
+        change(&mut next);
+        self.current.store(Arc::new(next));
+    }
+}
+
+/// Takes in that a request succeeded on this node.
+pub(super) fn add_success(shared: &Shared, fingerprint: Fingerprint) {
+    let (suspects, now) = (&shared.callers.suspects, shared.clock.now());
+    suspects.completions.add(fingerprint, now);
+    if suspects.current.load().is_suspected(fingerprint) {
+        let cleared = RequestCleared { fingerprint };
+        suspects.hear_cleared(&cleared, now);
+        shared.news.publish(News::Cleared(cleared));
+    }
+}
+
+/// Takes in that a replica died with `own`, and what else is on it, in flight.
+pub(super) fn add_death(shared: &Shared, side: &Side, own: Option<Fingerprint>) {
+    let (suspects, now) = (&shared.callers.suspects, shared.clock.now());
+    let is_first = !side.is_dead.swap(true, Ordering::Relaxed);
+    let mut blamed: Vec<Fingerprint> = own.into_iter().collect();
+    if is_first {
+        suspects.change(|it| it.add_death(side.entry.spec.id, now));
+        blamed.extend(side.fingerprints());
+        blamed.sort_unstable();
+        blamed.dedup();
+    }
+    let Some(first_member) = side.entry.spec.members.first() else { return };
+    let beside = u32::try_from(blamed.len().saturating_sub(1)).unwrap_or(u32::MAX);
+    for fingerprint in blamed {
+        if suspects.completions.is_recent(fingerprint, now) {
+            continue;
+        }
+        let told = RequestSuspicion {
+            fingerprint,
+            replica: side.entry.spec.id,
+            incarnation: first_member.incarnation,
+            beside,
+        };
+        suspects.hear(&told, now);
+        shared.news.publish(News::Suspicion(told));
+    }
+}
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -183,6 +183,7 @@
             shared.clock,
         ),
     ];
+    drivers.extend(caller::spawn(&shared));
     let tls = open_tls(&shared.settings)?;
     let options = ServerOptions {
         tls: tls.clone(),
--- a/crates/citrongw/tests/request_path/broken_streams.rs
+++ b/crates/citrongw/tests/request_path/broken_streams.rs
@@ -33,6 +33,7 @@
         StreamFault::Hang(HALF),
         StreamFault::Skip(0),
         StreamFault::Skip(HALF),
+        StreamFault::Skip(u64::from(TOKENS) - 1),
         StreamFault::Skip(u64::from(TOKENS)),
     ] {
         set_fault(&rig, fault);
--- a/crates/citrongw/tests/request_path/deadlines.rs
+++ b/crates/citrongw/tests/request_path/deadlines.rs
@@ -146,7 +146,11 @@
 
 #[tokio::test]
 async fn error_of_a_later_attempt_does_not_deny_an_earlier_one() {
-    let mut rig = rig::open(options(), |profile| profile.retries = 3).await;
+    let mut rig = rig::open(options(), |profile| {
+        profile.retries = 3;
+        profile.first_token_ms = 1_500;
+    })
+    .await;
     // The first attempt is lost midway; by then no engine can be reached.
     for engine in rig.heads() {
         engine.set_stream_fault(StreamFault::Hang(0));
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -44,6 +44,14 @@
         /// The replica that lost it.
         replica: ReplicaId,
     },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// A caller went away before its answer ended.
     #[display("request {request} was cancelled: its caller left")]
     CallerLeft {
@@ -146,6 +154,7 @@
                 Self::Routed { request, .. }
                 | Self::Resumed { request, .. }
                 | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
                 | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
@@ -160,6 +169,7 @@
                 Self::Routed { replica, .. }
                 | Self::Resumed { replica, .. }
                 | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
--- a/crates/state/src/concurrency.rs
+++ b/crates/state/src/concurrency.rs
@@ -2,7 +2,9 @@
 //!
 //! The limit follows the time to the first token: while it stays below the
 //! target the limit grows by one for each round of requests that used it up,
-//! and shrinks by a tenth, at most once a round, when it does not. How a node
+//! and shrinks by a tenth, at most once a round, when it does not. Until it has
+//! shrunk for the first time it grows by one for each request, so that long
+//! streams, of which few begin in a minute, don't wait before idle replicas. How a node
 //! drives it: one [`ConcurrencyLimit`] beside each replica's in-flight count;
 //! [`ConcurrencyLimit::get`] at selection as `own_limit`,
 //! [`ConcurrencyLimit::add`] at the first token or when a replica refuses.
@@ -71,7 +73,8 @@
         if f64::from(in_flight) < limit * USED_TO_GROW {
             return;
         }
-        self.store(limit + 1.0 / limit);
+        let has_shrunk = self.shrunk_at_ms.load(Ordering::Relaxed) != 0;
+        self.store(limit + if has_shrunk { 1.0 / limit } else { 1.0 });
     }
 
     fn shrink(&self, round: Duration, now: Time) {
--- a/crates/state/src/concurrency/tests.rs
+++ b/crates/state/src/concurrency/tests.rs
@@ -14,10 +14,21 @@
         limit.add(FAST, 1, TARGET, Time::START);
     }
     assert_eq!(limit.get(), start);
-    for _ in 0..start + 1 {
-        limit.add(FAST, start, TARGET, Time::START);
+    for grown in 1..=start {
+        limit.add(FAST, start + grown, TARGET, Time::START);
+        assert_eq!(limit.get(), start + grown);
     }
-    assert_eq!(limit.get(), start + 1);
+}
+
+#[test]
+fn grows_by_one_a_round_once_it_has_shrunk() {
+    let limit = ConcurrencyLimit::default();
+    limit.add(SLOW, limit.get(), TARGET, Time::from_millis(10));
+    let shrunk = limit.get();
+    for _ in 0..shrunk + 1 {
+        limit.add(FAST, shrunk, TARGET, Time::from_millis(10));
+    }
+    assert_eq!(limit.get(), shrunk + 1);
 }
 
 #[test]
