Find nodes, spread configuration, and say when a node may act on it

A node that is cut off must not act on an old configuration once a newer one is accepted, and no majority may be counted over what one node happens to see. The step function of membership probes, suspects and passes on what changed within a budget of bytes; what is held is confirmed by answered questions alone, so an age never looks younger than it is. A majority is counted over one record for each zone, and over the set before as well while a record changes. Nodes stop after five seconds without either proof, and a change counts as accepted two seconds after a majority holds it, which leaves three.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod args;
 pub mod report;
+pub mod spread;
--- /dev/null
+++ b/crates/bench/src/spread/service.rs
@@ -0,0 +1,113 @@
+//! Calls of nodes to the simulated service.
+
+use citrongw_coordination::{config::edit::Current, membership::Event};
+use citrongw_fakes::kv::core::KvCore;
+use citrongw_protocol::{
+    admin_config::{ChangeRecord, EditRequest},
+    config_record::{ConfigBody, ConfigValue, body_key},
+    node_record::{NODES_PREFIX, NodeRecord, VersionedNodeRecord, nodes_key},
+    record::CONFIG_KEY,
+    store::{Change, Entry, Expected, StoreError, Write, WriteResult},
+};
+use citrongw_state::{
+    id::{AvailabilityZone, Revision},
+    time::Time,
+};
+
+/// One call.
+#[derive(Debug)]
+pub(super) enum ServiceCall {
+    ReadHead { asked_at: Time },
+    ReadDocument { asked_at: Time },
+    ReadRecords,
+    WriteRecord { zone: AvailabilityZone, expected: Expected, record: NodeRecord },
+}
+
+/// Carries out a call, or fails it if the service is not reached.
+pub(super) fn carry_out(service: &mut KvCore, call: ServiceCall, reached: bool) -> Event {
+    let unless_cut = |reached: bool| if reached { Ok(()) } else { Err(StoreError::NoAnswer) };
+    let res = unless_cut(reached);
+    match call {
+        ServiceCall::ReadHead { asked_at } => {
+            let found = res.map(|()| head(service).map(|it| it.revision));
+            Event::HeadRead { asked_at, found }
+        }
+        ServiceCall::ReadDocument { asked_at } => {
+            let current = res.map(|()| read(service).map(Box::new));
+            Event::DocumentRead { asked_at, current }
+        }
+        ServiceCall::ReadRecords => Event::RecordsRead(res.map(|()| records(service))),
+        ServiceCall::WriteRecord { zone, expected, record } => {
+            Event::RecordWritten(res.map(|()| write_record(service, zone, expected, &record)))
+        }
+    }
+}
+
+fn head(service: &mut KvCore) -> Option<Entry> {
+    service.get(&CONFIG_KEY.into()).into_entry()
+}
+
+/// Document in the service.
+pub(super) fn read(service: &mut KvCore) -> Option<Current> {
+    let entry = head(service)?;
+    let ConfigValue::Head(head) = ConfigValue::parse(&entry.value).ok()? else { return None };
+    let body = service.get(&body_key(head.made.change)).into_entry()?;
+    let body: ConfigBody = serde_json::from_slice(&body.value).ok()?;
+    let made = ChangeRecord { revision: Some(entry.revision), ..head.made };
+    Some(Current {
+        revision: entry.revision,
+        made: Some(made),
+        config: body.config,
+        history: body.history,
+    })
+}
+
+/// Commits an edit. None on a conflict.
+pub(super) fn commit(
+    service: &mut KvCore,
+    current: Option<&Current>,
+    request: &EditRequest,
+) -> Option<Revision> {
+    let prepared = citrongw_coordination::config::edit::prepare(current, request);
+    service.compare_and_swap(prepared.body);
+    match service.compare_and_swap(prepared.head) {
+        WriteResult::Committed(revision) => Some(revision),
+        WriteResult::Conflict(_) => None,
+    }
+}
+
+/// Commits an edit over `base`, which need not be the version that it names.
+pub(super) fn commit_over(
+    service: &mut KvCore,
+    base: &Current,
+    request: &EditRequest,
+) -> Option<Revision> {
+    let mut prepared = citrongw_coordination::config::edit::prepare(Some(base), request);
+    prepared.head.expected = Expected::Revision(base.revision);
+    service.compare_and_swap(prepared.body);
+    match service.compare_and_swap(prepared.head) {
+        WriteResult::Committed(revision) => Some(revision),
+        WriteResult::Conflict(_) => None,
+    }
+}
+
+fn records(service: &mut KvCore) -> Vec<VersionedNodeRecord> {
+    let snapshot = service.list(&NODES_PREFIX.into());
+    snapshot.entries.iter().filter_map(VersionedNodeRecord::read).collect()
+}
+
+fn write_record(
+    service: &mut KvCore,
+    zone: AvailabilityZone,
+    expected: Expected,
+    record: &NodeRecord,
+) -> Option<VersionedNodeRecord> {
+    let change = Change::Put(record.write());
+    let write = Write { key: nodes_key(&zone), expected, change, lease: None };
+    match service.compare_and_swap(write) {
+        WriteResult::Committed(revision) => {
+            Some(VersionedNodeRecord { zone, revision, record: record.clone() })
+        }
+        WriteResult::Conflict(found) => found.as_ref().and_then(VersionedNodeRecord::read),
+    }
+}
--- a/crates/coordination/src/config/edit.rs
+++ b/crates/coordination/src/config/edit.rs
@@ -68,26 +68,13 @@
     if current.as_ref().map(|it| it.revision) != request.from {
         return conflict(current.as_ref(), held, &request);
     }
-    let made = ChangeRecord {
-        change: request.change,
-        operator: request.operator.clone(),
-        at_unix_ms: request.at_unix_ms,
-        from: request.from,
-        revision: None,
-    };
-    let history = current.as_ref().map(Current::chain).unwrap_or_default();
-    if let Err(reason) = put_body(store, &request, history.clone()).await {
+    let prepared = prepare(current.as_ref(), &request);
+    if let Err(reason) = put_body(store, prepared.body).await {
         return EditResult::NotMade { reason };
     }
-    let head = ConfigHead {
-        made,
-        digest: digest_text(&request.config),
-        replaces_lost: request.replaces_lost,
-    };
-    let expected = request.from.map_or(Expected::Absent, Expected::Revision);
-    match store.compare_and_swap(put(CONFIG_KEY.into(), expected, &head)).await {
+    match store.compare_and_swap(prepared.head).await {
         Ok(WriteResult::Committed(revision)) => {
-            remove_old_body(store, &history).await;
+            remove_old_body(store, &prepared.history).await;
             EditResult::Committed { revision }
         }
         Ok(WriteResult::Conflict(_)) | Err(StoreError::NoAnswer) => {
@@ -97,6 +84,38 @@
     }
 }
 
+/// Writes of one edit: the body first, then the head.
+#[derive(Debug, Clone)]
+pub struct Prepared {
+    /// Write of the body.
+    pub body: Write,
+    /// Write of the head, which commits the edit.
+    pub head: Write,
+    /// Changes before it, oldest first.
+    history: Vec<ChangeRecord>,
+}
+
+/// Prepares the writes of an edit of `current`.
+pub fn prepare(current: Option<&Current>, request: &EditRequest) -> Prepared {
+    let made = ChangeRecord {
+        change: request.change,
+        operator: request.operator.clone(),
+        at_unix_ms: request.at_unix_ms,
+        from: request.from,
+        replaces_lost: request.replaces_lost,
+        revision: None,
+    };
+    let history = current.map(Current::chain).unwrap_or_default();
+    let body = ConfigBody { config: request.config.clone(), history: history.clone() };
+    let head = ConfigHead { made, digest: digest_text(&request.config) };
+    let expected = request.from.map_or(Expected::Absent, Expected::Revision);
+    Prepared {
+        body: put(body_key(request.change), Expected::Absent, &body),
+        head: put(CONFIG_KEY.into(), expected, &head),
+        history,
+    }
+}
+
 /// Finds out what became of a swap that was not answered or not expected.
 async fn settle(
     store: &dyn Store,
@@ -178,13 +197,7 @@
     }
 }
 
-async fn put_body(
-    store: &dyn Store,
-    request: &EditRequest,
-    history: Vec<ChangeRecord>,
-) -> Result<(), String> {
-    let body = ConfigBody { config: request.config.clone(), history };
-    let write = put(body_key(request.change), Expected::Absent, &body);
+async fn put_body(store: &dyn Store, write: Write) -> Result<(), String> {
     if let Change::Put(value) = &write.change
         && MAX_VALUE_BYTES < value.len()
     {
--- a/crates/coordination/src/config/edit/tests.rs
+++ b/crates/coordination/src/config/edit/tests.rs
@@ -68,6 +68,6 @@
     assert_eq!(history.last().and_then(|it| it.revision), from);
     assert!(history.len() <= MAX_HISTORY + 1);
     assert!(history.windows(2).all(|it| it[0].revision < it[1].revision));
-    let bodies = store.inspect(|core| core.list(&"citrongw/config-body/".into()));
+    let bodies = store.inspect(|core| core.list(&"citrongw/body/".into()));
     assert!(bodies.entries.len() <= BODIES_KEPT + 1);
 }
--- a/crates/coordination/src/config/gate.rs
+++ b/crates/coordination/src/config/gate.rs
@@ -32,6 +32,11 @@
     /// Version of the service that lies behind the one in force, if it went
     /// back. The node holds its own and an operator must decide.
     pub went_back_to: Option<Revision>,
+    /// Whether the service holds a newer version that does not descend from the
+    /// one in force, so that a change was lost. An operator must decide.
+    pub forked: bool,
+    /// Latest accepted version.
+    pub accepted: Option<Revision>,
     /// Acceptance of the version in force.
     pub acceptance: Option<Acceptance>,
 }
@@ -61,8 +66,12 @@
     pub fn acceptance(&self, revision: Revision) -> Acceptance {
         let unknown =
             Acceptance { revision, accepted: false, holding: 0, recorded: 0, missing: Vec::new() };
-        match &self.status.load().acceptance {
-            Some(found) if revision <= found.revision => Acceptance { revision, ..found.clone() },
+        let status = self.status.load();
+        let accepted = Some(revision) <= status.accepted;
+        match &status.acceptance {
+            Some(found) if revision <= found.revision => {
+                Acceptance { revision, accepted, ..found.clone() }
+            }
             _ => unknown,
         }
     }
--- /dev/null
+++ b/crates/coordination/src/config/holders/tests.rs
@@ -0,0 +1,72 @@
+//! Cases of counting.
+
+use citrongw_protocol::node_record::NodeRecord;
+use citrongw_state::id::{AttemptId, Revision};
+
+use super::*;
+
+fn record(zone: &str, members: &[u64], before: Option<&[u64]>) -> VersionedNodeRecord {
+    let ids = |ids: &[u64]| ids.iter().copied().map(NodeId).collect();
+    VersionedNodeRecord {
+        zone: zone.into(),
+        revision: Revision(1),
+        record: NodeRecord {
+            attempt: AttemptId(0),
+            members: ids(members),
+            before: before.map(ids),
+        },
+    }
+}
+
+#[test]
+fn a_majority_of_both_sets_is_needed() {
+    type Case = (&'static [u64], Option<&'static [u64]>, &'static [u64], bool);
+    let cases: [Case; 7] = [
+        (&[1, 2, 3], None, &[1], false),
+        (&[1, 2, 3], None, &[1, 2], true),
+        (&[1, 2, 3, 4], None, &[1, 2], false),
+        // Two nodes were taken off: a majority of the five is still needed.
+        (&[1, 2, 3], Some(&[1, 2, 3, 4, 5]), &[1, 2], false),
+        (&[1, 2, 3], Some(&[1, 2, 3, 4, 5]), &[1, 2, 3], true),
+        // Four were added: those alone are a majority of the new set only.
+        (&[1, 2, 3, 4, 5, 6, 7], Some(&[1, 2, 3]), &[4, 5, 6, 7], false),
+        (&[], None, &[], false),
+    ];
+    for (members, before, holds, majority) in cases {
+        let records = [record("a", members, before)];
+        let mut table = HolderTable::default();
+        table.restart(records.iter(), &"a".into());
+        for node in holds {
+            table.add_node(NodeId(*node), Time::from_millis(10 * node));
+        }
+        assert_eq!(table.tally().majority, majority, "{members:?} {before:?} {holds:?}");
+        assert_eq!(table.majority_since().is_some(), majority);
+    }
+}
+
+#[test]
+fn zones_are_counted_once_each() {
+    let records = [record("a", &[1, 2, 3], None), record("b", &[4, 5, 6], None)];
+    let mut here = HolderTable::default();
+    here.restart(records.iter(), &"a".into());
+    here.add_node(NodeId(1), Time::from_millis(5000));
+    let mut there = HolderTable::default();
+    there.restart(records.iter(), &"b".into());
+    for node in [4, 5, 6] {
+        there.add_node(NodeId(node), Time::from_millis(5000));
+    }
+    let told = there.tell(Time::from_millis(5010), false);
+    for _ in 0..3 {
+        here.add(&told, Time::from_millis(5020));
+    }
+    let tally = here.tally();
+    assert_eq!((tally.holding, tally.recorded, tally.majority), (4, 6, true));
+    assert_eq!(tally.missing, [NodeId(2), NodeId(3)]);
+    // The age was rounded up, never down.
+    let since = here.majority_since().unwrap();
+    assert!(since <= Time::from_millis(5010));
+    // What is too old is not told.
+    let late = there.tell(Time::from_millis(20_000), true);
+    assert!(late.zones.is_empty());
+    assert!(late.own_zone.iter().all(|it| *it == HOLDER_UNKNOWN));
+}
--- /dev/null
+++ b/crates/coordination/src/config/holding.rs
@@ -0,0 +1,363 @@
+//! What a node holds (the configuration and the node records), and whether it
+//! may act on it.
+//!
+//! A node may take requests while either holds:
+//! - at a point in time no longer ago than [`BOUND`], the service had no newer
+//!   version than its own, as it read itself or heard from a peer;
+//! - a majority of the recorded nodes held exactly what it holds, at points in
+//!   time no longer ago than [`BOUND`].
+//!
+//! A change is accepted [`ACCEPT_WAIT`] after a majority was found to hold it.
+//! By the first rule a node that missed the change stops before `BOUND` has
+//! passed since the commit; by the second, before `BOUND` has passed since the
+//! majority, because two majorities share a node and no node goes back. Both
+//! lie within [`IN_FORCE`] of the acceptance.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use citrongw_protocol::{
+    admin_config::{Acceptance, MAX_MISSING_LISTED},
+    node_record::{NodeRecord, VersionedNodeRecord},
+    peer::{ConfigTransfer, FetchAnswer, FetchRequest, HeldToken, Holders, Standing},
+};
+use citrongw_state::{
+    id::{AttemptId, AvailabilityZone, NodeId, Revision},
+    time::Time,
+};
+
+use super::{
+    document::{self, Document, Offer},
+    edit::Current,
+    gate::ConfigStatus,
+    holders::HolderTable,
+};
+
+/// Age up to which a confirmation or a majority counts.
+pub const BOUND: Duration = Duration::from_secs(5);
+/// Time from acceptance within which a change is in force on every node that
+/// takes requests.
+pub const IN_FORCE: Duration = Duration::from_secs(3);
+/// Time from the majority to the acceptance.
+pub const ACCEPT_WAIT: Duration = Duration::from_secs(2);
+/// Time after a change for which a node goes on asking who holds it.
+const COLLECT_SPAN: Duration = Duration::from_secs(10);
+/// Reads in a row that find an older version before the service counts as gone
+/// back.
+const BACKWARD_READS: u32 = 3;
+
+/// Rules that a test may break.
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    /// See [`BOUND`].
+    pub bound: Duration,
+    /// See [`ACCEPT_WAIT`].
+    pub accept_wait: Duration,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self { bound: BOUND, accept_wait: ACCEPT_WAIT }
+    }
+}
+
+/// What one node holds.
+#[derive(Debug)]
+pub struct Holding {
+    node: NodeId,
+    zone: AvailabilityZone,
+    rules: Rules,
+    document: Option<Document>,
+    records: BTreeMap<AvailabilityZone, VersionedNodeRecord>,
+    token: HeldToken,
+    confirmed_at: Option<Time>,
+    holders: HolderTable,
+    majority_at: Option<Time>,
+    changed_at: Time,
+    accepted: Option<Revision>,
+    backward_reads: u32,
+    went_back_to: Option<Revision>,
+    forked: bool,
+}
+
+/// What a read of the configuration key calls for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadRead {
+    /// Nothing.
+    Known,
+    /// The document is newer: read it.
+    Newer,
+    /// The service lies behind what is held.
+    WentBack,
+}
+
+impl Holding {
+    /// Holds nothing yet.
+    pub fn new(node: NodeId, zone: AvailabilityZone, rules: Rules) -> Self {
+        Self {
+            node,
+            zone,
+            rules,
+            document: None,
+            records: BTreeMap::new(),
+            token: HeldToken::default(),
+            confirmed_at: None,
+            holders: HolderTable::default(),
+            majority_at: None,
+            changed_at: Time::START,
+            accepted: None,
+            backward_reads: 0,
+            went_back_to: None,
+            forked: false,
+        }
+    }
+
+    /// Document held.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Token of all that is held.
+    pub fn token(&self) -> HeldToken {
+        self.token
+    }
+
+    /// Record of the own zone.
+    pub fn own_record(&self) -> Option<&VersionedNodeRecord> {
+        self.records.get(&self.zone)
+    }
+
+    /// What to say in every message.
+    pub fn standing(&self, now: Time) -> Standing {
+        let age = self.confirmed_at.map(|at| now.since(at).as_millis() + 1);
+        Standing {
+            token: self.token,
+            confirmed_age_ms: age.and_then(|age| u16::try_from(age).ok()),
+            settled: self.is_settled(),
+        }
+    }
+
+    /// Takes in an answered standing, asked for at `asked_at`.
+    pub fn take_standing(&mut self, standing: &Standing, asked_at: Time) {
+        if standing.settled && standing.token == self.token && self.majority_at.is_none() {
+            self.majority_at = Some(asked_at);
+        }
+        let no_newer = standing.token.config <= self.token.config;
+        let Some(age_ms) = standing.confirmed_age_ms.filter(|_| no_newer) else { return };
+        self.confirm(asked_at - Duration::from_millis(age_ms.into()));
+    }
+
+    /// Takes in what an answering node that holds `token` knows of holders.
+    pub fn take_holders(
+        &mut self,
+        from: NodeId,
+        token: HeldToken,
+        holders: Option<&Holders>,
+        asked_at: Time,
+    ) {
+        if token != self.token {
+            return;
+        }
+        self.holders.add_node(from, asked_at);
+        if let Some(holders) = holders {
+            self.holders.add(holders, asked_at);
+        }
+    }
+
+    /// What to tell a node of the own zone, or of another.
+    pub fn tell_holders(&mut self, now: Time, same_zone: bool) -> Holders {
+        self.holders.add_node(self.node, now);
+        self.holders.tell(now, same_zone)
+    }
+
+    /// Whether messages should carry holders: something is not accepted yet, or
+    /// the service is silent.
+    pub fn wants_holders(&self, now: Time) -> bool {
+        let silent = self.confirmed_at.is_none_or(|at| self.rules.bound / 3 < now.since(at));
+        let recent = now.since(self.changed_at) < COLLECT_SPAN;
+        silent || !self.is_settled() || (recent && !self.holders.tally().missing.is_empty())
+    }
+
+    /// Whether a majority holds all that this node holds.
+    pub fn is_settled(&self) -> bool {
+        self.majority_at.is_some()
+    }
+
+    /// Takes in a read of the configuration key that was sent at `asked_at`.
+    pub fn take_head(&mut self, found: Option<Revision>, asked_at: Time) -> HeadRead {
+        let held = self.document.as_ref().map(|it| it.version.revision);
+        if found == held {
+            self.backward_reads = 0;
+            self.went_back_to = None;
+            self.confirm(asked_at);
+            return HeadRead::Known;
+        }
+        if held < found {
+            return HeadRead::Newer;
+        }
+        self.backward_reads += 1;
+        if self.backward_reads < BACKWARD_READS {
+            return HeadRead::Known;
+        }
+        self.went_back_to = Some(found.unwrap_or_default());
+        HeadRead::WentBack
+    }
+
+    /// Takes in the document read after a head that was asked for at `asked_at`.
+    pub fn take_current(&mut self, current: Current, asked_at: Time) -> Offer {
+        let revision = current.revision;
+        let offer = document::offer_read(&mut self.document, current);
+        self.after_offer(offer, asked_at);
+        if self.token.config == revision && self.document.is_some() {
+            self.confirm(asked_at);
+        }
+        offer
+    }
+
+    /// Takes in a document from a peer.
+    pub fn take_transfer(&mut self, transfer: &ConfigTransfer, now: Time) -> Offer {
+        let offer = document::offer(&mut self.document, transfer);
+        self.after_offer(offer, now);
+        offer
+    }
+
+    fn after_offer(&mut self, offer: Offer, now: Time) {
+        self.forked = match offer {
+            Offer::Applied => false,
+            Offer::Forked => true,
+            Offer::NotNewer | Offer::DoesNotFit => self.forked,
+        };
+        if offer == Offer::Applied {
+            self.went_back_to = None;
+            self.backward_reads = 0;
+            self.restart_count(now);
+        }
+    }
+
+    /// Takes in node records; older ones than those held change nothing.
+    pub fn take_records(
+        &mut self,
+        records: impl IntoIterator<Item = VersionedNodeRecord>,
+        now: Time,
+    ) {
+        let mut changed = false;
+        for record in records {
+            let held = self.records.get(&record.zone);
+            if held.is_none_or(|it| it.revision < record.revision) {
+                self.records.insert(record.zone.clone(), record);
+                changed = true;
+            }
+        }
+        if changed {
+            self.restart_count(now);
+        }
+    }
+
+    fn restart_count(&mut self, now: Time) {
+        let mut hasher = blake3::Hasher::new();
+        if let Some(document) = &self.document {
+            hasher.update(&document.version.digest.0);
+        }
+        for (zone, record) in &self.records {
+            hasher.update(zone.as_str().as_bytes());
+            hasher.update(&record.revision.0.to_le_bytes());
+        }
+        let mut digest = [0; 8];
+        hasher.finalize_xof().fill(&mut digest);
+        let config = self.document.as_ref().map_or(Revision(0), |it| it.version.revision);
+        self.token = HeldToken { config, digest: u64::from_le_bytes(digest) };
+        self.majority_at = None;
+        self.changed_at = now;
+        self.holders.restart(self.records.values(), &self.zone);
+    }
+
+    fn confirm(&mut self, at: Time) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Notes whether a majority holds the token by now, and accepts.
+    pub fn count(&mut self, now: Time) {
+        self.holders.add_node(self.node, now);
+        if self.majority_at.is_none() && self.holders.tally().majority {
+            self.majority_at = Some(now);
+        }
+        let waited = self.majority_at.is_some_and(|at| self.rules.accept_wait <= now.since(at));
+        if waited && self.document.is_some() {
+            self.accepted = self.accepted.max(Some(self.token.config));
+        }
+    }
+
+    /// Latest accepted version.
+    pub fn accepted(&self) -> Option<Revision> {
+        self.accepted
+    }
+
+    /// Until when the node may take requests; None if it must not.
+    pub fn serve_until(&self) -> Option<Time> {
+        self.document.as_ref()?;
+        self.confirmed_at.max(self.holders.majority_since()).map(|at| at + self.rules.bound)
+    }
+
+    /// Standing for the rest of the node.
+    pub fn status(&self) -> ConfigStatus {
+        ConfigStatus {
+            held: self.document.as_ref().map(|it| it.version.revision),
+            confirmed_at: self.confirmed_at,
+            went_back_to: self.went_back_to,
+            forked: self.forked,
+            accepted: self.accepted,
+            acceptance: self.acceptance(),
+        }
+    }
+
+    fn acceptance(&self) -> Option<Acceptance> {
+        let revision = self.document.as_ref()?.version.revision;
+        let tally = self.holders.tally();
+        let number = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let mut missing = tally.missing;
+        missing.truncate(MAX_MISSING_LISTED);
+        Some(Acceptance {
+            revision,
+            accepted: Some(revision) <= self.accepted,
+            holding: number(tally.holding),
+            recorded: number(tally.recorded),
+            missing,
+        })
+    }
+
+    /// Adds to a question what is held.
+    pub fn ask(&self, request: &mut FetchRequest) {
+        request.config = self.document.as_ref().map(|it| it.version);
+        let version = |it: &VersionedNodeRecord| (it.zone.clone(), it.revision);
+        request.records = self.records.values().map(version).collect();
+    }
+
+    /// Adds to an answer what the asker lacks.
+    pub fn answer(&self, request: &FetchRequest, answer: &mut FetchAnswer) {
+        answer.config = self.document.as_ref().and_then(|it| it.transfer_to(request.config));
+        let lacks = |it: &&VersionedNodeRecord| {
+            let theirs = request.records.iter().find(|(zone, _)| *zone == it.zone);
+            theirs.is_none_or(|(_, revision)| *revision < it.revision)
+        };
+        answer.records = self.records.values().filter(lacks).cloned().collect();
+    }
+
+    /// Record that the own zone should have, given its members as they are.
+    pub fn next_record(&self, members: BTreeSet<NodeId>, attempt: AttemptId) -> Option<NodeRecord> {
+        let Some(held) = self.own_record() else {
+            return Some(NodeRecord { attempt, members, before: None });
+        };
+        let record = &held.record;
+        let under_way = record.before.is_some();
+        if under_way && !self.is_settled() {
+            return None;
+        }
+        if members != record.members {
+            let before = Some(record.members.clone());
+            return Some(NodeRecord { attempt, members, before });
+        }
+        under_way.then_some(NodeRecord { attempt, members, before: None })
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod config_watch;
 pub mod decision_log;
+pub mod membership;
 pub mod news_board;
 pub mod node_view;
 pub mod replica_table;
--- /dev/null
+++ b/crates/coordination/src/membership/exchange.rs
@@ -0,0 +1,349 @@
+//! Questions, answers and what rides along.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use citrongw_protocol::peer::{
+    Ack, DemandSum, FetchRequest, Gossip, MAX_DATAGRAM_BYTES, MemberState, MemberUpdate, Message,
+    Ping, Stamp, Standing,
+};
+use citrongw_state::{id::NodeId, time::Time};
+
+use super::{Action, Membership, members::Merge};
+
+/// Time after the start for which a node introduces itself to all it asks.
+const INTRODUCTION: Duration = Duration::from_secs(10);
+/// Of so many later questions, one carries the introduction.
+const INTRODUCE_EVERY: u64 = 32;
+/// Time after which a question over TCP counts as lost.
+const FETCH_LOST: Duration = Duration::from_secs(6);
+/// Pause between two questions over TCP that found nothing.
+const FETCH_PAUSE: Duration = Duration::from_millis(200);
+/// Bytes of a datagram that are not its message: seal, UDP and IP headers.
+const AROUND_BYTES: usize = 41 + 28;
+/// Node whose id is not known.
+pub(super) const ANY_NODE: NodeId = NodeId(0);
+
+/// Question under way.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pending {
+    pub(super) target: NodeId,
+    pub(super) asked_at: Time,
+    pub(super) helped: bool,
+    pub(super) suspected: bool,
+}
+
+/// Questions of one node.
+#[derive(Debug)]
+pub(super) struct Exchanges {
+    pub(super) count: u64,
+    pub(super) pending: BTreeMap<Stamp, Pending>,
+    /// Questions asked for others, by the stamp of the own ping.
+    pub(super) relayed: BTreeMap<Stamp, (NodeId, Stamp)>,
+    started_at: Time,
+    fetch_at: Time,
+}
+
+impl Exchanges {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            count: 0,
+            pending: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+            started_at: now,
+            fetch_at: now,
+        }
+    }
+
+    pub(super) fn stamp(&self, now: Time) -> Stamp {
+        let mut stamp = Stamp(u64::try_from(now.0.as_micros()).unwrap_or(u64::MAX));
+        while self.pending.contains_key(&stamp) || self.relayed.contains_key(&stamp) {
+            stamp.0 += 1;
+        }
+        stamp
+    }
+}
+
+impl Membership {
+    pub(super) fn addr_of(&self, node: NodeId) -> Option<SocketAddr> {
+        let known = self.members.get(node).map(|it| it.update.addr);
+        known.or_else(|| self.strangers.get(&node).copied())
+    }
+
+    pub(super) fn ping(&mut self, target: NodeId, now: Time, actions: &mut Vec<Action>) {
+        let Some(addr) = self.addr_of(target) else { return };
+        let stamp = self.exchanges.stamp(now);
+        let pending = Pending { target, asked_at: now, helped: false, suspected: false };
+        self.exchanges.pending.insert(stamp, pending);
+        let demand = self.demand_for(target, now);
+        self.send_ping(addr, target, stamp, demand, now, actions);
+    }
+
+    pub(super) fn send_ping(
+        &mut self,
+        addr: SocketAddr,
+        to: NodeId,
+        stamp: Stamp,
+        demand: Vec<DemandSum>,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let young = now.since(self.exchanges.started_at) < INTRODUCTION;
+        let introduces = to == ANY_NODE || young || self.exchanges.count % INTRODUCE_EVERY == 0;
+        let message = Message::Ping(Ping {
+            stamp,
+            introduction: self.members.own().filter(|_| introduces).cloned(),
+            standing: self.holding.standing(now),
+            want_holders: self.holding.wants_holders(now),
+            demand,
+            gossip: Gossip::default(),
+        });
+        self.send(addr, to, message, actions);
+    }
+
+    /// Demand that goes with a question to `target`.
+    fn demand_for(&mut self, target: NodeId, now: Time) -> Vec<DemandSum> {
+        let above = self.above();
+        let second = self.exchanges.count % 4 < 2;
+        if second && (above == Some(target) || (above.is_none() && !self.is_inside(target))) {
+            return self.demand.subtree(now);
+        }
+        Vec::new()
+    }
+
+    fn is_inside(&self, node: NodeId) -> bool {
+        self.members.get(node).is_some_and(|it| it.update.zone == self.this.zone)
+    }
+
+    /// Takes in a message.
+    pub(super) fn receive(
+        &mut self,
+        from: NodeId,
+        addr: SocketAddr,
+        message: Message,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.members.get(from).is_none() {
+            self.strangers.insert(from, addr);
+        }
+        match message {
+            Message::Ping(ping) => self.take_ping(from, addr, &ping, now, actions),
+            Message::Ack(ack) => {
+                self.take_gossip(&ack.gossip, now, actions);
+                self.take_ack(from, &ack, actions, now);
+                self.compare(from, addr, &ack.standing, now, actions);
+            }
+            Message::PingRequest { stamp, target } => {
+                let Some(target_addr) = self.addr_of(target) else { return };
+                let own = self.exchanges.stamp(now);
+                self.exchanges.relayed.insert(own, (from, stamp));
+                self.send_ping(target_addr, target, own, Vec::new(), now, actions);
+            }
+            Message::Reached { echo, target } => {
+                let of_target = |it: &Pending| it.target == target;
+                if self.exchanges.pending.get(&echo).is_some_and(of_target) {
+                    self.exchanges.pending.remove(&echo);
+                }
+            }
+            Message::Push { standing, gossip } => {
+                self.take_gossip(&gossip, now, actions);
+                self.compare(from, addr, &standing, now, actions);
+            }
+        }
+    }
+
+    fn take_ping(
+        &mut self,
+        from: NodeId,
+        addr: SocketAddr,
+        ping: &Ping,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(update) = ping.introduction.as_ref().filter(|it| it.node == from) {
+            self.take_member(update, now, actions);
+        }
+        self.take_gossip(&ping.gossip, now, actions);
+        self.take_demand(from, &ping.demand, now);
+        self.compare(from, addr, &ping.standing, now, actions);
+        let ack = self.acknowledge(from, ping, now);
+        self.send(addr, from, Message::Ack(ack), actions);
+    }
+
+    fn acknowledge(&mut self, from: NodeId, ping: &Ping, now: Time) -> Ack {
+        let inside = self.is_inside(from);
+        // A node that is held for gone must hear of it to refute it.
+        let held = self.members.get(from).map(|it| &it.update);
+        let gone = held.filter(|it| MemberState::Suspect <= it.state).cloned();
+        Ack {
+            echo: ping.stamp,
+            holders: ping.want_holders.then(|| self.holding.tell_holders(now, inside)),
+            standing: self.holding.standing(now),
+            demand: self.demand_in_answer(from, ping, now),
+            gossip: Gossip { members: gone.into_iter().collect(), news: Vec::new() },
+        }
+    }
+
+    fn demand_in_answer(&mut self, from: NodeId, ping: &Ping, now: Time) -> Vec<DemandSum> {
+        if ping.demand.is_empty() {
+            return Vec::new();
+        }
+        let is_first = self.is_first_of_zone();
+        match self.is_inside(from) {
+            true => self.demand.overall(is_first, now),
+            false if is_first => self.demand.subtree(now),
+            false => Vec::new(),
+        }
+    }
+
+    fn take_ack(&mut self, from: NodeId, ack: &Ack, actions: &mut Vec<Action>, now: Time) {
+        if let Some((asker, echo)) = self.exchanges.relayed.remove(&ack.echo) {
+            if let Some(addr) = self.addr_of(asker) {
+                self.send(addr, asker, Message::Reached { echo, target: from }, actions);
+            }
+            return;
+        }
+        let Some(pending) = self.exchanges.pending.get(&ack.echo).copied() else { return };
+        if pending.target != from && pending.target != ANY_NODE {
+            return;
+        }
+        self.exchanges.pending.remove(&ack.echo);
+        let (asked_at, token) = (pending.asked_at, ack.standing.token);
+        self.holding.take_standing(&ack.standing, asked_at);
+        self.holding.take_holders(from, token, ack.holders.as_ref(), asked_at);
+        if ack.demand.is_empty() {
+            return;
+        }
+        match self.members.get(from).map(|it| it.update.zone.clone()) {
+            Some(zone) if zone == self.this.zone => self.demand.set_overall(&ack.demand, now),
+            Some(zone) => self.demand.add_zone(&zone, &ack.demand, now),
+            None => {}
+        }
+    }
+
+    fn take_demand(&mut self, from: NodeId, sums: &[DemandSum], now: Time) {
+        if sums.is_empty() {
+            return;
+        }
+        match self.members.get(from).map(|it| it.update.zone.clone()) {
+            Some(zone) if zone == self.this.zone => self.demand.add_below(from, sums, now),
+            Some(zone) => self.demand.add_zone(&zone, sums, now),
+            None => {}
+        }
+    }
+
+    fn take_gossip(&mut self, gossip: &Gossip, now: Time, actions: &mut Vec<Action>) {
+        for update in &gossip.members {
+            self.take_member(update, now, actions);
+        }
+        for news in &gossip.news {
+            self.take_news(news, now, actions);
+        }
+    }
+
+    pub(super) fn take_member(
+        &mut self,
+        update: &MemberUpdate,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.members.merge(update, now) {
+            Merge::Known => {}
+            Merge::Changed => {
+                self.strangers.remove(&update.node);
+                self.gossip.add_member(update.clone());
+                actions.push(Action::ViewChanged);
+            }
+            Merge::Refuted(refutation) => {
+                self.gossip.add_member(refutation);
+                self.push(now, actions);
+            }
+        }
+    }
+
+    /// Asks over TCP a node that holds something else, or is not known.
+    fn compare(
+        &mut self,
+        from: NodeId,
+        addr: SocketAddr,
+        standing: &Standing,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        let own = self.holding.token();
+        let stranger = self.members.get(from).is_none();
+        let ahead = own.config < standing.token.config;
+        let differs = own != standing.token && own.config <= standing.token.config;
+        let rested = self.exchanges.fetch_at <= now;
+        if ahead || (rested && (stranger || differs)) {
+            self.fetch(addr, now, actions);
+        }
+    }
+
+    pub(super) fn fetch(&mut self, addr: SocketAddr, now: Time, actions: &mut Vec<Action>) {
+        let under_way = self.fetching_since.is_some_and(|at| now.since(at) < FETCH_LOST);
+        if under_way || self.leaving {
+            return;
+        }
+        self.fetching_since = Some(now);
+        self.exchanges.fetch_at = now + FETCH_PAUSE;
+        let young = now.since(self.exchanges.started_at) < INTRODUCTION;
+        let mut request = FetchRequest {
+            config: None,
+            records: Vec::new(),
+            member_buckets: self.members.buckets(),
+            want_replicas: false,
+            want_news: young,
+        };
+        self.holding.ask(&mut request);
+        actions.push(Action::Fetch { addr, request: Box::new(request) });
+    }
+
+    /// Tells a few members at once.
+    pub(super) fn push(&mut self, now: Time, actions: &mut Vec<Action>) {
+        for target in self.push_targets() {
+            let Some(addr) = self.addr_of(target) else { continue };
+            let standing = self.holding.standing(now);
+            let message = Message::Push { standing, gossip: Gossip::default() };
+            self.send(addr, target, message, actions);
+        }
+    }
+
+    /// Tells a few members at once if something must not wait.
+    pub(super) fn push_urgent(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.gossip.is_urgent() && self.budget.may_push() {
+            self.push(now, actions);
+        }
+    }
+
+    /// Sends a message with as much gossip as the budget allows.
+    pub(super) fn send(
+        &mut self,
+        addr: SocketAddr,
+        to: NodeId,
+        mut message: Message,
+        actions: &mut Vec<Action>,
+    ) {
+        let bytes = size(&message) + AROUND_BYTES;
+        let urgent = self.gossip.is_urgent() && self.budget.may_push();
+        let left = if urgent { MAX_DATAGRAM_BYTES } else { self.budget.left() };
+        let room = left.saturating_sub(bytes).min(MAX_DATAGRAM_BYTES.saturating_sub(bytes));
+        let members = self.members.alive_count();
+        let mut passed_on = 0;
+        if let Message::Ping(Ping { gossip, .. })
+        | Message::Ack(Ack { gossip, .. })
+        | Message::Push { gossip, .. } = &mut message
+        {
+            let more = self.gossip.take(room, members);
+            passed_on = size(&more);
+            gossip.members.extend(more.members);
+            gossip.news.extend(more.news);
+        }
+        self.budget.spend(bytes + passed_on);
+        actions.push(Action::Send { addr, to, message: Box::new(message) });
+    }
+}
+
+fn size(message: &impl serde::Serialize) -> usize {
+    postcard::to_stdvec(message).map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len())
+}
--- /dev/null
+++ b/crates/coordination/src/membership/gossip.rs
@@ -0,0 +1,195 @@
+//! What waits to be passed on, and which of it goes first.
+//!
+//! Each item is sent a number of times that grows with the logarithm of the
+//! members, then forgotten. What a datagram has no room for waits: items of
+//! higher rank go first, among equals those sent least often.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use citrongw_protocol::{
+    news::News,
+    peer::{Gossip, MemberState, MemberUpdate},
+};
+use citrongw_state::{
+    id::{FabricDomainId, Fingerprint, Incarnation, InstanceId, NodeId, ReplicaId},
+    time::Time,
+};
+
+/// Times that an item is sent, for each binary digit of the number of members.
+const SENDS_PER_DIGIT: u32 = 2;
+/// Time for which news are known again.
+const KNOWN_FOR: Duration = Duration::from_secs(60);
+/// News remembered at most; beyond it, those that are known for longest go.
+const MAX_KNOWN: usize = 16 * 1024;
+/// News told to a node that joins, at most.
+const MAX_RECENT: usize = 256;
+/// Items that wait at most.
+const MAX_WAITING: usize = 4096;
+
+/// Rank of an item; the lower goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Urgent,
+    Liveness,
+    Joining,
+    Records,
+}
+
+/// What two items that stand for the same have in common.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Key {
+    Member(NodeId),
+    Leaving(InstanceId, Incarnation),
+    Suspicion(Fingerprint, ReplicaId, Incarnation),
+    Domain(FabricDomainId),
+}
+
+#[derive(Debug, Clone)]
+enum Content {
+    Member(MemberUpdate),
+    News(News),
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    rank: Rank,
+    sends: u32,
+    bytes: usize,
+    content: Content,
+}
+
+/// Queue of one node.
+#[derive(Debug, Default)]
+pub struct GossipQueue {
+    waiting: HashMap<Key, Item>,
+    known: HashMap<Key, (u64, Time)>,
+    recent: VecDeque<News>,
+}
+
+impl GossipQueue {
+    /// Adds a member; it takes the place of what was to be told of it.
+    pub fn add_member(&mut self, update: MemberUpdate) {
+        let rank = match update.state {
+            MemberState::Alive => Rank::Joining,
+            MemberState::Suspect | MemberState::Dead | MemberState::Left => Rank::Liveness,
+        };
+        self.add(Key::Member(update.node), rank, Content::Member(update));
+    }
+
+    /// Adds news. False if they were known.
+    pub fn add_news(&mut self, news: &News, now: Time) -> bool {
+        let (key, rank, sequence) = match news {
+            News::Leaving(it) => {
+                (Key::Leaving(it.instance.clone(), it.incarnation), Rank::Urgent, 0)
+            }
+            News::Suspicion(it) => {
+                (Key::Suspicion(it.fingerprint, it.replica, it.incarnation), Rank::Urgent, 0)
+            }
+            News::DomainChanged(it) => {
+                (Key::Domain(it.domain.clone()), Rank::Records, it.revision.0)
+            }
+            // Demand travels as sums, not item by item.
+            News::Demand(_) => return false,
+        };
+        if self.known.get(&key).is_some_and(|(known, _)| sequence <= *known) {
+            return false;
+        }
+        self.make_room(now);
+        self.known.insert(key.clone(), (sequence, now));
+        self.add(key, rank, Content::News(news.clone()));
+        self.recent.push_back(news.clone());
+        if MAX_RECENT < self.recent.len() {
+            self.recent.pop_front();
+        }
+        true
+    }
+
+    /// News for a node that joins.
+    pub fn recent(&self) -> Vec<News> {
+        self.recent.iter().cloned().collect()
+    }
+
+    fn add(&mut self, key: Key, rank: Rank, content: Content) {
+        let bytes = match &content {
+            Content::Member(update) => size(update),
+            Content::News(news) => size(news),
+        };
+        if MAX_WAITING <= self.waiting.len() {
+            let last = self.waiting.iter().max_by_key(|(_, it)| (it.rank, it.sends));
+            if let Some(last) = last.map(|(key, _)| key.clone()) {
+                self.waiting.remove(&last);
+            }
+        }
+        self.waiting.insert(key, Item { rank, sends: 0, bytes, content });
+    }
+
+    fn make_room(&mut self, now: Time) {
+        if self.known.len() < MAX_KNOWN {
+            return;
+        }
+        self.known.retain(|_, (_, at)| now.since(*at) < KNOWN_FOR);
+        if MAX_KNOWN <= self.known.len() {
+            let mut times: Vec<Time> = self.known.values().map(|(_, at)| *at).collect();
+            times.sort_unstable();
+            let median = times[times.len() / 2];
+            self.known.retain(|_, (_, at)| median < *at);
+        }
+    }
+
+    /// Whether something waits that must not wait for the next probe.
+    pub fn is_urgent(&self) -> bool {
+        self.waiting.values().any(|it| it.rank == Rank::Urgent && it.sends == 0)
+    }
+
+    /// Takes what fits into `room` bytes for one datagram among `members`.
+    pub fn take(&mut self, mut room: usize, members: usize) -> Gossip {
+        let mut gossip = Gossip::default();
+        if self.waiting.is_empty() {
+            return gossip;
+        }
+        let max_sends = max_sends(members);
+        let mut order: Vec<(Rank, u32, Key)> =
+            self.waiting.iter().map(|(key, it)| (it.rank, it.sends, key.clone())).collect();
+        order.sort_unstable_by_key(|(rank, sends, _)| (*rank, *sends));
+        for (_, _, key) in order {
+            let Some(item) = self.waiting.get_mut(&key) else { continue };
+            if room < item.bytes {
+                continue;
+            }
+            room -= item.bytes;
+            item.sends += 1;
+            match &item.content {
+                Content::Member(update) => gossip.members.push(update.clone()),
+                Content::News(news) => gossip.news.push(news.clone()),
+            }
+            if max_sends <= item.sends {
+                self.waiting.remove(&key);
+            }
+        }
+        gossip
+    }
+
+    /// Items that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+fn max_sends(members: usize) -> u32 {
+    SENDS_PER_DIGIT * (usize::BITS - members.leading_zeros() + 1)
+}
+
+fn size(item: &impl serde::Serialize) -> usize {
+    postcard::to_stdvec(item).map_or(usize::MAX, |bytes| bytes.len())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coordination/src/membership/gossip/tests.rs
@@ -0,0 +1,49 @@
+//! Cases of the queue.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use citrongw_protocol::news::LeavingInstance;
+
+use super::*;
+
+const ROOM: usize = 1000;
+
+fn leaving(name: &str) -> News {
+    News::Leaving(LeavingInstance { instance: name.into(), incarnation: Incarnation(1) })
+}
+
+fn member(id: u64, state: MemberState) -> MemberUpdate {
+    MemberUpdate {
+        node: NodeId(id),
+        zone: "a".into(),
+        region: "r".into(),
+        addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        incarnation: 0,
+        state,
+    }
+}
+
+#[test]
+fn urgent_news_go_first() {
+    let mut queue = GossipQueue::default();
+    queue.add_member(member(1, MemberState::Alive));
+    queue.add_member(member(2, MemberState::Dead));
+    assert!(queue.add_news(&leaving("one"), Time::START));
+    assert!(queue.is_urgent());
+    let room = size(&leaving("one")) + size(&member(1, MemberState::Dead));
+    let gossip = queue.take(room, 20);
+    assert_eq!(gossip.news, [leaving("one")]);
+    assert_eq!(gossip.members, [member(2, MemberState::Dead)]);
+    assert!(!queue.is_urgent());
+}
+
+#[test]
+fn each_item_is_sent_a_bounded_number_of_times() {
+    let mut queue = GossipQueue::default();
+    queue.add_news(&leaving("one"), Time::START);
+    let sends = (0..1000).take_while(|_| !queue.take(ROOM, 20).news.is_empty()).count();
+    assert_eq!(sends, max_sends(20) as usize);
+    assert!(!queue.add_news(&leaving("one"), Time::START));
+    assert!(queue.is_empty());
+    assert_eq!(max_sends(2500), 26);
+}
--- /dev/null
+++ b/crates/coordination/src/membership/targets.rs
@@ -0,0 +1,79 @@
+//! Whom a node asks next.
+//!
+//! The live members of a zone in order of id make a tree: the node at place `n`
+//! is below the one at `(n - 1) / FAN_OUT`. Views that differ for a moment only
+//! make a node ask another one.
+
+use citrongw_state::id::{AvailabilityZone, NodeId};
+use rand::{Rng, seq::IteratorRandom};
+
+use super::Membership;
+
+/// Nodes below one.
+const FAN_OUT: usize = 4;
+/// Of the first nodes of another zone, how many are asked by those of this.
+const FIRST_NODES: usize = 2;
+/// Members pushed to within the zone, and outside.
+const PUSH_INSIDE: usize = 3;
+
+impl Membership {
+    /// Place of this node in its zone.
+    pub(super) fn place(&self) -> usize {
+        let mut zone = self.members.zone(&self.this.zone);
+        zone.position(|it| it == self.this.id).unwrap_or(0)
+    }
+
+    /// Whether this node is the first of its zone.
+    pub(super) fn is_first_of_zone(&self) -> bool {
+        self.place() == 0
+    }
+
+    /// Node above this one, if any.
+    pub(super) fn above(&self) -> Option<NodeId> {
+        let place = self.place().checked_sub(1)? / FAN_OUT;
+        self.members.zone(&self.this.zone).nth(place)
+    }
+
+    /// Any other member of the zone.
+    pub(super) fn any_inside(&mut self) -> Option<NodeId> {
+        let this = self.this.id;
+        let others = self.members.zone(&self.this.zone).filter(|it| *it != this);
+        others.choose(&mut self.rng)
+    }
+
+    /// Any member of another zone.
+    pub(super) fn any_outside(&mut self) -> Option<NodeId> {
+        let zone = self.other_zone()?;
+        self.members.zone(&zone).choose(&mut self.rng)
+    }
+
+    /// One of the first members of another zone.
+    pub(super) fn first_outside(&mut self) -> Option<NodeId> {
+        let zone = self.other_zone()?;
+        self.members.zone(&zone).take(FIRST_NODES).choose(&mut self.rng)
+    }
+
+    fn other_zone(&mut self) -> Option<AvailabilityZone> {
+        let others = self.members.zones().filter(|it| **it != self.this.zone);
+        others.choose(&mut self.rng).cloned()
+    }
+
+    /// Any member that is held for gone, to find out whether it is back.
+    pub(super) fn any_gone(&mut self) -> Option<NodeId> {
+        self.members.gone().choose(&mut self.rng)
+    }
+
+    /// Members to be told something at once.
+    pub(super) fn push_targets(&mut self) -> Vec<NodeId> {
+        let this = self.this.id;
+        let inside = self.members.zone(&self.this.zone).filter(|it| *it != this);
+        let mut targets = inside.choose_multiple(&mut self.rng, PUSH_INSIDE);
+        targets.extend(self.any_outside());
+        targets
+    }
+
+    /// A number for what needs no better one.
+    pub(super) fn draw(&mut self) -> u128 {
+        self.rng.random()
+    }
+}
--- a/crates/protocol/src/admin_config.rs
+++ b/crates/protocol/src/admin_config.rs
@@ -87,6 +87,9 @@
     pub at_unix_ms: u64,
     /// Version that it was made from.
     pub from: Option<Revision>,
+    /// Latest version that the service lost and that this change replaces.
+    #[serde(default)]
+    pub replaces_lost: Option<Revision>,
     /// Version that it became. None in the record of the change itself, which
     /// is written before the version is known.
     pub revision: Option<Revision>,
--- a/crates/protocol/src/config_record.rs
+++ b/crates/protocol/src/config_record.rs
@@ -4,16 +4,13 @@
 //! nodes read the head alone, often; a body is read once. A document that an
 //! operator put there by hand, without head, is taken as it is.
 
-use citrongw_state::{
-    config::Config,
-    id::{ChangeId, Revision},
-};
+use citrongw_state::{config::Config, id::ChangeId};
 use serde::{Deserialize, Serialize};
 
 use crate::{admin_config::ChangeRecord, store::Key};
 
 /// Prefix of the bodies.
-pub const BODY_PREFIX: &str = "citrongw/config-body/";
+pub const BODY_PREFIX: &str = "citrongw/body/";
 /// Changes that the history keeps.
 pub const MAX_HISTORY: usize = 64;
 
@@ -41,9 +38,6 @@
     pub made: ChangeRecord,
     /// Digest of the document, in hexadecimal.
     pub digest: String,
-    /// Version that the service lost and that this one replaces.
-    #[serde(default)]
-    pub replaces_lost: Option<Revision>,
 }
 
 /// Document with its history.
--- a/crates/protocol/src/config_record/tests.rs
+++ b/crates/protocol/src/config_record/tests.rs
@@ -1,5 +1,7 @@
 //! Cases of the stored form.
 
+use citrongw_state::id::Revision;
+
 use super::*;
 
 #[test]
@@ -17,10 +19,11 @@
         operator: "maria".into(),
         at_unix_ms: 1,
         from: Some(Revision(3)),
+        replaces_lost: None,
         revision: None,
     };
     let digest = digest_text(&Config::default());
-    let head = ConfigHead { made, digest, replaces_lost: None };
+    let head = ConfigHead { made, digest };
     assert!(head.fits(&Config::default()));
     let value = ConfigValue::parse(&serde_json::to_vec(&head).unwrap()).unwrap();
     assert_eq!(value, ConfigValue::Head(head));
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use citrongw_state::id::{ReplicaId, RequestId};
+use citrongw_state::id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,50 @@
         /// The code.
         code: ResultCode,
     },
+    /// A configuration was put in force.
+    #[display("configuration version {revision} is in force")]
+    ConfigInForce {
+        /// Its version.
+        revision: Revision,
+    },
+    /// The key-value service holds an older configuration than this node.
+    #[display(
+        "the key-value service went back to configuration version {found}; version {held} stays \
+         in force until an operator decides"
+    )]
+    ConfigWentBack {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// The key-value service holds a configuration that lacks a change.
+    #[display(
+        "configuration version {found} does not descend from version {held}, which stays in force \
+         until an operator decides"
+    )]
+    ConfigForked {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// A node is held for dead.
+    #[display("node {node} is held for dead: it did not answer, and did not refute")]
+    NodeDied {
+        /// The node.
+        node: NodeId,
+    },
+    /// The nodes of this node's zone were recorded.
+    #[display("record of zone {zone} names {members} nodes, as version {revision}")]
+    NodesRecorded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Nodes in the record.
+        members: usize,
+        /// Its version.
+        revision: Revision,
+    },
 }
 
 /// Decision with its time.
@@ -58,7 +102,15 @@
                 Subject::Request(id),
             ) => *request == id,
             (Self::Routed { replica, .. }, Subject::Replica(id)) => *replica == id,
-            (Self::Refused { .. }, Subject::Replica(_)) => false,
+            (Self::Refused { .. }, Subject::Replica(_))
+            | (
+                Self::ConfigInForce { .. }
+                | Self::ConfigWentBack { .. }
+                | Self::ConfigForked { .. }
+                | Self::NodeDied { .. }
+                | Self::NodesRecorded { .. },
+                _,
+            ) => false,
         }
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod engine;
 pub mod instance_list;
 pub mod news;
+pub mod node_record;
+pub mod peer;
 pub mod record;
 pub mod store;
 pub mod weight_store;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,10 +1,14 @@
-//! Endpoints: HTTP serving, the HTTP client pool, and clients for the
-//! platform and the engines.
+//! Endpoints: HTTP serving, the HTTP client pool, clients for the platform and
+//! the engines, and UDP and TCP between nodes.
 
 pub mod engine_client;
 pub mod event_stream;
 pub mod http_client;
 pub mod http_server;
 pub mod instance_list_client;
+pub mod peer_auth;
+pub mod peer_counters;
+pub mod peer_tcp;
+pub mod peer_udp;
 pub mod store_client;
 pub mod weight_store_client;
