--- a/crates/citrongw/src/cmd/demo.rs
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -19,7 +19,9 @@
     let addr = demo.node.caller_addr();
     println!("citrongw is serving on http://{addr}; try:");
     println!("{}", demo::curl_line(addr));
-    run::stop_signal().await?;
+    let admin_addr = demo.node.admin_addr();
+    println!("citrongwctl --node {admin_addr} --token {} status", demo::DEMO_TOKEN);
+    run::wait_for_stop(demo.node.shared()).await?;
     demo.node.stop().await;
     Ok(())
 }
--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -1,11 +1,16 @@
 //! `citrongw run`.
 
+use std::{io::Write, sync::Arc};
+
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
+    admin,
     cmd::args,
     error::{Result, could_not},
-    log, node, settings,
+    log,
+    node::{self, Shared},
+    settings,
 };
 
 /// Runs a node until it is told to stop.
@@ -13,14 +18,45 @@
     let settings = settings::open(&args.config)?;
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
-    println!("callers on {}", node.caller_addr());
-    stop_signal().await?;
-    node.stop().await;
+    say(format_args!("callers on {}", node.caller_addr()));
+    say(format_args!("operators on {}", node.admin_addr()));
+    let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
+    wait_for_stop(node.shared()).await?;
+    dumper.abort();
+    say(format_args!("stopping; a second signal ends sooner"));
+    node.stop_until(async {
+        if stop_signal().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    })
+    .await;
     Ok(())
 }
 
-/// Waits for the signal that asks for the planned stop.
-pub(super) async fn stop_signal() -> Result<()> {
+/// Prints a line; nobody may be listening.
+fn say(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+/// Logs the state of the node on each SIGUSR1.
+async fn dump_on_signal(shared: Arc<Shared>) {
+    let Ok(mut signals) = signal(SignalKind::user_defined1()) else { return };
+    while signals.recv().await.is_some() {
+        let dump = serde_json::to_string(&admin::dump(&shared)).unwrap_or_default();
+        tracing::info!(dump, "state dump");
+    }
+}
+
+/// Waits until a signal or an operator asks for the planned stop.
+pub(super) async fn wait_for_stop(shared: &Shared) -> Result<()> {
+    tokio::select! {
+        res = stop_signal() => res,
+        () = shared.stop_asked.notified() => Ok(()),
+    }
+}
+
+/// Waits for a signal that asks for the end.
+async fn stop_signal() -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
     let mut term = signal(SignalKind::terminate()).map_err(cause)?;
     tokio::select! {
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -22,7 +22,7 @@
     id::{Epoch, FabricDomainId, Incarnation, ReplicaId},
     replica::{Member, ReplicaSpec},
 };
-use citrongw_transport::http_server::HttpServer;
+use citrongw_transport::http_server::{DEFAULT_MAX_CONNECTIONS, HttpServer};
 
 use crate::{
     error::{Result, could_not},
@@ -32,6 +32,8 @@
 
 /// API key of the demo.
 pub const DEMO_KEY: &str = "demo-key";
+/// Operator's token of the demo.
+pub const DEMO_TOKEN: &str = "demo-token";
 /// Configuration of the demo.
 const DEMO_CONFIG: &str = include_str!("../../../contrib/demo-config.json");
 /// Any free port of this machine.
@@ -90,12 +92,18 @@
         caller_addr: listen,
         peer_addr: ANY_PORT,
         admin_addr: ANY_PORT,
+        first_token_digest: Some(KeyDigest::of(DEMO_TOKEN)),
         store_addr: surroundings.store_addr,
         store_timeout: Duration::from_secs(1),
         instance_list_addr: surroundings.platform_addr,
         weight_store_addr: surroundings.platform_addr,
         report_freshness: Duration::from_secs(2),
         balancer_lag: Duration::ZERO,
+        max_connections: DEFAULT_MAX_CONNECTIONS,
+        body_timeout: Duration::from_secs(10),
+        tls: None,
+        seeds: Vec::new(),
+        peer_secrets: Vec::new(),
         log_level: "info".to_owned(),
     }
 }
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -11,31 +11,49 @@
 
 use citrongw_coordination::{
     clock::{self, Clock},
-    config_watch::{self, ConfigCell},
+    config::{ConfigCell, gate::ConfigGate},
     decision_log::{self, DecisionLog},
+    hand_over::HandOver,
     news_board::{self, NewsBoard},
     node_view::{self, NodeInfo, NodeView},
     replica_table::ReplicaTable,
     replica_watch,
+    store_guard::{self, StoreCounters},
 };
-use citrongw_protocol::{engine::Engine, store::Store};
+use citrongw_protocol::{engine::Engine, news::News, store::Store};
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
-    http_server::{self, HttpServer},
+    http_server::{self, HttpServer, ServerOptions},
+    peer_counters::PeerCounters,
     store_client,
+    tls::{self, TlsCell},
+};
+use tokio::{
+    sync::{Notify, broadcast::error::RecvError, watch},
+    task::JoinHandle,
 };
-use tokio::task::JoinHandle;
 
 use crate::{
-    caller,
+    admin,
+    caller::{
+        self, Callers,
+        service::{self, ServiceClients},
+    },
     error::{Result, could_not},
+    metrics::{self, Metrics},
+    peers::{self, RunningPeers},
     settings::Settings,
 };
 
 /// Longest time for a call to an engine that is not a stream.
 const ENGINE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause between two looks at the certificates.
+const CERTIFICATE_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest time for the last answers of a node that ends at once.
+const END_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// What the parts of a node share.
 pub struct Shared {
     /// The node.
@@ -46,6 +64,8 @@
     pub clock: Clock,
     /// Configuration in force.
     pub config: Arc<ConfigCell>,
+    /// Whether the configuration may be acted on.
+    pub gate: Arc<ConfigGate>,
     /// News of this node and its peers.
     pub news: Arc<NewsBoard>,
     /// Live nodes.
@@ -54,18 +74,36 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Metrics of this node.
+    pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
+    /// Counters of the calls to it.
+    pub store_counters: Arc<StoreCounters>,
+    /// Counters of the traffic between nodes.
+    pub peer_counters: Arc<PeerCounters>,
+    /// What the node gives up before it ends.
+    pub hand_over: HandOver,
+    /// Clients of the plain services.
+    pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
+    /// Told when an operator asks for the planned stop.
+    pub stop_asked: Notify,
+    /// What the requests of callers share.
+    pub callers: Callers,
     /// Whether the node refuses new work because it stops.
     pub stopping: AtomicBool,
+    /// Whether the node ends without waiting for what is in flight.
+    pub ended_tx: watch::Sender<bool>,
 }
 
 /// Running node.
 pub struct Node {
     shared: Arc<Shared>,
     server: HttpServer,
+    admin_server: HttpServer,
+    peers: RunningPeers,
     drivers: Vec<JoinHandle<()>>,
 }
 
@@ -75,6 +113,16 @@
         self.server.local_addr()
     }
 
+    /// Address for operators.
+    pub fn admin_addr(&self) -> SocketAddr {
+        self.admin_server.local_addr()
+    }
+
+    /// Address for other nodes.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.shared.nodes.this().peer_addr
+    }
+
     /// What its parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -83,9 +131,31 @@
     /// Refuses new work, lets the balancer see it, finishes all that is in
     /// flight, and ends.
     pub async fn stop(self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
-        tokio::time::sleep(self.shared.settings.balancer_lag).await;
-        self.server.stop().await;
+        self.stop_until(std::future::pending()).await;
+    }
+
+    /// Stops; once `sooner` is done it ends what is still in flight, and tells
+    /// each caller its outcome.
+    pub async fn stop_until(self, sooner: impl Future<Output = ()>) {
+        let shared = Arc::clone(&self.shared);
+        shared.stopping.store(true, Ordering::Relaxed);
+        let finish = async {
+            tokio::time::sleep(shared.settings.balancer_lag).await;
+            self.server.stop().await;
+        };
+        tokio::pin!(finish);
+        tokio::select! {
+            () = &mut finish => {}
+            () = sooner => {
+                shared.ended_tx.send_replace(true);
+                if tokio::time::timeout(END_TIMEOUT, finish).await.is_err() {
+                    tracing::warn!("ended while callers were still reading");
+                }
+            }
+        }
+        shared.hand_over.run().await;
+        self.peers.leave().await;
+        self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
         }
@@ -94,32 +164,47 @@
 
 /// Spawns a node.
 pub async fn spawn(settings: Settings) -> Result<Node> {
-    let store: Arc<dyn Store> =
-        Arc::new(store_client::open(settings.store_addr, settings.store_timeout));
     let engine: Arc<dyn Engine> = Arc::new(engine_client::open(ENGINE_CALL_TIMEOUT));
     let clock = clock::open();
     let node = NodeId(rand::random());
+    let peer_counters = Arc::default();
+    let endpoint = peers::bind(&settings, node, Arc::clone(&peer_counters)).await?;
     let this = NodeInfo {
         id: node,
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        peer_addr: settings.peer_addr,
+        peer_addr: endpoint.local_addr(),
     };
+    let nodes = Arc::new(node_view::open(this));
+    let client = store_client::open(settings.store_addr, settings.store_timeout);
+    let guard = store_guard::open(Arc::new(client), clock, Arc::clone(&nodes));
+    let store_counters = guard.counters();
+    let store: Arc<dyn Store> = Arc::new(guard);
     let shared = Arc::new(Shared {
         node,
         clock,
         news: Arc::new(news_board::open()),
-        nodes: Arc::new(node_view::open(this)),
+        nodes,
+        gate: Arc::default(),
+        store_counters,
+        peer_counters,
+        hand_over: HandOver::default(),
         decisions: Arc::new(decision_log::open(clock)),
         config: Arc::default(),
         replicas: Arc::default(),
         store,
+        services: service::open(),
         engine,
+        metrics: metrics::open(),
+        stop_asked: Notify::new(),
+        callers: Callers::default(),
         stopping: AtomicBool::new(false),
+        ended_tx: watch::channel(false).0,
         settings,
     });
-    let drivers = vec![
-        config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
+    let peers = endpoint.spawn(&shared).await?;
+    let mut drivers = vec![
+        spawn_stop_watch(&shared),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
             Arc::clone(&shared.engine),
@@ -127,9 +212,42 @@
             shared.clock,
         ),
     ];
+    let tls = open_tls(&shared.settings)?;
+    let options = ServerOptions {
+        tls: tls.clone(),
+        max_connections: shared.settings.max_connections,
+        ..ServerOptions::default()
+    };
     let addr = shared.settings.caller_addr;
-    let server = http_server::bind(addr, caller::router(&shared))
+    let server = http_server::bind_with(addr, caller::router(&shared), options)
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
-    Ok(Node { shared, server, drivers })
+    let addr = shared.settings.admin_addr;
+    let options = ServerOptions { tls: tls.clone(), ..ServerOptions::default() };
+    let admin_server = http_server::bind_with(addr, admin::router(&shared), options)
+        .await
+        .map_err(|error| could_not("listen for operators", addr, error))?;
+    drivers.extend(tls.map(|it| tls::spawn(it, CERTIFICATE_INTERVAL)));
+    Ok(Node { shared, server, admin_server, peers, drivers })
+}
+
+/// Spawns the driver that hears when an operator asks this node to stop.
+fn spawn_stop_watch(shared: &Arc<Shared>) -> JoinHandle<()> {
+    let shared = Arc::clone(shared);
+    let mut news_rx = shared.news.subscribe();
+    tokio::spawn(async move {
+        loop {
+            match news_rx.recv().await {
+                Ok(News::StopNode(node)) if node == shared.node => shared.stop_asked.notify_one(),
+                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    })
+}
+
+fn open_tls(settings: &Settings) -> Result<Option<Arc<TlsCell>>> {
+    let Some(files) = settings.tls.clone() else { return Ok(None) };
+    let cell = tls::open(files).map_err(|error| could_not("read certificates", "[tls]", error))?;
+    Ok(Some(Arc::new(cell)))
 }
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -11,6 +11,7 @@
 
 pub mod budget;
 pub mod demand;
+pub mod driver;
 mod exchange;
 pub mod gossip;
 pub mod members;
--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -44,7 +44,9 @@
     Member(NodeId),
     Leaving(InstanceId, Incarnation),
     Suspicion(Fingerprint, ReplicaId, Incarnation),
+    Cleared(Fingerprint),
     Domain(FabricDomainId),
+    Stop(NodeId),
 }
 
 #[derive(Debug, Clone)]
@@ -88,13 +90,15 @@
             News::Suspicion(it) => {
                 (Key::Suspicion(it.fingerprint, it.replica, it.incarnation), Rank::Urgent, 0)
             }
+            News::Cleared(it) => (Key::Cleared(it.fingerprint), Rank::Urgent, 0),
+            News::StopNode(node) => (Key::Stop(*node), Rank::Urgent, 0),
             News::DomainChanged(it) => {
                 (Key::Domain(it.domain.clone()), Rank::Records, it.revision.0)
             }
             // Demand travels as sums, not item by item.
             News::Demand(_) => return false,
         };
-        if self.known.get(&key).is_some_and(|(known, _)| sequence <= *known) {
+        if self.is_known(&key, sequence, now) {
             return false;
         }
         self.make_room(now);
@@ -126,6 +130,16 @@
         self.waiting.insert(key, Item { rank, sends: 0, bytes, content });
     }
 
+    /// Whether the same was heard before; what carries no sequence may be said
+    /// again after a while.
+    fn is_known(&self, key: &Key, sequence: u64, now: Time) -> bool {
+        let Some((known, at)) = self.known.get(key) else { return false };
+        match sequence {
+            0 => now.since(*at) < KNOWN_FOR,
+            _ => sequence <= *known,
+        }
+    }
+
     fn make_room(&mut self, now: Time) {
         if self.known.len() < MAX_KNOWN {
             return;
--- a/crates/coordination/src/membership/store_duty.rs
+++ b/crates/coordination/src/membership/store_duty.rs
@@ -9,7 +9,7 @@
 
 use citrongw_protocol::{
     decision::Decision,
-    node_record::VersionedNodeRecord,
+    node_record::{NodeRecord, VersionedNodeRecord},
     peer::MemberState,
     store::{Expected, StoreResult},
 };
@@ -102,6 +102,21 @@
         }
     }
 
+    /// Whether this node is one of those that read the service.
+    pub fn reads_service(&self) -> bool {
+        self.place() < READERS
+    }
+
+    /// Record of the zone without this node, and what must stand there.
+    pub fn record_without_this(&mut self) -> Option<(Expected, NodeRecord)> {
+        let held = self.holding.own_record()?;
+        let expected = Expected::Revision(held.revision);
+        let mut members = held.record.members.clone();
+        members.remove(&self.this.id);
+        let attempt = AttemptId(self.draw());
+        Some((expected, self.holding.next_record(members, attempt)?))
+    }
+
     fn write_record(&mut self, now: Time, actions: &mut Vec<Action>) {
         let attempt = AttemptId(self.draw());
         let members = self.record_members(now);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,8 +4,10 @@
 //! The traits here are all that decisions and drivers know of the platform and
 //! of the engines; `transport` holds the clients behind them.
 
+pub mod admin;
 pub mod admin_config;
 pub mod caller;
+pub mod claim;
 pub mod code;
 pub mod config_delta;
 pub mod config_record;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod peer_tcp;
 pub mod peer_udp;
 pub mod store_client;
+pub mod tls;
 pub mod weight_store_client;
--- a/crates/transport/src/peer_auth.rs
+++ b/crates/transport/src/peer_auth.rs
@@ -44,6 +44,11 @@
     (!keys.is_empty()).then_some(PeerKeys { keys })
 }
 
+/// Draws a key that nobody else has.
+pub fn random_key() -> PeerKeys {
+    PeerKeys { keys: vec![rand::random()] }
+}
+
 impl PeerKeys {
     /// Digest by the key that signs.
     pub fn sign(&self, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
--- a/crates/transport/src/peer_tcp.rs
+++ b/crates/transport/src/peer_tcp.rs
@@ -82,14 +82,13 @@
     }
 }
 
-/// Listens on `addr` and answers questions.
-pub async fn bind(
-    addr: SocketAddr,
+/// Answers questions that come to `listener`.
+pub fn serve(
+    listener: TcpListener,
     keys: PeerKeys,
     answerer: Answerer,
     counters: Arc<PeerCounters>,
 ) -> io::Result<PeerTcp> {
-    let listener = TcpListener::bind(addr).await?;
     let local_addr = listener.local_addr()?;
     let task = tokio::spawn(accept(listener, keys, answerer, counters));
     Ok(PeerTcp { local_addr, task })
--- a/crates/transport/src/peer_udp.rs
+++ b/crates/transport/src/peer_udp.rs
@@ -35,8 +35,6 @@
     pub from: NodeId,
     /// Address that it came from.
     pub addr: SocketAddr,
-    /// Whether it named this node as its receiver.
-    pub direct: bool,
     /// The message.
     pub message: Message,
 }
@@ -102,7 +100,11 @@
         let mut sealer = self.sealer();
         let opened = sealer.open(sealed)?;
         let message = postcard::from_bytes(opened.body).map_err(|_| Rejected::Malformed)?;
-        Ok(Received { from: opened.from, addr, direct: opened.direct, message })
+        // Only who looks for nodes may not know whom it asks.
+        if !opened.direct && !matches!(message, Message::Ping(_)) {
+            return Err(Rejected::Misdirected);
+        }
+        Ok(Received { from: opened.from, addr, message })
     }
 
     fn sealer(&self) -> std::sync::MutexGuard<'_, Sealer> {
