--- a/crates/citrongw/src/caller/auth.rs
+++ b/crates/citrongw/src/caller/auth.rs
@@ -13,6 +13,9 @@
     if shared.stopping.load(Ordering::Relaxed) {
         return Err(ResultCode::Stopping);
     }
+    if !shared.gate.may_serve(shared.clock.now()) {
+        return Err(ResultCode::NotConfirmed);
+    }
     let config = shared.config.load();
     let config = config.as_ref().ok_or(ResultCode::NotConfirmed)?;
     let value = req.headers().get(header::AUTHORIZATION).ok_or(ResultCode::Unauthorised)?;
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -105,6 +105,8 @@
         max_connections: DEFAULT_MAX_CONNECTIONS,
         body_timeout: Duration::from_secs(10),
         tls: None,
+        seeds: Vec::new(),
+        peer_secrets: Vec::new(),
         log_level: "info".to_owned(),
     }
 }
--- a/crates/citrongw/src/lib.rs
+++ b/crates/citrongw/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod settings;
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -11,18 +11,21 @@
 
 use citrongw_coordination::{
     clock::{self, Clock},
-    config_watch::{self, ConfigCell},
+    config::{ConfigCell, gate::ConfigGate},
     decision_log::{self, DecisionLog},
+    hand_over::HandOver,
     news_board::{self, NewsBoard},
     node_view::{self, NodeInfo, NodeView},
     replica_table::ReplicaTable,
     replica_watch,
+    store_guard::{self, StoreCounters},
 };
 use citrongw_protocol::{engine::Engine, news::News, store::Store};
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
     http_server::{self, HttpServer, ServerOptions},
+    peer_counters::PeerCounters,
     store_client,
     tls::{self, TlsCell},
 };
@@ -39,6 +42,7 @@
     },
     error::{Result, could_not},
     metrics::{self, Metrics},
+    peers::{self, RunningPeers},
     settings::Settings,
 };
 
@@ -60,6 +64,8 @@
     pub clock: Clock,
     /// Configuration in force.
     pub config: Arc<ConfigCell>,
+    /// Whether the configuration may be acted on.
+    pub gate: Arc<ConfigGate>,
     /// News of this node and its peers.
     pub news: Arc<NewsBoard>,
     /// Live nodes.
@@ -72,6 +78,12 @@
     pub metrics: Metrics,
     /// Client of the key-value service.
     pub store: Arc<dyn Store>,
+    /// Counters of the calls to it.
+    pub store_counters: Arc<StoreCounters>,
+    /// Counters of the traffic between nodes.
+    pub peer_counters: Arc<PeerCounters>,
+    /// What the node gives up before it ends.
+    pub hand_over: HandOver,
     /// Clients of the plain services.
     pub services: ServiceClients,
     /// Client of the engines.
@@ -91,6 +103,7 @@
     shared: Arc<Shared>,
     server: HttpServer,
     admin_server: HttpServer,
+    peers: RunningPeers,
     drivers: Vec<JoinHandle<()>>,
 }
 
@@ -105,6 +118,11 @@
         self.admin_server.local_addr()
     }
 
+    /// Address for other nodes.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.shared.nodes.this().peer_addr
+    }
+
     /// What its parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
@@ -135,6 +153,8 @@
                 }
             }
         }
+        shared.hand_over.run().await;
+        self.peers.leave().await;
         self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
@@ -144,22 +164,31 @@
 
 /// Spawns a node.
 pub async fn spawn(settings: Settings) -> Result<Node> {
-    let store: Arc<dyn Store> =
-        Arc::new(store_client::open(settings.store_addr, settings.store_timeout));
     let engine: Arc<dyn Engine> = Arc::new(engine_client::open(ENGINE_CALL_TIMEOUT));
     let clock = clock::open();
     let node = NodeId(rand::random());
+    let peer_counters = Arc::default();
+    let endpoint = peers::bind(&settings, node, Arc::clone(&peer_counters)).await?;
     let this = NodeInfo {
         id: node,
         zone: settings.zone.clone(),
         region: settings.region.clone(),
-        peer_addr: settings.peer_addr,
+        peer_addr: endpoint.local_addr(),
     };
+    let nodes = Arc::new(node_view::open(this));
+    let client = store_client::open(settings.store_addr, settings.store_timeout);
+    let guard = store_guard::open(Arc::new(client), clock, Arc::clone(&nodes));
+    let store_counters = guard.counters();
+    let store: Arc<dyn Store> = Arc::new(guard);
     let shared = Arc::new(Shared {
         node,
         clock,
         news: Arc::new(news_board::open()),
-        nodes: Arc::new(node_view::open(this)),
+        nodes,
+        gate: Arc::default(),
+        store_counters,
+        peer_counters,
+        hand_over: HandOver::default(),
         decisions: Arc::new(decision_log::open(clock)),
         config: Arc::default(),
         replicas: Arc::default(),
@@ -173,9 +202,9 @@
         ended_tx: watch::channel(false).0,
         settings,
     });
+    let peers = endpoint.spawn(&shared).await?;
     let mut drivers = vec![
         spawn_stop_watch(&shared),
-        config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
             Arc::clone(&shared.engine),
@@ -200,7 +229,7 @@
         .await
         .map_err(|error| could_not("listen for operators", addr, error))?;
     drivers.extend(tls.map(|it| tls::spawn(it, CERTIFICATE_INTERVAL)));
-    Ok(Node { shared, server, admin_server, drivers })
+    Ok(Node { shared, server, admin_server, peers, drivers })
 }
 
 /// Spawns the driver that hears when an operator asks this node to stop.
--- /dev/null
+++ b/crates/coordination/src/store_guard/breaker.rs
@@ -0,0 +1,72 @@
+//! Breaker: after some failures in a row no calls are sent for a while; then
+//! one is, and its end decides.
+
+use std::time::Duration;
+
+use citrongw_state::time::Time;
+use rand::Rng;
+
+/// Failures in a row that open the breaker.
+const MAX_FAILURES: u32 = 5;
+/// First pause without calls.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause without calls.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Time after which a trial that has not ended counts as failed.
+const TRIAL_LOST: Duration = Duration::from_secs(10);
+
+/// Leave to make a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Permit {
+    /// The breaker is closed.
+    Usual,
+    /// The call tries whether the service answers again.
+    Trial,
+}
+
+/// Breaker of one service.
+#[derive(Debug, Default)]
+pub(super) struct Breaker {
+    failures: u32,
+    pauses: u32,
+    closed_at: Time,
+    trial_since: Option<Time>,
+}
+
+impl Breaker {
+    /// Asks to make a call.
+    pub(super) fn ask(&mut self, now: Time) -> Option<Permit> {
+        if self.failures < MAX_FAILURES {
+            return Some(Permit::Usual);
+        }
+        let trying = self.trial_since.is_some_and(|at| now.since(at) < TRIAL_LOST);
+        if now < self.closed_at || trying {
+            return None;
+        }
+        self.trial_since = Some(now);
+        Some(Permit::Trial)
+    }
+
+    /// Gives back a permit that was not used.
+    pub(super) fn give_back(&mut self, permit: Permit) {
+        if permit == Permit::Trial {
+            self.trial_since = None;
+        }
+    }
+
+    /// Notes how a call ended.
+    pub(super) fn note(&mut self, permit: Permit, answered: bool, now: Time) {
+        self.give_back(permit);
+        if answered {
+            self.failures = 0;
+            self.pauses = 0;
+            return;
+        }
+        self.failures = self.failures.saturating_add(1);
+        if self.failures == MAX_FAILURES || permit == Permit::Trial {
+            let pause = (FIRST_PAUSE * 2u32.saturating_pow(self.pauses)).min(MAX_PAUSE);
+            self.pauses = (self.pauses + 1).min(8);
+            self.closed_at = now + pause.mul_f64(rand::rng().random_range(0.75..1.25));
+        }
+    }
+}
