Claim at-most-once calls before they are sent

At-most-once calls were refused. Now a claim is committed by compare-and-swap before the send, its winner sends once, and the outcome is stored with a bounded answer for resends. All claims and settlements of a shard that wait at a node share one write; a write without an answer is read back by attempt, and nothing is concluded until a later revision has been seen. Open claims are never dropped by age; ages of settled ones are lower bounds carried in the record, so no clocks of two nodes are compared.

--- /dev/null
+++ b/crates/citrongw/src/admin/edit.rs
@@ -0,0 +1,136 @@
+//! The configuration as operators read and change it.
+
+use std::sync::Arc;
+
+use citrongw_coordination::config::edit;
+use citrongw_protocol::{
+    admin::{ChangeFound, ChangeRequest, ConfigView},
+    admin_config::{EditRequest, EditResult},
+    code::ResultCode,
+    store::StoreError,
+};
+use citrongw_state::{
+    config::{Config, Operator, Role, change},
+    id::{ChangeId, Revision},
+};
+use futures::future::BoxFuture;
+use serde::Serialize;
+use viz::{Request, Response};
+
+use super::{answer, auth, path_param, read_json};
+use crate::node::Shared;
+
+/// Handler of a request.
+type Handler = BoxFuture<'static, viz::Result<Response>>;
+
+/// `GET /admin/config`: what the key-value service holds, or, while that is
+/// away, what this node has in force.
+pub(super) fn read_current(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Read, |shared, _, _| async move {
+        match edit::read(shared.store.as_ref()).await {
+            Ok(Some(current)) => Ok(view(Some(current.revision), &current.config)),
+            Ok(None) => Ok(view(None, &Config::default())),
+            Err(_) => {
+                let held = shared.config.load_full().ok_or(ResultCode::StoreUnavailable)?;
+                Ok(view(Some(held.revision), &held.config))
+            }
+        }
+    })
+}
+
+/// `GET /admin/config/:id`: an earlier version, as long as it is kept.
+pub(super) fn read_earlier(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Read, |shared, _, req| async move {
+        let revision: Revision = path_param(&req)?;
+        let found = edit::read_version(shared.store.as_ref(), revision).await;
+        let config = found.map_err(store_code)?.ok_or(ResultCode::NotFound)?;
+        Ok(view(Some(revision), &config))
+    })
+}
+
+/// `GET /admin/config-history`: the last changes, oldest first.
+pub(super) fn read_history(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Read, |shared, _, _| async move {
+        edit::history(shared.store.as_ref()).await.map_err(store_code)
+    })
+}
+
+/// `GET /admin/edits/:id`: what became of a change.
+pub(super) fn read_change(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Read, |shared, _, req| async move {
+        let change: ChangeId = path_param(&req)?;
+        let found = edit::look_up(shared.store.as_ref(), change).await;
+        Ok(ChangeFound { revision: found.map_err(store_code)? })
+    })
+}
+
+/// `POST /admin/edits`: commits a change.
+pub(super) fn make_change(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Operate, |shared, operator, mut req| async move {
+        let request: ChangeRequest = read_json(&mut req).await?;
+        let change = request.change;
+        let result = propose(&shared, &operator, request).await;
+        tracing::info!(operator = %operator.id, %change, ?result, "configuration change");
+        Ok(result)
+    })
+}
+
+fn handler<T, F, R>(
+    shared: &Arc<Shared>,
+    role: Role,
+    run: F,
+) -> impl Fn(Request) -> Handler + Clone + use<T, F, R>
+where
+    T: Serialize + Send + 'static,
+    F: Fn(Arc<Shared>, Operator, Request) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Result<T, ResultCode>> + Send + 'static,
+{
+    let shared = Arc::clone(shared);
+    move |req| {
+        let (shared, run) = (Arc::clone(&shared), run.clone());
+        Box::pin(async move {
+            let res = match auth::check(&shared, &req, role) {
+                Ok(operator) => run(shared, operator, req).await,
+                Err(code) => Err(code),
+            };
+            Ok(answer(res))
+        })
+    }
+}
+
+async fn propose(shared: &Shared, operator: &Operator, request: ChangeRequest) -> EditResult {
+    let store = shared.store.as_ref();
+    let current = match edit::read(store).await {
+        Ok(current) => current,
+        Err(error) => return EditResult::NotMade { reason: error.to_string() },
+    };
+    if let Ok(Some(revision)) = edit::look_up(store, request.change).await {
+        return EditResult::Committed { revision };
+    }
+    let held = shared.config.load_full();
+    let base = held.as_ref().filter(|it| Some(it.revision) == request.base);
+    let empty = Config::default();
+    let document =
+        base.map(|it| &it.config).or(current.as_ref().map(|it| &it.config)).unwrap_or(&empty);
+    let config = match change::apply(document, &request.edit) {
+        Ok(config) => config,
+        Err(error) => return EditResult::Invalid { faults: vec![error.to_string()] },
+    };
+    let request = EditRequest {
+        change: request.change,
+        from: request.base,
+        operator: operator.id.clone(),
+        at_unix_ms: request.at_unix_ms,
+        config,
+        replaces_lost: None,
+    };
+    edit::propose(store, held.as_deref(), request).await
+}
+
+fn view(revision: Option<Revision>, config: &Config) -> ConfigView {
+    ConfigView { revision, config: config.redacted() }
+}
+
+fn store_code(_: StoreError) -> ResultCode {
+    ResultCode::StoreUnavailable
+}
--- a/crates/citrongw/src/caller/service.rs
+++ b/crates/citrongw/src/caller/service.rs
@@ -7,45 +7,68 @@
 mod answer;
 mod at_most_once;
 mod call;
-mod idempotent;
+mod repeat;
 mod send;
 
 use std::sync::Arc;
 
-use citrongw_protocol::code::ResultCode;
-use citrongw_state::config::CallClass;
+use citrongw_coordination::{
+    claims::{self, driver::Claims},
+    clock::Clock,
+};
+use citrongw_protocol::{code::ResultCode, store::Store};
+use citrongw_state::{config::CallClass, id::NodeId};
 use citrongw_transport::http_client::{self, HttpClient};
 use viz::{Request, Response};
 
-use self::call::Call;
-use super::{new_request_id, refusal};
+use self::{answer::BackendAnswer, call::Call};
+use super::{new_request_id, refusal, request_log};
 use crate::node::Shared;
 
 /// What calls of plain services use.
 #[derive(Debug)]
 pub struct ServiceClients {
     http: HttpClient,
+    /// For calls that are sent once, over a connection of their own: one that
+    /// died unnoticed in a pool would make the outcome unknown.
+    once_http: HttpClient,
+    claims: Claims,
 }
 
 /// Opens the clients.
-pub fn open() -> ServiceClients {
-    ServiceClients { http: http_client::open() }
+pub fn open(node: NodeId, store: &Arc<dyn Store>, clock: Clock) -> ServiceClients {
+    ServiceClients {
+        http: http_client::open(),
+        once_http: http_client::open(),
+        claims: claims::driver::spawn(node, store, clock),
+    }
+}
+
+impl ServiceClients {
+    /// Claims of at-most-once calls.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
 }
 
 /// Any method on `/services/NAME/...`.
 pub(super) async fn serve(shared: Arc<Shared>, req: Request) -> viz::Result<Response> {
     let request = new_request_id();
-    let res = match call::read(&shared, req, request).await {
-        Ok(call) => run(&shared, &call).await,
+    let mut entry = request_log::open(&shared, request);
+    let res = match call::read(&shared, req, &mut entry).await {
+        Ok(call) => run(&shared, call).await,
         Err(code) => Err(code),
     };
-    Ok(res.unwrap_or_else(|code| refusal::response(code, request)))
+    entry.end(res.as_ref().err().copied());
+    Ok(match res {
+        Ok(answer) => answer::response(&answer, request),
+        Err(code) => refusal::response(code, request),
+    })
 }
 
-async fn run(shared: &Arc<Shared>, call: &Call) -> Result<Response, ResultCode> {
-    let answer = match call.rule.class {
-        CallClass::Idempotent => idempotent::run(shared, call).await?,
-        CallClass::AtMostOnce => at_most_once::run(call)?,
-    };
-    Ok(answer::response(&answer, call.request))
+async fn run(shared: &Arc<Shared>, call: Call) -> Result<BackendAnswer, ResultCode> {
+    match call.rule.class {
+        CallClass::Idempotent => repeat::run(shared, &call).await,
+        CallClass::AtMostOnce => at_most_once::run(shared, call).await,
+    }
 }
--- a/crates/citrongw/src/caller/service/send.rs
+++ b/crates/citrongw/src/caller/service/send.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use citrongw_protocol::caller::{IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
-use citrongw_state::claim::ClaimKey;
+use citrongw_state::{claim::ClaimKey, config::CallClass};
 use citrongw_transport::http_client::{self, HttpClient, HttpError};
 use http::{Request, header};
 use http_body_util::Full;
@@ -40,6 +40,9 @@
     if let Some(key) = key {
         builder = builder.header(IDEMPOTENCY_KEY_HEADER, key.to_string());
     }
+    if call.rule.class == CallClass::AtMostOnce {
+        builder = builder.header(header::CONNECTION, "close");
+    }
     let request = builder.body(Full::from(call.body.clone())).map_err(|_| SendError::NotReached)?;
     let exchange = tokio::time::timeout_at(limit, exchange(http, request));
     exchange.await.unwrap_or(Err(SendError::BrokenOff))
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -18,19 +18,23 @@
     replica_table::ReplicaTable,
     replica_watch,
 };
-use citrongw_protocol::{engine::Engine, store::Store};
+use citrongw_protocol::{engine::Engine, news::News, store::Store};
 use citrongw_state::id::NodeId;
 use citrongw_transport::{
     engine_client,
-    http_server::{self, HttpServer},
+    http_server::{self, HttpServer, ServerOptions},
     store_client,
+    tls::{self, TlsCell},
+};
+use tokio::{
+    sync::{Notify, broadcast::error::RecvError, watch},
+    task::JoinHandle,
 };
-use tokio::task::JoinHandle;
 
 use crate::{
     admin,
     caller::{
-        self,
+        self, Callers,
         service::{self, ServiceClients},
     },
     error::{Result, could_not},
@@ -41,6 +45,14 @@
 /// Longest time for a call to an engine that is not a stream.
 const ENGINE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Pause between two looks at the certificates.
+const CERTIFICATE_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest time for the last answers of a node that ends at once.
+const END_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time that a stop waits for claims to be settled.
+const CLAIMS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What the parts of a node share.
 pub struct Shared {
     /// The node.
@@ -67,8 +79,14 @@
     pub services: ServiceClients,
     /// Client of the engines.
     pub engine: Arc<dyn Engine>,
+    /// Told when an operator asks for the planned stop.
+    pub stop_asked: Notify,
+    /// What the requests of callers share.
+    pub callers: Callers,
     /// Whether the node refuses new work because it stops.
     pub stopping: AtomicBool,
+    /// Whether the node ends without waiting for what is in flight.
+    pub ended_tx: watch::Sender<bool>,
 }
 
 /// Running node.
@@ -98,9 +116,32 @@
     /// Refuses new work, lets the balancer see it, finishes all that is in
     /// flight, and ends.
     pub async fn stop(self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
-        tokio::time::sleep(self.shared.settings.balancer_lag).await;
-        self.server.stop().await;
+        self.stop_until(std::future::pending()).await;
+    }
+
+    /// Stops; once `sooner` is done it ends what is still in flight, and tells
+    /// each caller its outcome.
+    pub async fn stop_until(self, sooner: impl Future<Output = ()>) {
+        let shared = Arc::clone(&self.shared);
+        shared.stopping.store(true, Ordering::Relaxed);
+        let finish = async {
+            tokio::time::sleep(shared.settings.balancer_lag).await;
+            self.server.stop().await;
+            let drain = shared.services.claims().drain();
+            if tokio::time::timeout(CLAIMS_TIMEOUT, drain).await.is_err() {
+                tracing::warn!("ended while claims were not settled");
+            }
+        };
+        tokio::pin!(finish);
+        tokio::select! {
+            () = &mut finish => {}
+            () = sooner => {
+                shared.ended_tx.send_replace(true);
+                if tokio::time::timeout(END_TIMEOUT, finish).await.is_err() {
+                    tracing::warn!("ended while callers were still reading");
+                }
+            }
+        }
         self.admin_server.stop().await;
         for driver in &self.drivers {
             driver.abort();
@@ -129,14 +170,18 @@
         decisions: Arc::new(decision_log::open(clock)),
         config: Arc::default(),
         replicas: Arc::default(),
+        services: service::open(node, &store, clock),
         store,
-        services: service::open(),
         engine,
         metrics: metrics::open(),
+        stop_asked: Notify::new(),
+        callers: Callers::default(),
         stopping: AtomicBool::new(false),
+        ended_tx: watch::channel(false).0,
         settings,
     });
-    let drivers = vec![
+    let mut drivers = vec![
+        spawn_stop_watch(&shared),
         config_watch::spawn(Arc::clone(&shared.store), Arc::clone(&shared.config)),
         replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
         replica_watch::spawn_status(
@@ -145,13 +190,42 @@
             shared.clock,
         ),
     ];
+    let tls = open_tls(&shared.settings)?;
+    let options = ServerOptions {
+        tls: tls.clone(),
+        max_connections: shared.settings.max_connections,
+        ..ServerOptions::default()
+    };
     let addr = shared.settings.caller_addr;
-    let server = http_server::bind(addr, caller::router(&shared))
+    let server = http_server::bind_with(addr, caller::router(&shared), options)
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
     let addr = shared.settings.admin_addr;
-    let admin_server = http_server::bind(addr, admin::router(&shared))
+    let options = ServerOptions { tls: tls.clone(), ..ServerOptions::default() };
+    let admin_server = http_server::bind_with(addr, admin::router(&shared), options)
         .await
         .map_err(|error| could_not("listen for operators", addr, error))?;
+    drivers.extend(tls.map(|it| tls::spawn(it, CERTIFICATE_INTERVAL)));
     Ok(Node { shared, server, admin_server, drivers })
 }
+
+/// Spawns the driver that hears when an operator asks this node to stop.
+fn spawn_stop_watch(shared: &Arc<Shared>) -> JoinHandle<()> {
+    let shared = Arc::clone(shared);
+    let mut news_rx = shared.news.subscribe();
+    tokio::spawn(async move {
+        loop {
+            match news_rx.recv().await {
+                Ok(News::StopNode(node)) if node == shared.node => shared.stop_asked.notify_one(),
+                Ok(_) | Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            }
+        }
+    })
+}
+
+fn open_tls(settings: &Settings) -> Result<Option<Arc<TlsCell>>> {
+    let Some(files) = settings.tls.clone() else { return Ok(None) };
+    let cell = tls::open(files).map_err(|error| could_not("read certificates", "[tls]", error))?;
+    Ok(Some(Arc::new(cell)))
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,7 +1,9 @@
 //! What nodes agree on and know of each other and of replicas: decisions as
 //! step functions, and the small drivers that feed them.
 
+pub mod claims;
 pub mod clock;
+pub mod config;
 pub mod config_watch;
 pub mod decision_log;
 pub mod news_board;
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use citrongw_state::{
+    config::{Config, change::ConfigChange},
     id::{
-        AvailabilityZone, DeploymentId, Epoch, InstanceId, ModelId, ModelVersion, NodeId,
-        ReplicaId, Revision,
+        AttemptId, AvailabilityZone, ChangeId, DeploymentId, Epoch, InstanceId, ModelId,
+        ModelVersion, NodeId, ReplicaId, Revision,
     },
     replica::NotRoutable,
 };
@@ -134,6 +135,35 @@
     }
 }
 
+/// Configuration as operators see it, without digests of keys and tokens.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigView {
+    /// Its version; none before the first one.
+    pub revision: Option<Revision>,
+    /// The document.
+    pub config: Config,
+}
+
+/// Change of the configuration, as an operator asks for it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ChangeRequest {
+    /// Id of the change; a resend carries the same.
+    pub change: ChangeId,
+    /// Version that it is made from; none for the first document.
+    pub base: Option<Revision>,
+    /// When it was made, on the operator's clock.
+    pub at_unix_ms: u64,
+    /// What to change.
+    pub edit: ConfigChange,
+}
+
+/// What became of a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeFound {
+    /// Version that it became, if it was committed.
+    pub revision: Option<Revision>,
+}
+
 /// Level of logs, such as `info` or `citrongw=debug`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogLevel {
@@ -153,7 +183,7 @@
     /// Replicas left out.
     pub replicas_left_out: u64,
     /// Configuration without digests of keys.
-    pub config: Option<citrongw_state::config::Config>,
+    pub config: Option<Config>,
     /// The last decisions.
     pub decisions: Vec<ExplainedDecision>,
     /// Settings that the node runs under, without secrets.
@@ -168,3 +198,25 @@
     /// Its value as text.
     pub value: String,
 }
+
+/// Request for an act on a replica or an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ActRequest {
+    /// Id of the act; a resend carries the same.
+    pub attempt: AttemptId,
+}
+
+/// Answer to the request for an act.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ActReply {
+    /// It stands in the record and will be carried out.
+    Recorded,
+    /// It was not recorded.
+    Refused {
+        /// Why.
+        reason: String,
+    },
+    /// It may have been recorded.
+    Unknown,
+}
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-use citrongw_state::id::{ReplicaId, RequestId};
+use citrongw_state::{
+    admission,
+    id::{AttemptId, ReplicaId, RequestId},
+    retry, routing, straggler,
+};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -21,6 +25,31 @@
         /// Attempts so far, this one among them.
         attempt: u32,
     },
+    /// A broken or silent stream was taken up again where it runs.
+    #[display("request {request} was taken up again on replica {replica} from token {offset}")]
+    Resumed {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// First token asked for.
+        offset: u64,
+    },
+    /// A request whose caller had no part of an answer was given up on a
+    /// replica, to run elsewhere.
+    #[display("request {request} was given up on replica {replica} and runs again")]
+    RunAgain {
+        /// The request.
+        request: RequestId,
+        /// The replica that lost it.
+        replica: ReplicaId,
+    },
+    /// A caller went away before its answer ended.
+    #[display("request {request} was cancelled: its caller left")]
+    CallerLeft {
+        /// The request.
+        request: RequestId,
+    },
     /// A request was answered with an error.
     #[display("request {request} was refused: {code} (outcome {})", code.outcome())]
     Refused {
@@ -29,6 +58,92 @@
         /// The code.
         code: ResultCode,
     },
+    /// A replica was chosen among the candidates of a request.
+    #[display("replica {replica} was chosen for request {request}: {reason}")]
+    Chosen {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// Why.
+        reason: routing::Reason,
+    },
+    /// No replica was chosen for a request.
+    #[display("no replica was chosen for request {request}: {reason}")]
+    NotChosen {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: routing::NoChoice,
+    },
+    /// A request was not admitted.
+    #[display("request {request} was not admitted: {refusal}")]
+    NotAdmitted {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        refusal: admission::Refusal,
+    },
+    /// A failed attempt was not made again.
+    #[display("request {request} was not tried again: {reason}")]
+    NotRetried {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: retry::NoRetry,
+    },
+    /// A replica was ejected as a straggler, tried again, or returned.
+    #[display("replica {replica} {change}")]
+    Straggler {
+        /// The replica.
+        replica: ReplicaId,
+        /// What changed.
+        change: straggler::Change,
+    },
+    /// A request runs alone among suspects.
+    #[display("request {request} runs on replica {replica} in isolation after {deaths} deaths")]
+    Isolated {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// Replicas that died with it in flight.
+        deaths: u32,
+    },
+    /// A request is refused for the replicas that it crashed.
+    #[display("request {request} was refused: {deaths} replicas died with it in flight")]
+    Contained {
+        /// The request.
+        request: RequestId,
+        /// Replicas that died with it in flight.
+        deaths: u32,
+    },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// Decision with its time.
@@ -54,11 +169,44 @@
     pub fn concerns(&self, subject: Subject) -> bool {
         match (self, subject) {
             (
-                Self::Routed { request, .. } | Self::Refused { request, .. },
+                Self::Routed { request, .. }
+                | Self::Resumed { request, .. }
+                | Self::RunAgain { request, .. }
+                | Self::CallerLeft { request }
+                | Self::Refused { request, .. }
+                | Self::Chosen { request, .. }
+                | Self::NotChosen { request, .. }
+                | Self::NotAdmitted { request, .. }
+                | Self::NotRetried { request, .. }
+                | Self::Isolated { request, .. }
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
-            (Self::Routed { replica, .. }, Subject::Replica(id)) => *replica == id,
-            (Self::Refused { .. }, Subject::Replica(_)) => false,
+            (
+                Self::Routed { replica, .. }
+                | Self::Resumed { replica, .. }
+                | Self::RunAgain { replica, .. }
+                | Self::Chosen { replica, .. }
+                | Self::Straggler { replica, .. }
+                | Self::Isolated { replica, .. },
+                Subject::Replica(id),
+            ) => *replica == id,
+            (
+                Self::Refused { .. }
+                | Self::CallerLeft { .. }
+                | Self::NotChosen { .. }
+                | Self::NotAdmitted { .. }
+                | Self::NotRetried { .. }
+                | Self::Contained { .. }
+                | Self::CallClaimed { .. }
+                | Self::CallSettled { .. }
+                | Self::CallReplayed { .. },
+                Subject::Replica(_),
+            )
+            | (Self::Straggler { .. }, Subject::Request(_)) => false,
         }
     }
 }
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -4,6 +4,8 @@
 //! versioned by the service's revision. [`Config::check`] names every fault of
 //! a document before it is written.
 
+pub mod change;
+
 use std::{net::SocketAddr, time::Duration};
 
 use derive_more::Display;
@@ -14,6 +16,8 @@
     ProfileId, ServiceId,
 };
 
+/// What stands in place of a digest that is not shown.
+const REDACTED: &str = "redacted";
 /// Shortest retention of at-most-once calls.
 const MIN_RETENTION_MS: u64 = 60_000;
 /// Largest answer of an at-most-once call that may be stored.
@@ -315,6 +319,18 @@
         faults
     }
 
+    /// The document without the digests of keys and tokens.
+    pub fn redacted(&self) -> Self {
+        let mut config = self.clone();
+        for service in &mut config.services {
+            service.key_digests.fill(KeyDigest(REDACTED.to_owned()));
+        }
+        for operator in &mut config.operators {
+            operator.token_digest = KeyDigest(REDACTED.to_owned());
+        }
+        config
+    }
+
     /// Profile by name.
     pub fn profile(&self, id: &ProfileId) -> Option<&Profile> {
         self.profiles.iter().find(|it| it.id == *id)
