--- a/crates/fakes/src/plain_service.rs
+++ b/crates/fakes/src/plain_service.rs
@@ -1,53 +1,98 @@
-//! Stand-in for a plain service: counts the runs of each call.
+//! Stand-in for a plain service: counts the runs of each call, and can be slow
+//! or lose its replies.
 
 use std::{
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use citrongw_transport::http_server::{self, HttpServer};
+use futures::stream;
 use serde_json::json;
-use viz::{Request, RequestExt, Response, Router, StatusCode};
+use viz::{Body, Request, RequestExt, Response, Router, StatusCode};
 
 use crate::http;
 
-/// Runs by body, shared with the server.
+/// Runs by body and the behaviour of the service, shared with the server.
 #[derive(Debug, Clone, Default)]
 pub struct Runs {
-    counts: Arc<Mutex<BTreeMap<String, u64>>>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    counts: BTreeMap<String, u64>,
+    keys: Vec<String>,
+    latency: Duration,
+    replies_to_lose: u32,
 }
 
 impl Runs {
     /// How often a call with this body ran.
     pub fn of(&self, body: &str) -> u64 {
-        let counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        counts.get(body).copied().unwrap_or_default()
+        self.lock().counts.get(body).copied().unwrap_or_default()
     }
 
     /// How many calls ran.
     pub fn total(&self) -> u64 {
-        self.counts.lock().unwrap_or_else(PoisonError::into_inner).values().sum()
+        self.lock().counts.values().sum()
+    }
+
+    /// Idempotency keys that came with calls, in order.
+    pub fn keys(&self) -> Vec<String> {
+        self.lock().keys.clone()
     }
 
-    fn add(&self, body: String) -> u64 {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = counts.entry(body).or_default();
+    /// Sets the time between the run of a call and its reply.
+    pub fn set_latency(&self, latency: Duration) {
+        self.lock().latency = latency;
+    }
+
+    /// Breaks off the replies to the next `count` calls, which run.
+    pub fn lose_replies(&self, count: u32) {
+        self.lock().replies_to_lose = count;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn add(&self, body: String, key: Option<String>) -> Run {
+        let mut shared = self.lock();
+        shared.keys.extend(key);
+        let reply_lost = 0 < shared.replies_to_lose;
+        shared.replies_to_lose = shared.replies_to_lose.saturating_sub(1);
+        let latency = shared.latency;
+        let count = shared.counts.entry(body).or_default();
         *count += 1;
-        *count
+        Run { count: *count, latency, reply_lost }
     }
 }
 
+/// One run.
+struct Run {
+    count: u64,
+    latency: Duration,
+    reply_lost: bool,
+}
+
 /// Serves any call on `addr`.
 pub async fn bind(addr: SocketAddr, runs: Runs) -> io::Result<HttpServer> {
-    let router = Router::new().any("/*path", move |req| run(runs.clone(), req));
+    let router = Router::new().any("/*", move |req| run(runs.clone(), req));
     http_server::bind(addr, router).await
 }
 
 async fn run(runs: Runs, mut req: Request) -> viz::Result<Response> {
     let body = req.text().await?;
     let path = req.path().to_owned();
-    let count = runs.add(body.clone());
-    Ok(http::json(StatusCode::OK, &json!({ "path": path, "body": body, "runs": count })))
+    let run = runs.add(body.clone(), req.header("idempotency-key"));
+    tokio::time::sleep(run.latency).await;
+    if run.reply_lost {
+        let broken = stream::iter([Err::<bytes::Bytes, _>(io::Error::other("reply is lost"))]);
+        return Ok(Response::new(Body::from_stream(broken)));
+    }
+    Ok(http::json(StatusCode::OK, &json!({ "path": path, "body": body, "runs": run.count })))
 }
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,13 +4,13 @@
 
 use citrongw_state::{
     admission,
-    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -170,6 +170,32 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// Decision with its time.
@@ -206,7 +232,10 @@
                 | Self::NotAdmitted { request, .. }
                 | Self::NotRetried { request, .. }
                 | Self::Isolated { request, .. }
-                | Self::Contained { request, .. },
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
             (
@@ -225,7 +254,10 @@
                 | Self::NotChosen { .. }
                 | Self::NotAdmitted { .. }
                 | Self::NotRetried { .. }
-                | Self::Contained { .. },
+                | Self::Contained { .. }
+                | Self::CallClaimed { .. }
+                | Self::CallSettled { .. }
+                | Self::CallReplayed { .. },
                 Subject::Replica(_),
             )
             | (Self::Straggler { .. }, Subject::Request(_))
