--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod report;
 pub mod routing;
 pub mod timeline;
+pub mod spread;
--- a/crates/citrongw/src/admin/dump.rs
+++ b/crates/citrongw/src/admin/dump.rs
@@ -1,7 +1,6 @@
 //! State of the node: complete but for secrets, and bounded.
 
 use citrongw_protocol::admin::{Dump, SettingValue};
-use citrongw_state::config::{Config, KeyDigest};
 
 use super::status;
 use crate::node::Shared;
@@ -10,8 +9,6 @@
 const MAX_REPLICAS: usize = 1000;
 /// Decisions in a dump.
 const MAX_DECISIONS: usize = 1000;
-/// What stands in place of a secret.
-const REDACTED: &str = "redacted";
 
 /// State of this node.
 pub(crate) fn dump(shared: &Shared) -> Dump {
@@ -26,26 +23,12 @@
         nodes: status::nodes(shared),
         replicas,
         replicas_left_out: left_out,
-        config: shared.config.load().as_ref().map(|it| redact(&it.config)),
+        config: shared.config.load().as_ref().map(|it| it.config.redacted()),
         decisions: decisions.into_iter().map(Into::into).collect(),
         settings: settings(shared),
     }
 }
 
-/// Configuration without the digests of keys and tokens.
-pub(super) fn redact(config: &Config) -> Config {
-    let mut config = config.clone();
-    for service in &mut config.services {
-        for digest in &mut service.key_digests {
-            *digest = KeyDigest(REDACTED.to_owned());
-        }
-    }
-    for operator in &mut config.operators {
-        operator.token_digest = KeyDigest(REDACTED.to_owned());
-    }
-    config
-}
-
 fn settings(shared: &Shared) -> Vec<SettingValue> {
     let settings = &shared.settings;
     let value = |name: &str, value: String| SettingValue { name: name.to_owned(), value };
@@ -62,6 +45,12 @@
         value("store.timeout", duration(settings.store_timeout)),
         value("platform.instance-list-addr", settings.instance_list_addr.to_string()),
         value("platform.weight-store-addr", settings.weight_store_addr.to_string()),
+        value("membership.seeds", join(&settings.seeds)),
+        value("membership.keys", format!("{} (hidden)", settings.peer_secrets.len())),
         value("log.level", settings.log_level.clone()),
     ]
 }
+
+fn join(addrs: &[std::net::SocketAddr]) -> String {
+    addrs.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/crates/citrongw/src/caller/attempt.rs
+++ b/crates/citrongw/src/caller/attempt.rs
@@ -1,206 +1,250 @@
-//! One request over the replicas: selection, the stream, and taking it up
-//! again when it breaks.
+//! One attempt of a request on one replica. An attempt that may be running when
+//! it is dropped is cancelled, once.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use citrongw_coordination::replica_table::{InFlight, ReplicaEntry};
 use citrongw_protocol::{
-    code::ResultCode,
-    engine::{Chunk, ChunkStream, EngineError, GenerateRequest},
+    decision::Decision,
+    engine::{Chunk, ChunkStream, EngineError, EngineResult, GenerateRequest},
+    news::{LeavingInstance, News},
 };
-use citrongw_state::{
-    config::Profile,
-    id::{RequestId, StreamId},
-    time::Time,
-};
-use futures::StreamExt;
-use tokio::time::Instant;
+use citrongw_state::{id::StreamId, time::Time};
+use futures::{StreamExt, future::BoxFuture};
 
+use super::{
+    fleet::{Placed, Side},
+    queue::{self, GroupQueue},
+    work::Work,
+};
 use crate::node::Shared;
 
-/// Request of a caller, as attempts need it.
-#[derive(Debug, Clone)]
-pub(super) struct Work {
-    /// The request.
-    pub(super) request: RequestId,
-    /// Profile that it runs under.
-    pub(super) profile: Profile,
-    /// Prompt.
-    pub(super) prompt: String,
-    /// Most tokens to generate.
-    pub(super) max_tokens: u32,
-    /// When it arrived.
-    pub(super) arrived_at: Time,
+/// Pause before a cancellation is sent again, in case it overtook its request.
+const CANCEL_AGAIN_PAUSE: Duration = Duration::from_millis(250);
+
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// Nothing was sent.
+    Unsent,
+    /// The engine may have the request.
+    Sent,
+    /// The engine answers.
+    Answering,
+    /// The engine was not reached, or refused.
+    NotRun,
+    /// The engine has nothing of it left.
+    Over,
 }
 
-/// Answer under way. Dropping it before the end cancels the stream.
-pub(super) struct Running {
+/// Attempt on a replica.
+pub(super) struct Attempt {
     shared: Arc<Shared>,
-    work: Work,
-    replica: Arc<ReplicaEntry>,
+    group: Arc<GroupQueue>,
+    placed: Option<Placed>,
+    side: Arc<Side>,
+    number: u32,
     stream: StreamId,
-    chunks: ChunkStream,
-    next_sequence: u64,
-    resumes_left: u32,
-    ended: bool,
-    _in_flight: InFlight,
+    sending: Option<BoxFuture<'static, EngineResult<ChunkStream>>>,
+    chunks: Option<ChunkStream>,
+    progress: Progress,
+    resumed: bool,
+    started_at: Time,
+    in_flight: u32,
+    tokens: u32,
+    first_token_at: Time,
+    last_token_at: Time,
 }
 
-/// Starts the request on a replica.
-pub(super) async fn start(shared: Arc<Shared>, work: Work) -> Result<Running, ResultCode> {
-    let mut refused = Vec::new();
-    loop {
-        let replica = select(&shared, &work, &refused)?;
-        let in_flight = replica.enter();
-        let stream = StreamId::from(format!("{}-{}", work.request, refused.len()));
-        let request = generate_request(&work, &replica, &stream);
-        let addr = replica.spec.members[0].engine_addr;
-        let limit = first_token_limit(&shared, &work);
-        let res = tokio::time::timeout_at(limit, shared.engine.generate(addr, request)).await;
-        match res {
-            Ok(Ok(chunks)) => {
-                let resumes_left = work.profile.retries;
-                return Ok(Running {
-                    shared,
-                    work,
-                    replica,
-                    stream,
-                    chunks,
-                    next_sequence: 0,
-                    resumes_left,
-                    ended: false,
-                    _in_flight: in_flight,
-                });
-            }
-            Ok(Err(EngineError::NotReached | EngineError::Refused { .. })) => {
-                refused.push(replica.spec.id);
-                if work.profile.retries < u32::try_from(refused.len()).unwrap_or(u32::MAX) {
-                    return Err(ResultCode::NotReached);
-                }
-            }
-            Ok(Err(EngineError::Failed { .. })) => return Err(ResultCode::EngineError),
-            Ok(Err(EngineError::BrokenOff)) => return Err(ResultCode::BrokenOff),
-            Err(_) => {
-                spawn_cancel(&shared, &replica, stream);
-                return Err(ResultCode::DeadlinePassed);
-            }
+impl Attempt {
+    /// Prepares an attempt; nothing is sent.
+    pub(super) fn new(shared: &Arc<Shared>, work: &Work, placed: Placed, number: u32) -> Self {
+        let now = shared.clock.now();
+        Self {
+            shared: Arc::clone(shared),
+            group: Arc::clone(&work.caller.profile.group),
+            side: Arc::clone(&placed.side),
+            in_flight: placed.side.entry.in_flight(),
+            placed: Some(placed),
+            number,
+            stream: StreamId::from(format!("{}-{number}", work.request)),
+            sending: None,
+            chunks: None,
+            progress: Progress::Unsent,
+            resumed: false,
+            started_at: now,
+            tokens: 0,
+            first_token_at: now,
+            last_token_at: now,
         }
     }
-}
 
-/// Routable replica of the model with the least of this node's work.
-fn select(
-    shared: &Shared,
-    work: &Work,
-    refused: &[citrongw_state::id::ReplicaId],
-) -> Result<Arc<ReplicaEntry>, ResultCode> {
-    let now = shared.clock.now();
-    let entries = shared.replicas.entries();
-    let fits = |entry: &&Arc<ReplicaEntry>| {
-        entry.spec.model == work.profile.model
-            && work.profile.version.as_ref().is_none_or(|it| *it == entry.spec.version)
-            && !refused.contains(&entry.spec.id)
-            && entry.check_routable(now, shared.settings.report_freshness).is_ok()
-    };
-    let least = entries.iter().filter(fits).min_by_key(|entry| entry.in_flight());
-    least.cloned().ok_or(ResultCode::NoReplica)
-}
+    /// The replica.
+    pub(super) fn side(&self) -> &Arc<Side> {
+        &self.side
+    }
 
-fn generate_request(work: &Work, replica: &ReplicaEntry, stream: &StreamId) -> GenerateRequest {
-    GenerateRequest {
-        request: work.request,
-        stream: stream.clone(),
-        replica: replica.spec.id,
-        epoch: replica.spec.epoch,
-        incarnation: replica.spec.members[0].incarnation,
-        model: work.profile.model.clone(),
-        adapter: work.profile.adapter.clone(),
-        priority: work.profile.priority,
-        prompt: work.prompt.clone(),
-        max_tokens: work.max_tokens,
+    /// When it was started.
+    pub(super) fn started_at(&self) -> Time {
+        self.started_at
     }
-}
 
-fn first_token_limit(shared: &Shared, work: &Work) -> Instant {
-    let first = work.arrived_at + work.profile.first_token();
-    shared.clock.instant(first.min(work.arrived_at + work.profile.deadline()))
-}
+    /// Requests of this node on the replica when it was started.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
 
-fn spawn_cancel(shared: &Arc<Shared>, replica: &ReplicaEntry, stream: StreamId) {
-    let shared = Arc::clone(shared);
-    let addr = replica.spec.members[0].engine_addr;
-    tokio::spawn(async move {
-        if let Err(error) = shared.engine.cancel(addr, stream).await {
-            tracing::debug!(%error, "could not cancel stream");
-        }
-    });
-}
+    /// Whether the engine may have the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        !matches!(self.progress, Progress::Unsent | Progress::NotRun)
+    }
+
+    /// Whether it was taken up again and has given no token since.
+    pub(super) fn was_resumed(&self) -> bool {
+        self.resumed
+    }
 
-impl Running {
-    /// The next piece of the answer, in order, without gap or repetition.
-    pub(super) async fn next(&mut self) -> Result<Chunk, ResultCode> {
-        loop {
-            let limit = self.next_limit();
-            let item = tokio::time::timeout_at(limit, self.chunks.next()).await;
-            match item {
-                Ok(Some(Ok(chunk))) => {
-                    if let Some(chunk) = self.take(chunk)? {
-                        return Ok(chunk);
-                    }
-                }
-                Ok(Some(Err(_)) | None) => self.resume().await?,
-                Err(_) => return Err(ResultCode::DeadlinePassed),
+    /// The next chunk; none if the stream ended without its last one. The
+    /// first call sends the request. A call that is dropped loses nothing.
+    pub(super) async fn next(&mut self, work: &Work) -> Option<EngineResult<Chunk>> {
+        if self.progress == Progress::Unsent
+            && let Err(error) = self.send(work)
+        {
+            return Some(Err(error));
+        }
+        if let Some(sending) = &mut self.sending {
+            let res = sending.await;
+            self.sending = None;
+            if let Err(error) = self.take_answer(res) {
+                return Some(Err(error));
             }
         }
+        let chunk = self.chunks.as_mut()?.next().await;
+        match &chunk {
+            Some(Ok(Chunk::End { .. })) => self.progress = Progress::Over,
+            Some(Ok(Chunk::Token { .. })) => self.note_token(),
+            Some(Err(_)) | None => {}
+        }
+        chunk
     }
 
-    /// Checks a chunk's place. None if it was already passed on.
-    fn take(&mut self, chunk: Chunk) -> Result<Option<Chunk>, ResultCode> {
-        match &chunk {
-            Chunk::Token { sequence, .. } if *sequence < self.next_sequence => Ok(None),
-            Chunk::Token { sequence, .. } if *sequence == self.next_sequence => {
-                self.next_sequence += 1;
-                Ok(Some(chunk))
-            }
-            Chunk::End { tokens, .. } if *tokens == self.next_sequence => {
-                self.ended = true;
-                Ok(Some(chunk))
-            }
-            Chunk::Token { .. } | Chunk::End { .. } => Err(ResultCode::BrokenOff),
+    /// Begins to send the request, if the replica may still be routed to.
+    fn send(&mut self, work: &Work) -> EngineResult<()> {
+        let (now, entry) = (self.shared.clock.now(), &self.side.entry);
+        if let Err(reason) = entry.check_routable(now, self.shared.settings.report_freshness) {
+            return Err(EngineError::Refused { reason: format!("{reason:?}"), leaving: false });
         }
+        self.shared.decisions.add(Decision::Routed {
+            request: work.request,
+            replica: entry.spec.id,
+            attempt: self.number,
+        });
+        let (engine, addr) = (Arc::clone(&self.shared.engine), self.addr());
+        let request = self.generate_request(work);
+        self.sending = Some(Box::pin(async move { engine.generate(addr, request).await }));
+        self.progress = Progress::Sent;
+        Ok(())
     }
 
-    async fn resume(&mut self) -> Result<(), ResultCode> {
-        while 0 < self.resumes_left {
-            self.resumes_left -= 1;
-            let addr = self.replica.spec.members[0].engine_addr;
-            let resume = self.shared.engine.resume(addr, self.stream.clone(), self.next_sequence);
-            match tokio::time::timeout_at(self.next_limit(), resume).await {
-                Ok(Ok(chunks)) => {
-                    self.chunks = chunks;
-                    return Ok(());
-                }
-                Ok(Err(_)) => {}
-                Err(_) => return Err(ResultCode::DeadlinePassed),
-            }
+    /// Takes in the head of the engine's answer.
+    fn take_answer(&mut self, res: EngineResult<ChunkStream>) -> EngineResult<()> {
+        self.progress = match &res {
+            Ok(_) => Progress::Answering,
+            Err(EngineError::BrokenOff) => Progress::Sent,
+            Err(EngineError::NotReached | EngineError::Refused { .. }) => Progress::NotRun,
+            Err(EngineError::Failed { .. }) => Progress::Over,
+        };
+        if let Err(EngineError::Refused { leaving: true, .. }) = &res {
+            self.tell_leaving();
+        }
+        self.chunks = Some(res?);
+        Ok(())
+    }
+
+    /// Takes the stream up again from token `offset` on, over another
+    /// connection.
+    pub(super) async fn resume(&mut self, offset: u64) -> EngineResult<()> {
+        self.sending = None;
+        self.chunks = None;
+        self.resumed = true;
+        let resume = self.shared.engine.resume(self.addr(), self.stream.clone(), offset);
+        let res = resume.await;
+        if let Err(EngineError::Refused { .. }) = res {
+            self.progress = Progress::Over;
         }
-        Err(ResultCode::BrokenOff)
+        self.chunks = Some(res?);
+        self.progress = Progress::Answering;
+        Ok(())
     }
 
-    fn next_limit(&self) -> Instant {
-        if self.next_sequence == 0 {
-            return first_token_limit(&self.shared, &self.work);
+    /// Tells the replica's speed after a whole answer.
+    pub(super) fn note_speed(&self) {
+        if 1 < self.tokens {
+            let between = self.last_token_at.since(self.first_token_at) / (self.tokens - 1);
+            self.side.token_times.add(between);
+        }
+    }
+
+    fn note_token(&mut self) {
+        self.resumed = false;
+        self.last_token_at = self.shared.clock.now();
+        if self.tokens == 0 {
+            self.first_token_at = self.last_token_at;
+        }
+        self.tokens += 1;
+    }
+
+    fn tell_leaving(&self) {
+        let Some(member) = self.side.entry.spec.members.first() else { return };
+        let leaving =
+            LeavingInstance { instance: member.instance.clone(), incarnation: member.incarnation };
+        self.shared.callers.leaving.add(&leaving);
+        self.shared.news.publish(News::Leaving(leaving));
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.side.entry.spec.members[0].engine_addr
+    }
+
+    fn generate_request(&self, work: &Work) -> GenerateRequest {
+        let (profile, spec) = (work.profile(), &self.side.entry.spec);
+        GenerateRequest {
+            request: work.request,
+            stream: self.stream.clone(),
+            replica: spec.id,
+            epoch: spec.epoch,
+            incarnation: spec.members[0].incarnation,
+            model: profile.model.clone(),
+            adapter: profile.adapter.clone(),
+            priority: profile.priority,
+            prompt: work.prompt.clone(),
+            max_tokens: work.max_tokens,
         }
-        let deadline = self.work.arrived_at + self.work.profile.deadline();
-        let between = self.shared.clock.now() + self.work.profile.between_tokens();
-        self.shared.clock.instant(deadline.min(between))
     }
 }
 
-impl Drop for Running {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if !self.ended {
-            spawn_cancel(&self.shared, &self.replica, self.stream.clone());
-        }
+        self.placed = None;
+        queue::let_through(&self.shared, &self.group);
+        let again = match self.progress {
+            Progress::Unsent | Progress::NotRun | Progress::Over => return,
+            Progress::Answering => false,
+            Progress::Sent => true,
+        };
+        let shared = Arc::clone(&self.shared);
+        let (addr, stream) = (self.addr(), self.stream.clone());
+        tokio::spawn(async move {
+            cancel(&shared, addr, &stream).await;
+            if again {
+                tokio::time::sleep(CANCEL_AGAIN_PAUSE).await;
+                cancel(&shared, addr, &stream).await;
+            }
+        });
+    }
+}
+
+async fn cancel(shared: &Shared, addr: SocketAddr, stream: &StreamId) {
+    if let Err(error) = shared.engine.cancel(addr, stream.clone()).await {
+        tracing::debug!(%error, %stream, "could not cancel stream");
     }
 }
--- a/crates/citrongw/src/cmd/run.rs
+++ b/crates/citrongw/src/cmd/run.rs
@@ -1,6 +1,6 @@
 //! `citrongw run`.
 
-use std::sync::Arc;
+use std::{io::Write, sync::Arc};
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -18,15 +18,26 @@
     let settings = settings::open(&args.config)?;
     log::open(&settings.log_level);
     let node = node::spawn(settings).await?;
-    println!("callers on {}", node.caller_addr());
-    println!("operators on {}", node.admin_addr());
+    say(format_args!("callers on {}", node.caller_addr()));
+    say(format_args!("operators on {}", node.admin_addr()));
     let dumper = tokio::spawn(dump_on_signal(Arc::clone(node.shared())));
-    stop_signal().await?;
+    wait_for_stop(node.shared()).await?;
     dumper.abort();
-    node.stop().await;
+    say(format_args!("stopping; a second signal ends sooner"));
+    node.stop_until(async {
+        if stop_signal().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    })
+    .await;
     Ok(())
 }
 
+/// Prints a line; nobody may be listening.
+fn say(line: std::fmt::Arguments<'_>) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 /// Logs the state of the node on each SIGUSR1.
 async fn dump_on_signal(shared: Arc<Shared>) {
     let Ok(mut signals) = signal(SignalKind::user_defined1()) else { return };
@@ -36,8 +47,16 @@
     }
 }
 
-/// Waits for the signal that asks for the planned stop.
-pub(super) async fn stop_signal() -> Result<()> {
+/// Waits until a signal or an operator asks for the planned stop.
+pub(super) async fn wait_for_stop(shared: &Shared) -> Result<()> {
+    tokio::select! {
+        res = stop_signal() => res,
+        () = shared.stop_asked.notified() => Ok(()),
+    }
+}
+
+/// Waits for a signal that asks for the end.
+async fn stop_signal() -> Result<()> {
     let cause = |error| could_not("listen for signals", "SIGTERM", error);
     let mut term = signal(SignalKind::terminate()).map_err(cause)?;
     tokio::select! {
--- a/crates/citrongw/tests/whole_path.rs
+++ b/crates/citrongw/tests/whole_path.rs
@@ -1,73 +1,25 @@
 //! A caller's request through a node process to the stand-ins and back.
 
-use std::{
-    io::{BufRead, BufReader},
-    net::SocketAddr,
-    process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU64, Ordering},
-};
+mod common;
 
-use citrongw::demo::{self, DEMO_KEY, Surroundings};
+use std::net::SocketAddr;
+
+use citrongw::demo;
 use citrongw_fakes::engine::FakeEngine;
 use citrongw_transport::http_client::{self, HttpClient};
-use http::{Method, Request, StatusCode};
-use http_body_util::Full;
+use http::{Method, StatusCode};
+
+use common::start_node;
 
 const PROMPT: &str = "climb and cut";
 const TOKENS: u32 = 8;
 
-struct NodeProcess {
-    child: Child,
-    addr: SocketAddr,
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-}
-
-fn start_node(surroundings: &Surroundings) -> NodeProcess {
-    static COUNT: AtomicU64 = AtomicU64::new(0);
-    let count = COUNT.fetch_add(1, Ordering::Relaxed);
-    let name = format!("citrongw-whole-path-{}-{count}.ini", std::process::id());
-    let path = std::env::temp_dir().join(name);
-    let settings = format!(
-        "[node]\nzone = a\nregion = r\ncaller-addr = 127.0.0.1:0\n\
-         peer-addr = 127.0.0.1:0\nadmin-addr = 127.0.0.1:0\nbalancer-lag = 0s\n\
-         [store]\naddr = {}\n[platform]\ninstance-list-addr = {p}\nweight-store-addr = {p}\n",
-        surroundings.store_addr,
-        p = surroundings.platform_addr,
-    );
-    std::fs::write(&path, settings).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_citrongw"))
-        .args(["run", "--config"])
-        .arg(&path)
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-    std::fs::remove_file(path).unwrap();
-    let addr = line.trim().strip_prefix("callers on ").unwrap().parse().unwrap();
-    NodeProcess { child, addr }
-}
-
 async fn post(http: &HttpClient, addr: SocketAddr, stream: bool) -> (StatusCode, String) {
     let body = serde_json::json!({
         "model": "plans", "prompt": PROMPT, "max_tokens": TOKENS, "stream": stream,
     });
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(format!("http://{addr}/v1/completions"))
-        .header("authorization", format!("Bearer {DEMO_KEY}"))
-        .body(Full::from(body.to_string()))
-        .unwrap();
-    let response = http.send(request).await.unwrap();
-    let status = response.status();
-    let body = http_client::read_bytes(response.into_body()).await.unwrap();
-    (status, String::from_utf8(body.to_vec()).unwrap())
+    let builder = common::request(Method::POST, addr, "/v1/completions");
+    common::send(http, builder, &body.to_string()).await
 }
 
 /// Sends until the node has heard of its configuration and replicas.
--- /dev/null
+++ b/crates/citrongwctl/src/cmd/config.rs
@@ -0,0 +1,81 @@
+//! `citrongwctl config`.
+
+use std::{
+    path::Path,
+    time::{Duration, UNIX_EPOCH},
+};
+
+use citrongw_protocol::admin_config::ChangeRecord;
+use citrongw_state::{
+    config::{Config, change::ConfigChange},
+    id::Revision,
+};
+
+use super::Context;
+use crate::{
+    args::config::ConfigCmd,
+    change, edit,
+    error::{Result, could_not},
+    output::{self, table},
+};
+
+/// Shows, compares or writes the configuration.
+pub(super) async fn run(context: &Context, subcommand: ConfigCmd) -> Result<()> {
+    match subcommand {
+        ConfigCmd::History(_) => history(context).await,
+        ConfigCmd::Diff(args) => diff(context, args.from, args.to).await,
+        ConfigCmd::Show(args) => {
+            output::json(&change::view(context, args.revision).await?);
+            Ok(())
+        }
+        ConfigCmd::Put(args) => put(context, &args.path, args.base).await,
+    }
+}
+
+async fn history(context: &Context) -> Result<()> {
+    let records: Vec<ChangeRecord> = context.client.get("/admin/config-history").await?;
+    if context.json {
+        output::json(&records);
+        return Ok(());
+    }
+    let version = |it: Option<Revision>| it.map_or_else(|| "none".to_owned(), |it| it.to_string());
+    let mut rows = table(&["version", "from", "operator", "when", "change"]);
+    for it in &records {
+        rows.add([
+            version(it.revision),
+            version(it.from),
+            it.operator.to_string(),
+            when(it.at_unix_ms),
+            it.change.to_string(),
+        ]);
+    }
+    rows.print();
+    Ok(())
+}
+
+async fn diff(context: &Context, from: Revision, to: Option<Revision>) -> Result<()> {
+    let before = change::view(context, Some(from)).await?;
+    let after = change::view(context, to).await?;
+    let lines = edit::differences(&before.config, &after.config);
+    if context.json {
+        output::json(&lines);
+        return Ok(());
+    }
+    for line in &lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+async fn put(context: &Context, path: &Path, base: Option<Revision>) -> Result<()> {
+    let cause = |error: &dyn std::fmt::Display| could_not("read", path.display(), error);
+    let text = std::fs::read_to_string(path).map_err(|error| cause(&error))?;
+    let config: Config = serde_json::from_str(&text).map_err(|error| cause(&error))?;
+    let view = change::view(context, base).await?;
+    change::make(context, &view, ConfigChange::Replace { config: Box::new(config) }).await
+}
+
+fn when(at_unix_ms: u64) -> String {
+    let at = UNIX_EPOCH + Duration::from_millis(at_unix_ms);
+    humantime::format_rfc3339_seconds(at).to_string()
+}
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -83,6 +83,8 @@
     BrokenOff = 3002, 502, Unknown, "backend server broke off";
     /// The backend server answered with an error.
     EngineError = 3003, 502, Unknown, "backend server failed";
+    /// The node ended while the request was running.
+    NodeEnded = 3004, 503, Unknown, "node ended before the answer";
     /// An at-most-once call has no idempotency key.
     KeyMissing = 4001, 400, NotRun, "idempotency key is missing";
     /// The idempotency key was used with another body.
@@ -92,7 +94,9 @@
     /// The call of this key may have run; it is not run again.
     OutcomeUnknown = 4004, 409, Unknown, "outcome of the call is unknown";
     /// No claim could be committed.
-    ClaimUnavailable = 4005, 503, NotRun, "claim could not be made";
+    ClaimUnavailable = 4005, 503, NotRun, "claim could not be made: this attempt did not run, an earlier one of its key may have";
+    /// The call of this key ran; its answer was too large to keep.
+    AnswerNotKept = 4006, 409, Completed, "call is completed, its answer was too large to keep";
     /// The edit was made from an older version.
     EditConflict = 5001, 409, NotRun, "edit conflicts with a newer version";
     /// The document has faults.
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,13 +4,13 @@
 
 use citrongw_state::{
     admission,
-    id::{ReplicaId, RequestId},
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -25,6 +25,39 @@
         /// Attempts so far, this one among them.
         attempt: u32,
     },
+    /// A broken or silent stream was taken up again where it runs.
+    #[display("request {request} was taken up again on replica {replica} from token {offset}")]
+    Resumed {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+        /// First token asked for.
+        offset: u64,
+    },
+    /// A request whose caller had no part of an answer was given up on a
+    /// replica, to run elsewhere.
+    #[display("request {request} was given up on replica {replica} and runs again")]
+    RunAgain {
+        /// The request.
+        request: RequestId,
+        /// The replica that lost it.
+        replica: ReplicaId,
+    },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
+    /// A caller went away before its answer ended.
+    #[display("request {request} was cancelled: its caller left")]
+    CallerLeft {
+        /// The request.
+        request: RequestId,
+    },
     /// A request was answered with an error.
     #[display("request {request} was refused: {code} (outcome {})", code.outcome())]
     Refused {
@@ -33,6 +66,50 @@
         /// The code.
         code: ResultCode,
     },
+    /// A configuration was put in force.
+    #[display("configuration version {revision} is in force")]
+    ConfigInForce {
+        /// Its version.
+        revision: Revision,
+    },
+    /// The key-value service holds an older configuration than this node.
+    #[display(
+        "the key-value service went back to configuration version {found}; version {held} stays \
+         in force until an operator decides"
+    )]
+    ConfigWentBack {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// The key-value service holds a configuration that lacks a change.
+    #[display(
+        "configuration version {found} does not descend from version {held}, which stays in force \
+         until an operator decides"
+    )]
+    ConfigForked {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// A node is held for dead.
+    #[display("node {node} is held for dead: it did not answer, and did not refute")]
+    NodeDied {
+        /// The node.
+        node: NodeId,
+    },
+    /// The nodes of this node's zone were recorded.
+    #[display("record of zone {zone} names {members} nodes, as version {revision}")]
+    NodesRecorded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Nodes in the record.
+        members: usize,
+        /// Its version.
+        revision: Revision,
+    },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
     Chosen {
@@ -93,6 +170,32 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// Decision with its time.
@@ -119,17 +222,27 @@
         match (self, subject) {
             (
                 Self::Routed { request, .. }
+                | Self::Resumed { request, .. }
+                | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
+                | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
                 | Self::NotChosen { request, .. }
                 | Self::NotAdmitted { request, .. }
                 | Self::NotRetried { request, .. }
                 | Self::Isolated { request, .. }
-                | Self::Contained { request, .. },
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
             (
                 Self::Routed { replica, .. }
+                | Self::Resumed { replica, .. }
+                | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
@@ -137,13 +250,25 @@
             ) => *replica == id,
             (
                 Self::Refused { .. }
+                | Self::CallerLeft { .. }
                 | Self::NotChosen { .. }
                 | Self::NotAdmitted { .. }
                 | Self::NotRetried { .. }
-                | Self::Contained { .. },
+                | Self::Contained { .. }
+                | Self::CallClaimed { .. }
+                | Self::CallSettled { .. }
+                | Self::CallReplayed { .. },
                 Subject::Replica(_),
             )
-            | (Self::Straggler { .. }, Subject::Request(_)) => false,
+            | (Self::Straggler { .. }, Subject::Request(_))
+            | (
+                Self::ConfigInForce { .. }
+                | Self::ConfigWentBack { .. }
+                | Self::ConfigForked { .. }
+                | Self::NodeDied { .. }
+                | Self::NodesRecorded { .. },
+                _,
+            ) => false,
         }
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod admin_config;
 pub mod caller;
+pub mod claim;
 pub mod code;
 pub mod config_delta;
 pub mod config_record;
@@ -14,6 +15,8 @@
 pub mod engine;
 pub mod instance_list;
 pub mod news;
+pub mod node_record;
+pub mod peer;
 pub mod record;
 pub mod store;
 pub mod weight_store;
--- a/crates/protocol/src/news.rs
+++ b/crates/protocol/src/news.rs
@@ -21,6 +21,8 @@
     Demand(OrganisationDemand),
     /// A domain's record changed: read it.
     DomainChanged(DomainChange),
+    /// An operator asks a node for its planned stop.
+    StopNode(NodeId),
 }
 
 /// Instance that takes no new work.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod breaker;
+pub mod claim;
 pub mod concurrency;
 pub mod config;
 pub mod hash;
