--- a/crates/citrongw/src/cmd/args.rs
+++ b/crates/citrongw/src/cmd/args.rs
@@ -22,6 +22,8 @@
         cmd demo {
             /// Address for callers.
             optional --listen addr: SocketAddr
+            /// Address for operators.
+            optional --admin addr: SocketAddr
         }
     }
 }
--- a/crates/citrongw/src/cmd/demo.rs
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -1,6 +1,6 @@
 //! `citrongw demo`.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use crate::{
     cmd::{args, run},
@@ -9,13 +9,18 @@
     log,
 };
 
+/// This machine.
+const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 /// Address for callers, unless told otherwise.
-const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 8080);
+const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(LOCALHOST, 8080);
+/// Address for operators, unless told otherwise.
+const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(LOCALHOST, 8082);
 
 /// Runs the demo until it is told to stop.
 pub(super) async fn run(args: &args::Demo) -> Result<()> {
     log::open("info");
-    let demo = demo::spawn(args.listen.unwrap_or(DEFAULT_LISTEN)).await?;
+    let admin_addr = args.admin.unwrap_or(DEFAULT_ADMIN);
+    let demo = demo::spawn(args.listen.unwrap_or(DEFAULT_LISTEN), admin_addr).await?;
     let addr = demo.node.caller_addr();
     println!("citrongw is serving on http://{addr}; try:");
     println!("{}", demo::curl_line(addr));
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -69,10 +69,11 @@
     pub surroundings: Surroundings,
 }
 
-/// Spawns the demo.
-pub async fn spawn(listen: SocketAddr) -> Result<Demo> {
+/// Spawns the demo with addresses for callers and for operators.
+pub async fn spawn(caller_addr: SocketAddr, admin_addr: SocketAddr) -> Result<Demo> {
     let surroundings = open_surroundings().await?;
-    let node = node::spawn(settings(&surroundings, listen)).await?;
+    let settings = Settings { admin_addr, ..settings(&surroundings, caller_addr) };
+    let node = node::spawn(settings).await?;
     Ok(Demo { node, surroundings })
 }
 
--- /dev/null
+++ b/crates/citrongwctl/tests/races.rs
@@ -0,0 +1,101 @@
+//! Operators who race, and one who is cut off in the middle of an edit.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use common::{check, ctl, spawn_demo};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_second_of_two_edits_from_one_version_sees_both_sides() {
+    let demo = spawn_demo().await;
+    let node = demo.node.admin_addr();
+    let base = demo.node.shared().config.load_full().unwrap().revision.to_string();
+    let first = ["profile", "edit", "interactive", "retries=1", "--base", &base];
+    check(&ctl(node, &first).await, 0, "in force");
+    let second = ["profile", "edit", "interactive", "deadline_ms=20000", "--base", &base];
+    let ran = ctl(node, &second).await;
+    check(&ran, 3, "nothing was changed");
+    check(&ran, 3, "deadline_ms: 30000 -> 20000");
+    check(&ran, 3, "retries: 2 -> 1");
+    let held = demo.node.shared().config.load_full().unwrap();
+    assert_eq!(held.config.profiles[0].retries, 1);
+    assert_eq!(held.config.profiles[0].deadline_ms, 30_000);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn edits_at_once_leave_one_winner() {
+    let demo = spawn_demo().await;
+    let node = demo.node.admin_addr();
+    let base = demo.node.shared().config.load_full().unwrap().revision.to_string();
+    let edits = (1..=4).map(|retries| {
+        let (base, pair) = (base.clone(), format!("retries=1{retries}"));
+        async move {
+            let args = ["profile", "edit", "interactive", &pair, "--base", &base];
+            ctl(node, &args).await
+        }
+    });
+    let ran = futures::future::join_all(edits).await;
+    let codes = |code: i32| ran.iter().filter(|it| it.code == code).count();
+    assert_eq!((codes(0), codes(3)), (1, 3), "{ran:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_whose_reply_is_lost_is_looked_up() {
+    let demo = spawn_demo().await;
+    let lost = Arc::new(AtomicU32::new(0));
+    let proxy = spawn_proxy(demo.node.admin_addr(), Arc::clone(&lost)).await;
+    let ran = ctl(proxy, &["profile", "edit", "interactive", "retries=3"]).await;
+    check(&ran, 0, "in force");
+    assert_eq!(lost.load(Ordering::Relaxed), 1);
+    let history = ctl(proxy, &["config", "history", "--json"]).await;
+    let records: serde_json::Value = serde_json::from_str(&history.stdout).unwrap();
+    let made = records.as_array().unwrap().iter().filter(|it| !it["change"].is_null()).count();
+    assert_eq!(made, 1, "{records}");
+}
+
+/// Passes connections on to `node`, but drops the answer to the first edit.
+async fn spawn_proxy(node: SocketAddr, lost: Arc<AtomicU32>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            tokio::spawn(pass_on(caller, node, Arc::clone(&lost)));
+        }
+    });
+    addr
+}
+
+async fn pass_on(mut caller: TcpStream, node: SocketAddr, lost: Arc<AtomicU32>) {
+    let mut server = TcpStream::connect(node).await.unwrap();
+    let (mut from_caller, mut from_server) = (vec![0; 65_536], vec![0; 65_536]);
+    let mut edit_sent = false;
+    loop {
+        tokio::select! {
+            res = caller.read(&mut from_caller) => {
+                let Ok(length @ 1..) = res else { return };
+                edit_sent |= from_caller[..length].starts_with(b"POST /admin/edits");
+                server.write_all(&from_caller[..length]).await.unwrap();
+            }
+            res = server.read(&mut from_server) => {
+                let Ok(length @ 1..) = res else { return };
+                if edit_sent && lost.fetch_add(1, Ordering::Relaxed) == 0 {
+                    return;
+                }
+                if caller.write_all(&from_server[..length]).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
