--- a/crates/citrongw/src/admin/edit.rs
+++ b/crates/citrongw/src/admin/edit.rs
@@ -124,7 +124,9 @@
         config,
         replaces_lost: None,
     };
-    edit::propose(store, held.as_deref(), request).await
+    let result = edit::propose(store, held.as_deref(), request).await;
+    shared.gate.refresh();
+    result
 }
 
 fn view(revision: Option<Revision>, config: &Config) -> ConfigView {
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,7 +4,7 @@
 
 use citrongw_state::{
     admission,
-    id::{ReplicaId, RequestId},
+    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
@@ -58,6 +58,50 @@
         /// The code.
         code: ResultCode,
     },
+    /// A configuration was put in force.
+    #[display("configuration version {revision} is in force")]
+    ConfigInForce {
+        /// Its version.
+        revision: Revision,
+    },
+    /// The key-value service holds an older configuration than this node.
+    #[display(
+        "the key-value service went back to configuration version {found}; version {held} stays \
+         in force until an operator decides"
+    )]
+    ConfigWentBack {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// The key-value service holds a configuration that lacks a change.
+    #[display(
+        "configuration version {found} does not descend from version {held}, which stays in force \
+         until an operator decides"
+    )]
+    ConfigForked {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// A node is held for dead.
+    #[display("node {node} is held for dead: it did not answer, and did not refute")]
+    NodeDied {
+        /// The node.
+        node: NodeId,
+    },
+    /// The nodes of this node's zone were recorded.
+    #[display("record of zone {zone} names {members} nodes, as version {revision}")]
+    NodesRecorded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Nodes in the record.
+        members: usize,
+        /// Its version.
+        revision: Revision,
+    },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
     Chosen {
@@ -174,7 +218,15 @@
                 | Self::Contained { .. },
                 Subject::Replica(_),
             )
-            | (Self::Straggler { .. }, Subject::Request(_)) => false,
+            | (Self::Straggler { .. }, Subject::Request(_))
+            | (
+                Self::ConfigInForce { .. }
+                | Self::ConfigWentBack { .. }
+                | Self::ConfigForked { .. }
+                | Self::NodeDied { .. }
+                | Self::NodesRecorded { .. },
+                _,
+            ) => false,
         }
     }
 }
