Say so when a change takes the operator's token away

Cause: the first operators end the time of the token that writes them; the program then asked in vain who holds the version and listed no missing node. Change: a token that a committed change took away ends the wait with a sentence of its own and exit code 4.

--- a/crates/citrongwctl/src/change.rs
+++ b/crates/citrongwctl/src/change.rs
@@ -100,23 +100,36 @@
     let path = format!("/admin/acceptance/{revision}");
     let mut last: Option<Acceptance> = None;
     for _ in 0..MAX_ACCEPTANCE_LOOKS {
-        // The node that was asked may be gone; the others know as well.
-        if let Ok(acceptance) = context.client.get::<Acceptance>(&path).await {
-            if last.as_ref() != Some(&acceptance) {
-                let Acceptance { holding, recorded, .. } = acceptance;
-                eprintln!("version {revision}: held by {holding} of {recorded} nodes");
-            }
-            if acceptance.accepted && acceptance.holding == acceptance.recorded {
-                print_done(context, &acceptance);
-                return Ok(());
+        match context.client.get::<Acceptance>(&path).await {
+            Ok(acceptance) => {
+                if last.as_ref() != Some(&acceptance) {
+                    let Acceptance { holding, recorded, .. } = acceptance;
+                    eprintln!("version {revision}: held by {holding} of {recorded} nodes");
+                }
+                if acceptance.accepted && acceptance.holding == acceptance.recorded {
+                    print_done(context, &acceptance);
+                    return Ok(());
+                }
+                last = Some(acceptance);
             }
-            last = Some(acceptance);
+            Err(report) => check_token(revision, &report)?,
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
     Err(error_stack::Report::new(not_accepted(revision, last.as_ref())))
 }
 
+/// A node that does not answer is asked again; a token that the change itself
+/// took away is not.
+fn check_token(revision: Revision, report: &error_stack::Report<CtlError>) -> Result<()> {
+    let CtlError::NotAllowed { .. } = report.current_context() else { return Ok(()) };
+    let message = format!(
+        "version {revision} is committed; the token no longer counts, so nobody can be asked who \
+         holds it"
+    );
+    Err(error_stack::Report::new(CtlError::NotAccepted { message }))
+}
+
 fn print_done(context: &Context, acceptance: &Acceptance) {
     if context.json {
         output::json(acceptance);
