Add the decisions on placement, repair, loads, doubt and stragglers

Formation and repair had no policy. Each decision is now a pure function with a table of cases: placement by objective, waiting for a lost member as long as a spare would take to load, taking broken replicas apart to complete others, the order of weight loads under the shared rate, self-doubt, and stragglers against the median of their peers with hysteresis and a cap.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,9 +6,15 @@
 //! of them without sockets.
 
 pub mod config;
+pub mod doubt;
 pub mod id;
 pub mod lifecycle;
+pub mod objective;
 pub mod ownership;
+pub mod placement;
+pub mod repair;
 pub mod replica;
+pub mod straggler;
 pub mod time;
 pub mod unit;
+pub mod weight_order;
--- /dev/null
+++ b/crates/state/src/placement/tests.rs
@@ -0,0 +1,50 @@
+//! Cases of placement.
+
+use super::*;
+
+fn supply(domain: &str, free: u32) -> Supply {
+    Supply { domain: domain.into(), zone: "z".into(), free }
+}
+
+fn demand(instances: u32, missing: u32, across: bool) -> Demand {
+    let deployment = format!("d{instances}").as_str().into();
+    Demand { deployment, instances, missing, across }
+}
+
+fn planned(objective: Objective, supplies: &[Supply], demands: &[Demand]) -> Vec<String> {
+    let text = |it: &Assignment| {
+        let part = |part: &Part| format!("{}:{}", part.domain, part.instances);
+        let parts: Vec<String> = it.parts.iter().map(part).collect();
+        format!("{} {}", it.deployment, parts.join("+"))
+    };
+    plan(objective, supplies, demands).iter().map(text).collect()
+}
+
+#[test]
+fn replicas_form_where_the_objective_wants_them() {
+    use Objective::{GroupDowntime, StrandedAccelerators};
+    let supplies = [supply("a", 5), supply("b", 4), supply("c", 2)];
+    let cases = [
+        (GroupDowntime, vec![demand(4, 1, false)], vec!["d4 a:4"]),
+        (StrandedAccelerators, vec![demand(4, 1, false)], vec!["d4 b:4"]),
+        (GroupDowntime, vec![demand(4, 3, false)], vec!["d4 a:4", "d4 b:4"]),
+        (GroupDowntime, vec![demand(6, 1, false)], vec![]),
+        (GroupDowntime, vec![demand(6, 1, true)], vec!["d6 a:5+b:1"]),
+        (GroupDowntime, vec![demand(12, 1, true)], vec![]),
+        (
+            StrandedAccelerators,
+            vec![demand(2, 1, false), demand(4, 1, false)],
+            vec!["d4 b:4", "d2 c:2"],
+        ),
+    ];
+    for (objective, demands, expected) in cases {
+        assert_eq!(planned(objective, &supplies, &demands), expected, "{objective} {demands:?}");
+    }
+}
+
+#[test]
+fn parts_ascend_by_domain_whatever_their_size() {
+    let supplies = [supply("b", 3), supply("a", 1)];
+    let plan = planned(Objective::GroupDowntime, &supplies, &[demand(4, 1, true)]);
+    assert_eq!(plan, ["d4 a:1+b:3"]);
+}
