Add the step functions of replica control and the plan of the fleet

Nothing formed or repaired replicas. A domain's control is now a function of event, view and time: it takes over by compare-and-swap with an attempt id, reads back what had no reply, puts all that is due into one write, claims across domains in ascending order, gives orders under the record's epoch and inside the window of the last confirmed write, and withholds instances until their engines say that they are free. The plan is worked out alike on every node. The stand-in engine keeps loaded weights across orders.

--- /dev/null
+++ b/crates/coordination/src/control/edit.rs
@@ -0,0 +1,311 @@
+//! The next version of a domain's record: all that is due goes into one write.
+
+use std::sync::Arc;
+
+use citrongw_protocol::{
+    decision::Decision,
+    instance_list::InstanceState,
+    record::{DomainRecord, DownReplica, DrainCause, FailedChange},
+};
+use citrongw_state::{
+    id::{InstanceId, ReplicaId},
+    lifecycle,
+    replica::{HeardReport, Member, ReplicaSpec},
+    time::Time,
+};
+
+use super::{
+    claim::ClaimStep,
+    context::{Context, Formation},
+    domain::{Action, DomainControl, Notes},
+    release::{drain, withhold},
+    seen::{Seen, Standing},
+};
+
+/// Failed changes kept in one record.
+const FAILED_KEPT: usize = 16;
+/// Silence after which a free instance is not planned with.
+const UNUSABLE_AFTER: std::time::Duration = std::time::Duration::from_secs(10);
+
+impl DomainControl {
+    /// The record with all that is due, if anything is.
+    pub(super) fn edited(
+        &mut self,
+        ctx: &Context<'_>,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) -> Option<(DomainRecord, Vec<Decision>)> {
+        self.go_on_claiming(now, actions);
+        let record = Arc::clone(self.record.as_ref()?);
+        let mut next = DomainRecord::clone(&record);
+        let mut decisions = Vec::new();
+        self.mark_leaving(&mut next, now, actions, &mut decisions);
+        self.settle_releases(&mut next, now);
+        self.begin_drains(&mut next, ctx, &mut decisions);
+        self.end_drains(&mut next, now);
+        self.catch_up_epochs(&mut next);
+        self.note_serving(&mut next, now);
+        self.halt_changes(&mut next, ctx, now, &mut decisions);
+        self.mend(&mut next, ctx, now, &mut decisions);
+        self.settle_claims(&mut next, &mut decisions);
+        self.form(&mut next, ctx, now, &mut decisions);
+        self.start_loads(&mut next, ctx);
+        self.note_unusable(&mut next, now);
+        let changed = next != *record;
+        (changed || self.renew).then_some((next, decisions))
+    }
+
+    pub(super) fn standing(&self, spec: &ReplicaSpec, member: &Member, now: Time) -> Standing {
+        self.seen.get(&member.instance).map_or(Standing::Silent(now), |seen| {
+            seen.standing(spec, member, now, self.settings.freshness)
+        })
+    }
+
+    /// Instances that may join a replica now.
+    pub(super) fn free_instances(&self, record: &DomainRecord, now: Time) -> Vec<Member> {
+        if now < self.quiet_until {
+            return Vec::new();
+        }
+        self.seen.iter().filter_map(|(id, seen)| self.as_free(record, id, seen, now)).collect()
+    }
+
+    fn as_free(
+        &self,
+        record: &DomainRecord,
+        id: &InstanceId,
+        seen: &Seen,
+        now: Time,
+    ) -> Option<Member> {
+        let listed = seen.listed.as_ref().filter(|it| it.state == InstanceState::Live)?;
+        let report = seen.fresh(now, self.settings.freshness)?.report;
+        let free = report.replica.is_none()
+            && !report.leaving
+            && !record.holds(id)
+            && !record.is_leaving(id, report.incarnation);
+        free.then(|| Member {
+            instance: id.clone(),
+            incarnation: report.incarnation,
+            engine_addr: listed.engine_addr,
+        })
+    }
+
+    /// Raises the epoch above those that engines refused orders with.
+    fn catch_up_epochs(&self, next: &mut DomainRecord) {
+        let newest = self.seen.values().filter_map(|it| it.outrun_by).max();
+        if newest.is_some_and(|it| next.epoch < it) {
+            next.epoch = newest.unwrap_or_default().next();
+        }
+        let outrun = |spec: &ReplicaSpec| {
+            let by = |it: &Member| self.seen.get(&it.instance)?.outrun_by;
+            spec.members.iter().filter_map(by).any(|it| spec.epoch < it)
+        };
+        if next.replicas.iter().any(outrun) {
+            next.epoch = next.epoch.next();
+            let epoch = next.epoch;
+            next.replicas.iter_mut().filter(|it| outrun(it)).for_each(|it| it.epoch = epoch);
+        }
+    }
+
+    /// Renews which replicas are down, and ends loads that are done.
+    fn note_serving(&mut self, next: &mut DomainRecord, now: Time) {
+        let mut down = Vec::new();
+        for spec in &next.replicas {
+            let heard: Vec<Option<HeardReport>> =
+                spec.members.iter().map(|it| self.seen.get(&it.instance)?.heard).collect();
+            let res = lifecycle::resume(spec).vouch(&heard, now, self.settings.freshness);
+            let Some(notes) = self.notes.get_mut(&spec.id) else { continue };
+            match res {
+                Ok(_) => notes.down_since = None,
+                Err((_, cause)) => {
+                    notes.down_since.get_or_insert(now);
+                    down.push(DownReplica { replica: spec.id, cause });
+                }
+            }
+        }
+        next.loads.retain(|it| down.iter().any(|down| down.replica == it.replica));
+        // A change of the cause alone is not worth a write.
+        let ids = |list: &[DownReplica]| Vec::from_iter(list.iter().map(|it| it.replica));
+        if ids(&down) != ids(&next.down) {
+            next.down = down;
+        }
+    }
+
+    /// Halts a planned change whose replica does not come up though all its
+    /// members are alive.
+    fn halt_changes(
+        &self,
+        next: &mut DomainRecord,
+        ctx: &Context<'_>,
+        now: Time,
+        decisions: &mut Vec<Decision>,
+    ) {
+        next.failed_changes.retain(|change| {
+            let deployment = ctx.deployment(&change.deployment);
+            deployment
+                .is_some_and(|it| it.version == change.version && it.adapters == change.adapters)
+        });
+        let failed = next.replicas.iter().find_map(|spec| {
+            let target = ctx.fleet.targets.get(&spec.deployment)?;
+            let (previous_version, previous_adapters) = target.previous.clone()?;
+            let current = spec.version == target.version && spec.adapters == target.adapters;
+            let notes = self.notes.get(&spec.id)?;
+            let late = self.settings.change_deadline <= now.since(notes.formed_at);
+            let loading = |it: &Member| {
+                matches!(self.standing(spec, it, now), Standing::Loads | Standing::Astray)
+            };
+            let alive =
+                |it: &Member| loading(it) || self.standing(spec, it, now) == Standing::Vouches;
+            let stuck = spec.members.iter().all(alive) && spec.members.iter().any(loading);
+            (current && late && stuck).then(|| {
+                let change = FailedChange {
+                    deployment: spec.deployment.clone(),
+                    version: spec.version.clone(),
+                    adapters: spec.adapters.clone(),
+                    previous_version,
+                    previous_adapters,
+                };
+                (spec.id, change)
+            })
+        });
+        let Some((replica, change)) = failed else { return };
+        let (deployment, version) = (change.deployment.clone(), change.version.clone());
+        decisions.push(Decision::ChangeHalted { deployment, version, replica });
+        if !next.failed_changes.contains(&change) {
+            next.failed_changes.push(change);
+        }
+        if FAILED_KEPT < next.failed_changes.len() {
+            next.failed_changes.remove(0);
+        }
+        drain(next, replica, DrainCause::Change, decisions);
+    }
+
+    /// Makes replicas active whose claims stand, and drops those refused.
+    fn settle_claims(&mut self, next: &mut DomainRecord, decisions: &mut Vec<Decision>) {
+        for mut spec in std::mem::take(&mut next.pending) {
+            match self.claims.step(spec.id) {
+                Some(ClaimStep::Granted) => {
+                    let granted = spec.members.len();
+                    if lifecycle::claim(&spec).activate(granted).is_ok() {
+                        next.epoch = next.epoch.next();
+                        spec.epoch = next.epoch;
+                        self.activate(next, spec, decisions);
+                    }
+                }
+                Some(ClaimStep::Refused) => {
+                    next.epoch = next.epoch.next();
+                    for member in spec.members {
+                        withhold_own(self, next, member);
+                    }
+                }
+                _ => next.pending.push(spec),
+            }
+        }
+    }
+
+    fn activate(&self, next: &mut DomainRecord, spec: ReplicaSpec, decisions: &mut Vec<Decision>) {
+        let (replica, epoch, domain) = (spec.id, spec.epoch, self.domain.clone());
+        decisions.push(Decision::ReplicaFormed { replica, domain, epoch });
+        self.add_load(next, &spec, u32::try_from(spec.members.len()).unwrap_or(u32::MAX));
+        next.replicas.push(spec);
+    }
+
+    /// Forms what the plan assigns to this domain.
+    fn form(
+        &mut self,
+        next: &mut DomainRecord,
+        ctx: &Context<'_>,
+        now: Time,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(plan) = ctx.fleet.domains.get(&self.domain) else { return };
+        if ctx.doubting || plan.revision != self.revision || self.dark_since.is_some() {
+            return;
+        }
+        let mut free = self.free_instances(next, now);
+        for formation in &plan.form {
+            let Some(spec) = self.new_spec(ctx, formation, &mut free) else { continue };
+            if formation.elsewhere.is_empty() {
+                next.epoch = next.epoch.next();
+                let spec = ReplicaSpec { epoch: next.epoch, ..spec };
+                self.activate(next, spec, decisions);
+            } else {
+                self.claims.propose(spec.id, formation);
+                next.pending.push(spec);
+            }
+        }
+    }
+
+    fn new_spec(
+        &mut self,
+        ctx: &Context<'_>,
+        formation: &Formation,
+        free: &mut Vec<Member>,
+    ) -> Option<ReplicaSpec> {
+        let id = &formation.assignment.deployment;
+        let deployment = ctx.deployment(id)?;
+        let target = ctx.fleet.targets.get(id)?;
+        let here = formation.assignment.parts.first()?.instances as usize;
+        if free.len() < here {
+            return None;
+        }
+        let mut members: Vec<Member> = free.drain(..here).collect();
+        let first = self.seen.get(&members.first()?.instance)?;
+        let zone = first.listed.as_ref()?.zone.clone();
+        members.extend(formation.elsewhere.iter().map(|(_, member)| member.clone()));
+        Some(ReplicaSpec {
+            id: self.draw_replica(),
+            epoch: citrongw_state::id::Epoch::default(),
+            deployment: id.clone(),
+            model: deployment.model.clone(),
+            version: target.version.clone(),
+            adapters: target.adapters.clone(),
+            domain: self.domain.clone(),
+            zone,
+            members,
+        })
+    }
+
+    fn start_loads(&self, next: &mut DomainRecord, ctx: &Context<'_>) {
+        let Some(plan) = ctx.fleet.domains.get(&self.domain) else { return };
+        for load in &mut next.loads {
+            load.running |= plan.starting.contains(&load.replica);
+        }
+    }
+
+    fn note_unusable(&self, next: &mut DomainRecord, now: Time) {
+        let lasting = |seen: &Seen| UNUSABLE_AFTER <= now.since(seen.silent_since());
+        let unusable = self
+            .seen
+            .iter()
+            .filter(|(id, seen)| seen.listed.is_some() && !next.holds(id) && lasting(seen));
+        let unusable: Vec<InstanceId> = unusable.map(|(id, _)| id.clone()).collect();
+        if unusable != next.unusable {
+            next.unusable = unusable;
+        }
+    }
+
+    /// Keeps notes of the replicas in the record.
+    pub(super) fn note_replicas(&mut self, now: Time) {
+        let Some(record) = &self.record else { return };
+        let mut ids: Vec<ReplicaId> = record.replicas.iter().map(|it| it.id).collect();
+        ids.sort_unstable();
+        self.notes.retain(|id, _| ids.binary_search(id).is_ok());
+        for spec in &record.replicas {
+            let new = Notes { down_since: None, formed_at: now, epoch: spec.epoch };
+            let notes = self.notes.entry(spec.id).or_insert(new);
+            if notes.epoch != spec.epoch {
+                notes.epoch = spec.epoch;
+                notes.formed_at = now;
+            }
+        }
+    }
+}
+
+/// Withholds a member of a dropped claim if its instance is of this domain; the
+/// others are their own domains' matter.
+fn withhold_own(control: &DomainControl, next: &mut DomainRecord, member: Member) {
+    let own = control.seen.get(&member.instance).is_some_and(|it| it.listed.is_some());
+    if own {
+        withhold(next, member);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/control/leaving.rs
@@ -0,0 +1,124 @@
+//! Which instances take no new work: what the list, the engines and the
+//! comparison with peers say of them, and the marks in the record.
+
+use citrongw_protocol::{
+    decision::Decision,
+    engine::{EngineStatus, OrderReply},
+    instance_list::{InstanceState, ListedInstance},
+    news::{LeavingInstance, News},
+    record::{DomainRecord, LeavingCause, LeavingMark},
+};
+use citrongw_state::{
+    id::{Incarnation, InstanceId},
+    time::Time,
+};
+
+use super::{
+    domain::{Action, DomainControl},
+    seen::Seen,
+};
+
+impl DomainControl {
+    pub(super) fn take_listed(&mut self, listed: Vec<ListedInstance>, now: Time) {
+        for seen in self.seen.values_mut() {
+            seen.listed = None;
+        }
+        for instance in listed {
+            let new = Seen { first_at: now, ..Seen::default() };
+            let seen = self.seen.entry(instance.id.clone()).or_insert(new);
+            seen.listed = Some(instance);
+        }
+        let record = self.record.clone();
+        let named = |id: &InstanceId| record.as_ref().is_some_and(|it| it.holds(id));
+        self.seen.retain(|id, seen| seen.listed.is_some() || named(id));
+        self.peers.retain(|id| self.seen.contains_key(id));
+    }
+
+    pub(super) fn take_status(
+        &mut self,
+        instance: &InstanceId,
+        status: &EngineStatus,
+        asked_at: Time,
+        now: Time,
+    ) {
+        let new = Seen { first_at: now, ..Seen::default() };
+        self.seen.entry(instance.clone()).or_insert(new).hear(status, asked_at);
+        if 0.0 < status.step_ms && status.member.ready {
+            self.peers.see(instance, status.step_ms);
+        }
+    }
+
+    pub(super) fn take_ordered(&mut self, instance: &InstanceId, reply: &OrderReply) {
+        let Some(seen) = self.seen.get_mut(instance) else { return };
+        match reply {
+            OrderReply::OldEpoch { seen: epoch } => {
+                seen.outrun_by = seen.outrun_by.max(Some(*epoch));
+            }
+            OrderReply::Taken | OrderReply::OtherIncarnation { .. } => {}
+        }
+    }
+
+    /// Renews the marks of the record, and tells of new ones.
+    pub(super) fn mark_leaving(
+        &mut self,
+        next: &mut DomainRecord,
+        now: Time,
+        actions: &mut Vec<Action>,
+        decisions: &mut Vec<Decision>,
+    ) {
+        next.leaving.retain(|mark| !self.is_obsolete(mark, now));
+        self.stragglers = self.peers.judge(now);
+        for (instance, incarnation, cause) in self.found_leaving(next) {
+            if next.is_leaving(&instance, incarnation) {
+                continue;
+            }
+            let told = LeavingInstance { instance: instance.clone(), incarnation };
+            actions.push(Action::Publish(News::Leaving(told)));
+            decisions.push(Decision::InstanceLeaving { instance: instance.clone(), cause });
+            if let Some(seen) = self.seen.get_mut(&instance) {
+                seen.leaving_at = Some(now);
+            }
+            next.leaving.push(LeavingMark { instance, incarnation, cause });
+        }
+    }
+
+    fn found_leaving(&self, record: &DomainRecord) -> Vec<(InstanceId, Incarnation, LeavingCause)> {
+        // The drain that this system ordered makes an engine say the same.
+        let drains = |id: &InstanceId| {
+            let members = record.draining.iter().flat_map(|it| &it.spec.members);
+            members.chain(&record.releasing).any(|it| it.instance == *id)
+        };
+        let mut found = Vec::new();
+        for (id, seen) in &self.seen {
+            let Some(listed) = &seen.listed else { continue };
+            let report = seen.heard.map(|it| it.report);
+            if listed.state == InstanceState::Leaving {
+                found.push((id.clone(), listed.incarnation, LeavingCause::Listed));
+            }
+            let Some(report) = report else { continue };
+            if report.leaving && !drains(id) {
+                found.push((id.clone(), report.incarnation, LeavingCause::Engine));
+            }
+            if self.stragglers.contains(id) {
+                found.push((id.clone(), report.incarnation, LeavingCause::Straggler));
+            }
+        }
+        found
+    }
+
+    /// A mark ends with the start of the process that it names; a straggler's
+    /// after its rest.
+    fn is_obsolete(&self, mark: &LeavingMark, now: Time) -> bool {
+        let Some(seen) = self.seen.get(&mark.instance) else { return true };
+        let restarted = seen.heard.is_some_and(|it| it.report.incarnation != mark.incarnation);
+        let listed_newer =
+            seen.listed.as_ref().is_some_and(|it| it.incarnation == mark.incarnation);
+        if restarted && !listed_newer {
+            return true;
+        }
+        let rest = self.settings.straggler_rest;
+        mark.cause == LeavingCause::Straggler
+            && !self.stragglers.contains(&mark.instance)
+            && seen.leaving_at.is_none_or(|it| rest <= now.since(it))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/control/mend.rs
@@ -0,0 +1,286 @@
+//! Repair of the domain's replicas that lost members.
+
+use std::time::Duration;
+
+use citrongw_protocol::{
+    decision::Decision,
+    record::{DomainRecord, DrainCause, WeightLoad},
+};
+use citrongw_state::{
+    id::ReplicaId,
+    repair::{self, Broken, Patience, Step},
+    replica::{Member, ReplicaSpec},
+    time::Time,
+};
+
+use super::{
+    context::Context,
+    domain::DomainControl,
+    release::{drain, withhold},
+    seen::Standing,
+};
+
+/// Share of a domain that must go silent at once to hold repair back, as one
+/// part in so many.
+const DARK_PARTS: usize = 2;
+/// Fewest silent instances that make a domain dark.
+const DARK_LEAST: usize = 3;
+
+/// Places of a replica that have to be filled anew.
+struct Vacancies {
+    /// Places whose instance returned as another start, free to be taken anew.
+    returned: Vec<(usize, Member)>,
+    /// Places that need another instance.
+    open: Vec<usize>,
+    /// Shortest silence of a member that may still return.
+    waited: Option<Duration>,
+    /// Whether any member still answers.
+    any_alive: bool,
+    /// Whether a member is alive and leaving, with requests in flight.
+    busy: bool,
+}
+
+impl DomainControl {
+    /// Repairs what may be repaired now.
+    pub(super) fn mend(
+        &mut self,
+        next: &mut DomainRecord,
+        ctx: &Context<'_>,
+        now: Time,
+        decisions: &mut Vec<Decision>,
+    ) {
+        if ctx.doubting {
+            return;
+        }
+        let held_back = self.is_held_back(next, now, decisions);
+        self.abandon(next, now, decisions);
+        let broken = self.broken(next, now);
+        let mut spares = self.free_instances(next, now);
+        for (id, vacancies) in &broken {
+            if !held_back && vacancies.open.is_empty() && !vacancies.busy {
+                self.refill(next, *id, vacancies, &mut spares, now, decisions);
+            }
+        }
+        let open = broken.iter().filter(|(_, it)| !it.open.is_empty() && !it.busy);
+        let candidates: Vec<Broken> =
+            open.filter_map(|(id, it)| self.describe(next, *id, it, now)).collect();
+        if held_back || candidates.is_empty() {
+            return;
+        }
+        let patience = self.patience(ctx);
+        let count = u32::try_from(spares.len()).unwrap_or(u32::MAX);
+        let steps = repair::decide(self.settings.objective, &candidates, count, &patience);
+        // A domain that went dark is taken in order, one replica a write.
+        let most = if self.dark_since.is_some() { 1 } else { steps.len() };
+        for (id, step) in steps.into_iter().take(most) {
+            let Some((_, vacancies)) = broken.iter().find(|it| it.0 == id) else { continue };
+            match step {
+                Step::Replace => self.refill(next, id, vacancies, &mut spares, now, decisions),
+                Step::TakeApart => drain(next, id, DrainCause::TakenApart, decisions),
+            }
+        }
+    }
+
+    fn patience(&self, ctx: &Context<'_>) -> Patience {
+        Patience {
+            load_time: self.settings.load_time,
+            most: self.settings.wait_most,
+            together: self.settings.together,
+            wanted_elsewhere: ctx.fleet.wanted_elsewhere,
+        }
+    }
+
+    /// Notices when much of the domain goes silent at once.
+    fn is_held_back(
+        &mut self,
+        record: &DomainRecord,
+        now: Time,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let freshness = self.settings.freshness;
+        let known = self.seen.iter().filter(|(id, it)| it.listed.is_some() || record.holds(id));
+        let known: Vec<bool> = known.map(|(_, it)| it.fresh(now, freshness).is_none()).collect();
+        let silent = known.iter().filter(|it| **it).count();
+        if silent < DARK_LEAST || silent * DARK_PARTS < known.len() {
+            self.dark_since = None;
+            return false;
+        }
+        if self.dark_since.is_none() {
+            let domain = self.domain.clone();
+            decisions.push(Decision::DomainHeldBack { domain, silent });
+        }
+        let since = *self.dark_since.get_or_insert(now);
+        now.since(since) < self.settings.dark_hold
+    }
+
+    /// Gives up replicas that have no live member for long: they are missing
+    /// elsewhere, and their instances are withheld until they say otherwise.
+    fn abandon(&mut self, next: &mut DomainRecord, now: Time, decisions: &mut Vec<Decision>) {
+        let long = self.settings.abandon_after;
+        let is_lost = |spec: &ReplicaSpec| {
+            spec.members.iter().all(|member| match self.standing(spec, member, now) {
+                Standing::Silent(since) => long <= now.since(since),
+                _ => false,
+            })
+        };
+        let lost: Vec<ReplicaId> =
+            next.replicas.iter().filter(|it| is_lost(it)).map(|it| it.id).collect();
+        for id in lost {
+            drain(next, id, DrainCause::TakenApart, decisions);
+        }
+    }
+
+    fn broken(&self, record: &DomainRecord, now: Time) -> Vec<(ReplicaId, Vacancies)> {
+        let vacancies = |spec: &ReplicaSpec| Some((spec.id, self.vacancies(record, spec, now)?));
+        record.replicas.iter().filter_map(vacancies).collect()
+    }
+
+    fn vacancies(&self, record: &DomainRecord, spec: &ReplicaSpec, now: Time) -> Option<Vacancies> {
+        let mut found = Vacancies {
+            returned: Vec::new(),
+            open: Vec::new(),
+            waited: None,
+            any_alive: false,
+            busy: false,
+        };
+        for (idx, member) in spec.members.iter().enumerate() {
+            let marked = record.is_leaving(&member.instance, member.incarnation);
+            match self.standing(spec, member, now) {
+                Standing::Silent(since) => {
+                    let waited = now.since(since);
+                    found.waited = Some(found.waited.map_or(waited, |it| it.min(waited)));
+                    found.open.push(idx);
+                }
+                Standing::Restarted => match self.returned(record, member, now) {
+                    Some(member) => found.returned.push((idx, member)),
+                    None => found.open.push(idx),
+                },
+                Standing::Leaves => {
+                    found.any_alive = true;
+                    found.open.push(idx);
+                }
+                _ if marked => {
+                    found.any_alive = true;
+                    found.open.push(idx);
+                }
+                _ => found.any_alive = true,
+            }
+        }
+        let leaves = spec.members.iter().any(|it| record.is_leaving(&it.instance, it.incarnation));
+        found.busy = leaves && self.is_busy(spec, now);
+        (!found.open.is_empty() || !found.returned.is_empty()).then_some(found)
+    }
+
+    /// Whether requests in flight on a replica with a leaving member may still
+    /// finish.
+    fn is_busy(&self, spec: &ReplicaSpec, now: Time) -> bool {
+        let vouches =
+            |member: &Member| matches!(self.standing(spec, member, now), Standing::Vouches);
+        let left_at = spec.members.iter().filter_map(|it| self.seen.get(&it.instance)?.leaving_at);
+        let Some(first) = spec.members.first() else { return false };
+        let running = self.seen.get(&first.instance).map_or(0, |it| it.running);
+        let deadline = self.settings.drain_deadline;
+        spec.members.iter().all(vouches)
+            && 0 < running
+            && left_at.min().is_some_and(|it| now.since(it) < deadline)
+    }
+
+    /// The member's instance under its new start, if it serves nothing.
+    fn returned(&self, record: &DomainRecord, member: &Member, now: Time) -> Option<Member> {
+        let heard = *self.seen.get(&member.instance)?.fresh(now, self.settings.freshness)?;
+        let report = heard.report;
+        let usable = report.replica.is_none()
+            && !report.leaving
+            && !record.is_leaving(&member.instance, report.incarnation);
+        usable.then(|| Member { incarnation: report.incarnation, ..member.clone() })
+    }
+
+    fn describe(
+        &self,
+        record: &DomainRecord,
+        id: ReplicaId,
+        vacancies: &Vacancies,
+        now: Time,
+    ) -> Option<Broken> {
+        let spec = record.replicas.iter().find(|it| it.id == id)?;
+        let lost = u32::try_from(vacancies.open.len()).ok()?;
+        let members = u32::try_from(spec.members.len()).ok()?;
+        let since = self.notes.get(&id).and_then(|it| it.down_since);
+        Some(Broken {
+            replica: id,
+            lost,
+            left: members - lost,
+            accelerators: self.accelerators(spec),
+            waited: vacancies.waited,
+            broken_for: since.map_or(Duration::ZERO, |it| now.since(it)),
+            may_give: vacancies.any_alive,
+        })
+    }
+
+    /// Fills the places of a replica under a new epoch, so that no member's
+    /// earlier report vouches for the new composition.
+    fn refill(
+        &self,
+        next: &mut DomainRecord,
+        id: ReplicaId,
+        vacancies: &Vacancies,
+        spares: &mut Vec<Member>,
+        now: Time,
+        decisions: &mut Vec<Decision>,
+    ) {
+        if spares.len() < vacancies.open.len() {
+            return;
+        }
+        let Some(idx) = next.replicas.iter().position(|it| it.id == id) else { return };
+        let epoch = next.epoch.next();
+        let spec = &mut next.replicas[idx];
+        let mut gone = Vec::new();
+        for (place, member) in &vacancies.returned {
+            spec.members[*place] = member.clone();
+        }
+        for place in &vacancies.open {
+            let spare = spares.remove(0);
+            gone.push(std::mem::replace(&mut spec.members[*place], spare));
+        }
+        spec.epoch = epoch;
+        next.epoch = epoch;
+        let spec = next.replicas[idx].clone();
+        let replaced =
+            u32::try_from(vacancies.returned.len() + vacancies.open.len()).unwrap_or(u32::MAX);
+        for member in gone {
+            withhold(next, member);
+        }
+        let members = spec.members.iter();
+        let unloaded = members.filter(|it| !self.keeps_weights(&spec, it, now)).count();
+        self.add_load(next, &spec, u32::try_from(unloaded).unwrap_or(u32::MAX));
+        decisions.push(Decision::ReplicaRepaired { replica: id, replaced });
+    }
+
+    fn keeps_weights(&self, spec: &ReplicaSpec, member: &Member, now: Time) -> bool {
+        let seen = self.seen.get(&member.instance);
+        let heard = seen.and_then(|it| it.fresh(now, self.settings.freshness));
+        heard.is_some_and(|it| {
+            it.report.replica == Some(spec.id)
+                && it.report.incarnation == member.incarnation
+                && it.report.ready
+        })
+    }
+
+    /// Lists a weight load, in place of an earlier one of the replica.
+    pub(super) fn add_load(&self, next: &mut DomainRecord, spec: &ReplicaSpec, members: u32) {
+        next.loads.retain(|it| it.replica != spec.id);
+        let accelerators = self.accelerators(spec);
+        next.loads.push(WeightLoad { replica: spec.id, members, accelerators, running: false });
+    }
+
+    fn accelerators(&self, spec: &ReplicaSpec) -> u32 {
+        let of = |it: &Member| {
+            let seen = self.seen.get(&it.instance)?;
+            seen.listed.as_ref().map(|it| it.accelerators)
+        };
+        let known: Vec<u32> = spec.members.iter().filter_map(of).collect();
+        let members = u32::try_from(spec.members.len()).unwrap_or(u32::MAX);
+        let most = known.into_iter().max().unwrap_or(1);
+        members.saturating_mul(most)
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod config_watch;
+pub mod control;
 pub mod decision_log;
 pub mod news_board;
 pub mod node_view;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -1,6 +1,8 @@
 //! Stand-in for a model engine. It answers a prompt with words made from it,
 //! one by one, and keeps its streams for resuming.
 
+pub mod orders;
+
 use std::{
     collections::BTreeMap,
     io,
@@ -26,6 +28,7 @@
 use tokio::sync::watch;
 use viz::{Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
 
+use self::orders::EngineOrders;
 use crate::http;
 
 /// Speed and manners of an engine.
@@ -66,8 +69,9 @@
 
 #[derive(Debug)]
 struct State {
-    member: MemberReport,
+    orders: EngineOrders,
     load: LoadReport,
+    step_ms: f32,
     streams: BTreeMap<StreamId, StreamState>,
     break_after: Option<u64>,
     silent: bool,
@@ -84,14 +88,9 @@
 /// Makes an engine; it belongs to no replica yet.
 pub fn open(incarnation: Incarnation, settings: EngineSettings) -> FakeEngine {
     let state = State {
-        member: MemberReport {
-            replica: None,
-            epoch: Epoch(0),
-            incarnation,
-            ready: false,
-            leaving: false,
-        },
+        orders: orders::open(incarnation, settings.honours_fencing),
         load: LoadReport::default(),
+        step_ms: 0.0,
         streams: BTreeMap::new(),
         break_after: None,
         silent: false,
@@ -105,19 +104,24 @@
     /// Makes it a ready member of a replica.
     pub fn join(&self, replica: ReplicaId, epoch: Epoch) {
         let mut state = self.state();
-        state.member.replica = Some(replica);
-        state.member.epoch = epoch;
-        state.member.ready = true;
+        state.orders.report.replica = Some(replica);
+        state.orders.report.epoch = epoch;
+        state.orders.report.ready = true;
     }
 
     /// Changes what it reports.
     pub fn set_report(&self, change: impl FnOnce(&mut MemberReport)) {
-        change(&mut self.state().member);
+        change(&mut self.state().orders.report);
+    }
+
+    /// Sets the time of its steps.
+    pub fn set_step_ms(&self, step_ms: f32) {
+        self.state().step_ms = step_ms;
     }
 
     /// What it reports.
     pub fn report(&self) -> MemberReport {
-        self.state().member
+        self.state().orders.report
     }
 
     /// Breaks the connection of each stream once, after so many tokens.
@@ -148,30 +152,14 @@
 
     /// Carries out an order.
     pub fn order(&self, order: &Order) -> OrderReply {
-        let honours_fencing = self.shared.settings.honours_fencing;
+        let load_time = self.shared.settings.load_time;
         let mut state = self.state();
-        let member = &mut state.member;
-        if order.incarnation != member.incarnation {
-            return OrderReply::OtherIncarnation { incarnation: member.incarnation };
-        }
-        if honours_fencing && order.epoch < member.epoch {
-            return OrderReply::OldEpoch { seen: member.epoch };
-        }
-        member.epoch = order.epoch;
-        match &order.kind {
-            OrderKind::Load { replica, .. } => {
-                member.replica = Some(*replica);
-                member.leaving = false;
-                member.ready = self.shared.settings.load_time.is_zero();
-            }
-            OrderKind::Drain => member.leaving = true,
-            OrderKind::Release => {
-                member.replica = None;
-                member.ready = false;
-                member.leaving = false;
-            }
+        let reply = state.orders.carry_out(order);
+        let loads = matches!(order.kind, OrderKind::Load { .. }) && reply == OrderReply::Taken;
+        if loads && load_time.is_zero() {
+            state.orders.finish_load();
         }
-        OrderReply::Taken
+        reply
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -306,12 +294,13 @@
     let body: Order = req.json().await?;
     let reply = engine.order(&body);
     let load_time = engine.shared.settings.load_time;
-    if reply == OrderReply::Taken && !load_time.is_zero() {
+    let loads = matches!(body.kind, OrderKind::Load { .. });
+    if loads && reply == OrderReply::Taken && !load_time.is_zero() {
         tokio::spawn(async move {
             tokio::time::sleep(load_time).await;
             let mut state = engine.state();
-            if state.member.epoch == body.epoch && state.member.replica.is_some() {
-                state.member.ready = true;
+            if state.orders.report.epoch == body.epoch {
+                state.orders.finish_load();
             }
         });
     }
@@ -321,7 +310,7 @@
 async fn status(engine: FakeEngine, _req: Request) -> viz::Result<Response> {
     let status = {
         let state = engine.state();
-        EngineStatus { member: state.member, load: state.load }
+        EngineStatus { member: state.orders.report, load: state.load, step_ms: state.step_ms }
     };
     Ok(http::json(StatusCode::OK, &status))
 }
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
-use citrongw_state::id::{ReplicaId, RequestId};
+use citrongw_state::id::{
+    DeploymentId, Epoch, FabricDomainId, InstanceId, ModelVersion, ReplicaId, RequestId,
+};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::{
+    code::ResultCode,
+    record::{DrainCause, LeavingCause},
+};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -29,6 +34,68 @@
         /// The code.
         code: ResultCode,
     },
+    /// This node took the control of a domain.
+    #[display("this node took control of domain {domain} under epoch {epoch}")]
+    DomainTaken {
+        /// The domain.
+        domain: FabricDomainId,
+        /// Epoch that it took.
+        epoch: Epoch,
+    },
+    /// Repair of a domain is held back because much of it went silent at once.
+    #[display("repair of domain {domain} is held back: {silent} instances went silent at once")]
+    DomainHeldBack {
+        /// The domain.
+        domain: FabricDomainId,
+        /// Instances that are silent.
+        silent: usize,
+    },
+    /// A replica was formed.
+    #[display("replica {replica} forms in domain {domain} under epoch {epoch}")]
+    ReplicaFormed {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its domain.
+        domain: FabricDomainId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Spares took the places of lost members.
+    #[display("replica {replica} was repaired: {replaced} members were replaced")]
+    ReplicaRepaired {
+        /// The replica.
+        replica: ReplicaId,
+        /// Members that were replaced.
+        replaced: u32,
+    },
+    /// A replica takes no new work and ends.
+    #[display("replica {replica} is drained, cause: {cause}")]
+    ReplicaDrained {
+        /// The replica.
+        replica: ReplicaId,
+        /// Why.
+        cause: DrainCause,
+    },
+    /// An instance takes no new work.
+    #[display("instance {instance} takes no new work, cause: {cause}")]
+    InstanceLeaving {
+        /// The instance.
+        instance: InstanceId,
+        /// Why.
+        cause: LeavingCause,
+    },
+    /// A planned change was halted and is rolled back.
+    #[display(
+        "change of {deployment} to version {version} is rolled back: replica {replica} did not come up"
+    )]
+    ChangeHalted {
+        /// The deployment.
+        deployment: DeploymentId,
+        /// The version that failed.
+        version: ModelVersion,
+        /// The replica that did not come up.
+        replica: ReplicaId,
+    },
 }
 
 /// Decision with its time.
@@ -57,8 +124,15 @@
                 Self::Routed { request, .. } | Self::Refused { request, .. },
                 Subject::Request(id),
             ) => *request == id,
-            (Self::Routed { replica, .. }, Subject::Replica(id)) => *replica == id,
-            (Self::Refused { .. }, Subject::Replica(_)) => false,
+            (
+                Self::Routed { replica, .. }
+                | Self::ReplicaFormed { replica, .. }
+                | Self::ReplicaRepaired { replica, .. }
+                | Self::ReplicaDrained { replica, .. }
+                | Self::ChangeHalted { replica, .. },
+                Subject::Replica(id),
+            ) => *replica == id,
+            _ => false,
         }
     }
 }
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -84,6 +84,9 @@
     pub member: MemberReport,
     /// Its load.
     pub load: LoadReport,
+    /// Mean time of its own part of a step of late; zero if it ran none.
+    #[serde(default)]
+    pub step_ms: f32,
 }
 
 /// What an order asks for.
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -9,7 +9,7 @@
         AdapterId, AttemptId, DeploymentId, Epoch, FabricDomainId, Incarnation, InstanceId,
         ModelVersion, NodeId, ReplicaId,
     },
-    replica::{Member, ReplicaSpec},
+    replica::{Member, NotRoutable, ReplicaSpec},
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -60,6 +60,12 @@
     /// Weight loads under way or waiting for the store's rate.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<WeightLoad>,
+    /// Replicas of this domain that are not serving, as its owner sees them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub down: Vec<DownReplica>,
+    /// Instances that no replica holds and that cannot be used now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<InstanceId>,
     /// Planned changes that failed here.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed_changes: Vec<FailedChange>,
@@ -141,6 +147,15 @@
     pub cause: LeavingCause,
 }
 
+/// Replica that is not serving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DownReplica {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// What the first such member lacks.
+    pub cause: NotRoutable,
+}
+
 /// Weights that members of a replica load.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightLoad {
