--- /dev/null
+++ b/crates/bench/src/control_world/node.rs
@@ -0,0 +1,204 @@
+//! One node: its controls, what it was told, and what it would route by.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use citrongw_coordination::control::{
+    context::{Context, FleetPlan},
+    domain::{self, Action, DomainControl, Event},
+    plan::{self, PlanInput, Records},
+};
+use citrongw_protocol::{instance_list::ListedInstance, record::DomainRecord};
+use citrongw_state::{
+    doubt::Doubt,
+    id::{FabricDomainId, InstanceId, NodeId, ReplicaId, Revision},
+    replica::{HeardReport, Member},
+    time::Time,
+};
+
+use super::{WorldSettings, engine::EngineModel, store::StoreModel};
+
+/// Pause between two reads of all records.
+const READ_ALL: Duration = Duration::from_secs(30);
+
+/// A node.
+#[derive(Debug, Default)]
+pub struct NodeModel {
+    /// The node.
+    pub id: NodeId,
+    /// Whether the process runs.
+    pub alive: bool,
+    /// End of its pause.
+    pub paused: Option<Time>,
+    /// Whether it reaches the key-value service.
+    pub cut_from_store: bool,
+    /// Whether it reaches the engines.
+    pub cut_from_engines: bool,
+    /// Nodes that it holds for alive.
+    pub view: Vec<NodeId>,
+    /// Records as it was told.
+    pub records: Records,
+    /// What members told it as a router.
+    pub heard: BTreeMap<InstanceId, HeardReport>,
+    controls: BTreeMap<FabricDomainId, DomainControl>,
+    fleet: FleetPlan,
+    doubt: Doubt,
+    read_at: Option<Time>,
+    renewed: bool,
+    listed: Option<Arc<Vec<ListedInstance>>>,
+}
+
+/// Opens a node.
+pub fn open(
+    id: NodeId,
+    domains: &BTreeSet<FabricDomainId>,
+    settings: &WorldSettings,
+    seed: u64,
+) -> NodeModel {
+    let control = |(idx, it): (usize, &FabricDomainId)| {
+        let seed = seed.wrapping_add(idx as u64);
+        (it.clone(), domain::open(it.clone(), id, settings.control, seed))
+    };
+    NodeModel {
+        id,
+        alive: true,
+        view: (1..=settings.nodes).map(NodeId).collect(),
+        controls: domains.iter().enumerate().map(control).collect(),
+        ..NodeModel::default()
+    }
+}
+
+impl NodeModel {
+    /// End of its pause, if it is paused.
+    pub fn paused_until(&self, now: Time) -> Option<Time> {
+        self.paused.filter(|it| now < *it)
+    }
+
+    /// Reads all records, now and then.
+    pub fn read_all(
+        &mut self,
+        store: &mut StoreModel,
+        settings: &WorldSettings,
+        now: Time,
+    ) -> Vec<(FabricDomainId, Action)> {
+        if self.read_at.is_some_and(|it| now.since(it) < READ_ALL) {
+            return Vec::new();
+        }
+        self.read_at = Some(now);
+        self.doubt.confirm(now);
+        store.reads += 1;
+        let mut actions = Vec::new();
+        for (domain, (record, revision)) in store.records() {
+            self.learn(domain, Arc::clone(record), *revision);
+            let told = Event::Told(Arc::clone(record), *revision);
+            let found = self.tell(domain, told, settings, now);
+            actions.extend(found.into_iter().map(|it| (domain.clone(), it)));
+        }
+        actions
+    }
+
+    /// Learns a record.
+    pub fn learn(
+        &mut self,
+        domain: &FabricDomainId,
+        record: Arc<DomainRecord>,
+        revision: Revision,
+    ) {
+        let newer = self.records.get(domain).is_none_or(|(_, it)| *it < revision);
+        if newer {
+            self.records.insert(domain.clone(), (record, revision));
+            self.renewed = true;
+        }
+    }
+
+    /// Tells a control something.
+    pub fn tell(
+        &mut self,
+        domain: &FabricDomainId,
+        event: Event,
+        settings: &WorldSettings,
+        now: Time,
+    ) -> Vec<Action> {
+        if matches!(event, Event::Read(_)) {
+            self.doubt.confirm(now);
+        }
+        let ctx = Context {
+            alive: &self.view,
+            doubting: self.doubt.is_doubting(),
+            deployments: &settings.config.deployments,
+            fleet: &self.fleet,
+        };
+        let control = self.controls.get_mut(domain);
+        control.map(|it| it.step(&ctx, event, now)).unwrap_or_default()
+    }
+
+    /// Lets time pass: asks the instances, renews the plan, ticks the controls.
+    pub fn tick(
+        &mut self,
+        engines: &[EngineModel],
+        listed: &Arc<Vec<ListedInstance>>,
+        settings: &WorldSettings,
+        now: Time,
+    ) -> Vec<(FabricDomainId, Action)> {
+        self.doubt.see(self.view.len(), now);
+        let list_is_new = self.listed.as_ref().is_none_or(|it| !Arc::ptr_eq(it, listed));
+        if self.renewed || list_is_new {
+            self.listed = Some(Arc::clone(listed));
+            self.renewed = false;
+            self.fleet = plan::compute(&PlanInput {
+                objective: settings.control.objective,
+                loads_at_once: settings.control.loads_at_once,
+                config: &settings.config,
+                records: &self.records,
+                listed,
+            });
+        }
+        let mut actions = Vec::new();
+        for domain in self.controls.keys().cloned().collect::<Vec<_>>() {
+            if list_is_new {
+                let of_domain = listed.iter().filter(|it| it.domain == domain);
+                let listed = Event::Listed(of_domain.cloned().collect());
+                self.tell(&domain, listed, settings, now);
+            }
+            self.poll(&domain, engines, settings, now);
+            let found = self.tell(&domain, Event::Tick, settings, now);
+            actions.extend(found.into_iter().map(|it| (domain.clone(), it)));
+        }
+        if settings.checked && !self.cut_from_engines {
+            for engine in engines {
+                let Some(status) = engine.status() else { continue };
+                let heard = HeardReport { report: status.member, asked_at: now };
+                self.heard.insert(engine.listed.id.clone(), heard);
+            }
+        }
+        actions
+    }
+
+    /// Members of a replica that is still being claimed.
+    pub fn pending_members(&self, domain: &FabricDomainId, replica: ReplicaId) -> Vec<Member> {
+        let record = self.controls.get(domain).and_then(DomainControl::record);
+        let spec = record.and_then(|it| it.replica(replica));
+        spec.map(|it| it.members.clone()).unwrap_or_default()
+    }
+
+    fn poll(
+        &mut self,
+        domain: &FabricDomainId,
+        engines: &[EngineModel],
+        settings: &WorldSettings,
+        now: Time,
+    ) {
+        if self.cut_from_engines {
+            return;
+        }
+        let targets = self.controls.get(domain).map(DomainControl::poll_targets);
+        for (instance, _) in targets.unwrap_or_default() {
+            let place = engines.binary_search_by(|it| it.listed.id.cmp(&instance));
+            let Some(status) = place.ok().and_then(|it| engines[it].status()) else { continue };
+            self.tell(domain, Event::Status(instance, status, now), settings, now);
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,6 @@
-//! What the benches share: their arguments and the lines they print.
+//! What the benches and history checks share.
 
 pub mod args;
+pub mod control_history;
+pub mod control_world;
 pub mod report;
--- a/crates/coordination/src/control/edit.rs
+++ b/crates/coordination/src/control/edit.rs
@@ -272,8 +272,12 @@
         }
     }
 
+    /// Renews which free instances are not to be planned with.
     fn note_unusable(&self, next: &mut DomainRecord, now: Time) {
-        let lasting = |seen: &Seen| UNUSABLE_AFTER <= now.since(seen.silent_since());
+        let lasting = |seen: &Seen| {
+            let says_leaving = seen.heard.is_some_and(|it| it.report.leaving);
+            says_leaving || UNUSABLE_AFTER <= now.since(seen.silent_since())
+        };
         let unusable = self
             .seen
             .iter()
--- a/crates/coordination/src/control/leaving.rs
+++ b/crates/coordination/src/control/leaving.rs
@@ -10,6 +10,7 @@
 };
 use citrongw_state::{
     id::{Incarnation, InstanceId},
+    replica::MemberReport,
     time::Time,
 };
 
@@ -83,11 +84,6 @@
     }
 
     fn found_leaving(&self, record: &DomainRecord) -> Vec<(InstanceId, Incarnation, LeavingCause)> {
-        // The drain that this system ordered makes an engine say the same.
-        let drains = |id: &InstanceId| {
-            let members = record.draining.iter().flat_map(|it| &it.spec.members);
-            members.chain(&record.releasing).any(|it| it.instance == *id)
-        };
         let mut found = Vec::new();
         for (id, seen) in &self.seen {
             let Some(listed) = &seen.listed else { continue };
@@ -96,7 +92,7 @@
                 found.push((id.clone(), listed.incarnation, LeavingCause::Listed));
             }
             let Some(report) = report else { continue };
-            if report.leaving && !drains(id) {
+            if report.leaving && is_own_word(record, id, &report) {
                 found.push((id.clone(), report.incarnation, LeavingCause::Engine));
             }
             if self.stragglers.contains(id) {
@@ -122,3 +118,13 @@
             && seen.leaving_at.is_none_or(|it| rest <= now.since(it))
     }
 }
+
+/// Whether an engine that says it is leaving says so by itself. After a drain
+/// that this system ordered, it reports the epoch of that order.
+fn is_own_word(record: &DomainRecord, instance: &InstanceId, report: &MemberReport) -> bool {
+    record.replicas.iter().any(|spec| {
+        report.replica == Some(spec.id)
+            && report.epoch == spec.epoch
+            && spec.members.iter().any(|it| it.instance == *instance)
+    })
+}
