--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -3,8 +3,16 @@
 mod answer;
 mod attempt;
 mod auth;
+mod body;
 mod completion;
+mod directory;
+mod events;
 mod refusal;
+mod request_log;
+mod running;
+mod select;
+pub mod service;
+mod work;
 
 use std::sync::{Arc, atomic::Ordering};
 
@@ -14,18 +22,30 @@
 
 use crate::node::Shared;
 
+/// What the requests of a node share.
+#[derive(Debug, Default)]
+pub struct Callers {
+    directory: directory::DirectoryCell,
+    bodies: body::BodyBudget,
+}
+
 /// Routes of the caller interface.
 pub fn router(shared: &Arc<Shared>) -> Router {
     let on = || Arc::clone(shared);
     let (chat, text, models, ready) = (on(), on(), on(), on());
+    let services = on();
     Router::new()
         .post("/v1/chat/completions", move |req| completion::chat(Arc::clone(&chat), req))
         .post("/v1/completions", move |req| completion::text(Arc::clone(&text), req))
         .get("/v1/models", move |req| completion::models(Arc::clone(&models), req))
         .get("/ready", move |req| check_ready(Arc::clone(&ready), req))
-        .any("/*path", |_: Request| async {
-            Ok::<Response, viz::Error>(refusal::response(ResultCode::NotFound, new_request_id()))
-        })
+        .any("/services/*path", move |req| service::serve(Arc::clone(&services), req))
+        .any("/", |_: Request| not_found())
+        .any("/*path", |_: Request| not_found())
+}
+
+async fn not_found() -> viz::Result<Response> {
+    Ok(refusal::response(ResultCode::NotFound, new_request_id()))
 }
 
 /// Draws the id of a request.
--- a/crates/coordination/src/control/domain.rs
+++ b/crates/coordination/src/control/domain.rs
@@ -16,7 +16,7 @@
 };
 use citrongw_state::{
     id::{AttemptId, Epoch, FabricDomainId, InstanceId, NodeId, ReplicaId, Revision},
-    straggler::Peers,
+    member_pace::Peers,
     time::Time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,16 +5,27 @@
 //! state, event and time, so that a bench can drive thousands of nodes' worth
 //! of them without sockets.
 
+pub mod admission;
+pub mod breaker;
+pub mod claim;
+pub mod concurrency;
 pub mod config;
 pub mod doubt;
+pub mod hash;
+pub mod hedge;
 pub mod id;
 pub mod lifecycle;
+pub mod limit;
+pub mod member_pace;
 pub mod objective;
 pub mod ownership;
 pub mod placement;
 pub mod repair;
 pub mod replica;
+pub mod retry;
+pub mod routing;
 pub mod straggler;
+pub mod suspicion;
 pub mod time;
 pub mod unit;
 pub mod weight_order;
