--- a/crates/citrongw/src/caller/service/call.rs
+++ b/crates/citrongw/src/caller/service/call.rs
@@ -1,5 +1,7 @@
 //! A caller's call of a plain service, read whole and checked.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use citrongw_protocol::{caller::IDEMPOTENCY_KEY_HEADER, code::ResultCode};
 use citrongw_state::{
@@ -8,23 +10,25 @@
     time::Time,
 };
 use http::Method;
-use http_body_util::{BodyExt, Limited};
 use viz::{Request, RequestExt, header};
 
 use crate::{
-    caller::auth::{self, Caller},
+    caller::{
+        auth::{self, Caller},
+        body::{self, BodyShare},
+        directory::ProfilePlace,
+        request_log::Entry,
+    },
     node::Shared,
 };
 
 /// Prefix of the path of every call.
 const PATH_PREFIX: &str = "/services/";
-/// Largest body of a call.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
 /// Longest idempotency key.
 const MAX_KEY_BYTES: usize = 255;
 
 /// Call of a plain service.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Call {
     /// The request.
     pub(super) request: RequestId,
@@ -48,9 +52,21 @@
     pub(super) key: Option<IdempotencyKey>,
     /// When it arrived.
     pub(super) arrived_at: Time,
+    _place: ProfilePlace,
+    _share: BodyShare,
 }
 
 impl Call {
+    /// Addresses of the backend servers, from a random one on.
+    pub(super) fn rotated_addrs(&self) -> Vec<SocketAddr> {
+        let mut addrs = self.service.addrs.clone();
+        if !addrs.is_empty() {
+            let first = rand::random_range(0..addrs.len());
+            addrs.rotate_left(first);
+        }
+        addrs
+    }
+
     /// Point by which the caller must have an answer.
     pub(super) fn deadline(&self) -> Time {
         self.arrived_at + self.caller.profile.deadline()
@@ -61,30 +77,47 @@
 pub(super) async fn read(
     shared: &Shared,
     req: Request,
-    request: RequestId,
+    entry: &mut Entry,
 ) -> Result<Call, ResultCode> {
-    let arrived_at = shared.clock.now();
     let caller = auth::find(shared, &req)?;
+    entry.set_organisation(&caller.organisation);
     let (name, path) = split_path(req.uri().path())?;
-    let config = shared.config.load_full().ok_or(ResultCode::NotConfirmed)?;
-    let service = config.config.plain_service(&name.into()).ok_or(ResultCode::NotFound)?;
-    let rule = service.rule(req.method().as_str(), path).ok_or(ResultCode::NotFound)?;
+    let (service, rule) = find_rule(shared, name, req.method(), path)?;
     let query = req.uri().query().map(|it| format!("?{it}")).unwrap_or_default();
-    let mut call = Call {
-        request,
+    let (full_path, path) = (format!("{}{query}", req.uri().path()), format!("{path}{query}"));
+    let (method, content_type) = (req.method().clone(), req.header(header::CONTENT_TYPE));
+    let key = read_key(&req)?;
+    let timeout = shared.settings.body_timeout.min(caller.profile.deadline());
+    let (body, share) = body::read_bytes(req, &shared.callers.bodies, timeout).await?;
+    let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
+    Ok(Call {
+        request: entry.request(),
         caller,
-        service: service.clone(),
-        rule: rule.clone(),
-        method: req.method().clone(),
-        full_path: format!("{}{query}", req.uri().path()),
-        path: format!("{path}{query}"),
-        content_type: req.header(header::CONTENT_TYPE),
-        body: Bytes::new(),
-        key: read_key(&req)?,
-        arrived_at,
-    };
-    call.body = read_body(req).await?;
-    Ok(call)
+        service,
+        rule,
+        method,
+        full_path,
+        path,
+        content_type,
+        body: Bytes::from(body),
+        key,
+        arrived_at: entry.arrived_at(),
+        _place: place,
+        _share: share,
+    })
+}
+
+fn find_rule(
+    shared: &Shared,
+    name: &str,
+    method: &Method,
+    path: &str,
+) -> Result<(PlainService, CallRule), ResultCode> {
+    let config = shared.config.load();
+    let config = config.as_ref().ok_or(ResultCode::NotConfirmed)?;
+    let service = config.config.plain_service(&name.into()).ok_or(ResultCode::NotFound)?;
+    let rule = service.rule(method.as_str(), path).ok_or(ResultCode::NotFound)?;
+    Ok((service.clone(), rule.clone()))
 }
 
 /// Name of the service and the path after it.
@@ -121,19 +154,5 @@
     if fits { Ok(Some(text.into())) } else { Err(ResultCode::Malformed) }
 }
 
-async fn read_body(req: Request) -> Result<Bytes, ResultCode> {
-    if req.content_length().is_some_and(|length| (MAX_BODY_BYTES as u64) < length) {
-        return Err(ResultCode::TooLarge);
-    }
-    let collected = Limited::new(req.into_body(), MAX_BODY_BYTES).collect().await;
-    collected.map(http_body_util::Collected::to_bytes).map_err(|error| {
-        if error.is::<http_body_util::LengthLimitError>() {
-            ResultCode::TooLarge
-        } else {
-            ResultCode::Malformed
-        }
-    })
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -54,6 +54,9 @@
 /// Longest time for the last answers of a node that ends at once.
 const END_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time that a stop waits for claims to be settled.
+const CLAIMS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What the parts of a node share.
 pub struct Shared {
     /// The node.
@@ -142,6 +145,10 @@
         let finish = async {
             tokio::time::sleep(shared.settings.balancer_lag).await;
             self.server.stop().await;
+            let drain = shared.services.claims().drain();
+            if tokio::time::timeout(CLAIMS_TIMEOUT, drain).await.is_err() {
+                tracing::warn!("ended while claims were not settled");
+            }
         };
         tokio::pin!(finish);
         tokio::select! {
@@ -192,8 +199,8 @@
         decisions: Arc::new(decision_log::open(clock)),
         config: Arc::default(),
         replicas: Arc::default(),
+        services: service::open(node, &store, clock),
         store,
-        services: service::open(),
         engine,
         metrics: metrics::open(),
         stop_asked: Notify::new(),
@@ -212,6 +219,7 @@
             shared.clock,
         ),
     ];
+    drivers.extend(caller::spawn(&shared));
     let tls = open_tls(&shared.settings)?;
     let options = ServerOptions {
         tls: tls.clone(),
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,13 +4,19 @@
 
 use citrongw_state::{
     admission,
-    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
+    id::{
+        AttemptId, AvailabilityZone, DeploymentId, Epoch, FabricDomainId, InstanceId, ModelVersion,
+        NodeId, ReplicaId, RequestId, Revision,
+    },
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::{
+    code::{Outcome, ResultCode},
+    record::{DrainCause, LeavingCause},
+};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -44,6 +50,14 @@
         /// The replica that lost it.
         replica: ReplicaId,
     },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// A caller went away before its answer ended.
     #[display("request {request} was cancelled: its caller left")]
     CallerLeft {
@@ -102,6 +116,68 @@
         /// Its version.
         revision: Revision,
     },
+    /// This node took the control of a domain.
+    #[display("this node took control of domain {domain} under epoch {epoch}")]
+    DomainTaken {
+        /// The domain.
+        domain: FabricDomainId,
+        /// Epoch that it took.
+        epoch: Epoch,
+    },
+    /// Repair of a domain is held back because much of it went silent at once.
+    #[display("repair of domain {domain} is held back: {silent} instances went silent at once")]
+    DomainHeldBack {
+        /// The domain.
+        domain: FabricDomainId,
+        /// Instances that are silent.
+        silent: usize,
+    },
+    /// A replica was formed.
+    #[display("replica {replica} forms in domain {domain} under epoch {epoch}")]
+    ReplicaFormed {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its domain.
+        domain: FabricDomainId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// Spares took the places of lost members.
+    #[display("replica {replica} was repaired: {replaced} members were replaced")]
+    ReplicaRepaired {
+        /// The replica.
+        replica: ReplicaId,
+        /// Members that were replaced.
+        replaced: u32,
+    },
+    /// A replica takes no new work and ends.
+    #[display("replica {replica} is drained, cause: {cause}")]
+    ReplicaDrained {
+        /// The replica.
+        replica: ReplicaId,
+        /// Why.
+        cause: DrainCause,
+    },
+    /// An instance takes no new work.
+    #[display("instance {instance} takes no new work, cause: {cause}")]
+    InstanceLeaving {
+        /// The instance.
+        instance: InstanceId,
+        /// Why.
+        cause: LeavingCause,
+    },
+    /// A planned change was halted and is rolled back.
+    #[display(
+        "change of {deployment} to version {version} is rolled back: replica {replica} did not come up"
+    )]
+    ChangeHalted {
+        /// The deployment.
+        deployment: DeploymentId,
+        /// The version that failed.
+        version: ModelVersion,
+        /// The replica that did not come up.
+        replica: ReplicaId,
+    },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
     Chosen {
@@ -162,6 +238,32 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// Decision with its time.
@@ -190,6 +292,7 @@
                 Self::Routed { request, .. }
                 | Self::Resumed { request, .. }
                 | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
                 | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
@@ -197,36 +300,27 @@
                 | Self::NotAdmitted { request, .. }
                 | Self::NotRetried { request, .. }
                 | Self::Isolated { request, .. }
-                | Self::Contained { request, .. },
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
             (
                 Self::Routed { replica, .. }
                 | Self::Resumed { replica, .. }
                 | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
-                | Self::Isolated { replica, .. },
+                | Self::Isolated { replica, .. }
+                | Self::ReplicaFormed { replica, .. }
+                | Self::ReplicaRepaired { replica, .. }
+                | Self::ReplicaDrained { replica, .. }
+                | Self::ChangeHalted { replica, .. },
                 Subject::Replica(id),
             ) => *replica == id,
-            (
-                Self::Refused { .. }
-                | Self::CallerLeft { .. }
-                | Self::NotChosen { .. }
-                | Self::NotAdmitted { .. }
-                | Self::NotRetried { .. }
-                | Self::Contained { .. },
-                Subject::Replica(_),
-            )
-            | (Self::Straggler { .. }, Subject::Request(_))
-            | (
-                Self::ConfigInForce { .. }
-                | Self::ConfigWentBack { .. }
-                | Self::ConfigForked { .. }
-                | Self::NodeDied { .. }
-                | Self::NodesRecorded { .. },
-                _,
-            ) => false,
+            _ => false,
         }
     }
 }
