Count without locks on the path of a request, and show more

Cause: each request took a mutex for its organisation's label and one in the library's histogram; calls to the service, traffic between nodes, claims and the process's own cost were not on the page. Change: labels by read-copy-update, times by atomics, counts of the other parts read when the page is asked for.

--- a/crates/citrongw/src/metrics.rs
+++ b/crates/citrongw/src/metrics.rs
@@ -1,24 +1,32 @@
 //! Metrics in the OpenMetrics text form.
 //!
-//! What the request path counts is kept here; what other parts know already is
-//! read from them when the page is asked for.
+//! What the request path counts is kept here, by atomics and read-copy-update;
+//! what other parts know already is read from them when the page is asked for.
+
+mod counts;
+mod process;
+mod times;
 
 use std::{
     collections::BTreeSet,
-    sync::{Mutex, PoisonError, atomic::AtomicU64},
+    sync::{Arc, atomic::AtomicU64},
     time::Duration,
 };
 
+use arc_swap::ArcSwap;
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::id::OrganisationId;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
-    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::{Registry, Unit},
 };
 
+use self::times::Times;
 use crate::node::Shared;
 
+/// What the name of each metric begins with.
+const PREFIX: &str = "citrongw";
 /// Organisations with a label of their own; all others share one.
 const MAX_ORGANISATIONS: usize = 64;
 /// Label of the organisations beyond the bound.
@@ -53,8 +61,9 @@
 pub struct Metrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
-    organisations: Mutex<BTreeSet<OrganisationId>>,
-    request_time: Histogram,
+    organisations: ArcSwap<BTreeSet<OrganisationId>>,
+    request_time: Times,
+    first_token_time: Times,
     replicas_wanted: Family<ModelLabels, Gauge>,
     replicas_serving: Family<ModelLabels, Gauge>,
     group_downtime: Family<CauseLabels, Counter<f64, AtomicU64>>,
@@ -67,10 +76,11 @@
 /// Opens the metrics of a node.
 pub fn open() -> Metrics {
     let mut metrics = Metrics {
-        registry: Registry::with_prefix("citrongw"),
+        registry: Registry::with_prefix(PREFIX),
         requests: Family::default(),
-        organisations: Mutex::default(),
-        request_time: Histogram::new(REQUEST_BUCKETS_S),
+        organisations: ArcSwap::default(),
+        request_time: times::open(REQUEST_BUCKETS_S),
+        first_token_time: times::open(REQUEST_BUCKETS_S),
         replicas_wanted: Family::default(),
         replicas_serving: Family::default(),
         group_downtime: Family::default(),
@@ -98,7 +108,12 @@
             outcome,
         };
         self.requests.get_or_create(&labels).inc();
-        self.request_time.observe(took.as_secs_f64());
+        self.request_time.add(took);
+    }
+
+    /// Counts the time from the arrival of a request to its first token.
+    pub fn add_first_token(&self, took: Duration) {
+        self.first_token_time.add(took);
     }
 
     /// Adds time that a replica of a model was not serving.
@@ -118,21 +133,33 @@
     pub fn text(&self, shared: &Shared) -> String {
         self.read(shared);
         let mut page = String::new();
-        if text::encode(&mut page, &self.registry).is_err() {
+        let mut other = Registry::with_prefix(PREFIX);
+        other.register_collector(Box::new(counts::read(shared)));
+        let res = text::encode_registry(&mut page, &self.registry)
+            .and_then(|()| text::encode_registry(&mut page, &other))
+            .and_then(|()| text::encode_eof(&mut page));
+        if res.is_err() {
             page.clear();
         }
         page
     }
 
+    /// The organisation's own label, while there are not too many.
     fn organisation_label(&self, organisation: &OrganisationId) -> String {
-        let mut known = self.organisations.lock().unwrap_or_else(PoisonError::into_inner);
-        if !known.contains(organisation) {
-            if MAX_ORGANISATIONS <= known.len() {
-                return OTHER_ORGANISATIONS.to_owned();
-            }
-            known.insert(organisation.clone());
+        if !self.organisations.load().contains(organisation) {
+            self.organisations.rcu(|known| {
+                if MAX_ORGANISATIONS <= known.len() {
+                    return Arc::clone(known);
+                }
+                let mut known = BTreeSet::clone(known);
+                known.insert(organisation.clone());
+                Arc::new(known)
+            });
+        }
+        if self.organisations.load().contains(organisation) {
+            return organisation.to_string();
         }
-        organisation.to_string()
+        OTHER_ORGANISATIONS.to_owned()
     }
 
     fn register(&mut self) {
@@ -144,6 +171,12 @@
             Unit::Seconds,
             self.request_time.clone(),
         );
+        registry.register_with_unit(
+            "first_token_time",
+            "Time from arrival to the first token",
+            Unit::Seconds,
+            self.first_token_time.clone(),
+        );
         registry.register("replicas_wanted", "Replicas wanted", self.replicas_wanted.clone());
         registry.register("replicas_serving", "Replicas serving", self.replicas_serving.clone());
         registry.register_with_unit(
