Bring about overload, limits, hedges and requests that crash engines

Six more tests: one large organisation in front of held engines, overload beyond the deadline, an organisation's limit, a hedge, a leaving instance, and a request that crashes every engine that runs it (two of six replicas die, its resends are refused by number, others run). The first found that the queue refused newcomers for good reason of nothing: a queue that had drained nothing in its first 200 ms expected to drain nothing ever (60 s for ten small requests). What was measured now counts as at least one request of the newcomer's size.

--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -112,14 +112,22 @@
 }
 
 /// What the stand-ins differ in.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct SurroundingsOptions {
+    /// Replicas.
+    pub replicas: u64,
     /// Manners of the engines.
     pub engine: EngineSettings,
     /// Whether a device that can forget connections stands before each engine.
     pub middleboxes: bool,
 }
 
+impl Default for SurroundingsOptions {
+    fn default() -> Self {
+        Self { replicas: REPLICAS, engine: EngineSettings::default(), middleboxes: false }
+    }
+}
+
 /// Starts the stand-ins.
 pub async fn open_surroundings() -> Result<Surroundings> {
     open_surroundings_with(SurroundingsOptions::default(), |_| {}).await
@@ -138,7 +146,7 @@
     let mut engines = Vec::new();
     let mut middleboxes = Vec::new();
     let mut record = DomainRecord { epoch: Epoch(1), ..DomainRecord::default() };
-    for replica in 1..=REPLICAS {
+    for replica in 1..=options.replicas {
         let mut members = Vec::new();
         for member in 1..=MEMBERS {
             let incarnation = Incarnation(replica * 100 + member);
--- a/crates/citrongw/tests/request_path/main.rs
+++ b/crates/citrongw/tests/request_path/main.rs
@@ -3,5 +3,6 @@
 mod bad_input;
 mod broken_streams;
 mod deadlines;
+mod policy;
 mod rig;
 mod stop;
--- a/crates/citrongw/tests/request_path/rig.rs
+++ b/crates/citrongw/tests/request_path/rig.rs
@@ -38,7 +38,7 @@
             between_tokens: Duration::from_millis(1),
             ..EngineSettings::default()
         },
-        middleboxes: false,
+        ..SurroundingsOptions::default()
     }
 }
 
@@ -98,12 +98,13 @@
     /// Waits until all replicas may be routed to.
     pub(crate) async fn wait_until_serving(&self) {
         let shared = Arc::clone(self.node.shared());
+        let engines = self.surroundings.engines.len();
         wait_for("a routable replica", || {
             let now = shared.clock.now();
             let freshness = shared.settings.report_freshness;
             let entries = shared.replicas.entries();
             shared.config.load().is_some()
-                && 2 <= entries.len()
+                && entries.len() * 4 == engines
                 && entries.iter().all(|it| it.check_routable(now, freshness).is_ok())
         })
         .await;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -23,7 +23,7 @@
 };
 use futures::{StreamExt, TryStreamExt, stream};
 use http_body_util::Full;
-use tokio::sync::watch;
+use tokio::sync::{OnceCell, OwnedSemaphorePermit, Semaphore, watch};
 use viz::{Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
 
 use crate::http;
@@ -37,6 +37,8 @@
     pub between_tokens: Duration,
     /// Time that loading weights takes.
     pub load_time: Duration,
+    /// Streams that it generates at once; others wait in order.
+    pub slots: usize,
     /// Whether it refuses an order of an older epoch.
     pub honours_fencing: bool,
 }
@@ -47,6 +49,7 @@
             first_token: Duration::from_millis(5),
             between_tokens: Duration::from_millis(1),
             load_time: Duration::ZERO,
+            slots: Semaphore::MAX_PERMITS,
             honours_fencing: true,
         }
     }
@@ -74,6 +77,7 @@
 #[derive(Debug)]
 struct Shared {
     settings: EngineSettings,
+    slots: Arc<Semaphore>,
     state: Mutex<State>,
 }
 
@@ -84,6 +88,8 @@
     streams: BTreeMap<StreamId, StreamState>,
     stream_fault: Option<StreamFault>,
     silent: bool,
+    poison: Option<String>,
+    crashed: bool,
     generated: u64,
     cancelled: u64,
 }
@@ -108,10 +114,13 @@
         streams: BTreeMap::new(),
         stream_fault: None,
         silent: false,
+        poison: None,
+        crashed: false,
         generated: 0,
         cancelled: 0,
     };
-    FakeEngine { shared: Arc::new(Shared { settings, state: Mutex::new(state) }) }
+    let slots = Arc::new(Semaphore::new(settings.slots));
+    FakeEngine { shared: Arc::new(Shared { settings, slots, state: Mutex::new(state) }) }
 }
 
 impl FakeEngine {
@@ -148,6 +157,21 @@
         self.state().silent = silent;
     }
 
+    /// Crashes at a prompt that contains `text`.
+    pub fn set_poison(&self, text: &str) {
+        self.state().poison = Some(text.to_owned());
+    }
+
+    /// Whether it has crashed; whoever runs its server ends it then.
+    pub fn has_crashed(&self) -> bool {
+        self.state().crashed
+    }
+
+    /// Lets it generate so many more streams at once.
+    pub fn add_slots(&self, slots: usize) {
+        self.shared.slots.add_permits(slots);
+    }
+
     /// Requests that it began.
     pub fn generated(&self) -> u64 {
         self.state().generated
@@ -212,6 +236,13 @@
         Some(RefusalBody { reason: reason.to_owned(), leaving: member.leaving, not_run: true })
     }
 
+    fn crashes_at(&self, prompt: &str) -> bool {
+        let mut state = self.state();
+        let crashes = state.poison.as_ref().is_some_and(|it| prompt.contains(it));
+        state.crashed |= crashes;
+        crashes
+    }
+
     fn begin(&self, request: &GenerateRequest) {
         let words = Arc::new(Self::answer(&request.prompt, request.max_tokens));
         let cancel_tx = watch::channel(false).0;
@@ -229,12 +260,15 @@
         let cancel_rx = stream.cancel_tx.subscribe();
         let total = words.len() as u64;
         let (engine, id) = (self.clone(), id.clone());
+        let slot = Arc::new(OnceCell::new());
         let chunks = stream::iter(offset..=total).then(move |sequence| {
             let pause = if sequence == offset { first } else { between };
             let chunk = chunk(&words, sequence);
             let mut cancel_rx = cancel_rx.clone();
             let (engine, id) = (engine.clone(), id.clone());
+            let slot = Arc::clone(&slot);
             async move {
+                engine.take_slot(&slot, &mut cancel_rx).await?;
                 wait(pause, &mut cancel_rx).await?;
                 if !engine.suffer(fault, &id, sequence - offset).await? {
                     return Ok(bytes::Bytes::new());
@@ -245,6 +279,20 @@
         Some(Body::from_stream(chunks.try_filter(|it| std::future::ready(!it.is_empty()))))
     }
 
+    /// Takes the slot of a stream, unless it has one.
+    async fn take_slot(
+        &self,
+        slot: &OnceCell<OwnedSemaphorePermit>,
+        cancel_rx: &mut watch::Receiver<bool>,
+    ) -> io::Result<()> {
+        let slots = Arc::clone(&self.shared.slots);
+        let taken = slot.get_or_try_init(|| slots.acquire_owned());
+        tokio::select! {
+            res = taken => res.map(drop).map_err(io::Error::other),
+            _ = cancel_rx.wait_for(|it| *it) => Err(io::ErrorKind::BrokenPipe.into()),
+        }
+    }
+
     /// Suffers the fault of a stream before its token `count`. False if the
     /// token is left out.
     async fn suffer(
@@ -317,6 +365,9 @@
         return Ok(http::json(StatusCode::CONFLICT, &refusal));
     }
     engine.begin(&request);
+    if engine.crashes_at(&request.prompt) {
+        std::future::pending::<()>().await;
+    }
     let silent = engine.state().silent;
     if silent {
         std::future::pending::<()>().await;
--- a/crates/state/src/admission.rs
+++ b/crates/state/src/admission.rs
@@ -206,7 +206,7 @@
         let place = place_of(arrival.priority);
         let above: u64 = self.classes[..place].iter().map(Class::cost).sum();
         let ahead = above + self.classes[place].cost_ahead(arrival);
-        self.drain.time_for(Tokens(ahead), now)
+        self.drain.time_for(Tokens(ahead), arrival.cost, now)
     }
 
     fn new_ticket(&mut self, arrival: &Arrival) -> Ticket {
--- a/crates/state/src/admission/drain.rs
+++ b/crates/state/src/admission/drain.rs
@@ -35,13 +35,14 @@
         self.cost = (self.cost - cost.0 as f64).max(0.0);
     }
 
-    /// Time in which `cost` leaves.
-    pub(super) fn time_for(&self, cost: Tokens, now: Time) -> Duration {
+    /// Time in which `cost` leaves. What was measured is taken to have held at
+    /// least `least`: that nothing has left yet says little of the rate.
+    pub(super) fn time_for(&self, cost: Tokens, least: Tokens, now: Time) -> Duration {
         let measured_s = self.measured_s + now.since(self.last_at).as_secs_f64();
         if cost.0 == 0 || measured_s < MIN_MEASURED.as_secs_f64() {
             return Duration::ZERO;
         }
-        let wait_s = cost.0 as f64 * measured_s / self.cost.max(1.0);
+        let wait_s = cost.0 as f64 * measured_s / self.cost.max(least.0 as f64).max(1.0);
         Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX)
     }
 
--- a/crates/state/src/admission/tests.rs
+++ b/crates/state/src/admission/tests.rs
@@ -101,3 +101,16 @@
     assert_eq!(queue.take(Time::from_millis(100)).next.map(|it| it.1), Some(3));
     assert!(queue.is_empty());
 }
+
+#[test]
+fn queue_that_has_not_drained_yet_does_not_refuse_a_newcomer() {
+    let mut queue = queue(100);
+    for item in 0..20 {
+        queue.offer(arrival("large", LATE), item, Time::START);
+    }
+    // Streams are long: no place was given up in the first 300 ms.
+    let now = Time::from_millis(300);
+    assert!(queue.offer(arrival("small", 2000), 20, now).ticket.is_some());
+    let late = queue.offer(arrival("large", 2000), 21, now);
+    assert_eq!(late.refused[0].refusal, Refusal::TooLate);
+}
