--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -52,9 +52,9 @@
         .post("/v1/completions", move |req| completion::text(Arc::clone(&text), req))
         .get("/v1/models", move |req| completion::models(Arc::clone(&models), req))
         .get("/ready", move |req| check_ready(Arc::clone(&ready), req))
-        .any("/services/*path", move |req| service::serve(Arc::clone(&services), req))
+        .any("/services/*", move |req| service::serve(Arc::clone(&services), req))
         .any("/", |_: Request| not_found())
-        .any("/*path", |_: Request| not_found())
+        .any("/*", |_: Request| not_found())
 }
 
 async fn not_found() -> viz::Result<Response> {
--- /dev/null
+++ b/crates/citrongw/src/caller/service/at_most_once/claiming.rs
@@ -0,0 +1,102 @@
+//! The claim of a call, or what its caller gets instead.
+
+use citrongw_coordination::claims::{
+    driver::Claimed,
+    permit::{Held, Permit},
+    shard::Verdict,
+};
+use citrongw_protocol::{code::ResultCode, decision::Decision};
+use citrongw_state::{
+    claim::{ClaimKey, ClaimRequest, RequestDigest, SettledOutcome, StoredAnswer, StoredBody},
+    id::{AttemptId, NodeId},
+};
+
+use super::Answer;
+use crate::{
+    caller::service::{answer::BackendAnswer, call::Call},
+    node::Shared,
+};
+
+/// Part of the deadline that a claim may take, as its divisor.
+const CLAIM_PART: u32 = 2;
+
+/// Claim that an attempt holds.
+#[derive(Debug)]
+pub(super) struct Holding {
+    /// Right to send.
+    pub(super) permit: Permit<Held>,
+    /// Whether an earlier attempt of the call may have run.
+    pub(super) replaces: bool,
+}
+
+/// Claims a call. A backend server that takes the key itself drops a repeat,
+/// so that an attempt without a known outcome can be made again there.
+pub(super) async fn claim(shared: &Shared, call: &Call, key: ClaimKey) -> Result<Holding, Answer> {
+    let mut replaces = None;
+    loop {
+        let verdict = match claim_once(shared, call, key, replaces).await {
+            Claimed::Won(permit) => return Ok(Holding { permit, replaces: replaces.is_some() }),
+            Claimed::Lost(verdict) => verdict,
+            Claimed::Unavailable => return Err(Err(ResultCode::ClaimUnavailable)),
+        };
+        let unresolved = unresolved(shared, &verdict).filter(|_| call.rule.passes_key);
+        if unresolved.is_none() || unresolved == replaces {
+            return Err(lost(shared, call, verdict));
+        }
+        replaces = unresolved;
+    }
+}
+
+async fn claim_once(
+    shared: &Shared,
+    call: &Call,
+    key: ClaimKey,
+    replaces: Option<AttemptId>,
+) -> Claimed {
+    let request = ClaimRequest {
+        key,
+        digest: RequestDigest::of(call.method.as_str(), &call.full_path, &call.body),
+        attempt: AttemptId(rand::random()),
+        answer_bytes: call.rule.answer_bytes,
+        retention: call.rule.retention(),
+    };
+    let limit = call.arrived_at + call.caller.profile.deadline() / CLAIM_PART;
+    shared.services.claims.claim(request, replaces, shared.clock.instant(limit)).await
+}
+
+/// Attempt that has ended without a known outcome.
+fn unresolved(shared: &Shared, verdict: &Verdict) -> Option<AttemptId> {
+    match verdict {
+        Verdict::Open { node, attempt } if !is_alive(shared, *node) => Some(*attempt),
+        Verdict::Settled { outcome: SettledOutcome::Unknown, attempt } => Some(*attempt),
+        _ => None,
+    }
+}
+
+fn is_alive(shared: &Shared, node: NodeId) -> bool {
+    shared.nodes.alive().iter().any(|it| it.id == node)
+}
+
+/// What a caller gets whose attempt doesn't hold the claim.
+fn lost(shared: &Shared, call: &Call, verdict: Verdict) -> Answer {
+    match verdict {
+        Verdict::Open { node, .. } if is_alive(shared, node) => Err(ResultCode::StillRunning),
+        Verdict::Open { .. } | Verdict::Settled { outcome: SettledOutcome::Unknown, .. } => {
+            Err(ResultCode::OutcomeUnknown)
+        }
+        Verdict::Settled { outcome: SettledOutcome::Completed(stored), attempt } => {
+            shared.decisions.add(Decision::CallReplayed { request: call.request, attempt });
+            replay(stored)
+        }
+        Verdict::Reused => Err(ResultCode::KeyReused),
+        Verdict::Full | Verdict::Won | Verdict::Ended => Err(ResultCode::ClaimUnavailable),
+    }
+}
+
+fn replay(stored: StoredAnswer) -> Answer {
+    let StoredAnswer { status, content_type, body } = stored;
+    match body {
+        StoredBody::Whole(body) => Ok(BackendAnswer { status, content_type, body }),
+        StoredBody::TooLarge => Err(ResultCode::AnswerNotKept),
+    }
+}
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -57,6 +57,8 @@
     pub attempt: AttemptId,
     /// Largest body of an answer that is stored.
     pub answer_bytes: u32,
+    /// Time after the settlement for which the claim is kept.
+    pub retention: Duration,
 }
 
 /// Answer of a call as it is stored for resends.
@@ -91,10 +93,11 @@
 /// End of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Settlement {
-    /// Nothing was sent and nothing will be: the claim is removed.
+    /// Nothing was sent and nothing will be: the claim is removed, or falls
+    /// back to the unknown outcome of the attempt that it replaced.
     NotRun,
     /// The call was sent, with this outcome.
-    Sent(SettledOutcome, Duration),
+    Sent(SettledOutcome),
 }
 
 /// Claim of one call.
@@ -117,6 +120,10 @@
         node: NodeId,
         /// Room that the answer needs.
         answer_bytes: u32,
+        /// Time after the settlement for which it is kept.
+        retention_ms: u64,
+        /// Whether an earlier attempt of the call may have run.
+        replaces: bool,
     },
     /// Its attempt has ended.
     Settled {
@@ -184,31 +191,33 @@
         }
     }
 
-    /// Opens a claim of a free key.
+    /// Opens a claim. One that stands there gives way and counts as replaced.
     pub fn open(&mut self, request: &ClaimRequest, node: NodeId) {
-        let phase = ClaimPhase::Open { node, answer_bytes: request.answer_bytes };
+        let phase = ClaimPhase::Open {
+            node,
+            answer_bytes: request.answer_bytes,
+            retention_ms: millis(request.retention),
+            replaces: self.claims.contains_key(&request.key),
+        };
         let claim = Claim { digest: request.digest, attempt: request.attempt, phase };
         self.claims.insert(request.key, claim);
     }
 
     /// Ends an attempt. False if its claim is not open, which changes nothing.
     pub fn settle(&mut self, key: ClaimKey, attempt: AttemptId, settlement: &Settlement) -> bool {
-        let Some(claim) = self.claims.get_mut(&key) else { return false };
-        if claim.attempt != attempt || !matches!(claim.phase, ClaimPhase::Open { .. }) {
+        let Some(claim) = self.claims.get_mut(&key).filter(|it| it.attempt == attempt) else {
             return false;
-        }
-        match settlement {
+        };
+        let ClaimPhase::Open { retention_ms, replaces, .. } = claim.phase else { return false };
+        let outcome = match settlement {
+            Settlement::Sent(outcome) => outcome.clone(),
+            Settlement::NotRun if replaces => SettledOutcome::Unknown,
             Settlement::NotRun => {
                 self.claims.remove(&key);
+                return true;
             }
-            Settlement::Sent(outcome, retention) => {
-                claim.phase = ClaimPhase::Settled {
-                    outcome: outcome.clone(),
-                    age_ms: 0,
-                    retention_ms: millis(*retention),
-                };
-            }
-        }
+        };
+        claim.phase = ClaimPhase::Settled { outcome, age_ms: 0, retention_ms };
         true
     }
 
