Divide status calls among the nodes, and keep records by watch

Cause: each node asked every member and listed all records each second. Change: which node asks which replica, what it tells others with its age, and records by watches, news and a slow read. Measured: unit cases pass; asking peers is not wired yet. Conclusion: a first state.

--- a/crates/coordination/src/control/edit.rs
+++ b/crates/coordination/src/control/edit.rs
@@ -76,8 +76,11 @@
         seen: &Seen,
         now: Time,
     ) -> Option<Member> {
-        let listed = seen.listed.as_ref().filter(|it| it.state == InstanceState::Live)?;
+        let listed = seen.listed.as_ref()?;
         let report = seen.fresh(now, self.settings.freshness)?.report;
+        if listed.state == InstanceState::Leaving && !record.is_returned(id, report.incarnation) {
+            return None;
+        }
         let free = report.replica.is_none()
             && !report.leaving
             && !record.holds(id)
--- a/crates/coordination/src/control/leaving.rs
+++ b/crates/coordination/src/control/leaving.rs
@@ -68,9 +68,13 @@
         decisions: &mut Vec<Decision>,
     ) {
         next.leaving.retain(|mark| !self.is_obsolete(mark, now));
+        next.returned.retain(|mark| {
+            let heard = self.seen.get(&mark.instance).and_then(|it| it.heard);
+            heard.is_none_or(|it| it.report.incarnation == mark.incarnation)
+        });
         self.stragglers = self.peers.judge(now);
         for (instance, incarnation, cause) in self.found_leaving(next) {
-            if next.is_leaving(&instance, incarnation) {
+            if next.is_leaving(&instance, incarnation) || next.is_returned(&instance, incarnation) {
                 continue;
             }
             let told = LeavingInstance { instance: instance.clone(), incarnation };
--- a/crates/coordination/src/replica_table.rs
+++ b/crates/coordination/src/replica_table.rs
@@ -2,19 +2,22 @@
 //!
 //! The list is replaced as a whole; what members report and what is in flight
 //! changes in place by atomics and read-copy-update. No lock is taken.
+//! A replica with a leaving member is not routable from the moment that the
+//! table is told.
 
 use std::{
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
-use citrongw_protocol::engine::LoadReport;
+use citrongw_protocol::{engine::LoadReport, news::LeavingInstance};
 use citrongw_state::{
-    id::ReplicaId,
+    id::{Incarnation, InstanceId, ReplicaId},
     replica::{self, HeardReport, NotRoutable, ReplicaSpec},
     time::Time,
 };
@@ -36,6 +39,7 @@
     heard: ArcSwap<Vec<Option<HeardReport>>>,
     load: ArcSwap<HeardLoad>,
     in_flight: AtomicU32,
+    leaving: AtomicBool,
 }
 
 impl ReplicaEntry {
@@ -46,11 +50,15 @@
             heard: ArcSwap::from_pointee(heard),
             load: ArcSwap::default(),
             in_flight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
         }
     }
 
     /// Checks that every member vouches for the replica.
     pub fn check_routable(&self, now: Time, freshness: Duration) -> Result<(), NotRoutable> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Err(NotRoutable::MemberLeaving);
+        }
         replica::check_routable(&self.spec, &self.heard.load(), now, freshness)
     }
 
@@ -107,28 +115,102 @@
 /// All replicas.
 #[derive(Debug, Default)]
 pub struct ReplicaTable {
-    entries: ArcSwap<Vec<Arc<ReplicaEntry>>>,
+    snapshot: ArcSwap<Snapshot>,
+    told: ArcSwap<Leaving>,
+}
+
+/// Replicas in the order of the records, and by id.
+#[derive(Debug, Default)]
+struct Snapshot {
+    entries: Arc<Vec<Arc<ReplicaEntry>>>,
+    by_id: HashMap<ReplicaId, Arc<ReplicaEntry>>,
+}
+
+/// Which starts of instances take no new work.
+#[derive(Debug, Clone, Default)]
+struct Leaving {
+    by_news: BTreeSet<(InstanceId, Incarnation)>,
+    by_records: BTreeSet<(InstanceId, Incarnation)>,
+    returned: BTreeSet<(InstanceId, Incarnation)>,
+}
+
+impl Leaving {
+    fn has(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        let start = (instance.clone(), incarnation);
+        let told = self.by_news.contains(&start) || self.by_records.contains(&start);
+        told && !self.returned.contains(&start)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.by_news.is_empty() && self.by_records.is_empty()
+    }
+
+    fn marks(&self, spec: &ReplicaSpec) -> bool {
+        !self.is_empty() && spec.members.iter().any(|it| self.has(&it.instance, it.incarnation))
+    }
 }
 
 impl ReplicaTable {
     /// Replicas now known.
     pub fn entries(&self) -> Arc<Vec<Arc<ReplicaEntry>>> {
-        self.entries.load_full()
+        Arc::clone(&self.snapshot.load().entries)
     }
 
     /// Replica by id.
     pub fn entry(&self, id: ReplicaId) -> Option<Arc<ReplicaEntry>> {
-        self.entries.load().iter().find(|it| it.spec.id == id).cloned()
+        self.snapshot.load().by_id.get(&id).cloned()
     }
 
     /// Takes in the replicas that the records tell. What is known of an
     /// unchanged replica stays.
     pub fn replace(&self, specs: Vec<ReplicaSpec>) {
-        let old = self.entries();
-        let entry = |spec: ReplicaSpec| {
-            let same = old.iter().find(|it| it.spec == spec);
-            same.map_or_else(|| Arc::new(ReplicaEntry::new(spec)), Arc::clone)
+        let old = self.snapshot.load();
+        let entry = |spec: ReplicaSpec| match old.by_id.get(&spec.id) {
+            Some(same) if same.spec == spec => Arc::clone(same),
+            _ => Arc::new(ReplicaEntry::new(spec)),
         };
-        self.entries.store(Arc::new(specs.into_iter().map(entry).collect()));
+        let entries: Vec<Arc<ReplicaEntry>> = specs.into_iter().map(entry).collect();
+        let by_id = entries.iter().map(|it| (it.spec.id, Arc::clone(it))).collect();
+        self.snapshot.store(Arc::new(Snapshot { entries: Arc::new(entries), by_id }));
+        self.mark_all();
+    }
+
+    /// Takes in that an instance takes no new work. Holds at once, and for this
+    /// start of its process.
+    pub fn mark_leaving(&self, leaving: &LeavingInstance) {
+        let start = (leaving.instance.clone(), leaving.incarnation);
+        if self.told.load().by_news.contains(&start) {
+            return;
+        }
+        self.told.rcu(|told| {
+            let mut told = Leaving::clone(told);
+            told.by_news.insert(start.clone());
+            told
+        });
+        self.mark_all();
+    }
+
+    /// Takes in what the records say of leaving instances, and of those that
+    /// operators returned.
+    pub fn set_marks<'a>(
+        &self,
+        leaving: impl Iterator<Item = (&'a InstanceId, Incarnation)>,
+        returned: impl Iterator<Item = (&'a InstanceId, Incarnation)>,
+    ) {
+        let by_records = leaving.map(|(id, start)| (id.clone(), start)).collect();
+        let returned = returned.map(|(id, start)| (id.clone(), start)).collect();
+        let by_news = self.told.load().by_news.clone();
+        self.told.store(Arc::new(Leaving { by_news, by_records, returned }));
+        self.mark_all();
+    }
+
+    fn mark_all(&self) {
+        let told = self.told.load();
+        for entry in self.snapshot.load().entries.iter() {
+            entry.leaving.store(told.marks(&entry.spec), Ordering::Relaxed);
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/replica_watch.rs
+++ b/crates/coordination/src/replica_watch.rs
@@ -1,73 +1,89 @@
-//! Drivers that keep the replica table: one reads the domain records, one asks
-//! the members of each replica for their status.
+//! Driver that asks the members of the replicas for their status, and puts
+//! what they say into the replica table.
+//!
+//! [`told`] divides the asking among the nodes: one node asks the members of a
+//! replica and tells those that take an interest in it.
+
+pub mod duty;
+pub mod told;
 
 use std::{sync::Arc, time::Duration};
 
-use citrongw_protocol::{
-    engine::{Engine, EngineStatus},
-    record::{DOMAIN_PREFIX, DomainRecord},
-    store::Store,
-};
+use citrongw_protocol::engine::{Engine, EngineStatus};
 use citrongw_state::{replica::HeardReport, time::Time};
 use futures::{StreamExt, stream};
 use tokio::task::JoinHandle;
 
 use crate::{
     clock::Clock,
+    node_view::NodeView,
     replica_table::{HeardLoad, ReplicaEntry, ReplicaTable},
 };
 
-/// Pause between two reads of the records.
-const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between two status calls to an instance.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 /// Status calls at once.
 const STATUS_PARALLEL: usize = 32;
 
-/// Spawns the driver that reads the records.
-pub fn spawn_records(store: Arc<dyn Store>, table: Arc<ReplicaTable>) -> JoinHandle<()> {
-    tokio::spawn(async move {
-        loop {
-            match store.list(DOMAIN_PREFIX.into()).await {
-                Ok(snapshot) => {
-                    let records = snapshot.entries.iter().filter_map(|entry| {
-                        serde_json::from_slice::<DomainRecord>(&entry.value)
-                            .inspect_err(|error| {
-                                tracing::error!(%error, key = %entry.key, "could not read record");
-                            })
-                            .ok()
-                    });
-                    table.replace(records.flat_map(|it| it.replicas).collect());
-                }
-                Err(error) => tracing::warn!(%error, "could not list domain records"),
-            }
-            tokio::time::sleep(RECORD_INTERVAL).await;
-        }
-    })
+/// What the driver works with.
+pub struct StatusWatch {
+    /// Client of the engines.
+    pub engine: Arc<dyn Engine>,
+    /// Replicas known.
+    pub table: Arc<ReplicaTable>,
+    /// Live nodes.
+    pub nodes: Arc<NodeView>,
+    /// Where other nodes are asked, if they can be.
+    pub peers: Option<Arc<dyn told::AskPeers>>,
+    /// Clock of the node.
+    pub clock: Clock,
 }
 
-/// Spawns the driver that asks the members.
-pub fn spawn_status(
-    engine: Arc<dyn Engine>,
-    table: Arc<ReplicaTable>,
-    clock: Clock,
-) -> JoinHandle<()> {
+/// Spawns the driver.
+pub fn spawn(watch: StatusWatch) -> JoinHandle<()> {
     tokio::spawn(async move {
         loop {
-            let entries = table.entries();
-            let members = entries.iter().flat_map(|entry| {
-                (0..entry.spec.members.len()).map(move |idx| (Arc::clone(entry), idx))
-            });
-            stream::iter(members)
-                .for_each_concurrent(STATUS_PARALLEL, |(entry, idx)| {
-                    ask_member(engine.as_ref(), entry, idx, clock)
-                })
-                .await;
+            round(&watch).await;
             tokio::time::sleep(STATUS_INTERVAL).await;
         }
     })
 }
 
+/// Asks once for all that this node has to know.
+pub async fn round(watch: &StatusWatch) {
+    let entries = watch.table.entries();
+    let duty = duty::divide(&entries, &watch.nodes, watch.peers.is_some());
+    let asked = duty.asked.into_iter().map(|(node, entries)| ask_peer(watch, node, entries));
+    let unheard: Vec<Arc<ReplicaEntry>> =
+        stream::iter(asked).buffer_unordered(STATUS_PARALLEL).concat().await;
+    // A replica whose watcher does not tell is asked here.
+    let own = duty.own.into_iter().chain(unheard);
+    let members =
+        own.flat_map(|entry| (0..entry.spec.members.len()).map(move |idx| (entry.clone(), idx)));
+    stream::iter(members)
+        .for_each_concurrent(STATUS_PARALLEL, |(entry, idx)| {
+            ask_member(watch.engine.as_ref(), entry, idx, watch.clock)
+        })
+        .await;
+}
+
+async fn ask_peer(
+    watch: &StatusWatch,
+    node: crate::node_view::NodeInfo,
+    entries: Vec<Arc<ReplicaEntry>>,
+) -> Vec<Arc<ReplicaEntry>> {
+    let Some(peers) = &watch.peers else { return entries };
+    let asked_at = watch.clock.now();
+    let ids = entries.iter().map(|it| it.spec.id).collect();
+    match peers.ask(&node, ids).await {
+        Ok(answer) => told::take_in(&entries, &answer, asked_at),
+        Err(error) => {
+            tracing::debug!(%error, node = %node.id, "could not ask peer for status");
+            entries
+        }
+    }
+}
+
 async fn ask_member(engine: &dyn Engine, entry: Arc<ReplicaEntry>, idx: usize, clock: Clock) {
     let asked_at = clock.now();
     match engine.status(entry.spec.members[idx].engine_addr).await {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod instance_list;
 pub mod news;
 pub mod record;
+pub mod status;
 pub mod store;
 pub mod weight_store;
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -57,6 +57,9 @@
     /// Instances that take no new work.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingMark>,
+    /// Instances that an operator returned though they were leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub returned: Vec<ReturnedMark>,
     /// Weight loads under way or waiting for the store's rate.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<WeightLoad>,
@@ -147,6 +150,15 @@
     pub cause: LeavingCause,
 }
 
+/// Mark that an operator let an instance work again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReturnedMark {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The start that works again.
+    pub incarnation: Incarnation,
+}
+
 /// Replica that is not serving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DownReplica {
@@ -202,6 +214,11 @@
         self.leaving.iter().any(|it| it.instance == *instance && it.incarnation == incarnation)
     }
 
+    /// Whether an operator returned this start of the instance.
+    pub fn is_returned(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        self.returned.iter().any(|it| it.instance == *instance && it.incarnation == incarnation)
+    }
+
     /// Replica by id, in whatever part of the record.
     pub fn replica(&self, id: ReplicaId) -> Option<&ReplicaSpec> {
         let specs = self.replicas.iter().chain(&self.pending);
