--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod control_history;
 pub mod control_world;
 pub mod report;
+pub mod spread;
--- a/crates/citrongw/src/admin/dump.rs
+++ b/crates/citrongw/src/admin/dump.rs
@@ -45,6 +45,12 @@
         value("store.timeout", duration(settings.store_timeout)),
         value("platform.instance-list-addr", settings.instance_list_addr.to_string()),
         value("platform.weight-store-addr", settings.weight_store_addr.to_string()),
+        value("membership.seeds", join(&settings.seeds)),
+        value("membership.keys", format!("{} (hidden)", settings.peer_secrets.len())),
         value("log.level", settings.log_level.clone()),
     ]
 }
+
+fn join(addrs: &[std::net::SocketAddr]) -> String {
+    addrs.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
--- a/crates/citrongw/src/caller.rs
+++ b/crates/citrongw/src/caller.rs
@@ -56,7 +56,7 @@
 async fn check_ready(shared: Arc<Shared>, _req: Request) -> viz::Result<Response> {
     let code = if shared.stopping.load(Ordering::Relaxed) {
         ResultCode::Stopping
-    } else if shared.config.load().is_none() {
+    } else if !shared.gate.may_serve(shared.clock.now()) {
         ResultCode::NotConfirmed
     } else {
         return Ok(answer::json(&"ready"));
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use citrongw_state::config::KeyDigest;
+use citrongw_state::{config::KeyDigest, objective::Objective};
 use derive_more::Display;
 use ini::Ini;
 
@@ -15,10 +15,15 @@
 
 const ADDR_ALLOWED: &str = "IP address and port";
 const DIGEST_ALLOWED: &str = "64 hexadecimal digits, from citrongwctl digest";
+const ADDRS_ALLOWED: &str = "IP addresses and ports with commas between them";
+const SECRETS_ALLOWED: &str = "secrets of 16 characters or more with commas between them";
+/// Characters of a secret, at least.
+const MIN_SECRET_CHARS: usize = 16;
 const DURATION_ALLOWED: &str = "a duration such as 500ms";
 const COUNT_ALLOWED: &str = "a number from 1";
 const LEVEL_ALLOWED: &str = "error, warn, info, debug, trace or off, or a list of target=level";
 const POSITIVE_ALLOWED: &str = "a duration above zero such as 500ms";
+const OBJECTIVE_ALLOWED: &str = "group-downtime or stranded-accelerators";
 const NAME_ALLOWED: &str = "a name without blanks";
 
 /// What is allowed where a file is named.
@@ -144,6 +149,29 @@
         self.optional(section, key, DURATION_ALLOWED, parse).unwrap_or(default)
     }
 
+    /// Addresses with commas between them.
+    pub fn addrs(&mut self, section: &'a str, key: &'a str) -> Vec<SocketAddr> {
+        let parse = |it: &str| it.split(',').map(|addr| addr.trim().parse().ok()).collect();
+        self.optional(section, key, ADDRS_ALLOWED, parse).unwrap_or_default()
+    }
+
+    /// Secrets with commas between them. A fault does not show them.
+    pub fn secrets(&mut self, section: &'a str, key: &'a str) -> Vec<String> {
+        let parse = |it: &str| Some(it.split(',').map(|it| it.trim().to_owned()).collect());
+        let secrets: Vec<String> =
+            self.optional(section, key, SECRETS_ALLOWED, parse).unwrap_or_default();
+        if secrets.iter().any(|it| it.len() < MIN_SECRET_CHARS) {
+            self.faults.push(Fault::Value {
+                section: section.to_owned(),
+                key: key.to_owned(),
+                line: self.line_of(section, key),
+                value: "(hidden)".to_owned(),
+                allowed: SECRETS_ALLOWED.to_owned(),
+            });
+        }
+        secrets
+    }
+
     /// A digest of a key or token.
     pub fn digest(&mut self, section: &'a str, key: &'a str) -> Option<KeyDigest> {
         let hexadecimal = |it: &str| it.chars().all(|digit| digit.is_ascii_hexdigit());
@@ -183,6 +211,12 @@
         self.optional(section, key, LEVEL_ALLOWED, parse).unwrap_or_else(|| default.to_owned())
     }
 
+    /// Objective of replica control.
+    pub fn objective(&mut self, section: &'a str, key: &'a str) -> Objective {
+        let parse = |it: &str| it.parse().ok();
+        self.optional(section, key, OBJECTIVE_ALLOWED, parse).unwrap_or_default()
+    }
+
     /// Any text.
     pub fn text(&mut self, section: &'a str, key: &'a str, default: &str) -> String {
         let value = self.optional(section, key, "any text", |it| Some(it.to_owned()));
--- a/crates/coordination/src/control/leaving.rs
+++ b/crates/coordination/src/control/leaving.rs
@@ -2,7 +2,7 @@
 //! comparison with peers say of them, and the marks in the record.
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     engine::{EngineStatus, OrderReply},
     instance_list::{InstanceState, ListedInstance},
     news::{LeavingInstance, News},
@@ -65,7 +65,7 @@
         next: &mut DomainRecord,
         now: Time,
         actions: &mut Vec<Action>,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         next.leaving.retain(|mark| !self.is_obsolete(mark, now));
         next.returned.retain(|mark| {
@@ -79,7 +79,7 @@
             }
             let told = LeavingInstance { instance: instance.clone(), incarnation };
             actions.push(Action::Publish(News::Leaving(told)));
-            decisions.push(Decision::InstanceLeaving { instance: instance.clone(), cause });
+            decisions.push(ControlDecision::InstanceLeaving { instance: instance.clone(), cause });
             if let Some(seen) = self.seen.get_mut(&instance) {
                 seen.leaving_at = Some(now);
             }
--- a/crates/coordination/src/control/order.rs
+++ b/crates/coordination/src/control/order.rs
@@ -52,7 +52,7 @@
             let order =
                 |incarnation| Order { epoch: record.epoch, incarnation, kind: OrderKind::Release };
             let wants = |report: &MemberReport| report.replica.is_some();
-            self.order_if(member, false, wants, order, now, actions);
+            self.order_if(member, ctx.all_honour_fencing(), wants, order, now, actions);
         }
     }
 
--- a/crates/coordination/src/control/own.rs
+++ b/crates/coordination/src/control/own.rs
@@ -2,11 +2,11 @@
 //! write gives its sender.
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     news::{DomainChange, News},
     record::DomainRecord,
 };
-use citrongw_state::{ownership, time::Time};
+use citrongw_state::{id::Epoch, ownership, time::Time};
 
 use super::{
     context::Context,
@@ -14,6 +14,9 @@
     seen::Seen,
 };
 
+/// Epoch of a domain's first owner.
+const FIRST_EPOCH: Epoch = Epoch(1);
+
 /// What this node is to a domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Ownership {
@@ -64,13 +67,13 @@
         ctx: &Context<'_>,
         now: Time,
         actions: &mut Vec<Action>,
-    ) -> Option<(DomainRecord, Vec<Decision>)> {
+    ) -> Option<(DomainRecord, Vec<ControlDecision>)> {
         match self.ownership(ctx) {
             Ownership::None => None,
             Ownership::Takes => {
                 let record = self.taken_over();
                 let (domain, epoch) = (self.domain.clone(), record.epoch);
-                Some((record, vec![Decision::DomainTaken { domain, epoch }]))
+                Some((record, vec![ControlDecision::DomainTaken { domain, epoch }]))
             }
             Ownership::HandsOver => {
                 let record = DomainRecord::clone(self.record.as_ref()?);
@@ -88,7 +91,11 @@
     /// Begins anew with what is seen, and waits out the orders of the owner
     /// before.
     pub(super) fn begin_ownership(&mut self, now: Time) {
-        self.quiet_until = now + self.settings.order_window + self.settings.order_deadline;
+        let epoch = self.record.as_ref().map(|it| it.epoch);
+        // Nobody can have given orders before the first owner.
+        if Some(FIRST_EPOCH) < epoch {
+            self.quiet_until = now + self.settings.order_window + self.settings.order_deadline;
+        }
         self.notes.clear();
         self.draining_since.clear();
         for seen in self.seen.values_mut() {
--- a/crates/coordination/src/record_watch.rs
+++ b/crates/coordination/src/record_watch.rs
@@ -30,8 +30,7 @@
 };
 
 use crate::{
-    control::plan::Records, news_board::NewsBoard, node_view::NodeView,
-    replica_table::ReplicaTable,
+    control::plan::Records, news_board::NewsBoard, node_view::NodeView, replica_table::ReplicaTable,
 };
 
 /// Nodes of one zone that watch.
@@ -297,7 +296,10 @@
 }
 
 /// Puts the records into the replica table.
-pub fn put_in_force(table: &ReplicaTable, records: &BTreeMap<FabricDomainId, (Arc<DomainRecord>, Revision)>) {
+pub fn put_in_force(
+    table: &ReplicaTable,
+    records: &BTreeMap<FabricDomainId, (Arc<DomainRecord>, Revision)>,
+) {
     let all = || records.values().map(|(record, _)| record);
     let leaving = all().flat_map(|it| &it.leaving).map(|it| (&it.instance, it.incarnation));
     let returned = all().flat_map(|it| &it.returned).map(|it| (&it.instance, it.incarnation));
--- a/crates/coordination/src/replica_table/tests.rs
+++ b/crates/coordination/src/replica_table/tests.rs
@@ -46,10 +46,7 @@
 }
 
 fn leaving(id: u64, incarnation: u64) -> LeavingInstance {
-    LeavingInstance {
-        instance: format!("i{id}").into(),
-        incarnation: Incarnation(incarnation),
-    }
+    LeavingInstance { instance: format!("i{id}").into(), incarnation: Incarnation(incarnation) }
 }
 
 #[test]
--- a/crates/coordination/src/replica_watch/duty/tests.rs
+++ b/crates/coordination/src/replica_watch/duty/tests.rs
@@ -8,10 +8,7 @@
 };
 
 use super::*;
-use crate::{
-    node_view,
-    replica_table::ReplicaTable,
-};
+use crate::{node_view, replica_table::ReplicaTable};
 
 fn view(count: u64) -> NodeView {
     let info = |id: u64| NodeInfo {
--- a/crates/coordination/src/replica_watch/told.rs
+++ b/crates/coordination/src/replica_watch/told.rs
@@ -11,11 +11,7 @@
     engine::LoadReport,
     status::{ToldLoad, ToldMember, ToldReplica},
 };
-use citrongw_state::{
-    id::ReplicaId,
-    replica::HeardReport,
-    time::Time,
-};
+use citrongw_state::{id::ReplicaId, replica::HeardReport, time::Time};
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 
@@ -82,8 +78,7 @@
     let known = entry.heard();
     for (idx, member) in told.members.iter().enumerate() {
         let Some(member) = member else { continue };
-        let heard =
-            HeardReport { report: member.report, asked_at: asked_at - age(member.age_ms) };
+        let heard = HeardReport { report: member.report, asked_at: asked_at - age(member.age_ms) };
         let newer = known.get(idx).copied().flatten().is_none_or(|it| it.asked_at < heard.asked_at);
         if newer {
             entry.set_heard(idx, heard);
--- a/crates/coordination/src/replica_watch/told/tests.rs
+++ b/crates/coordination/src/replica_watch/told/tests.rs
@@ -51,7 +51,7 @@
 fn age_counts_back_from_the_question() {
     // The watcher's clock reads 100 s more than the asker's.
     let cases = [
-        ("fresh and told fast", 109, 110, 10, 11, Ok(())),
+        ("fresh and told fast", 109, 110, 10, 10, Ok(())),
         ("told by a node that was slow to ask", 105, 110, 10, 11, Err(NotRoutable::MemberSilent)),
         ("answer under way for long", 109, 110, 10, 13, Err(NotRoutable::MemberSilent)),
     ];
--- /dev/null
+++ b/crates/coordination/src/store_guard/tests.rs
@@ -0,0 +1,63 @@
+//! Cases of the guard, on the paused clock.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use citrongw_fakes::kv::mem::{self, Fault, MemStore};
+use citrongw_state::{id::NodeId, time::Time};
+
+use super::*;
+use crate::{
+    clock,
+    node_view::{self, NodeInfo},
+};
+
+fn guarded() -> (MemStore, StoreGuard, Clock) {
+    let peer_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let this = NodeInfo { id: NodeId(1), zone: "a".into(), region: "r".into(), peer_addr };
+    let (store, clock) = (mem::open(), clock::open());
+    let guard = open(Arc::new(store.clone()), clock, Arc::new(node_view::open(this)));
+    (store, guard, clock)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_service_is_left_alone() {
+    let (store, guard, clock) = guarded();
+    store.set_fault(Fault::Down);
+    while clock.now() < Time::from_millis(60_000) {
+        guard.get("key".into()).await.unwrap_err();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let counts = guard.counters().snapshot();
+    // 1,200 calls were asked for.
+    assert!(counts.failed < 40, "{counts:?}");
+    assert_eq!(counts.turned_away + counts.failed, 1200);
+    // It is found again within the longest pause.
+    store.set_fault(Fault::None);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert!(guard.get("key".into()).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_keep_to_the_rate() {
+    let (_, guard, clock) = guarded();
+    let mut sent = 0.0;
+    while clock.now() < Time::from_millis(20_000) {
+        sent += 1.0;
+        guard.list("key".into()).await.unwrap();
+    }
+    assert!(sent <= READS_PER_S * 23.0, "{sent}");
+    assert!(0 < guard.counters().snapshot().delayed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn waiting_watches_are_counted_and_bounded() {
+    let (_, guard, _) = guarded();
+    let mut watches = Vec::new();
+    for _ in 0..MAX_WATCHES {
+        watches.push(guard.watch("key".into(), Revision(0)).await.ok());
+    }
+    assert!(guard.watch("key".into(), Revision(0)).await.is_err());
+    assert_eq!(guard.counters().snapshot().waiting_watches, MAX_WATCHES);
+    watches.clear();
+    assert_eq!(guard.counters().snapshot().waiting_watches, 0);
+}
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -1,19 +1,19 @@
 //! Decisions as the system explains them: typed, and one plain sentence each.
 
+pub mod control;
+
 use std::time::Duration;
 
 use citrongw_state::{
     admission,
-    id::{DeploymentId, Epoch, FabricDomainId, InstanceId, ModelVersion, ReplicaId, RequestId},
+    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    code::ResultCode,
-    record::{DrainCause, LeavingCause},
-};
+use self::control::ControlDecision;
+use crate::code::ResultCode;
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -61,67 +61,49 @@
         /// The code.
         code: ResultCode,
     },
-    /// This node took the control of a domain.
-    #[display("this node took control of domain {domain} under epoch {epoch}")]
-    DomainTaken {
-        /// The domain.
-        domain: FabricDomainId,
-        /// Epoch that it took.
-        epoch: Epoch,
-    },
-    /// Repair of a domain is held back because much of it went silent at once.
-    #[display("repair of domain {domain} is held back: {silent} instances went silent at once")]
-    DomainHeldBack {
-        /// The domain.
-        domain: FabricDomainId,
-        /// Instances that are silent.
-        silent: usize,
-    },
-    /// A replica was formed.
-    #[display("replica {replica} forms in domain {domain} under epoch {epoch}")]
-    ReplicaFormed {
-        /// The replica.
-        replica: ReplicaId,
-        /// Its domain.
-        domain: FabricDomainId,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Spares took the places of lost members.
-    #[display("replica {replica} was repaired: {replaced} members were replaced")]
-    ReplicaRepaired {
-        /// The replica.
-        replica: ReplicaId,
-        /// Members that were replaced.
-        replaced: u32,
+    /// A configuration was put in force.
+    #[display("configuration version {revision} is in force")]
+    ConfigInForce {
+        /// Its version.
+        revision: Revision,
     },
-    /// A replica takes no new work and ends.
-    #[display("replica {replica} is drained, cause: {cause}")]
-    ReplicaDrained {
-        /// The replica.
-        replica: ReplicaId,
-        /// Why.
-        cause: DrainCause,
-    },
-    /// An instance takes no new work.
-    #[display("instance {instance} takes no new work, cause: {cause}")]
-    InstanceLeaving {
-        /// The instance.
-        instance: InstanceId,
-        /// Why.
-        cause: LeavingCause,
+    /// The key-value service holds an older configuration than this node.
+    #[display(
+        "the key-value service went back to configuration version {found}; version {held} stays \
+         in force until an operator decides"
+    )]
+    ConfigWentBack {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
     },
-    /// A planned change was halted and is rolled back.
+    /// The key-value service holds a configuration that lacks a change.
     #[display(
-        "change of {deployment} to version {version} is rolled back: replica {replica} did not come up"
+        "configuration version {found} does not descend from version {held}, which stays in force \
+         until an operator decides"
     )]
-    ChangeHalted {
-        /// The deployment.
-        deployment: DeploymentId,
-        /// The version that failed.
-        version: ModelVersion,
-        /// The replica that did not come up.
-        replica: ReplicaId,
+    ConfigForked {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// A node is held for dead.
+    #[display("node {node} is held for dead: it did not answer, and did not refute")]
+    NodeDied {
+        /// The node.
+        node: NodeId,
+    },
+    /// The nodes of this node's zone were recorded.
+    #[display("record of zone {zone} names {members} nodes, as version {revision}")]
+    NodesRecorded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Nodes in the record.
+        members: usize,
+        /// Its version.
+        revision: Revision,
     },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
@@ -183,6 +165,9 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// What replica control decided.
+    #[display("{_0}")]
+    Control(ControlDecision),
 }
 
 /// Decision with its time.
@@ -227,14 +212,29 @@
                 | Self::RunAgain { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
-                | Self::Isolated { replica, .. }
-                | Self::ReplicaFormed { replica, .. }
-                | Self::ReplicaRepaired { replica, .. }
-                | Self::ReplicaDrained { replica, .. }
-                | Self::ChangeHalted { replica, .. },
+                | Self::Isolated { replica, .. },
                 Subject::Replica(id),
             ) => *replica == id,
-            _ => false,
+            (Self::Control(decision), Subject::Replica(id)) => decision.is_about(id),
+            (
+                Self::Refused { .. }
+                | Self::CallerLeft { .. }
+                | Self::NotChosen { .. }
+                | Self::NotAdmitted { .. }
+                | Self::NotRetried { .. }
+                | Self::Contained { .. },
+                Subject::Replica(_),
+            )
+            | (Self::Straggler { .. }, Subject::Request(_))
+            | (
+                Self::ConfigInForce { .. }
+                | Self::ConfigWentBack { .. }
+                | Self::ConfigForked { .. }
+                | Self::NodeDied { .. }
+                | Self::NodesRecorded { .. }
+                | Self::Control(_),
+                _,
+            ) => false,
         }
     }
 }
