--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -12,12 +12,13 @@
 use citrongw_coordination::{
     clock::{self, Clock},
     config::{ConfigCell, gate::ConfigGate},
+    control::summary::ControlView,
     decision_log::{self, DecisionLog},
     hand_over::HandOver,
     news_board::{self, NewsBoard},
     node_view::{self, NodeInfo, NodeView},
+    record_watch::RecordsCell,
     replica_table::ReplicaTable,
-    replica_watch,
     store_guard::{self, StoreCounters},
 };
 use citrongw_protocol::{engine::Engine, news::News, store::Store};
@@ -40,6 +41,7 @@
         self, Callers,
         service::{self, ServiceClients},
     },
+    control,
     error::{Result, could_not},
     metrics::{self, Metrics},
     peers::{self, RunningPeers},
@@ -77,6 +79,10 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Domain records known.
+    pub records: Arc<RecordsCell>,
+    /// What operators see of replica control.
+    pub control: Arc<ControlView>,
     /// Metrics of this node.
     pub metrics: Metrics,
     /// Client of the key-value service.
@@ -200,6 +206,8 @@
         config: Arc::default(),
         replicas: Arc::default(),
         services: service::open(node, &store, clock),
+        records: Arc::default(),
+        control: Arc::default(),
         store,
         engine,
         metrics: metrics::open(),
@@ -210,15 +218,8 @@
         settings,
     });
     let peers = endpoint.spawn(&shared).await?;
-    let mut drivers = vec![
-        spawn_stop_watch(&shared),
-        replica_watch::spawn_records(Arc::clone(&shared.store), Arc::clone(&shared.replicas)),
-        replica_watch::spawn_status(
-            Arc::clone(&shared.engine),
-            Arc::clone(&shared.replicas),
-            shared.clock,
-        ),
-    ];
+    let mut drivers = vec![spawn_stop_watch(&shared)];
+    drivers.extend(control::spawn(&shared));
     drivers.extend(caller::spawn(&shared));
     let tls = open_tls(&shared.settings)?;
     let options = ServerOptions {
--- a/crates/coordination/src/control/leaving.rs
+++ b/crates/coordination/src/control/leaving.rs
@@ -2,7 +2,7 @@
 //! comparison with peers say of them, and the marks in the record.
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     engine::{EngineStatus, OrderReply},
     instance_list::{InstanceState, ListedInstance},
     news::{LeavingInstance, News},
@@ -65,17 +65,21 @@
         next: &mut DomainRecord,
         now: Time,
         actions: &mut Vec<Action>,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         next.leaving.retain(|mark| !self.is_obsolete(mark, now));
+        next.returned.retain(|mark| {
+            let heard = self.seen.get(&mark.instance).and_then(|it| it.heard);
+            heard.is_none_or(|it| it.report.incarnation == mark.incarnation)
+        });
         self.stragglers = self.peers.judge(now);
         for (instance, incarnation, cause) in self.found_leaving(next) {
-            if next.is_leaving(&instance, incarnation) {
+            if next.is_leaving(&instance, incarnation) || next.is_returned(&instance, incarnation) {
                 continue;
             }
             let told = LeavingInstance { instance: instance.clone(), incarnation };
             actions.push(Action::Publish(News::Leaving(told)));
-            decisions.push(Decision::InstanceLeaving { instance: instance.clone(), cause });
+            decisions.push(ControlDecision::InstanceLeaving { instance: instance.clone(), cause });
             if let Some(seen) = self.seen.get_mut(&instance) {
                 seen.leaving_at = Some(now);
             }
