--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -6,6 +6,7 @@
 };
 
 use bytes::Bytes;
+use citrongw_coordination::control::context::ControlSettings;
 use citrongw_fakes::{
     engine::{self, EngineSettings, FakeEngine},
     kv::{self, mem::MemStore},
@@ -15,13 +16,12 @@
 };
 use citrongw_protocol::{
     instance_list::{InstanceState, ListedInstance},
-    record::{self, CONFIG_KEY, DomainRecord},
+    record::CONFIG_KEY,
     store::{Change, Expected, Key, Store, Write},
 };
 use citrongw_state::{
     config::{Config, KeyDigest},
-    id::{Epoch, FabricDomainId, Incarnation, ReplicaId},
-    replica::{Member, ReplicaSpec},
+    id::{FabricDomainId, Incarnation},
 };
 use citrongw_transport::http_server::{DEFAULT_MAX_CONNECTIONS, HttpServer};
 
@@ -108,19 +108,28 @@
         tls: None,
         seeds: Vec::new(),
         peer_secrets: Vec::new(),
+        control: ControlSettings::default(),
         log_level: "info".to_owned(),
     }
 }
 
 /// What the stand-ins differ in.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct SurroundingsOptions {
+    /// Replicas.
+    pub replicas: u64,
     /// Manners of the engines.
     pub engine: EngineSettings,
     /// Whether a device that can forget connections stands before each engine.
     pub middleboxes: bool,
 }
 
+impl Default for SurroundingsOptions {
+    fn default() -> Self {
+        Self { replicas: REPLICAS, engine: EngineSettings::default(), middleboxes: false }
+    }
+}
+
 /// Starts the stand-ins.
 pub async fn open_surroundings() -> Result<Surroundings> {
     open_surroundings_with(SurroundingsOptions::default(), |_| {}).await
@@ -138,13 +147,10 @@
     let mut servers = Vec::new();
     let mut engines = Vec::new();
     let mut middleboxes = Vec::new();
-    let mut record = DomainRecord { epoch: Epoch(1), ..DomainRecord::default() };
-    for replica in 1..=REPLICAS {
-        let mut members = Vec::new();
+    for replica in 1..=options.replicas {
         for member in 1..=MEMBERS {
             let incarnation = Incarnation(replica * 100 + member);
             let engine = engine::open(incarnation, options.engine);
-            engine.join(ReplicaId(replica), Epoch(1));
             let server = engine::bind(ANY_PORT, engine.clone()).await.map_err(cause)?;
             let mut addr = server.local_addr();
             if options.middleboxes {
@@ -152,23 +158,15 @@
                 addr = middlebox.local_addr();
                 middleboxes.push(middlebox);
             }
-            let instance = listed(replica, member, incarnation, addr);
-            members.push(Member {
-                instance: instance.id.clone(),
-                incarnation,
-                engine_addr: instance.engine_addr,
-            });
-            platform.put(instance);
+            platform.put(listed(replica, member, incarnation, addr));
             servers.push(server);
             engines.push(engine);
         }
-        record.replicas.push(spec(ReplicaId(replica), members));
     }
     let plain = plain_service::bind(ANY_PORT, runs.clone()).await.map_err(cause)?;
-    let mut config = config(plain.local_addr())?;
+    let mut config = config(plain.local_addr(), options)?;
     change(&mut config);
     write(&store, CONFIG_KEY.into(), &config).await?;
-    write(&store, record::domain_key(&demo_domain()), &record).await?;
     let store_server = kv::server::bind(ANY_PORT, store.clone()).await.map_err(cause)?;
     let platform_server = platform::bind(ANY_PORT, platform.clone()).await.map_err(cause)?;
     let (store_addr, platform_addr) = (store_server.local_addr(), platform_server.local_addr());
@@ -185,12 +183,15 @@
     })
 }
 
-fn config(plain_addr: SocketAddr) -> Result<Config> {
+fn config(plain_addr: SocketAddr, options: SurroundingsOptions) -> Result<Config> {
     let mut config: Config = serde_json::from_str(DEMO_CONFIG)
         .map_err(|error| could_not("read configuration", "demo", error))?;
     for service in &mut config.services {
         service.key_digests = vec![KeyDigest::of(DEMO_KEY)];
     }
+    for deployment in &mut config.deployments {
+        deployment.replicas = u32::try_from(options.replicas).unwrap_or(u32::MAX);
+    }
     for service in &mut config.plain_services {
         service.addrs = vec![plain_addr];
     }
@@ -219,20 +220,6 @@
     }
 }
 
-fn spec(id: ReplicaId, members: Vec<Member>) -> ReplicaSpec {
-    ReplicaSpec {
-        id,
-        epoch: Epoch(1),
-        deployment: "plans".into(),
-        model: "plans".into(),
-        version: "1".into(),
-        adapters: Vec::new(),
-        domain: demo_domain(),
-        zone: "demo-a".into(),
-        members,
-    }
-}
-
 async fn write<T: serde::Serialize>(store: &MemStore, key: Key, value: &T) -> Result<()> {
     let value = serde_json::to_vec(value).map_err(|error| could_not("write", &key, error))?;
     let change = Change::Put(Bytes::from(value));
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use citrongw_state::config::KeyDigest;
+use citrongw_state::{config::KeyDigest, objective::Objective};
 use derive_more::Display;
 use ini::Ini;
 
@@ -23,6 +23,7 @@
 const COUNT_ALLOWED: &str = "a number from 1";
 const LEVEL_ALLOWED: &str = "error, warn, info, debug, trace or off, or a list of target=level";
 const POSITIVE_ALLOWED: &str = "a duration above zero such as 500ms";
+const OBJECTIVE_ALLOWED: &str = "group-downtime or stranded-accelerators";
 const NAME_ALLOWED: &str = "a name without blanks";
 
 /// What is allowed where a file is named.
@@ -210,6 +211,12 @@
         self.optional(section, key, LEVEL_ALLOWED, parse).unwrap_or_else(|| default.to_owned())
     }
 
+    /// Objective of replica control.
+    pub fn objective(&mut self, section: &'a str, key: &'a str) -> Objective {
+        let parse = |it: &str| it.parse().ok();
+        self.optional(section, key, OBJECTIVE_ALLOWED, parse).unwrap_or_default()
+    }
+
     /// Any text.
     pub fn text(&mut self, section: &'a str, key: &'a str, default: &str) -> String {
         let value = self.optional(section, key, "any text", |it| Some(it.to_owned()));
--- a/crates/coordination/src/control/context.rs
+++ b/crates/coordination/src/control/context.rs
@@ -130,6 +130,11 @@
         self.deployments.iter().find(|it| it.id == *id)
     }
 
+    /// Whether all engines check the fencing number.
+    pub fn all_honour_fencing(&self) -> bool {
+        self.deployments.iter().all(|it| it.honours_fencing)
+    }
+
     /// Whether the engines of a deployment check the fencing number. Those of
     /// an unknown deployment are taken not to.
     pub fn honours_fencing(&self, id: &DeploymentId) -> bool {
--- a/crates/coordination/src/control/domain.rs
+++ b/crates/coordination/src/control/domain.rs
@@ -8,7 +8,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     engine::{EngineStatus, Order, OrderReply},
     instance_list::ListedInstance,
     news::News,
@@ -93,7 +93,7 @@
     /// Tell all nodes.
     Publish(News),
     /// Put a decision on record.
-    Decide(Decision),
+    Decide(ControlDecision),
 }
 
 /// Compare-and-swap of a domain's record.
@@ -126,7 +126,7 @@
     pub(super) attempt: AttemptId,
     pub(super) sent_at: Time,
     pub(super) record: Arc<DomainRecord>,
-    pub(super) decisions: Vec<Decision>,
+    pub(super) decisions: Vec<ControlDecision>,
 }
 
 /// What is known of a replica beside its record.
@@ -213,6 +213,16 @@
         self.record.as_ref()
     }
 
+    /// Revision of that record.
+    pub fn record_revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// Whether a write is under way or its outcome unknown.
+    pub fn has_open_write(&self) -> bool {
+        self.write.is_some() || self.must_read
+    }
+
     /// Whether the record, as last read, names this node as owner.
     pub fn is_owner(&self) -> bool {
         self.record.as_ref().is_some_and(|it| it.owner == Some(self.node))
@@ -365,7 +375,7 @@
     fn propose(
         &mut self,
         mut record: DomainRecord,
-        decisions: Vec<Decision>,
+        decisions: Vec<ControlDecision>,
         now: Time,
         actions: &mut Vec<Action>,
     ) {
--- /dev/null
+++ b/crates/coordination/src/control/driver.rs
@@ -0,0 +1,307 @@
+//! Driver that feeds the controls of the domains that this node owns or is to
+//! own, and carries out what they want done.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use citrongw_protocol::{
+    decision::Decision, engine::Engine, instance_list::ListedInstance, store::Store,
+};
+use citrongw_state::{
+    doubt::Doubt,
+    id::{FabricDomainId, InstanceId, NodeId},
+    ownership,
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, MissedTickBehavior},
+};
+
+use super::{
+    call::{Answer, Caller, Told},
+    context::{Context, ControlSettings, FleetPlan},
+    domain::{self, Action, DomainControl, Event},
+    plan::{self, PlanInput, Records},
+    summary::{self, ControlView},
+};
+use crate::{
+    clock::Clock,
+    config::{ConfigCell, VersionedConfig},
+    decision_log::DecisionLog,
+    instance_watch::InstancesCell,
+    news_board::NewsBoard,
+    node_view::NodeView,
+    record_watch::RecordsCell,
+};
+
+/// Pause between two ticks.
+const TICK: Duration = Duration::from_millis(250);
+/// Least pause between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What the driver works with.
+pub struct ControlDriver {
+    /// Settings.
+    pub settings: ControlSettings,
+    /// Client of the key-value service.
+    pub store: Arc<dyn Store>,
+    /// Client of the engines.
+    pub engine: Arc<dyn Engine>,
+    /// Configuration in force.
+    pub config: Arc<ConfigCell>,
+    /// Instance list.
+    pub instances: Arc<InstancesCell>,
+    /// Records.
+    pub records: Arc<RecordsCell>,
+    /// News.
+    pub news: Arc<NewsBoard>,
+    /// Live nodes.
+    pub nodes: Arc<NodeView>,
+    /// Decisions.
+    pub decisions: Arc<DecisionLog>,
+    /// What operators see.
+    pub view: Arc<ControlView>,
+    /// Clock of the node.
+    pub clock: Clock,
+}
+
+/// Spawns the driver.
+pub fn spawn(driver: ControlDriver) -> JoinHandle<()> {
+    tokio::spawn(open(driver).run())
+}
+
+/// State of the driver.
+struct Running {
+    driver: ControlDriver,
+    caller: Caller,
+    controls: BTreeMap<FabricDomainId, DomainControl>,
+    answers: FuturesUnordered<Answer>,
+    fleet: FleetPlan,
+    planned_at: Option<Instant>,
+    planned_from: Inputs,
+    told: Option<Arc<Vec<ListedInstance>>>,
+    doubt: Doubt,
+    asking: BTreeSet<InstanceId>,
+}
+
+/// What a plan was made from, to see whether it is out of date.
+#[derive(Default)]
+struct Inputs {
+    records: Option<Arc<Records>>,
+    instances: Option<Arc<Vec<ListedInstance>>>,
+    config: Option<Arc<VersionedConfig>>,
+}
+
+fn open(driver: ControlDriver) -> Running {
+    let caller = Caller {
+        store: Arc::clone(&driver.store),
+        engine: Arc::clone(&driver.engine),
+        clock: driver.clock,
+    };
+    Running {
+        driver,
+        caller,
+        controls: BTreeMap::new(),
+        answers: FuturesUnordered::new(),
+        fleet: FleetPlan::default(),
+        planned_at: None,
+        planned_from: Inputs::default(),
+        told: None,
+        doubt: Doubt::default(),
+        asking: BTreeSet::new(),
+    }
+}
+
+impl Running {
+    async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let records = Arc::clone(&self.driver.records);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick(),
+                () = records.changed() => self.renew(),
+                Some((domain, told)) = self.answers.next() => self.take(&domain, told),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.driver.clock.now();
+        self.doubt.see(self.driver.nodes.alive().len(), now);
+        self.renew();
+        self.tell_listed();
+        for domain in self.domains() {
+            self.step(&domain, Event::Tick);
+            self.ask_instances(&domain);
+        }
+        let now = self.driver.clock.now();
+        summary::renew(
+            &self.driver.view,
+            &self.driver.records.records(),
+            &self.driver.instances,
+            now,
+        );
+    }
+
+    /// Renews the set of domains, what each control knows of its record, and
+    /// the plan.
+    fn renew(&mut self) {
+        let records = self.driver.records.records();
+        self.choose_domains(&records);
+        self.plan(&records);
+        for domain in self.domains() {
+            let Some((record, revision)) = records.get(&domain) else { continue };
+            let told = Event::Told(Arc::clone(record), *revision);
+            self.step(&domain, told);
+        }
+    }
+
+    fn domains(&self) -> Vec<FabricDomainId> {
+        self.controls.keys().cloned().collect()
+    }
+
+    /// Keeps a control for each domain that this node owns or is to own.
+    fn choose_domains(&mut self, records: &Records) {
+        let this = self.driver.nodes.this().id;
+        let alive = self.alive();
+        let instances = self.driver.instances.load_full();
+        let listed = instances.iter().flat_map(|it| it.iter()).map(|it| &it.domain);
+        let known: BTreeSet<&FabricDomainId> = listed.chain(records.keys()).collect();
+        let is_own = |domain: &FabricDomainId| {
+            let owner = records.get(domain).and_then(|(record, _)| record.owner);
+            owner == Some(this) || ownership::domain_owner(domain, &alive) == Some(this)
+        };
+        let own: BTreeSet<&FabricDomainId> = known.into_iter().filter(|it| is_own(it)).collect();
+        self.controls.retain(|domain, control| own.contains(domain) || control.has_open_write());
+        for domain in own {
+            if !self.controls.contains_key(domain) {
+                let settings = self.driver.settings;
+                let control = domain::open(domain.clone(), this, settings, rand::random());
+                self.controls.insert(domain.clone(), control);
+                self.told = None;
+            }
+        }
+    }
+
+    /// Plans anew if anything that the plan was made from has changed.
+    fn plan(&mut self, records: &Arc<Records>) {
+        let instances = self.driver.instances.load_full();
+        let Some(config) = self.driver.config.load_full() else { return };
+        let from = Inputs {
+            records: Some(Arc::clone(records)),
+            instances,
+            config: Some(Arc::clone(&config)),
+        };
+        let early = self.planned_at.is_some_and(|it| it.elapsed() < PLAN_INTERVAL);
+        if self.controls.is_empty() || early || from.is(&self.planned_from) {
+            return;
+        }
+        let Some(listed) = &from.instances else { return };
+        self.fleet = plan::compute(&PlanInput {
+            objective: self.driver.settings.objective,
+            loads_at_once: self.driver.settings.loads_at_once,
+            config: &config.config,
+            records,
+            listed,
+        });
+        self.planned_at = Some(Instant::now());
+        self.planned_from = from;
+    }
+
+    fn tell_listed(&mut self) {
+        let Some(instances) = self.driver.instances.load_full() else { return };
+        if self.told.as_ref().is_some_and(|it| Arc::ptr_eq(it, &instances)) {
+            return;
+        }
+        for domain in self.domains() {
+            let of_domain = instances.iter().filter(|it| it.domain == domain);
+            let listed = of_domain.cloned().collect();
+            self.step(&domain, Event::Listed(listed));
+        }
+        self.told = Some(instances);
+    }
+
+    fn ask_instances(&mut self, domain: &FabricDomainId) {
+        let Some(control) = self.controls.get(domain) else { return };
+        for (instance, addr) in control.poll_targets() {
+            if self.asking.insert(instance.clone()) {
+                self.answers.push(self.caller.ask(domain.clone(), instance, addr));
+            }
+        }
+    }
+
+    fn take(&mut self, domain: &FabricDomainId, answer: Told) {
+        let event = match answer {
+            Told::Event(event) => event,
+            Told::Status(instance, status) => {
+                self.asking.remove(&instance);
+                let Some((status, asked_at)) = status else { return };
+                Event::Status(instance, status, asked_at)
+            }
+            Told::Nothing => return,
+        };
+        if matches!(event, Event::Read(_) | Event::Written(..)) {
+            self.doubt.confirm(self.driver.clock.now());
+        }
+        self.step(domain, event);
+    }
+
+    fn step(&mut self, domain: &FabricDomainId, event: Event) {
+        let now = self.driver.clock.now();
+        let alive = self.alive();
+        let config = self.driver.config.load_full();
+        let deployments = config.as_ref().map(|it| it.config.deployments.as_slice());
+        let ctx = Context {
+            alive: &alive,
+            doubting: self.doubt.is_doubting(),
+            deployments: deployments.unwrap_or_default(),
+            fleet: &self.fleet,
+        };
+        let Some(control) = self.controls.get_mut(domain) else { return };
+        let before = control.record_revision();
+        let actions = control.step(&ctx, event, now);
+        if control.record_revision() != before
+            && let (Some(record), Some(revision)) = (control.record(), control.record_revision())
+        {
+            self.driver.records.learn(domain, record, revision);
+        }
+        for action in actions {
+            self.act(domain, action);
+        }
+    }
+
+    fn act(&mut self, domain: &FabricDomainId, action: Action) {
+        match action {
+            Action::Publish(news) => self.driver.news.publish(news),
+            Action::Decide(decision) => {
+                tracing::info!(%decision, "decided");
+                self.driver.decisions.add(Decision::Control(decision));
+            }
+            call => self.answers.extend(self.caller.call(domain.clone(), call)),
+        }
+    }
+
+    fn alive(&self) -> Vec<NodeId> {
+        self.driver.nodes.alive().iter().map(|it| it.id).collect()
+    }
+}
+
+impl Inputs {
+    fn is(&self, other: &Self) -> bool {
+        fn same<T>(a: Option<&Arc<T>>, b: Option<&Arc<T>>) -> bool {
+            match (a, b) {
+                (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+                (None, None) => true,
+                _ => false,
+            }
+        }
+        same(self.records.as_ref(), other.records.as_ref())
+            && same(self.instances.as_ref(), other.instances.as_ref())
+            && same(self.config.as_ref(), other.config.as_ref())
+    }
+}
--- a/crates/coordination/src/control/mend.rs
+++ b/crates/coordination/src/control/mend.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     record::{DomainRecord, DrainCause, WeightLoad},
 };
 use citrongw_state::{
@@ -47,7 +47,7 @@
         next: &mut DomainRecord,
         ctx: &Context<'_>,
         now: Time,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         if ctx.doubting {
             return;
@@ -55,7 +55,7 @@
         let held_back = self.is_held_back(next, now, decisions);
         self.abandon(next, now, decisions);
         let broken = self.broken(next, now);
-        let mut spares = self.free_instances(next, now);
+        let mut spares = self.free_instances(next, ctx, now);
         for (id, vacancies) in &broken {
             if !held_back && vacancies.open.is_empty() && !vacancies.busy {
                 self.refill(next, *id, vacancies, &mut spares, now, decisions);
@@ -95,7 +95,7 @@
         &mut self,
         record: &DomainRecord,
         now: Time,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) -> bool {
         let freshness = self.settings.freshness;
         let known = self.seen.iter().filter(|(id, it)| it.listed.is_some() || record.holds(id));
@@ -107,7 +107,7 @@
         }
         if self.dark_since.is_none() {
             let domain = self.domain.clone();
-            decisions.push(Decision::DomainHeldBack { domain, silent });
+            decisions.push(ControlDecision::DomainHeldBack { domain, silent });
         }
         let since = *self.dark_since.get_or_insert(now);
         now.since(since) < self.settings.dark_hold
@@ -115,7 +115,12 @@
 
     /// Gives up replicas that have no live member for long: they are missing
     /// elsewhere, and their instances are withheld until they say otherwise.
-    fn abandon(&mut self, next: &mut DomainRecord, now: Time, decisions: &mut Vec<Decision>) {
+    fn abandon(
+        &mut self,
+        next: &mut DomainRecord,
+        now: Time,
+        decisions: &mut Vec<ControlDecision>,
+    ) {
         let long = self.settings.abandon_after;
         let is_lost = |spec: &ReplicaSpec| {
             spec.members.iter().all(|member| match self.standing(spec, member, now) {
@@ -226,7 +231,7 @@
         vacancies: &Vacancies,
         spares: &mut Vec<Member>,
         now: Time,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         if spares.len() < vacancies.open.len() {
             return;
@@ -253,7 +258,7 @@
         let members = spec.members.iter();
         let unloaded = members.filter(|it| !self.keeps_weights(&spec, it, now)).count();
         self.add_load(next, &spec, u32::try_from(unloaded).unwrap_or(u32::MAX));
-        decisions.push(Decision::ReplicaRepaired { replica: id, replaced });
+        decisions.push(ControlDecision::ReplicaRepaired { replica: id, replaced });
     }
 
     fn keeps_weights(&self, spec: &ReplicaSpec, member: &Member, now: Time) -> bool {
--- a/crates/coordination/src/control/release.rs
+++ b/crates/coordination/src/control/release.rs
@@ -2,7 +2,7 @@
 //! engines say that they are free.
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     record::{DomainRecord, DrainCause, DrainingReplica, ForeignClaim},
 };
 use citrongw_state::{
@@ -17,8 +17,13 @@
 impl DomainControl {
     /// Clears what the engines have given up, and withholds what they hold
     /// against the record.
-    pub(super) fn settle_releases(&mut self, next: &mut DomainRecord, now: Time) {
-        if self.quiet_until <= now {
+    pub(super) fn settle_releases(
+        &mut self,
+        next: &mut DomainRecord,
+        ctx: &Context<'_>,
+        now: Time,
+    ) {
+        if self.is_quiet(ctx, now) {
             next.releasing.retain(|it| !self.is_free_of(it, now));
         }
         let void: Vec<ForeignClaim> =
@@ -67,7 +72,7 @@
         &mut self,
         next: &mut DomainRecord,
         ctx: &Context<'_>,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         let Some(plan) = ctx.fleet.domains.get(&self.domain) else { return };
         if plan.revision != self.revision {
@@ -120,14 +125,14 @@
     next: &mut DomainRecord,
     replica: ReplicaId,
     cause: DrainCause,
-    decisions: &mut Vec<Decision>,
+    decisions: &mut Vec<ControlDecision>,
 ) {
     let Some(idx) = next.replicas.iter().position(|it| it.id == replica) else { return };
     let spec = next.replicas.remove(idx);
     next.loads.retain(|it| it.replica != replica);
     next.down.retain(|it| it.replica != replica);
     next.draining.push(DrainingReplica { spec, cause });
-    decisions.push(Decision::ReplicaDrained { replica, cause });
+    decisions.push(ControlDecision::ReplicaDrained { replica, cause });
 }
 
 /// Withholds all members of a replica that ended.
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -1,22 +1,19 @@
 //! Decisions as the system explains them: typed, and one plain sentence each.
 
+pub mod control;
+
 use std::time::Duration;
 
 use citrongw_state::{
     admission,
-    id::{
-        AttemptId, AvailabilityZone, DeploymentId, Epoch, FabricDomainId, InstanceId, ModelVersion,
-        NodeId, ReplicaId, RequestId, Revision,
-    },
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{
-    code::{Outcome, ResultCode},
-    record::{DrainCause, LeavingCause},
-};
+use self::control::ControlDecision;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -116,68 +113,6 @@
         /// Its version.
         revision: Revision,
     },
-    /// This node took the control of a domain.
-    #[display("this node took control of domain {domain} under epoch {epoch}")]
-    DomainTaken {
-        /// The domain.
-        domain: FabricDomainId,
-        /// Epoch that it took.
-        epoch: Epoch,
-    },
-    /// Repair of a domain is held back because much of it went silent at once.
-    #[display("repair of domain {domain} is held back: {silent} instances went silent at once")]
-    DomainHeldBack {
-        /// The domain.
-        domain: FabricDomainId,
-        /// Instances that are silent.
-        silent: usize,
-    },
-    /// A replica was formed.
-    #[display("replica {replica} forms in domain {domain} under epoch {epoch}")]
-    ReplicaFormed {
-        /// The replica.
-        replica: ReplicaId,
-        /// Its domain.
-        domain: FabricDomainId,
-        /// Its epoch.
-        epoch: Epoch,
-    },
-    /// Spares took the places of lost members.
-    #[display("replica {replica} was repaired: {replaced} members were replaced")]
-    ReplicaRepaired {
-        /// The replica.
-        replica: ReplicaId,
-        /// Members that were replaced.
-        replaced: u32,
-    },
-    /// A replica takes no new work and ends.
-    #[display("replica {replica} is drained, cause: {cause}")]
-    ReplicaDrained {
-        /// The replica.
-        replica: ReplicaId,
-        /// Why.
-        cause: DrainCause,
-    },
-    /// An instance takes no new work.
-    #[display("instance {instance} takes no new work, cause: {cause}")]
-    InstanceLeaving {
-        /// The instance.
-        instance: InstanceId,
-        /// Why.
-        cause: LeavingCause,
-    },
-    /// A planned change was halted and is rolled back.
-    #[display(
-        "change of {deployment} to version {version} is rolled back: replica {replica} did not come up"
-    )]
-    ChangeHalted {
-        /// The deployment.
-        deployment: DeploymentId,
-        /// The version that failed.
-        version: ModelVersion,
-        /// The replica that did not come up.
-        replica: ReplicaId,
-    },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
     Chosen {
@@ -264,6 +199,9 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// What replica control decided.
+    #[display("{_0}")]
+    Control(ControlDecision),
 }
 
 /// Decision with its time.
@@ -313,13 +251,10 @@
                 | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
-                | Self::Isolated { replica, .. }
-                | Self::ReplicaFormed { replica, .. }
-                | Self::ReplicaRepaired { replica, .. }
-                | Self::ReplicaDrained { replica, .. }
-                | Self::ChangeHalted { replica, .. },
+                | Self::Isolated { replica, .. },
                 Subject::Replica(id),
             ) => *replica == id,
+            (Self::Control(decision), Subject::Replica(id)) => decision.is_about(id),
             _ => false,
         }
     }
