Let operators act on replicas and instances, and show what control sees

Cause: drains, leaves and returns had functions and no interface; a change made from a version that was no longer in force showed one side of the conflict only, and one made from a version put by hand was told 'not found'. Change: acts by way of the domain's record, with leaving told to all nodes at once; status with since when and what is done, from replica control and the standing of the configuration; group downtime and stranded accelerators by model and cause on the page of metrics; the version that a change was made from is read again where it is kept. Measured: the race's test failed on both points before (exit code 1, no other side) and passes after; all tests of the program pass.

--- a/crates/citrongw/src/admin.rs
+++ b/crates/citrongw/src/admin.rs
@@ -1,9 +1,11 @@
 //! The operators' interface: JSON on a port of its own, with bearer tokens.
 
+mod act;
 mod auth;
 mod dump;
 mod edit;
 mod explain;
+mod handler;
 mod status;
 
 use std::sync::Arc;
@@ -45,6 +47,9 @@
         .get("/admin/acceptance/:id", read(shared, read_acceptance))
         .get("/admin/edits/:id", edit::read_change(shared))
         .post("/admin/edits", edit::make_change(shared))
+        .post("/admin/replicas/:id/drain", act::drain(shared))
+        .post("/admin/instances/:id/leave", act::leave(shared))
+        .post("/admin/instances/:id/return", act::return_instance(shared))
         .get("/metrics", {
             let shared = Arc::clone(shared);
             move |_: Request| {
--- /dev/null
+++ b/crates/citrongw/src/admin/act.rs
@@ -0,0 +1,101 @@
+//! Acts on replicas and instances, each as one change of a domain's record.
+
+use std::sync::Arc;
+
+use citrongw_coordination::control::operate::{self, Ask, AskError};
+use citrongw_protocol::{
+    admin::{ActReply, ActRequest},
+    code::ResultCode,
+    news::{LeavingInstance, News},
+};
+use citrongw_state::{
+    config::{Operator, Role},
+    id::{FabricDomainId, Incarnation, InstanceId, ReplicaId},
+};
+use viz::Request;
+
+use super::{
+    handler::{Handler, handler},
+    path_param, read_json,
+};
+use crate::node::Shared;
+
+/// `POST /admin/replicas/:id/drain`.
+pub(super) fn drain(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Operate, |shared, operator, req| async move {
+        let replica: ReplicaId = path_param(&req)?;
+        let domain = domain_of(&shared, replica).ok_or(ResultCode::NotFound)?;
+        act(&shared, &operator, req, &domain, Ask::Drain(replica)).await
+    })
+}
+
+/// `POST /admin/instances/:id/leave`. Told to all nodes as soon as it is
+/// recorded, so that none sends it new work.
+pub(super) fn leave(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Operate, |shared, operator, req| async move {
+        let found = find_instance(&shared, &path_param(&req)?).ok_or(ResultCode::NotFound)?;
+        let Found { instance, incarnation, domain } = found;
+        let ask = Ask::Leave(instance.clone(), incarnation);
+        let reply = act(&shared, &operator, req, &domain, ask).await?;
+        if reply == ActReply::Recorded {
+            shared.news.publish(News::Leaving(LeavingInstance { instance, incarnation }));
+        }
+        Ok(reply)
+    })
+}
+
+/// `POST /admin/instances/:id/return`.
+pub(super) fn return_instance(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
+    handler(shared, Role::Operate, |shared, operator, req| async move {
+        let found = find_instance(&shared, &path_param(&req)?).ok_or(ResultCode::NotFound)?;
+        let ask = Ask::Return(found.instance, found.incarnation);
+        act(&shared, &operator, req, &found.domain, ask).await
+    })
+}
+
+async fn act(
+    shared: &Shared,
+    operator: &Operator,
+    mut req: Request,
+    domain: &FabricDomainId,
+    ask: Ask,
+) -> Result<ActReply, ResultCode> {
+    let request: ActRequest = read_json(&mut req).await?;
+    let res = operate::ask(shared.store.as_ref(), domain, &ask, request.attempt).await;
+    tracing::info!(operator = %operator.id, %domain, ?ask, ?res, "act on a domain's record");
+    Ok(match res {
+        Ok(_) => ActReply::Recorded,
+        Err(AskError::NoAnswer) => ActReply::Unknown,
+        Err(error) => ActReply::Refused { reason: error.to_string() },
+    })
+}
+
+fn domain_of(shared: &Shared, replica: ReplicaId) -> Option<FabricDomainId> {
+    let records = shared.records.records();
+    let holds = records.iter().find(|(_, (record, _))| {
+        let draining = record.draining.iter().map(|it| &it.spec);
+        record.replicas.iter().chain(draining).any(|it| it.id == replica)
+    });
+    holds.map(|(domain, _)| domain.clone())
+}
+
+/// Instance with the start that an act is meant for.
+struct Found {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    domain: FabricDomainId,
+}
+
+/// The start that a replica holds, else the one that the platform lists.
+fn find_instance(shared: &Shared, id: &InstanceId) -> Option<Found> {
+    let listed = shared.instances.load_full()?;
+    let listed = listed.iter().find(|it| it.id == *id)?;
+    let records = shared.records.records();
+    let record = records.get(&listed.domain).map(|(record, _)| record);
+    let member = record.and_then(|it| it.allocated().find(|it| it.instance == *id));
+    Some(Found {
+        instance: id.clone(),
+        incarnation: member.map_or(listed.incarnation, |it| it.incarnation),
+        domain: listed.domain.clone(),
+    })
+}
--- a/crates/citrongw/src/admin/edit.rs
+++ b/crates/citrongw/src/admin/edit.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use citrongw_coordination::config::edit;
+use citrongw_coordination::config::{VersionedConfig, edit};
 use citrongw_protocol::{
     admin::{ChangeFound, ChangeRequest, ConfigView},
     admin_config::{EditRequest, EditResult},
@@ -13,16 +13,14 @@
     config::{Config, Operator, Role, change},
     id::{ChangeId, Revision},
 };
-use futures::future::BoxFuture;
-use serde::Serialize;
-use viz::{Request, Response};
+use viz::Request;
 
-use super::{answer, auth, path_param, read_json};
+use super::{
+    handler::{Handler, handler},
+    path_param, read_json,
+};
 use crate::node::Shared;
 
-/// Handler of a request.
-type Handler = BoxFuture<'static, viz::Result<Response>>;
-
 /// `GET /admin/config`: what the key-value service holds, or, while that is
 /// away, what this node has in force.
 pub(super) fn read_current(shared: &Arc<Shared>) -> impl Fn(Request) -> Handler + Clone + use<> {
@@ -75,29 +73,6 @@
     })
 }
 
-fn handler<T, F, R>(
-    shared: &Arc<Shared>,
-    role: Role,
-    run: F,
-) -> impl Fn(Request) -> Handler + Clone + use<T, F, R>
-where
-    T: Serialize + Send + 'static,
-    F: Fn(Arc<Shared>, Operator, Request) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = Result<T, ResultCode>> + Send + 'static,
-{
-    let shared = Arc::clone(shared);
-    move |req| {
-        let (shared, run) = (Arc::clone(&shared), run.clone());
-        Box::pin(async move {
-            let res = match auth::check(&shared, &req, role) {
-                Ok(operator) => run(shared, operator, req).await,
-                Err(code) => Err(code),
-            };
-            Ok(answer(res))
-        })
-    }
-}
-
 async fn propose(shared: &Shared, operator: &Operator, request: ChangeRequest) -> EditResult {
     let store = shared.store.as_ref();
     let current = match edit::read(store).await {
@@ -107,11 +82,10 @@
     if let Ok(Some(revision)) = edit::look_up(store, request.change).await {
         return EditResult::Committed { revision };
     }
-    let held = shared.config.load_full();
-    let base = held.as_ref().filter(|it| Some(it.revision) == request.base);
+    let base = base_of(shared, request.base).await;
     let empty = Config::default();
-    let document =
-        base.map(|it| &it.config).or(current.as_ref().map(|it| &it.config)).unwrap_or(&empty);
+    let document = base.as_deref().map(|it| &it.config);
+    let document = document.or(current.as_ref().map(|it| &it.config)).unwrap_or(&empty);
     let config = match change::apply(document, &request.edit) {
         Ok(config) => config,
         Err(error) => return EditResult::Invalid { faults: vec![error.to_string()] },
@@ -124,11 +98,22 @@
         config,
         replaces_lost: None,
     };
-    let result = edit::propose(store, held.as_deref(), request).await;
+    let result = edit::propose(store, base.as_deref(), request).await;
     shared.gate.refresh();
     result
 }
 
+/// Version that a change was made from, if it is still known.
+async fn base_of(shared: &Shared, base: Option<Revision>) -> Option<Arc<VersionedConfig>> {
+    let revision = base?;
+    let held = shared.config.load_full().filter(|it| it.revision == revision);
+    if held.is_some() {
+        return held;
+    }
+    let config = edit::read_version(shared.store.as_ref(), revision).await.ok()??;
+    Some(Arc::new(VersionedConfig { revision, config }))
+}
+
 fn view(revision: Option<Revision>, config: &Config) -> ConfigView {
     ConfigView { revision, config: config.redacted() }
 }
--- a/crates/citrongw/src/admin/status.rs
+++ b/crates/citrongw/src/admin/status.rs
@@ -1,9 +1,10 @@
 //! How the installation fares, as this node sees it.
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
+use citrongw_coordination::control::summary::ReplicaSummary;
 use citrongw_protocol::admin::{DeploymentStatus, NodeStatus, Problem, ReplicaStatus, Status};
-use citrongw_state::{config::Deployment, replica::NotRoutable};
+use citrongw_state::config::Deployment;
 
 use crate::node::Shared;
 
@@ -15,12 +16,15 @@
     let deployments: Vec<DeploymentStatus> =
         wanted.iter().map(|it| deployment(it, &replicas)).collect();
     let stopping = shared.stopping.load(Ordering::Relaxed);
-    let problems = problems(config.is_some(), stopping, &deployments, &replicas);
+    let may_serve = shared.gate.may_serve(shared.clock.now());
+    let mut problems = problems(config.is_some(), stopping, &deployments);
+    problems.extend(config_problems(shared));
+    problems.extend(shared.control.replicas().iter().filter_map(replica_problem));
     Status {
         node: shared.node,
         up: shared.clock.now().0,
         config_revision: config.as_ref().map(|it| it.revision),
-        ready: config.is_some() && !stopping,
+        ready: config.is_some() && may_serve && !stopping,
         nodes: u32::try_from(shared.nodes.alive().len()).unwrap_or(u32::MAX),
         deployments,
         problems,
@@ -75,12 +79,7 @@
     }
 }
 
-fn problems(
-    configured: bool,
-    stopping: bool,
-    deployments: &[DeploymentStatus],
-    replicas: &[ReplicaStatus],
-) -> Vec<Problem> {
+fn problems(configured: bool, stopping: bool, deployments: &[DeploymentStatus]) -> Vec<Problem> {
     let mut found = Vec::new();
     if !configured {
         found.push(Problem {
@@ -111,22 +110,45 @@
             advice: "add instances to a fabric domain, or lower the number of replicas".to_owned(),
         });
     }
-    found.extend(replicas.iter().filter_map(replica_problem));
     found
 }
 
-fn replica_problem(replica: &ReplicaStatus) -> Option<Problem> {
-    let (what, doing) = match replica.not_routable? {
-        NotRoutable::MemberSilent => ("a member does not answer", "keeps asking it"),
-        NotRoutable::MemberRestarted => ("a member restarted", "forms the replica anew"),
-        NotRoutable::MemberElsewhere => ("a member serves something else", "orders it again"),
-        NotRoutable::MemberLoading => ("a member is loading weights", "waits for it"),
-        NotRoutable::MemberLeaving => ("a member is leaving", "replaces it"),
-    };
+fn replica_problem(replica: &ReplicaSummary) -> Option<Problem> {
+    let cause = replica.cause?;
     Some(Problem {
-        what: format!("replica {} is not serving: {what}", replica.id),
-        lasting: None,
-        doing: doing.to_owned(),
-        advice: format!("citrongwctl explain replica {}", replica.id),
+        what: format!("replica {} is not serving: {cause}", replica.replica),
+        lasting: Some(Duration::from_secs(replica.lasting.as_secs())),
+        doing: cause.doing().to_owned(),
+        advice: format!("citrongwctl explain replica {}", replica.replica),
     })
 }
+
+fn config_problems(shared: &Shared) -> Vec<Problem> {
+    let mut found = Vec::new();
+    let standing = shared.gate.status();
+    if let Some(revision) = standing.went_back_to {
+        found.push(Problem {
+            what: format!("the key-value service went back to configuration version {revision}"),
+            lasting: None,
+            doing: "keeps the newer configuration in force".to_owned(),
+            advice: "write the newer configuration again with citrongwctl config put".to_owned(),
+        });
+    }
+    if standing.forked {
+        found.push(Problem {
+            what: "the key-value service holds a configuration that lacks a change".to_owned(),
+            lasting: None,
+            doing: "keeps the configuration in force".to_owned(),
+            advice: "compare with citrongwctl config history, and write the right one".to_owned(),
+        });
+    }
+    if standing.held.is_some() && !shared.gate.may_serve(shared.clock.now()) {
+        found.push(Problem {
+            what: "the configuration is not confirmed as the newest".to_owned(),
+            lasting: None,
+            doing: "refuses requests, so that callers move to other nodes".to_owned(),
+            advice: "check that this node reaches the key-value service or other nodes".to_owned(),
+        });
+    }
+    found
+}
--- a/crates/citrongw/src/control.rs
+++ b/crates/citrongw/src/control.rs
@@ -8,7 +8,7 @@
         context::ControlSettings,
         driver::{self, ControlDriver},
     },
-    instance_watch::{self, InstancesCell},
+    instance_watch,
     record_watch::{self, RecordWatch},
     replica_watch::{self, StatusWatch},
 };
@@ -19,7 +19,7 @@
 
 /// Spawns all drivers of replica control.
 pub(crate) fn spawn(shared: &Arc<Shared>) -> Vec<JoinHandle<()>> {
-    let instances: Arc<InstancesCell> = Arc::default();
+    let instances = Arc::clone(&shared.instances);
     let settings = &shared.settings;
     let list = instance_list_client::open(settings.instance_list_addr, settings.store_timeout);
     let records = RecordWatch {
--- a/crates/citrongw/src/metrics.rs
+++ b/crates/citrongw/src/metrics.rs
@@ -116,19 +116,6 @@
         self.first_token_time.add(took);
     }
 
-    /// Adds time that a replica of a model was not serving.
-    pub fn add_group_downtime(&self, model: &str, cause: &str, time: Duration) {
-        let labels = CauseLabels { model: model.to_owned(), cause: cause.to_owned() };
-        self.group_downtime.get_or_create(&labels).inc_by(time.as_secs_f64());
-    }
-
-    /// Adds accelerators times the time that they were idle because their
-    /// replica could not form.
-    pub fn add_stranded(&self, model: &str, cause: &str, accelerator_seconds: f64) {
-        let labels = CauseLabels { model: model.to_owned(), cause: cause.to_owned() };
-        self.stranded.get_or_create(&labels).inc_by(accelerator_seconds);
-    }
-
     /// The page.
     pub fn text(&self, shared: &Shared) -> String {
         self.read(shared);
@@ -200,6 +187,15 @@
     }
 
     fn read(&self, shared: &Shared) {
+        for (model, cause, lost) in shared.control.lost() {
+            let labels = CauseLabels { model: model.to_string(), cause: cause.to_string() };
+            let set = |counter: &Family<CauseLabels, Counter<f64, AtomicU64>>, value: f64| {
+                let counter = counter.get_or_create(&labels);
+                counter.inc_by((value - counter.get()).max(0.0));
+            };
+            set(&self.group_downtime, lost.downtime_s);
+            set(&self.stranded, lost.stranded_accelerator_s);
+        }
         let status = crate::admin::status(shared);
         self.nodes.set(i64::from(status.nodes));
         let revision = status.config_revision.map_or(0, |it| it.0);
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -15,6 +15,7 @@
     control::summary::ControlView,
     decision_log::{self, DecisionLog},
     hand_over::HandOver,
+    instance_watch::InstancesCell,
     news_board::{self, NewsBoard},
     node_view::{self, NodeInfo, NodeView},
     record_watch::RecordsCell,
@@ -79,6 +80,8 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Instances as the platform lists them.
+    pub instances: Arc<InstancesCell>,
     /// Domain records known.
     pub records: Arc<RecordsCell>,
     /// What operators see of replica control.
@@ -206,6 +209,7 @@
         config: Arc::default(),
         replicas: Arc::default(),
         services: service::open(node, &store, clock),
+        instances: Arc::default(),
         records: Arc::default(),
         control: Arc::default(),
         store,
--- a/crates/citrongwctl/src/change.rs
+++ b/crates/citrongwctl/src/change.rs
@@ -29,8 +29,24 @@
 const MAX_ACCEPTANCE_LOOKS: u32 = 60;
 
 /// Configuration that a change is made from: the version named, or the newest.
+/// A version that is no longer kept stands for the newest document under its
+/// own name, so that the change meets the conflict.
 pub(crate) async fn view(context: &Context, base: Option<Revision>) -> Result<ConfigView> {
-    let path = base.map_or_else(|| "/admin/config".to_owned(), |it| format!("/admin/config/{it}"));
+    let newest = || context.client.get::<ConfigView>("/admin/config");
+    let Some(base) = base else { return newest().await };
+    let kept = context.client.get::<ConfigView>(&format!("/admin/config/{base}")).await;
+    match kept {
+        Err(report) if matches!(report.current_context(), CtlError::Failed { .. }) => {
+            Ok(ConfigView { revision: Some(base), ..newest().await? })
+        }
+        kept => kept,
+    }
+}
+
+/// One version, as long as it is kept.
+pub(crate) async fn version(context: &Context, revision: Option<Revision>) -> Result<ConfigView> {
+    let path =
+        revision.map_or_else(|| "/admin/config".to_owned(), |it| format!("/admin/config/{it}"));
     context.client.get(&path).await
 }
 
--- a/crates/citrongwctl/src/cmd/config.rs
+++ b/crates/citrongwctl/src/cmd/config.rs
@@ -25,7 +25,7 @@
         ConfigCmd::History(_) => history(context).await,
         ConfigCmd::Diff(args) => diff(context, args.from, args.to).await,
         ConfigCmd::Show(args) => {
-            output::json(&change::view(context, args.revision).await?);
+            output::json(&change::version(context, args.revision).await?);
             Ok(())
         }
         ConfigCmd::Put(args) => put(context, &args.path, args.base).await,
@@ -54,8 +54,8 @@
 }
 
 async fn diff(context: &Context, from: Revision, to: Option<Revision>) -> Result<()> {
-    let before = change::view(context, Some(from)).await?;
-    let after = change::view(context, to).await?;
+    let before = change::version(context, Some(from)).await?;
+    let after = change::version(context, to).await?;
     let lines = edit::differences(&before.config, &after.config);
     if context.json {
         output::json(&lines);
--- a/crates/citrongwctl/tests/races.rs
+++ b/crates/citrongwctl/tests/races.rs
@@ -20,6 +20,12 @@
 async fn the_second_of_two_edits_from_one_version_sees_both_sides() {
     let demo = spawn_demo().await;
     let node = demo.node.admin_addr();
+    // The first version was put there by hand; no other one is kept of it.
+    let unkept = demo.node.shared().config.load_full().unwrap().revision.to_string();
+    check(&ctl(node, &["profile", "edit", "interactive", "hedge=true"]).await, 0, "in force");
+    let late = ["profile", "edit", "interactive", "retries=5", "--base", &unkept];
+    check(&ctl(node, &late).await, 3, "retries: 2 -> 5");
+
     let base = demo.node.shared().config.load_full().unwrap().revision.to_string();
     let first = ["profile", "edit", "interactive", "retries=1", "--base", &base];
     check(&ctl(node, &first).await, 0, "in force");
