--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,9 @@
 pub mod args;
 pub mod control_history;
 pub mod control_world;
+pub mod model;
+pub mod overload;
 pub mod report;
+pub mod routing;
+pub mod timeline;
 pub mod spread;
