Keep what presses from being starved, and measure the spread

What presses now has a rate of its own. Holders travel as one bit a node while only acceptance is wanted, and as ages while the service is silent; a change between nodes carries the part of its past that the receiver lacks; the service is read every second.

--- a/crates/bench/src/spread.rs
+++ b/crates/bench/src/spread.rs
@@ -7,4 +7,5 @@
 pub mod check;
 pub mod faults;
 pub mod fleet;
+pub mod measure;
 mod service;
--- a/crates/bench/src/spread/faults.rs
+++ b/crates/bench/src/spread/faults.rs
@@ -207,7 +207,7 @@
     committed.and(request.from)
 }
 
-fn request(fleet: &mut Fleet, from: Option<Revision>, weight: u32) -> EditRequest {
+pub(super) fn request(fleet: &mut Fleet, from: Option<Revision>, weight: u32) -> EditRequest {
     EditRequest {
         change: ChangeId(fleet.rng.random()),
         from,
--- /dev/null
+++ b/crates/bench/src/spread/measure.rs
@@ -0,0 +1,304 @@
+//! Scenarios of the bench, and what each comes to.
+
+use std::time::{Duration, Instant};
+
+use citrongw_coordination::{config::holding::Rules, membership::Event};
+use citrongw_fakes::kv::core::KvCore;
+use citrongw_state::{id::Revision, time::Time};
+use rand::{Rng, seq::IteratorRandom};
+
+use super::{
+    check::Check,
+    fleet::{self, Broken, Fleet, FleetSettings},
+    service,
+};
+
+/// Time for the nodes to find each other and to be recorded.
+const WARM_UP: Duration = Duration::from_secs(20);
+/// Pause between two edits.
+const EDIT_INTERVAL: Duration = Duration::from_secs(6);
+/// Pause between two replacements.
+const REPLACE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time into an interval at which the edit is made.
+const EDIT_AT: Duration = Duration::from_millis(1500);
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Datagrams are lost, nothing else.
+    Loss,
+    /// Nodes are replaced all the time.
+    Replacement,
+    /// One zone is cut off, with every other edit.
+    ZoneCut,
+    /// The larger part of the nodes is cut off from the rest and the service,
+    /// with every other edit.
+    MajorityCut,
+    /// The service is down for every other interval.
+    Outage,
+    /// Two operators edit from the same version.
+    Race,
+}
+
+impl Scenario {
+    /// Every scenario.
+    pub const ALL: [Self; 6] =
+        [Self::Loss, Self::Replacement, Self::ZoneCut, Self::MajorityCut, Self::Outage, Self::Race];
+
+    /// Name in the report.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Loss => "loss",
+            Self::Replacement => "replacement",
+            Self::ZoneCut => "zone-cut",
+            Self::MajorityCut => "majority-cut",
+            Self::Outage => "outage",
+            Self::Race => "race",
+        }
+    }
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// Times from commit until a change was in force on every node that reached
+    /// the committing one, in seconds.
+    pub in_force_s: Vec<f64>,
+    /// Times from commit until acceptance, in seconds.
+    pub accepted_s: Vec<f64>,
+    /// Edits that were committed.
+    pub committed: u64,
+    /// Nodes that had not heard of a change by the end of its interval, over all
+    /// changes; those that were cut off among them.
+    pub lacking: u64,
+    /// Edits refused as conflicts.
+    pub conflicts: u64,
+    /// Promises broken, reverts among them.
+    pub violations: usize,
+    /// Share of the time of running nodes in which they took requests.
+    pub serving_share: f64,
+    /// Calls to the service, a minute.
+    pub calls_per_min: f64,
+    /// Bytes sent by a node, a second, in the mean.
+    pub bytes_per_s: f64,
+    /// The same of the node that sent most.
+    pub max_bytes_per_s: f64,
+    /// Share of a core that the steps of a node took.
+    pub cpu_share: f64,
+}
+
+/// Settings of a run.
+pub fn settings(nodes: usize, zones: usize, seed: u64) -> FleetSettings {
+    FleetSettings {
+        nodes,
+        zones,
+        loss: 0.05,
+        latency: Duration::from_millis(1),
+        service_latency: Duration::from_millis(5),
+        tick: citrongw_coordination::membership::TICK,
+        rules: Rules::default(),
+        broken: Broken::default(),
+        seed,
+    }
+}
+
+struct Run {
+    fleet: Fleet,
+    check: Check,
+    served: Served,
+    figures: Figures,
+    pending: Vec<(Time, Revision)>,
+}
+
+#[derive(Default)]
+struct Served {
+    serving: u64,
+    looks: u64,
+}
+
+/// Commits an edit of what stands in the service.
+pub fn edit(fleet: &mut Fleet) {
+    let read = service::read(&mut fleet.service);
+    let weight = fleet.rng.random_range(2..1_000_000);
+    let request = super::faults::request(fleet, read.as_ref().map(|it| it.revision), weight);
+    service::commit(&mut fleet.service, read.as_ref(), &request);
+}
+
+/// Replaces the service by one that holds the first document alone.
+pub fn restore_first(fleet: &mut Fleet) {
+    fleet.service = KvCore::default();
+    seed_config(fleet);
+}
+
+/// Commits a first document.
+pub fn seed_config(fleet: &mut Fleet) {
+    let first = super::faults::request(fleet, None, 1);
+    service::commit(&mut fleet.service, None, &first);
+}
+
+/// Runs a scenario with so many edits.
+pub fn run(scenario: Scenario, settings: FleetSettings, edits: u32) -> Figures {
+    let mut fleet = fleet::open(settings);
+    seed_config(&mut fleet);
+    let mut run = Run {
+        fleet,
+        check: Check::default(),
+        served: Served::default(),
+        figures: Figures::default(),
+        pending: Vec::new(),
+    };
+    run.pass(WARM_UP);
+    run.served = Served::default();
+    let sent_before: Vec<u64> = run.fleet.nodes.iter().map(|it| it.sent_bytes).collect();
+    let calls_before: u64 = run.fleet.nodes.iter().map(|it| it.service_calls).sum();
+    let (began_at, clock) = (run.fleet.now(), Instant::now());
+    for edit in 0..edits {
+        run.interval(scenario, edit);
+    }
+    let took = clock.elapsed();
+    let passed = run.fleet.now().since(began_at).as_secs_f64();
+    run.finish(passed, took, &sent_before, calls_before)
+}
+
+impl Run {
+    fn pass(&mut self, span: Duration) {
+        let end = self.fleet.now() + span;
+        let (check, served) = (&mut self.check, &mut self.served);
+        self.fleet.run_until(end, &mut |fleet, idx| {
+            check.look(fleet, idx);
+            served.looks += 1;
+            let serves = fleet.nodes[idx].serve_until.is_some_and(|it| fleet.now() < it);
+            served.serving += u64::from(serves);
+        });
+    }
+
+    fn interval(&mut self, scenario: Scenario, edit: u32) {
+        let fails = edit % 2 == 1;
+        self.begin_fault(scenario, fails);
+        let mut passed = EDIT_AT;
+        self.pass(EDIT_AT);
+        self.edit(scenario, fails);
+        while passed < EDIT_INTERVAL {
+            self.pass(REPLACE_INTERVAL.min(EDIT_INTERVAL - passed));
+            passed += REPLACE_INTERVAL;
+            if scenario == Scenario::Replacement {
+                self.replace_one();
+            }
+        }
+        self.note_accepted();
+        if fails {
+            self.heal();
+        }
+        self.note_in_force();
+    }
+
+    fn begin_fault(&mut self, scenario: Scenario, fails: bool) {
+        if !fails {
+            return;
+        }
+        let zones = self.fleet.settings.zones;
+        let running = self.fleet.running();
+        let cut = match scenario {
+            Scenario::ZoneCut => running.len() / zones,
+            Scenario::MajorityCut => running.len() * 3 / 5,
+            Scenario::Outage => {
+                self.fleet.service_up = false;
+                return;
+            }
+            Scenario::Loss | Scenario::Replacement | Scenario::Race => return,
+        };
+        let of_zone = |it: &usize| match scenario {
+            Scenario::ZoneCut => it % zones == 0,
+            _ => true,
+        };
+        for idx in running.into_iter().filter(of_zone).take(cut) {
+            self.fleet.nodes[idx].side = 1;
+            self.fleet.nodes[idx].reaches_service = false;
+        }
+    }
+
+    fn heal(&mut self) {
+        self.fleet.service_up = true;
+        for node in &mut self.fleet.nodes {
+            node.side = 0;
+            node.reaches_service = true;
+        }
+    }
+
+    fn edit(&mut self, scenario: Scenario, fails: bool) {
+        if fails && scenario == Scenario::Outage {
+            return;
+        }
+        let operators = if scenario == Scenario::Race { 2 } else { 1 };
+        let Some(read) = service::read(&mut self.fleet.service) else { return };
+        for _ in 0..operators {
+            let reaching = self.fleet.running().into_iter();
+            let reaching = reaching.filter(|it| self.fleet.nodes[*it].reaches_service);
+            let Some(node) = reaching.choose(&mut self.fleet.rng.clone()) else { return };
+            let weight = self.fleet.rng.random_range(2..1_000_000);
+            let request = super::faults::request(&mut self.fleet, Some(read.revision), weight);
+            match service::commit(&mut self.fleet.service, Some(&read), &request) {
+                Some(revision) => {
+                    self.figures.committed += 1;
+                    self.check.committed(read.revision);
+                    self.pending.push((self.fleet.now(), revision));
+                    self.fleet.give(node, Event::Refresh);
+                }
+                None => self.figures.conflicts += 1,
+            }
+        }
+    }
+
+    fn replace_one(&mut self) {
+        let running = self.fleet.running();
+        let Some(idx) = running.into_iter().choose(&mut self.fleet.rng) else { return };
+        self.fleet.kill(idx);
+        let zone = idx % self.fleet.settings.zones;
+        self.fleet.start_node(zone);
+    }
+
+    /// Times of the last edit on the nodes that could hear of it.
+    fn note_in_force(&mut self) {
+        for (committed_at, revision) in self.pending.drain(..) {
+            let mut latest = Duration::ZERO;
+            let ran = |it: &&fleet::FleetNode| it.runs && it.started_at <= committed_at;
+            for node in self.fleet.nodes.iter().filter(ran) {
+                match node.in_force.iter().find(|(_, it)| revision <= *it) {
+                    Some((at, _)) => latest = latest.max(at.since(committed_at)),
+                    None => self.figures.lacking += 1,
+                }
+            }
+            self.figures.in_force_s.push(latest.as_secs_f64());
+        }
+    }
+
+    fn note_accepted(&mut self) {
+        for (committed_at, revision) in &self.pending {
+            if let Some((_, at)) = self.check.accepted().range(*revision..).next() {
+                self.figures.accepted_s.push(at.since(*committed_at).as_secs_f64());
+            }
+        }
+    }
+
+    fn finish(
+        mut self,
+        passed_s: f64,
+        took: Duration,
+        sent_before: &[u64],
+        calls_before: u64,
+    ) -> Figures {
+        let nodes = self.fleet.running().len() as f64;
+        let sent = |(idx, node): (usize, &fleet::FleetNode)| {
+            (node.sent_bytes - sent_before.get(idx).copied().unwrap_or(0)) as f64 / passed_s
+        };
+        let sent: Vec<f64> = self.fleet.nodes.iter().enumerate().map(sent).collect();
+        let calls: u64 = self.fleet.nodes.iter().map(|it| it.service_calls).sum();
+        self.figures.bytes_per_s = sent.iter().sum::<f64>() / nodes;
+        self.figures.max_bytes_per_s = sent.iter().copied().fold(0.0, f64::max);
+        self.figures.calls_per_min = (calls - calls_before) as f64 * 60.0 / passed_s;
+        self.figures.cpu_share = took.as_secs_f64() / passed_s / nodes;
+        self.figures.serving_share = self.served.serving as f64 / self.served.looks.max(1) as f64;
+        self.figures.violations = self.check.finish(&self.fleet).len();
+        self.figures
+    }
+}
--- a/crates/coordination/src/config/document.rs
+++ b/crates/coordination/src/config/document.rs
@@ -54,6 +54,10 @@
     if let Some(refusal) = refuse(held.as_ref(), transfer.version, &transfer.past) {
         return refusal;
     }
+    let past = match (&transfer.content, held.as_ref()) {
+        (ConfigContent::Changes(_), Some(held)) => held.past.extended(&transfer.past),
+        _ => transfer.past.clone(),
+    };
     let config = match (&transfer.content, held.as_ref()) {
         (ConfigContent::Whole(text), _) => serde_json::from_str(text).ok(),
         (ConfigContent::Changes(changes), Some(held)) => {
@@ -63,7 +67,7 @@
     };
     match config {
         Some(config) if ConfigDigest::of(&config) == transfer.version.digest => {
-            replace(held, transfer.version, transfer.past.clone(), config);
+            replace(held, transfer.version, past, config);
             Offer::Applied
         }
         _ => Offer::DoesNotFit,
@@ -130,10 +134,16 @@
         if theirs.is_some_and(|it| self.version.revision <= it) {
             return None;
         }
-        let content = theirs.and_then(|it| self.changes_since(it)).unwrap_or_else(|| {
-            ConfigContent::Whole(serde_json::to_string(&self.in_force.config).unwrap_or_default())
-        });
-        Some(ConfigTransfer { version: self.version, past: self.past.clone(), content })
+        let changes = theirs.and_then(|it| Some((self.changes_since(it)?, it)));
+        let (content, past) = match changes {
+            Some((content, theirs)) => (content, self.past.since(theirs)),
+            None => (ConfigContent::Whole(self.text()), self.past.clone()),
+        };
+        Some(ConfigTransfer { version: self.version, past, content })
+    }
+
+    fn text(&self) -> String {
+        serde_json::to_string(&self.in_force.config).unwrap_or_default()
     }
 
     fn changes_since(&self, theirs: Revision) -> Option<ConfigContent> {
--- a/crates/coordination/src/config/holders.rs
+++ b/crates/coordination/src/config/holders.rs
@@ -10,7 +10,10 @@
 
 use citrongw_protocol::{
     node_record::VersionedNodeRecord,
-    peer::{HOLDER_AGE_UNIT_MS, HOLDER_UNKNOWN, HolderAge, Holders, MAX_MISSING_SENT, ZoneHolders},
+    peer::{
+        HOLDER_AGE_UNIT_MS, HOLDER_UNKNOWN, HolderAge, Holders, HoldersWanted, MAX_MISSING_SENT,
+        OwnZone, ZoneHolders,
+    },
 };
 use citrongw_state::{
     id::{AvailabilityZone, NodeId},
@@ -28,6 +31,8 @@
     node: NodeId,
     member: bool,
     earlier: bool,
+    /// Whether it ever held the token.
+    held: bool,
     held_at: Option<Time>,
 }
 
@@ -43,7 +48,7 @@
     /// Latest count.
     fresh: Option<Count>,
     /// Largest count; a holder of a token once is enough for acceptance.
-    most: Option<Count>,
+    most: Option<ZoneHolders>,
 }
 
 /// Sizes of the recorded sets.
@@ -98,6 +103,7 @@
                 node,
                 member: record.members.contains(&node),
                 earlier: record.earlier().contains(&node),
+                held: false,
                 held_at: None,
             };
             self.own = record.all().into_iter().map(recorded).collect();
@@ -108,61 +114,87 @@
     pub fn add_node(&mut self, node: NodeId, at: Time) {
         let place = self.own.binary_search_by_key(&node, |it| it.node);
         if let Ok(idx) = place {
-            let held_at = &mut self.own[idx].held_at;
-            *held_at = (*held_at).max(Some(at));
+            self.own[idx].hear(at);
         }
     }
 
-    /// Takes in what a holder of the same token counted, asked at `asked_at`.
-    pub fn add(&mut self, holders: &Holders, asked_at: Time) {
-        if holders.own_zone.len() == self.own.len() {
-            for (recorded, age) in self.own.iter_mut().zip(&holders.own_zone) {
-                if *age != HOLDER_UNKNOWN {
-                    recorded.held_at = recorded.held_at.max(Some(asked_at - span(*age)));
+    /// Takes in what `from`, a holder of the same token, counted when it was
+    /// asked at `asked_at`. What it says node by node is of its own zone.
+    pub fn add(&mut self, from: NodeId, holders: &Holders, asked_at: Time) {
+        let same_zone = self.own.binary_search_by_key(&from, |it| it.node).is_ok();
+        match &holders.own_zone {
+            _ if !same_zone => {}
+            OwnZone::Ages(ages) if ages.len() == self.own.len() => {
+                for (recorded, age) in self.own.iter_mut().zip(ages) {
+                    if *age != HOLDER_UNKNOWN {
+                        recorded.hear(asked_at - span(*age));
+                    }
                 }
             }
+            OwnZone::Ever(bits) if bits.len() == self.own.len().div_ceil(8) => {
+                for (idx, recorded) in self.own.iter_mut().enumerate() {
+                    recorded.held |= bits[idx / 8] >> (idx % 8) & 1 == 1;
+                }
+            }
+            OwnZone::None | OwnZone::Ages(_) | OwnZone::Ever(_) => {}
         }
         for zone in &holders.zones {
-            if Some(zone.zone_idx) == self.own_idx || zone.age == HOLDER_UNKNOWN {
-                continue;
+            if Some(zone.zone_idx) != self.own_idx {
+                self.others.entry(zone.zone_idx).or_default().take(zone, asked_at);
             }
-            let count = Count { holders: zone.clone(), counted_at: asked_at - span(zone.age) };
-            self.others.entry(zone.zone_idx).or_default().take(count, asked_at);
         }
     }
 
     /// What to tell another holder of the token.
-    pub fn tell(&self, now: Time, same_zone: bool) -> Holders {
+    pub fn tell(&self, wanted: HoldersWanted, same_zone: bool, now: Time) -> Option<Holders> {
         let age = |it: &Recorded| it.held_at.map_or(HOLDER_UNKNOWN, |at| units(now.since(at)));
-        let own_zone = if same_zone { self.own.iter().map(age).collect() } else { Vec::new() };
-        let mut zones: Vec<ZoneHolders> = self.own_count(now).into_iter().collect();
-        for other in self.others.values() {
-            let Some(fresh) = &other.fresh else { continue };
-            let age = units(now.since(fresh.counted_at));
-            if age != HOLDER_UNKNOWN {
-                zones.push(ZoneHolders { age, ..fresh.holders.clone() });
-            }
+        let own_zone = match wanted {
+            HoldersWanted::None => return None,
+            _ if !same_zone => OwnZone::None,
+            HoldersWanted::Ages => OwnZone::Ages(self.own.iter().map(age).collect()),
+            HoldersWanted::Ever => OwnZone::Ever(self.bits()),
+        };
+        let counts = |it: &OtherZone| match wanted {
+            HoldersWanted::Ages => it.fresh.as_ref().and_then(|it| it.aged(now)),
+            _ => it.most.clone(),
+        };
+        let own = self.own_count(wanted, now);
+        let zones = own.into_iter().chain(self.others.values().filter_map(counts)).collect();
+        Some(Holders { own_zone, zones })
+    }
+
+    fn bits(&self) -> Vec<u8> {
+        let mut bits = vec![0; self.own.len().div_ceil(8)];
+        for (idx, _) in self.own.iter().enumerate().filter(|(_, it)| it.held) {
+            bits[idx / 8] |= 1 << (idx % 8);
         }
-        Holders { own_zone, zones }
+        bits
     }
 
-    fn own_count(&self, now: Time) -> Option<ZoneHolders> {
+    fn own_count(&self, wanted: HoldersWanted, now: Time) -> Option<ZoneHolders> {
         let zone_idx = self.own_idx?;
         let from = now - COUNT_WINDOW;
-        let (held, missing): (Vec<_>, Vec<_>) =
-            self.own.iter().partition(|it| it.held_at.is_some_and(|at| from <= at));
-        let oldest = held.iter().filter_map(|it| it.held_at).min()?;
+        let is_held = |it: &&Recorded| match wanted {
+            HoldersWanted::Ages => it.held_at.is_some_and(|at| from <= at),
+            _ => it.held,
+        };
+        let (held, missing): (Vec<_>, Vec<_>) = self.own.iter().partition(is_held);
+        let oldest = held.iter().filter_map(|it| it.held_at).min();
+        let age = match wanted {
+            HoldersWanted::Ages => units(now.since(oldest?)),
+            _ => HOLDER_UNKNOWN,
+        };
+        let mut missing: Vec<NodeId> =
+            missing.iter().filter(|it| it.member).map(|it| it.node).collect();
+        if MAX_MISSING_SENT < missing.len() {
+            missing.clear();
+        }
         Some(ZoneHolders {
             zone_idx,
             members: count(&held, |it| it.member),
             earlier: count(&held, |it| it.earlier),
-            age: units(now.since(oldest)),
-            missing: missing
-                .iter()
-                .filter(|it| it.member)
-                .map(|it| it.node)
-                .take(MAX_MISSING_SENT)
-                .collect(),
+            age,
+            missing,
         })
     }
 
@@ -191,12 +223,12 @@
 
     /// Counts everybody that ever held the token.
     pub fn tally(&self) -> Tally {
-        let held: Vec<&Recorded> = self.own.iter().filter(|it| it.held_at.is_some()).collect();
+        let held: Vec<&Recorded> = self.own.iter().filter(|it| it.held).collect();
         let (mut members, mut earlier) = (
             held.iter().filter(|it| it.member).count(),
             held.iter().filter(|it| it.earlier).count(),
         );
-        let absent = self.own.iter().filter(|it| it.member && it.held_at.is_none());
+        let absent = self.own.iter().filter(|it| it.member && !it.held);
         let mut missing: Vec<NodeId> = absent.map(|it| it.node).collect();
         for (idx, ids) in self.ids.iter().enumerate() {
             let Ok(idx) = u8::try_from(idx) else { continue };
@@ -205,9 +237,9 @@
             }
             match self.others.get(&idx).and_then(|it| it.most.as_ref()) {
                 Some(count) => {
-                    members += usize::from(count.holders.members);
-                    earlier += usize::from(count.holders.earlier);
-                    missing.extend(&count.holders.missing);
+                    members += usize::from(count.members);
+                    earlier += usize::from(count.earlier);
+                    missing.extend(&count.missing);
                 }
                 None => missing.extend(ids),
             }
@@ -225,18 +257,36 @@
     }
 }
 
+impl Recorded {
+    fn hear(&mut self, at: Time) {
+        self.held = true;
+        self.held_at = self.held_at.max(Some(at));
+    }
+}
+
+impl Count {
+    /// The count with its age by now, unless it is too old to tell.
+    fn aged(&self, now: Time) -> Option<ZoneHolders> {
+        let age = units(now.since(self.counted_at));
+        (age != HOLDER_UNKNOWN).then(|| ZoneHolders { age, ..self.holders.clone() })
+    }
+}
+
 impl OtherZone {
-    fn take(&mut self, count: Count, now: Time) {
-        let larger = |old: &Option<Count>| {
-            old.as_ref().is_none_or(|it| it.holders.members <= count.holders.members)
-        };
-        if larger(&self.most) {
-            self.most = Some(count.clone());
+    fn take(&mut self, zone: &ZoneHolders, now: Time) {
+        if self.most.as_ref().is_none_or(|it| it.members <= zone.members) {
+            self.most = Some(zone.clone());
+        }
+        if zone.age == HOLDER_UNKNOWN {
+            return;
         }
-        let newer = self.fresh.as_ref().is_none_or(|it| it.counted_at < count.counted_at);
-        let stale = self.fresh.as_ref().is_some_and(|it| COUNT_STALE < now.since(it.counted_at));
-        if newer && (stale || larger(&self.fresh)) {
-            self.fresh = Some(count);
+        let counted_at = now - span(zone.age);
+        let replaces = self.fresh.as_ref().is_none_or(|old| {
+            let stale = COUNT_STALE < now.since(old.counted_at);
+            old.counted_at < counted_at && (stale || old.holders.members <= zone.members)
+        });
+        if replaces {
+            self.fresh = Some(Count { holders: zone.clone(), counted_at });
         }
     }
 }
--- a/crates/coordination/src/config/holding.rs
+++ b/crates/coordination/src/config/holding.rs
@@ -21,7 +21,9 @@
 use citrongw_protocol::{
     admin_config::{Acceptance, MAX_MISSING_LISTED},
     node_record::{NodeRecord, VersionedNodeRecord},
-    peer::{ConfigTransfer, FetchAnswer, FetchRequest, HeldToken, Holders, Standing},
+    peer::{
+        ConfigTransfer, FetchAnswer, FetchRequest, HeldToken, Holders, HoldersWanted, Standing,
+    },
 };
 use citrongw_state::{
     id::{AttemptId, AvailabilityZone, NodeId, Revision},
@@ -74,7 +76,11 @@
     token: HeldToken,
     confirmed_at: Option<Time>,
     holders: HolderTable,
+    /// When a majority was found to hold the token.
     majority_at: Option<Time>,
+    /// When a majority was found to hold the document, under any records.
+    config_majority_at: Option<Time>,
+    is_held_by_all: bool,
     changed_at: Time,
     accepted: Option<Revision>,
     backward_reads: u32,
@@ -106,6 +112,8 @@
             confirmed_at: None,
             holders: HolderTable::default(),
             majority_at: None,
+            config_majority_at: None,
+            is_held_by_all: false,
             changed_at: Time::START,
             accepted: None,
             backward_reads: 0,
@@ -140,9 +148,9 @@
     }
 
     /// Takes in an answered standing, asked for at `asked_at`.
-    pub fn take_standing(&mut self, standing: &Standing, asked_at: Time) {
-        if standing.settled && standing.token == self.token && self.majority_at.is_none() {
-            self.majority_at = Some(asked_at);
+    pub fn take_standing(&mut self, standing: &Standing, asked_at: Time, now: Time) {
+        if standing.settled && standing.token == self.token {
+            self.note_majority(now);
         }
         let no_newer = standing.token.config <= self.token.config;
         let Some(age_ms) = standing.confirmed_age_ms.filter(|_| no_newer) else { return };
@@ -162,22 +170,32 @@
         }
         self.holders.add_node(from, asked_at);
         if let Some(holders) = holders {
-            self.holders.add(holders, asked_at);
+            self.holders.add(from, holders, asked_at);
         }
     }
 
     /// What to tell a node of the own zone, or of another.
-    pub fn tell_holders(&mut self, now: Time, same_zone: bool) -> Holders {
+    pub fn tell_holders(
+        &mut self,
+        wanted: HoldersWanted,
+        same_zone: bool,
+        now: Time,
+    ) -> Option<Holders> {
         self.holders.add_node(self.node, now);
-        self.holders.tell(now, same_zone)
+        self.holders.tell(wanted, same_zone, now)
     }
 
-    /// Whether messages should carry holders: something is not accepted yet, or
-    /// the service is silent.
-    pub fn wants_holders(&self, now: Time) -> bool {
-        let silent = self.confirmed_at.is_none_or(|at| self.rules.bound / 3 < now.since(at));
+    /// What questions should ask of holders: all ages while the service is
+    /// silent; who ever held it while that is not yet known of everybody.
+    pub fn holders_wanted(&self, now: Time) -> HoldersWanted {
+        if self.confirmed_at.is_none_or(|at| self.rules.bound / 3 < now.since(at)) {
+            return HoldersWanted::Ages;
+        }
         let recent = now.since(self.changed_at) < COLLECT_SPAN;
-        silent || !self.is_settled() || (recent && !self.holders.tally().missing.is_empty())
+        if !self.is_settled() || (recent && !self.is_held_by_all) {
+            return HoldersWanted::Ever;
+        }
+        HoldersWanted::None
     }
 
     /// Whether a majority holds all that this node holds.
@@ -256,6 +274,7 @@
     }
 
     fn restart_count(&mut self, now: Time) {
+        let before = self.token.config;
         let mut hasher = blake3::Hasher::new();
         if let Some(document) = &self.document {
             hasher.update(&document.version.digest.0);
@@ -269,6 +288,10 @@
         let config = self.document.as_ref().map_or(Revision(0), |it| it.version.revision);
         self.token = HeldToken { config, digest: u64::from_le_bytes(digest) };
         self.majority_at = None;
+        if self.token.config != before {
+            self.config_majority_at = None;
+        }
+        self.is_held_by_all = false;
         self.changed_at = now;
         self.holders.restart(self.records.values(), &self.zone);
     }
@@ -280,15 +303,25 @@
     /// Notes whether a majority holds the token by now, and accepts.
     pub fn count(&mut self, now: Time) {
         self.holders.add_node(self.node, now);
-        if self.majority_at.is_none() && self.holders.tally().majority {
-            self.majority_at = Some(now);
+        if self.majority_at.is_none() || !self.is_held_by_all {
+            let tally = self.holders.tally();
+            self.is_held_by_all = tally.holding == tally.recorded;
+            if tally.majority {
+                self.note_majority(now);
+            }
         }
-        let waited = self.majority_at.is_some_and(|at| self.rules.accept_wait <= now.since(at));
+        let waited =
+            self.config_majority_at.is_some_and(|at| self.rules.accept_wait <= now.since(at));
         if waited && self.document.is_some() {
             self.accepted = self.accepted.max(Some(self.token.config));
         }
     }
 
+    fn note_majority(&mut self, at: Time) {
+        self.majority_at.get_or_insert(at);
+        self.config_majority_at.get_or_insert(at);
+    }
+
     /// Latest accepted version.
     pub fn accepted(&self) -> Option<Revision> {
         self.accepted
--- a/crates/coordination/src/membership/budget.rs
+++ b/crates/coordination/src/membership/budget.rs
@@ -1,61 +1,68 @@
 //! Bytes that a node may send to its peers.
 //!
-//! Probes and their answers always go; what they pass on fills what is left.
-//! Urgent news may overdraw, and what follows waits until that is made good.
-
-use std::time::Duration;
+//! Probes and their answers always go; what they pass on fills what is left of
+//! the usual rate. Urgent news and lost members have a rate of their own
+//! beside, with a large burst, so that nothing can starve them.
 
 use citrongw_state::time::Time;
 
-/// Rate of bytes, headers of lower layers among them.
-pub const RATE_BYTES_PER_S: u64 = 1600;
+/// Usual rate, headers of lower layers among them.
+pub const USUAL_BYTES_PER_S: u32 = 1500;
+/// Rate of what presses.
+pub const PRESSING_BYTES_PER_S: u32 = 300;
 /// Bytes that may gather while little is sent.
-const BURST_BYTES: i64 = 6000;
-/// Bytes that urgent news may overdraw.
-const OVERDRAFT_BYTES: i64 = 6000;
+const USUAL_BURST_BYTES: f64 = 6000.0;
+/// The same of what presses.
+const PRESSING_BURST_BYTES: f64 = 12_000.0;
+/// Bytes by which probes and answers may overdraw the usual rate; what they
+/// need beyond is not made good.
+const MAX_DEBT_BYTES: f64 = 1500.0;
 
 /// Budget of one node.
 #[derive(Debug)]
 pub struct Budget {
-    left_bytes: i64,
+    usual_bytes: f64,
+    pressing_bytes: f64,
     filled_at: Time,
 }
 
 /// Opens a full budget.
 pub fn open() -> Budget {
-    Budget { left_bytes: BURST_BYTES, filled_at: Time::START }
+    Budget {
+        usual_bytes: USUAL_BURST_BYTES,
+        pressing_bytes: PRESSING_BURST_BYTES,
+        filled_at: Time::START,
+    }
 }
 
 impl Budget {
     /// Adds what has gathered.
     pub fn fill(&mut self, now: Time) {
-        let passed = now.since(self.filled_at);
-        let bytes = passed.as_micros() * u128::from(RATE_BYTES_PER_S) / 1_000_000;
-        if bytes == 0 {
-            return;
-        }
-        let bytes = i64::try_from(bytes).unwrap_or(BURST_BYTES);
-        self.left_bytes = (self.left_bytes + bytes).min(BURST_BYTES);
-        self.filled_at = now;
+        let passed_s = now.since(self.filled_at).as_secs_f64();
+        let gathered = |rate: u32| f64::from(rate) * passed_s;
+        self.usual_bytes = (self.usual_bytes + gathered(USUAL_BYTES_PER_S)).min(USUAL_BURST_BYTES);
+        self.pressing_bytes =
+            (self.pressing_bytes + gathered(PRESSING_BYTES_PER_S)).min(PRESSING_BURST_BYTES);
+        self.filled_at = self.filled_at.max(now);
     }
 
-    /// Takes what was sent.
-    pub fn spend(&mut self, bytes: usize) {
-        self.left_bytes -= i64::try_from(bytes).unwrap_or(i64::MAX);
+    /// Takes what was sent at the usual rate.
+    pub fn spend_usual(&mut self, bytes: usize) {
+        self.usual_bytes = (self.usual_bytes - bytes as f64).max(-MAX_DEBT_BYTES);
     }
 
-    /// Bytes that may be passed on.
-    pub fn left(&self) -> usize {
-        usize::try_from(self.left_bytes).unwrap_or(0)
+    /// Takes what pressed.
+    pub fn spend_pressing(&mut self, bytes: usize) {
+        self.pressing_bytes -= bytes as f64;
     }
 
-    /// Whether urgent news may go.
-    pub fn may_push(&self) -> bool {
-        -OVERDRAFT_BYTES < self.left_bytes
+    /// Bytes of anything that may be passed on.
+    pub fn usual(&self) -> usize {
+        self.usual_bytes.max(0.0) as usize
     }
 
-    /// Time in which `bytes` gather.
-    pub fn time_for(bytes: u64) -> Duration {
-        Duration::from_micros(bytes * 1_000_000 / RATE_BYTES_PER_S)
+    /// Bytes of what presses that may be passed on.
+    pub fn pressing(&self) -> usize {
+        self.pressing_bytes.max(0.0) as usize
     }
 }
--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -8,14 +8,14 @@
 };
 use citrongw_state::{id::NodeId, time::Time};
 
-use super::{Action, Membership, members::Merge};
+use super::{Action, Membership, gossip::Room, members::Merge};
 
 /// Time after the start for which a node introduces itself to all it asks.
 const INTRODUCTION: Duration = Duration::from_secs(10);
 /// Of so many later questions, one carries the introduction.
 const INTRODUCE_EVERY: u64 = 32;
 /// Time after which a question over TCP counts as lost.
-const FETCH_LOST: Duration = Duration::from_secs(6);
+const FETCH_LOST: Duration = Duration::from_millis(1500);
 /// Pause between two questions over TCP that found nothing.
 const FETCH_PAUSE: Duration = Duration::from_millis(200);
 /// Bytes of a datagram that are not its message: seal, UDP and IP headers.
@@ -93,7 +93,7 @@
             stamp,
             introduction: self.members.own().filter(|_| introduces).cloned(),
             standing: self.holding.standing(now),
-            want_holders: self.holding.wants_holders(now),
+            holders_wanted: self.holding.holders_wanted(now),
             demand,
             gossip: Gossip::default(),
         });
@@ -177,7 +177,7 @@
         let gone = held.filter(|it| MemberState::Suspect <= it.state).cloned();
         Ack {
             echo: ping.stamp,
-            holders: ping.want_holders.then(|| self.holding.tell_holders(now, inside)),
+            holders: self.holding.tell_holders(ping.holders_wanted, inside, now),
             standing: self.holding.standing(now),
             demand: self.demand_in_answer(from, ping, now),
             gossip: Gossip { members: gone.into_iter().collect(), news: Vec::new() },
@@ -209,7 +209,7 @@
         }
         self.exchanges.pending.remove(&ack.echo);
         let (asked_at, token) = (pending.asked_at, ack.standing.token);
-        self.holding.take_standing(&ack.standing, asked_at);
+        self.holding.take_standing(&ack.standing, asked_at, now);
         self.holding.take_holders(from, token, ack.holders.as_ref(), asked_at);
         if ack.demand.is_empty() {
             return;
@@ -311,7 +311,7 @@
 
     /// Tells a few members at once if something must not wait.
     pub(super) fn push_urgent(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if self.gossip.is_urgent() && self.budget.may_push() {
+        if self.gossip.is_urgent() && 0 < self.budget.pressing() {
             self.push(now, actions);
         }
     }
@@ -325,21 +325,22 @@
         actions: &mut Vec<Action>,
     ) {
         let bytes = size(&message) + AROUND_BYTES;
-        let urgent = self.gossip.is_urgent() && self.budget.may_push();
-        let left = if urgent { MAX_DATAGRAM_BYTES } else { self.budget.left() };
-        let room = left.saturating_sub(bytes).min(MAX_DATAGRAM_BYTES.saturating_sub(bytes));
-        let members = self.members.alive_count();
-        let mut passed_on = 0;
+        self.budget.spend_usual(bytes);
         if let Message::Ping(Ping { gossip, .. })
         | Message::Ack(Ack { gossip, .. })
         | Message::Push { gossip, .. } = &mut message
         {
-            let more = self.gossip.take(room, members);
-            passed_on = size(&more);
-            gossip.members.extend(more.members);
-            gossip.news.extend(more.news);
+            let room = Room {
+                usual: self.budget.usual(),
+                pressing: self.budget.pressing(),
+                datagram: MAX_DATAGRAM_BYTES.saturating_sub(bytes),
+            };
+            let taken = self.gossip.take(room, self.members.alive_count());
+            self.budget.spend_usual(taken.usual_bytes);
+            self.budget.spend_pressing(taken.pressing_bytes);
+            gossip.members.extend(taken.gossip.members);
+            gossip.news.extend(taken.gossip.news);
         }
-        self.budget.spend(bytes + passed_on);
         actions.push(Action::Send { addr, to, message: Box::new(message) });
     }
 }
--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -63,6 +63,28 @@
     content: Content,
 }
 
+/// Bytes that a datagram has for what is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// For anything.
+    pub usual: usize,
+    /// For urgent news and for members that were lost.
+    pub pressing: usize,
+    /// For all of it.
+    pub datagram: usize,
+}
+
+/// What was taken for a datagram.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Taken {
+    /// To be passed on.
+    pub gossip: Gossip,
+    /// Bytes of what does not press.
+    pub usual_bytes: usize,
+    /// Bytes of what presses.
+    pub pressing_bytes: usize,
+}
+
 /// Queue of one node.
 #[derive(Debug, Default)]
 pub struct GossipQueue {
@@ -158,32 +180,41 @@
         self.waiting.values().any(|it| it.rank == Rank::Urgent && it.sends == 0)
     }
 
-    /// Takes what fits into `room` bytes for one datagram among `members`.
-    pub fn take(&mut self, mut room: usize, members: usize) -> Gossip {
-        let mut gossip = Gossip::default();
-        if self.waiting.is_empty() {
-            return gossip;
-        }
+    /// Takes what fits into one datagram among `members`.
+    pub fn take(&mut self, room: Room, members: usize) -> Taken {
+        let mut taken = Taken::default();
         let max_sends = max_sends(members);
-        let mut order: Vec<(Rank, u32, Key)> =
-            self.waiting.iter().map(|(key, it)| (it.rank, it.sends, key.clone())).collect();
-        order.sort_unstable_by_key(|(rank, sends, _)| (*rank, *sends));
-        for (_, _, key) in order {
+        for key in self.in_order() {
             let Some(item) = self.waiting.get_mut(&key) else { continue };
-            if room < item.bytes {
+            let presses = item.rank <= Rank::Liveness;
+            let in_datagram = taken.pressing_bytes + taken.usual_bytes + item.bytes;
+            let (spent, within) = if presses {
+                (&mut taken.pressing_bytes, room.pressing)
+            } else {
+                (&mut taken.usual_bytes, room.usual)
+            };
+            if within < *spent + item.bytes || room.datagram < in_datagram {
                 continue;
             }
-            room -= item.bytes;
+            *spent += item.bytes;
             item.sends += 1;
             match &item.content {
-                Content::Member(update) => gossip.members.push(update.clone()),
-                Content::News(news) => gossip.news.push(news.clone()),
+                Content::Member(update) => taken.gossip.members.push(update.clone()),
+                Content::News(news) => taken.gossip.news.push(news.clone()),
             }
             if max_sends <= item.sends {
                 self.waiting.remove(&key);
             }
         }
-        gossip
+        taken
+    }
+
+    /// Keys of what waits, those to be sent first in front.
+    fn in_order(&self) -> Vec<Key> {
+        let mut order: Vec<(Rank, u32, &Key)> =
+            self.waiting.iter().map(|(key, it)| (it.rank, it.sends, key)).collect();
+        order.sort_unstable_by_key(|(rank, sends, _)| (*rank, *sends));
+        order.into_iter().map(|(_, _, key)| key.clone()).collect()
     }
 
     /// Items that wait.
--- a/crates/coordination/src/membership/probing.rs
+++ b/crates/coordination/src/membership/probing.rs
@@ -25,6 +25,8 @@
 const OUTSIDE_EVERY: u64 = 8;
 /// Pause between two tries to find nodes that are not known or gone.
 const SEEK_INTERVAL: Duration = Duration::from_secs(5);
+/// The same while some are held for gone.
+const GONE_INTERVAL: Duration = Duration::from_secs(1);
 /// The same while no other node is known.
 const ALONE_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause between two comparisons of everything with another node.
@@ -173,9 +175,13 @@
 
     /// Looks for nodes by the seeds, and for gone ones that may be back.
     fn seek(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let alone = self.members.alive_count() <= 1;
-        self.probing.seek_at = now + if alone { ALONE_INTERVAL } else { SEEK_INTERVAL };
         let gone = self.any_gone();
+        self.probing.seek_at = now
+            + match (self.members.alive_count(), gone) {
+                (1, _) => ALONE_INTERVAL,
+                (_, Some(_)) => GONE_INTERVAL,
+                (_, None) => SEEK_INTERVAL,
+            };
         let back = gone.filter(|it| {
             self.members.get(*it).is_some_and(|it| it.update.state == MemberState::Dead)
         });
--- a/crates/coordination/src/membership/store_duty.rs
+++ b/crates/coordination/src/membership/store_duty.rs
@@ -25,7 +25,7 @@
 /// Nodes of a zone that read.
 const READERS: usize = 2;
 /// Pause between two reads of the configuration key.
-const HEAD_INTERVAL: Duration = Duration::from_millis(500);
+const HEAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause between two reads of the node records.
 const RECORDS_INTERVAL: Duration = Duration::from_secs(10);
 /// Pause between two writes of the zone's record.
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -88,6 +88,17 @@
     pub settled: bool,
 }
 
+/// What a question wants to know of holders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HoldersWanted {
+    /// Nothing.
+    None,
+    /// Who ever held the token.
+    Ever,
+    /// How long ago each was heard to hold it.
+    Ages,
+}
+
 /// Holders of the sender's token in one zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneHolders {
@@ -97,18 +108,29 @@
     pub members: u16,
     /// Holders in the set before the change under way.
     pub earlier: u16,
-    /// Age of the oldest of what was counted.
+    /// Age of the oldest of what was counted; unknown if any age was.
     pub age: HolderAge,
-    /// Members that were not counted, at most [`MAX_MISSING_SENT`].
+    /// Members that were not counted, if they are no more than
+    /// [`MAX_MISSING_SENT`].
     pub missing: Vec<NodeId>,
 }
 
+/// Nodes of the sender's own zone record, in order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OwnZone {
+    /// Nothing, for a receiver in another zone.
+    None,
+    /// A bit for each node that ever held the token, lowest first.
+    Ever(Vec<u8>),
+    /// An age for each node.
+    Ages(Vec<HolderAge>),
+}
+
 /// Holders of the sender's token as far as the sender knows.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holders {
-    /// Age for each node of the sender's own zone record, in order. Empty for a
-    /// receiver in another zone.
-    pub own_zone: Vec<HolderAge>,
+    /// The sender's own zone.
+    pub own_zone: OwnZone,
     /// Zones counted.
     pub zones: Vec<ZoneHolders>,
 }
@@ -144,8 +166,8 @@
     pub introduction: Option<MemberUpdate>,
     /// Standing of the sender.
     pub standing: Standing,
-    /// Whether holders are wanted.
-    pub want_holders: bool,
+    /// What is wanted of holders.
+    pub holders_wanted: HoldersWanted,
     /// Demand told to the node above, or to another zone.
     pub demand: Vec<DemandSum>,
     /// Passed on.
@@ -236,7 +258,8 @@
     pub replicas: Option<Vec<ReplicaSpec>>,
 }
 
-/// Versions before a document's, as its history tells them.
+/// Versions before a document's, as its history tells them. Beside changes
+/// since a version, only those from that version on.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Past {
     /// Versions, oldest first; empty for a document put by hand.
@@ -247,6 +270,31 @@
     pub replaces_lost: Option<Revision>,
 }
 
+/// Versions that a past keeps.
+const MAX_PAST: usize = 64;
+
+impl Past {
+    /// The part from `revision` on.
+    pub fn since(&self, revision: Revision) -> Self {
+        let revisions = self.revisions.iter().copied().filter(|it| revision <= *it).collect();
+        Self { revisions, ..self.clone() }
+    }
+
+    /// This past, and the later one that follows it.
+    pub fn extended(&self, later: &Self) -> Self {
+        let mut revisions = self.revisions.clone();
+        revisions.extend(&later.revisions);
+        revisions.dedup();
+        let surplus = revisions.len().saturating_sub(MAX_PAST);
+        revisions.drain(..surplus);
+        Self {
+            truncated: self.truncated || 0 < surplus,
+            replaces_lost: self.replaces_lost.max(later.replaces_lost),
+            revisions,
+        }
+    }
+}
+
 /// Document on its way from node to node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigTransfer {
