--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,13 +4,13 @@
 
 use citrongw_state::{
     admission,
-    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::code::ResultCode;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -44,6 +44,14 @@
         /// The replica that lost it.
         replica: ReplicaId,
     },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// A caller went away before its answer ended.
     #[display("request {request} was cancelled: its caller left")]
     CallerLeft {
@@ -162,6 +170,32 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
 }
 
 /// Decision with its time.
@@ -190,6 +224,7 @@
                 Self::Routed { request, .. }
                 | Self::Resumed { request, .. }
                 | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
                 | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
@@ -197,13 +232,17 @@
                 | Self::NotAdmitted { request, .. }
                 | Self::NotRetried { request, .. }
                 | Self::Isolated { request, .. }
-                | Self::Contained { request, .. },
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
             (
                 Self::Routed { replica, .. }
                 | Self::Resumed { replica, .. }
                 | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
@@ -215,7 +254,10 @@
                 | Self::NotChosen { .. }
                 | Self::NotAdmitted { .. }
                 | Self::NotRetried { .. }
-                | Self::Contained { .. },
+                | Self::Contained { .. }
+                | Self::CallClaimed { .. }
+                | Self::CallSettled { .. }
+                | Self::CallReplayed { .. },
                 Subject::Replica(_),
             )
             | (Self::Straggler { .. }, Subject::Request(_))
--- a/crates/state/src/claim/tests.rs
+++ b/crates/state/src/claim/tests.rs
@@ -8,7 +8,13 @@
 
 fn request(attempt: u128, digest: u128) -> ClaimRequest {
     let digest = RequestDigest(digest);
-    ClaimRequest { key: KEY, digest, attempt: AttemptId(attempt), answer_bytes: 8 }
+    ClaimRequest {
+        key: KEY,
+        digest,
+        attempt: AttemptId(attempt),
+        answer_bytes: 8,
+        retention: RETENTION,
+    }
 }
 
 fn completed() -> SettledOutcome {
@@ -19,7 +25,7 @@
 fn settled_table() -> ClaimTable {
     let mut table = ClaimTable::default();
     table.open(&request(1, 1), NODE);
-    assert!(table.settle(KEY, AttemptId(1), &Settlement::Sent(completed(), RETENTION)));
+    assert!(table.settle(KEY, AttemptId(1), &Settlement::Sent(completed())));
     table
 }
 
@@ -48,7 +54,7 @@
     let mut table = ClaimTable::default();
     table.open(&request(1, 1), NODE);
     assert!(!table.settle(KEY, AttemptId(2), &Settlement::NotRun));
-    assert!(table.settle(KEY, AttemptId(1), &Settlement::Sent(completed(), RETENTION)));
+    assert!(table.settle(KEY, AttemptId(1), &Settlement::Sent(completed())));
     assert!(!table.settle(KEY, AttemptId(1), &Settlement::NotRun));
     assert_eq!(table.standing(&request(2, 1)), Standing::Settled(completed()));
 }
@@ -61,6 +67,16 @@
     assert_eq!(table.standing(&request(2, 2)), Standing::Free);
 }
 
+#[test]
+fn a_replacement_that_was_not_run_leaves_the_outcome_unknown() {
+    let mut table = ClaimTable::default();
+    table.open(&request(1, 1), NODE);
+    table.open(&request(2, 1), NODE);
+    assert!(!table.settle(KEY, AttemptId(1), &Settlement::Sent(completed())));
+    assert!(table.settle(KEY, AttemptId(2), &Settlement::NotRun));
+    assert_eq!(table.standing(&request(3, 1)), Standing::Settled(SettledOutcome::Unknown));
+}
+
 #[test]
 fn settled_claims_end_with_the_retention_and_open_ones_never() {
     let day = Duration::from_secs(86_400);
