--- a/crates/coordination/src/store_guard/breaker.rs
+++ b/crates/coordination/src/store_guard/breaker.rs
@@ -1,13 +1,16 @@
-//! Breaker: after some failures in a row no calls are sent for a while; then
-//! one is, and its end decides.
+//! Breaker: when calls have failed in a row for some time, none is sent for a
+//! while; then one is, and its end decides. A short fault opens no breaker, so
+//! that nothing is turned away after it.
 
 use std::time::Duration;
 
 use citrongw_state::time::Time;
 use rand::Rng;
 
-/// Failures in a row that open the breaker.
+/// Failures in a row that open the breaker, if they took [`FAILING`].
 const MAX_FAILURES: u32 = 5;
+/// Time of failures after which the breaker opens.
+const FAILING: Duration = Duration::from_secs(3);
 /// First pause without calls.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause without calls.
@@ -28,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Breaker {
     failures: u32,
+    failing_since: Option<Time>,
+    open: bool,
     pauses: u32,
     closed_at: Time,
     trial_since: Option<Time>,
@@ -36,7 +41,7 @@
 impl Breaker {
     /// Asks to make a call.
     pub(super) fn ask(&mut self, now: Time) -> Option<Permit> {
-        if self.failures < MAX_FAILURES {
+        if !self.open {
             return Some(Permit::Usual);
         }
         let trying = self.trial_since.is_some_and(|at| now.since(at) < TRIAL_LOST);
@@ -58,12 +63,14 @@
     pub(super) fn note(&mut self, permit: Permit, answered: bool, now: Time) {
         self.give_back(permit);
         if answered {
-            self.failures = 0;
-            self.pauses = 0;
+            *self = Self::default();
             return;
         }
         self.failures = self.failures.saturating_add(1);
-        if self.failures == MAX_FAILURES || permit == Permit::Trial {
+        let failing = now.since(*self.failing_since.get_or_insert(now));
+        let opens = !self.open && MAX_FAILURES <= self.failures && FAILING <= failing;
+        if opens || permit == Permit::Trial {
+            self.open = true;
             let pause = (FIRST_PAUSE * 2u32.saturating_pow(self.pauses)).min(MAX_PAUSE);
             self.pauses = (self.pauses + 1).min(8);
             self.closed_at = now + pause.mul_f64(rand::rng().random_range(0.75..1.25));
