--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod overload;
 pub mod report;
 pub mod routing;
-pub mod timeline;
 pub mod spread;
+pub mod timeline;
