--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -9,7 +9,7 @@
         AdapterId, AttemptId, DeploymentId, Epoch, FabricDomainId, Incarnation, InstanceId,
         ModelVersion, NodeId, ReplicaId,
     },
-    replica::{Member, ReplicaSpec},
+    replica::{Member, NotRoutable, ReplicaSpec},
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -57,9 +57,18 @@
     /// Instances that take no new work.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<LeavingMark>,
+    /// Instances that an operator returned though they were leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub returned: Vec<ReturnedMark>,
     /// Weight loads under way or waiting for the store's rate.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loads: Vec<WeightLoad>,
+    /// Replicas of this domain that are not serving, as its owner sees them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub down: Vec<DownReplica>,
+    /// Instances that no replica holds and that cannot be used now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<InstanceId>,
     /// Planned changes that failed here.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub failed_changes: Vec<FailedChange>,
@@ -141,6 +150,24 @@
     pub cause: LeavingCause,
 }
 
+/// Mark that an operator let an instance work again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReturnedMark {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The start that works again.
+    pub incarnation: Incarnation,
+}
+
+/// Replica that is not serving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DownReplica {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// What the first such member lacks.
+    pub cause: NotRoutable,
+}
+
 /// Weights that members of a replica load.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightLoad {
@@ -187,6 +214,11 @@
         self.leaving.iter().any(|it| it.instance == *instance && it.incarnation == incarnation)
     }
 
+    /// Whether an operator returned this start of the instance.
+    pub fn is_returned(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        self.returned.iter().any(|it| it.instance == *instance && it.incarnation == incarnation)
+    }
+
     /// Replica by id, in whatever part of the record.
     pub fn replica(&self, id: ReplicaId) -> Option<&ReplicaSpec> {
         let specs = self.replicas.iter().chain(&self.pending);
