Make fingerprints that name their homes, and tell settled demand

The isolation of a suspect rests on both its homes, so a fingerprint now carries the hash of its prompt prefix and every node finds both from it. The limits of organisations publish demand only when the shares rest on a new value, so that all nodes divide by the same figures; the two-node case of the limit keeps its 5% bound with the fewer messages.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,9 +1,9 @@
 //! What the benches and history checks share.
 
 pub mod args;
-pub mod crash;
 pub mod control_history;
 pub mod control_world;
+pub mod crash;
 pub mod model;
 pub mod overload;
 pub mod report;
--- a/crates/citrongw/src/caller/limits.rs
+++ b/crates/citrongw/src/caller/limits.rs
@@ -54,17 +54,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Measures this node's demand, and takes its share anew.
-    fn tick(&self, passed: Duration, nodes: u32, now: Time) -> RequestsPerSecond {
+    /// Measures this node's demand, and takes its share anew. Gives what to
+    /// tell the other nodes, if there is anything.
+    fn tick(&self, passed: Duration, nodes: u32, now: Time) -> Option<RequestsPerSecond> {
         let mut state = self.state();
         let demand = self.meter.tick(RequestsPerSecond(state.demand_per_s), passed);
         state.demand_per_s = demand.0;
-        state.table.tell_own(demand, now);
+        let told = state.table.tell_own(demand, now);
         state.table.forget_silent(now);
         // A node alone has nobody to share with.
         let share = if nodes <= 1 { 1.0 } else { state.table.share(nodes, now).0 };
         self.bucket.set_rate(RequestsPerSecond(self.limit_per_s * share));
-        demand
+        told.map(|_| state.table.told_own())
     }
 }
 
@@ -115,7 +116,7 @@
     let now = shared.clock.now();
     let sequence = limits.sequence.fetch_add(1, Ordering::Relaxed);
     for (organisation, limit) in limits.by_organisation.load().iter() {
-        let demand = limit.tick(passed, nodes, now);
+        let Some(demand) = limit.tick(passed, nodes, now) else { continue };
         shared.news.publish(News::Demand(OrganisationDemand {
             organisation: organisation.clone(),
             node: shared.node,
--- a/crates/citrongw/src/caller/limits/tests.rs
+++ b/crates/citrongw/src/caller/limits/tests.rs
@@ -47,7 +47,7 @@
         }
         if ms % 1000 == 0 {
             for (idx, limit) in limits.iter().enumerate() {
-                let demand = limit.tick(Duration::from_secs(1), 2, now);
+                let Some(demand) = limit.tick(Duration::from_secs(1), 2, now) else { continue };
                 let news = told(idx as u64, ms, demand);
                 nodes[1 - idx].hear(&news, NodeId(1 - idx as u64), now);
             }
--- a/crates/citrongw/src/caller/route.rs
+++ b/crates/citrongw/src/caller/route.rs
@@ -67,9 +67,9 @@
     hasher.update(&[0]);
     hasher.update(&max_tokens.to_le_bytes());
     hasher.update(prompt.as_bytes());
-    let mut word = [0; 16];
-    word.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    Fingerprint(u128::from_le_bytes(word))
+    let mut word = [0; 8];
+    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    PrefixHash::of(prompt).fingerprint(u64::from_le_bytes(word))
 }
 
 /// Takes a place for a request on a replica.
