--- a/crates/bench/benches/overload.rs
+++ b/crates/bench/benches/overload.rs
@@ -6,6 +6,8 @@
     report::{self, Report},
 };
 
+/// Organisations among which the cost of the queue is measured.
+const ORGANISATIONS: [usize; 3] = [10, 100, 1000];
 const LOADS: [f64; 6] = [0.5, 0.8, 1.0, 1.5, 2.0, 3.0];
 const POLICIES: [Policy; 4] =
     [Policy::Present, Policy::SharedFifo, Policy::UnboundedFifo, Policy::UncancelledFifo];
@@ -22,6 +24,7 @@
         print_goodput(&report, &base, policy, args.seed());
     }
     print_limits(&report, args.seed());
+    print_queue_cost(&report);
 }
 
 fn print_goodput(report: &Report, base: &Scenario, policy: Policy, seed: u64) {
@@ -44,6 +47,18 @@
     report.add(policy.name(), "goodput_at_3_of_peak", last / peak, "share");
 }
 
+/// Times to queue and take out a request, and their ratio to the first.
+fn print_queue_cost(report: &Report) {
+    let least = overload::measure_queue_cost(ORGANISATIONS[0]);
+    for organisations in ORGANISATIONS {
+        let cost = overload::measure_queue_cost(organisations);
+        let measure = format!("queue_ns_of_{organisations}_organisations");
+        report.add("present", &measure, cost.as_nanos() as f64, "ns");
+        let measure = format!("queue_ratio_of_{organisations}_organisations");
+        report.add("present", &measure, cost.as_secs_f64() / least.as_secs_f64(), "ratio");
+    }
+}
+
 fn print_limits(report: &Report, seed: u64) {
     let base = LimitScenario::default();
     let cases = [
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -6,12 +6,14 @@
 //! deadlines. A caller goes away at its deadline; what a replica did for it is
 //! lost.
 
+mod cost;
 mod limit;
 mod node;
 mod outcome;
 mod run;
 
 pub use self::{
+    cost::measure_queue_cost,
     limit::{LimitError, LimitScenario, measure_limit},
     node::Policy,
     outcome::{LARGE, Outcome},
--- a/crates/state/src/admission/class.rs
+++ b/crates/state/src/admission/class.rs
@@ -129,12 +129,11 @@
         let own_weight = u64::from(arrival.weight.max(1));
         let own = self.lanes.get(&arrival.organisation).map_or(0, |it| it.cost);
         let turns = own + arrival.cost.0;
-        let others = self.order.iter().filter(|(_, id)| *id != arrival.organisation);
-        let ahead = others.filter_map(|(_, id)| self.lanes.get(id)).map(|lane| {
-            let share = turns.saturating_mul(lane.weight) / own_weight;
-            lane.cost.min(share)
-        });
-        own + ahead.sum::<u64>()
+        let ahead = |lane: &Lane<T>| lane.cost.min(turns.saturating_mul(lane.weight) / own_weight);
+        // What the organisation itself holds is always ahead.
+        let of_own = self.lanes.get(&arrival.organisation).map_or(0, ahead);
+        let of_all: u64 = self.lanes.values().map(ahead).sum();
+        of_all - of_own + own
     }
 
     /// Gives up the youngest request of the lane that holds most.
