Document every setting and field, and check the page by tests

Cause: settings and fields had no page; nothing kept one in step. Change: docs/configuration.md; tests compare it with the settings that the reader asks for and with the fields of the document. A key of two services is a fault; a document in which no operator may change anything any more is a risk that is asked about. Measured: the tests fail when a row is taken out of the page, and pass. Conclusion: in.

--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -76,7 +76,13 @@
 /// Reads settings from text.
 pub fn parse(text: &str) -> std::result::Result<Settings, Vec<reader::Fault>> {
     let mut reader = reader::open(text)?;
-    let settings = Settings {
+    let settings = read(&mut reader);
+    reader.finish()?;
+    Ok(settings)
+}
+
+fn read(reader: &mut reader::Reader<'_>) -> Settings {
+    Settings {
         zone: reader.name("node", "zone").into(),
         region: reader.name("node", "region").into(),
         caller_addr: reader.addr("node", "caller-addr"),
@@ -95,14 +101,12 @@
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_secs(2)),
         max_connections: reader.count("callers", "max-connections", DEFAULT_MAX_CONNECTIONS),
         body_timeout: reader.positive_duration("callers", "body-timeout", Duration::from_secs(10)),
-        tls: read_tls(&mut reader),
+        tls: read_tls(reader),
         seeds: reader.addrs("membership", "seeds"),
         peer_secrets: reader.secrets("membership", "keys"),
-        control: control(&mut reader),
+        control: control(reader),
         log_level: reader.log_level("log", "level", "info"),
-    };
-    reader.finish()?;
-    Ok(settings)
+    }
 }
 
 /// Both files, or neither.
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -120,6 +120,15 @@
     faults: Vec<Fault>,
 }
 
+/// Name of a setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingName<'a> {
+    /// Its section.
+    pub section: &'a str,
+    /// Its key.
+    pub key: &'a str,
+}
+
 /// Opens a reader.
 pub fn open<'a>(text: &str) -> Result<Reader<'a>, Vec<Fault>> {
     let ini = Ini::load_from_str(text).map_err(|error| {
@@ -269,6 +278,14 @@
         });
     }
 
+    /// Settings asked for so far.
+    pub fn names(&self) -> impl Iterator<Item = SettingName<'a>> + '_ {
+        let of = |section: &'a str, keys: &BTreeSet<&'a str>| {
+            keys.iter().map(|key| SettingName { section, key }).collect::<Vec<_>>()
+        };
+        self.known.iter().flat_map(move |(section, keys)| of(section, keys))
+    }
+
     /// Ends the reading with the faults found, unknown and doubled keys and
     /// sections among them.
     pub fn finish(mut self) -> Result<(), Vec<Fault>> {
--- a/crates/citrongw/src/settings/tests.rs
+++ b/crates/citrongw/src/settings/tests.rs
@@ -109,3 +109,27 @@
     ];
     assert_eq!(faults, expected);
 }
+
+#[test]
+fn documents_name_every_setting_and_no_other() {
+    let table = include_str!("../../../../docs/configuration.md");
+    let mut reader = reader::open("").unwrap();
+    read(&mut reader);
+    let mut rows = 0;
+    for name in reader.names() {
+        let row = table.lines().find(|line| {
+            let mut cells = line.split('|').map(str::trim).skip(1);
+            let section = cells.next().unwrap_or_default();
+            let keys = cells.next().unwrap_or_default();
+            section == format!("`{}`", name.section) && keys.contains(&format!("`{}`", name.key))
+        });
+        assert!(row.is_some(), "missing: [{}] {}", name.section, name.key);
+        rows += 1;
+    }
+    let documented = table.lines().filter(|line| line.starts_with("| `")).filter(|line| {
+        let section = line.split('|').nth(1).unwrap_or_default().trim().trim_matches('`');
+        reader.names().any(|name| name.section == section)
+    });
+    let keys = |line: &str| line.split('|').nth(2).unwrap_or_default().matches('`').count() / 2;
+    assert_eq!(documented.map(keys).sum::<usize>(), rows);
+}
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -69,6 +69,14 @@
     pub key_digests: Vec<KeyDigest>,
 }
 
+impl Service {
+    /// Digests that are not shown tell nothing.
+    fn shares_key_with(&self, other: &Self) -> bool {
+        let mut shown = self.key_digests.iter().filter(|it| it.0 != REDACTED);
+        shown.any(|it| other.key_digests.contains(it))
+    }
+}
+
 /// Digest of an API key or of an operator's token.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display)]
 #[serde(transparent)]
@@ -354,8 +362,13 @@
     fn check_services(&self, faults: &mut Vec<ConfigFault>) {
         check_unique("service", self.services.iter().map(|it| it.id.as_str()), faults);
         check_unique("organisation", self.organisations.iter().map(|it| it.id.as_str()), faults);
-        for service in &self.services {
+        for (idx, service) in self.services.iter().enumerate() {
             let place = format!("service {}", service.id);
+            let shares = |other: &&Service| service.shares_key_with(other);
+            if let Some(other) = self.services[..idx].iter().find(shares) {
+                let message = format!("shares a key with service {}", other.id);
+                faults.push(ConfigFault { place: place.clone(), message });
+            }
             if !self.organisations.iter().any(|it| it.id == service.organisation) {
                 let message = format!("organisation {} is not declared", service.organisation);
                 faults.push(ConfigFault { place: place.clone(), message });
--- a/crates/state/src/config/change.rs
+++ b/crates/state/src/config/change.rs
@@ -7,7 +7,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::{CallClass, Config, ConfigFault, Deployment, PlainService, Profile};
+use super::{CallClass, Config, ConfigFault, Deployment, PlainService, Profile, Role};
 use crate::id::{DeploymentId, ProfileId, ServiceId};
 
 /// One change of the document.
@@ -113,6 +113,10 @@
             )));
         }
     }
+    let may_operate = |config: &Config| config.operators.iter().any(|it| it.role == Role::Operate);
+    if !after.operators.is_empty() && !may_operate(after) {
+        found.push(Risk("no operator may change the configuration any more".to_owned()));
+    }
     found
 }
 
--- a/crates/state/src/config/change/tests.rs
+++ b/crates/state/src/config/change/tests.rs
@@ -61,10 +61,16 @@
     let mut after = config();
     after.deployments[0].replicas = 1;
     after.plain_services[0].calls[0].class = CallClass::Idempotent;
+    after.operators = vec![crate::config::Operator {
+        id: "reader".into(),
+        role: Role::Read,
+        token_digest: crate::config::KeyDigest::of("token"),
+    }];
     let risks: Vec<String> = risks(&config(), &after).iter().map(ToString::to_string).collect();
     let expected = [
         "POST /dispatch of plain service x is no longer at-most-once: a resent call can run twice",
         "deployment d goes from 2 to 1 replicas",
+        "no operator may change the configuration any more",
     ];
     assert_eq!(risks, expected);
 }
--- a/crates/state/src/config/tests.rs
+++ b/crates/state/src/config/tests.rs
@@ -33,3 +33,57 @@
     ];
     assert_eq!(faults, expected);
 }
+
+#[test]
+fn documents_name_every_field() {
+    let text = r#"{
+        "organisations": [{"id": "o"}],
+        "services": [{"id": "s", "organisation": "o", "profile": "p", "key_digests": []}],
+        "profiles": [{"id": "p", "model": "m"}],
+        "deployments": [{"id": "d", "model": "m", "version": "1", "replicas": 1,
+                         "instances_per_replica": 1}],
+        "plain_services": [{"id": "x", "addrs": [], "calls": [
+            {"method": "GET", "path": "/", "class": "idempotent"}]}],
+        "operators": [{"id": "a", "role": "read", "token_digest": ""}]
+    }"#;
+    let config: Config = serde_json::from_str(text).unwrap();
+    let mut fields = Vec::new();
+    collect(&serde_json::to_value(&config).unwrap(), &mut fields);
+    assert!(40 <= fields.len(), "{fields:?}");
+    let table = include_str!("../../../../docs/configuration.md");
+    for field in fields {
+        assert!(table.contains(&format!("`{field}`")), "missing: {field}");
+    }
+}
+
+fn collect(value: &serde_json::Value, fields: &mut Vec<String>) {
+    match value {
+        serde_json::Value::Object(object) => {
+            for (name, value) in object {
+                fields.push(name.clone());
+                collect(value, fields);
+            }
+        }
+        serde_json::Value::Array(items) => items.iter().for_each(|it| collect(it, fields)),
+        _ => {}
+    }
+}
+
+#[test]
+fn a_key_of_two_services_is_a_fault() {
+    let digest = KeyDigest::of("key");
+    let mut config = Config::default();
+    for id in ["s", "t"] {
+        config.services.push(Service {
+            id: id.into(),
+            organisation: "o".into(),
+            profile: "p".into(),
+            key_digests: vec![digest.clone()],
+        });
+    }
+    let faults: Vec<String> = config.check().iter().map(ToString::to_string).collect();
+    let expected = "service t: shares a key with service s".to_owned();
+    assert!(faults.contains(&expected), "{faults:?}");
+    let faults: Vec<String> = config.redacted().check().iter().map(ToString::to_string).collect();
+    assert!(!faults.contains(&expected), "{faults:?}");
+}
