--- /dev/null
+++ b/crates/bench/src/claims/deaths.rs
@@ -0,0 +1,166 @@
+//! Unknown outcomes under node deaths: the single claim beside one with a
+//! phase of its own for the send, written between claim and send.
+//!
+//! The phase is a second claim under a key derived from the call's. A dead
+//! attempt that holds only the first has not sent, so that its call may be
+//! made again; one that holds both is unknown.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_coordination::{
+    claims::{
+        driver::{self, Claimed, Claims},
+        shard::Verdict,
+    },
+    clock,
+};
+use citrongw_protocol::{claim::SHARDS, store::Store};
+use citrongw_state::{
+    claim::{ClaimKey, ClaimRequest},
+    id::{AttemptId, NodeId},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+use super::{
+    CLAIM_DEADLINE, NODES, completed, exponential, new_request, run_paused,
+    store::{self, LimitedStore, NodeStore},
+};
+use crate::report::Report;
+
+/// Calls a second over all nodes.
+const RATE_PER_S: f64 = 60.0;
+/// Mean time that a call takes at its service.
+const SERVICE_TIME: Duration = Duration::from_millis(50);
+/// Mean life of a node, far below a real one so that deaths are seen.
+const MEAN_LIFE: Duration = Duration::from_secs(4);
+/// Time that the service takes for a call.
+const LATENCY: Duration = Duration::from_millis(5);
+
+/// Phases of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phases {
+    /// Claim, then settlement.
+    Single,
+    /// Claim, then the send, then settlement.
+    WithSend,
+}
+
+/// Measures both, with and without a wait between claim and send.
+pub fn report(report: &Report, seed: u64, full: bool) {
+    let span = Duration::from_secs(if full { 600 } else { 120 });
+    for wait_ms in [0, 100] {
+        for (phases, policy) in
+            [(Phases::Single, "single-claim"), (Phases::WithSend, "claim-and-sent-phase")]
+        {
+            let deaths = run_paused(measure(seed, phases, Duration::from_millis(wait_ms), span));
+            let at = format!("{wait_ms} ms from claim to send, node life 4 s");
+            let share = |count: u64| count as f64 / deaths.calls as f64;
+            report.add(policy, &format!("unknown at {at}"), share(deaths.unknown), "share");
+            report.add(policy, &format!("writes per call at {at}"), share(deaths.writes), "writes");
+            report.add(policy, &format!("deaths at {at}"), deaths.deaths as f64, "nodes");
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Deaths {
+    calls: u64,
+    unknown: u64,
+    writes: u64,
+    deaths: u64,
+}
+
+#[derive(Clone)]
+struct Node {
+    store: NodeStore,
+    claims: Arc<Claims>,
+}
+
+async fn measure(seed: u64, phases: Phases, wait: Duration, span: Duration) -> Deaths {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let service = store::open(LATENCY);
+    let mut nodes: Vec<Node> = (0..NODES).map(|_| open_node(&mut rng, &service)).collect();
+    let mut ends_at: Vec<Instant> =
+        nodes.iter().map(|_| Instant::now() + exponential(&mut rng, MEAN_LIFE)).collect();
+    let mut deaths = Deaths::default();
+    let mut requests = Vec::new();
+    let started_at = Instant::now();
+    while started_at.elapsed() < span {
+        let mean = Duration::from_secs_f64(1.0 / RATE_PER_S);
+        tokio::time::sleep(exponential(&mut rng, mean)).await;
+        for (node, ends_at) in nodes.iter_mut().zip(&mut ends_at) {
+            if *ends_at <= Instant::now() {
+                node.store.kill();
+                deaths.deaths += 1;
+                *node = open_node(&mut rng, &service);
+                *ends_at = Instant::now() + exponential(&mut rng, MEAN_LIFE);
+            }
+        }
+        let node = nodes[rng.random_range(0..nodes.len())].clone();
+        let request = new_request(&mut rng, SHARDS);
+        let service_time = exponential(&mut rng, SERVICE_TIME);
+        requests.push(request);
+        tokio::spawn(call(node, request, phases, wait, service_time));
+    }
+    tokio::time::sleep(CLAIM_DEADLINE).await;
+    deaths.writes = service.calls().1;
+    deaths.calls = requests.len() as u64;
+    let judge = open_node(&mut rng, &service);
+    for request in requests {
+        if is_unknown(&judge, request, phases).await {
+            deaths.unknown += 1;
+        }
+    }
+    deaths
+}
+
+fn open_node(rng: &mut SmallRng, service: &Arc<LimitedStore>) -> Node {
+    let store = NodeStore::new(service);
+    let client: Arc<dyn Store> = Arc::new(store.clone());
+    let claims = Arc::new(driver::spawn(NodeId(rng.random()), &client, clock::open()));
+    Node { store, claims }
+}
+
+/// Claim of the phase in which a call is sent.
+fn sent_request(request: ClaimRequest) -> ClaimRequest {
+    ClaimRequest { key: ClaimKey(request.key.0 ^ (1 << 100)), answer_bytes: 0, ..request }
+}
+
+async fn call(
+    node: Node,
+    request: ClaimRequest,
+    phases: Phases,
+    wait: Duration,
+    service_time: Duration,
+) {
+    let deadline = Instant::now() + CLAIM_DEADLINE;
+    let claimed = node.claims.claim(request, None, deadline).await;
+    let Claimed::Won(permit) = claimed else { return };
+    tokio::time::sleep(wait).await;
+    let sent = match phases {
+        Phases::Single => None,
+        Phases::WithSend => Some(node.claims.claim(sent_request(request), None, deadline).await),
+    };
+    tokio::time::sleep(service_time).await;
+    if node.store.is_alive() {
+        permit.begin().settle(completed()).await;
+    }
+    drop(sent);
+}
+
+/// Whether a resend would get `unknown`.
+async fn is_unknown(judge: &Node, request: ClaimRequest, phases: Phases) -> bool {
+    let open = is_open(judge, request).await;
+    match phases {
+        Phases::Single => open,
+        Phases::WithSend => open && is_open(judge, sent_request(request)).await,
+    }
+}
+
+async fn is_open(judge: &Node, request: ClaimRequest) -> bool {
+    let request = ClaimRequest { attempt: AttemptId(request.attempt.0 ^ 1), ..request };
+    let deadline = Instant::now() + CLAIM_DEADLINE;
+    let claimed = judge.claims.claim(request, None, deadline).await;
+    matches!(claimed, Claimed::Lost(Verdict::Open { .. }))
+}
--- /dev/null
+++ b/crates/bench/src/claims/load.rs
@@ -0,0 +1,180 @@
+//! Rate, latency and calls to the service under an offered load.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_coordination::{
+    claims::driver::{self, Claimed, Claims},
+    clock,
+};
+use citrongw_protocol::store::Store;
+use citrongw_state::{claim::ClaimRequest, id::NodeId};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+
+use super::{
+    CLAIM_DEADLINE, NODES, completed, exponential, new_request, run_paused, single,
+    store::{self, LimitedStore, NodeStore},
+};
+use crate::report::Report;
+
+/// Time for which load is offered.
+const SPAN: Duration = Duration::from_secs(4);
+/// Time that a call takes at its service.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Time to the shard's owner and back.
+const FORWARD_TIME: Duration = Duration::from_millis(1);
+
+/// Way in which claims are made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Policy {
+    /// As shipped: each node batches its own.
+    Batched,
+    /// All nodes pass theirs to one that batches them.
+    Forwarded,
+    /// One write per claim and per settlement.
+    Single,
+}
+
+/// One run.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    policy: Policy,
+    shards: u32,
+    latency_ms: u64,
+    rate_per_s: f64,
+}
+
+/// Measures all runs.
+pub fn report(report: &Report, seed: u64, full: bool) {
+    let rates: &[f64] = if full { &[20.0, 100.0, 500.0, 2000.0] } else { &[20.0, 100.0, 1000.0] };
+    let shard_counts: &[u32] = if full { &[1, 4, 16, 64] } else { &[4, 64] };
+    for latency_ms in [1, 5, 20] {
+        for &rate_per_s in rates {
+            for policy in [Policy::Batched, Policy::Forwarded, Policy::Single] {
+                for &shards in shard_counts {
+                    let run = Run { policy, shards, latency_ms, rate_per_s };
+                    report_run(report, seed, run);
+                }
+            }
+        }
+    }
+}
+
+fn report_run(report: &Report, seed: u64, run: Run) {
+    let load = run_paused(measure(seed, run));
+    let Run { policy, shards, latency_ms, rate_per_s } = run;
+    let policy = match policy {
+        Policy::Batched => "batched",
+        Policy::Forwarded => "forwarded",
+        Policy::Single => "one-write-per-claim",
+    };
+    let at = format!("{latency_ms} ms, {rate_per_s}/s offered, {shards} shards");
+    let add = |what: &str, value: f64, unit: &str| {
+        report.add(policy, &format!("{what} at {at}"), value, unit);
+    };
+    add("completed", load.completed as f64 / load.span.as_secs_f64(), "calls/s");
+    add("refused", load.refused as f64 / load.offered as f64, "share");
+    add("added latency p50", load.added_us.value_at_quantile(0.5) as f64 / 1e3, "ms");
+    add("added latency p99", load.added_us.value_at_quantile(0.99) as f64 / 1e3, "ms");
+    let per_call = |count: u64| count as f64 / load.completed.max(1) as f64;
+    add("writes per completed call", per_call(load.writes), "writes");
+    add("reads per completed call", per_call(load.reads), "reads");
+}
+
+struct Load {
+    offered: u64,
+    completed: u64,
+    refused: u64,
+    added_us: Histogram<u64>,
+    span: Duration,
+    reads: u64,
+    writes: u64,
+}
+
+/// A node's way to claim.
+#[derive(Clone)]
+struct NodeWay {
+    id: NodeId,
+    store: NodeStore,
+    claims: Arc<Claims>,
+}
+
+async fn measure(seed: u64, run: Run) -> Load {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let service = store::open(Duration::from_millis(run.latency_ms));
+    let nodes = open_nodes(&mut rng, &service, run.policy);
+    let started_at = Instant::now();
+    let mut tasks = Vec::new();
+    while started_at.elapsed() < SPAN {
+        tokio::time::sleep(exponential(&mut rng, Duration::from_secs_f64(1.0 / run.rate_per_s)))
+            .await;
+        let node = nodes[rng.random_range(0..nodes.len())].clone();
+        let request = new_request(&mut rng, run.shards);
+        tasks.push(tokio::spawn(call(run.policy, node, request)));
+    }
+    let mut load = Load {
+        offered: tasks.len() as u64,
+        completed: 0,
+        refused: 0,
+        added_us: Histogram::new(3).expect("three digits are allowed"),
+        span: SPAN,
+        reads: 0,
+        writes: 0,
+    };
+    for task in tasks {
+        match task.await.ok().flatten() {
+            Some(added) => {
+                load.completed += 1;
+                load.added_us.saturating_record(added.as_micros() as u64);
+            }
+            None => load.refused += 1,
+        }
+    }
+    load.span = started_at.elapsed();
+    (load.reads, load.writes) = service.calls();
+    load
+}
+
+fn open_nodes(rng: &mut SmallRng, service: &Arc<LimitedStore>, policy: Policy) -> Vec<NodeWay> {
+    let clock = clock::open();
+    let mut open = || {
+        let (id, store) = (NodeId(rng.random()), NodeStore::new(service));
+        let client: Arc<dyn Store> = Arc::new(store.clone());
+        let claims = Arc::new(driver::spawn(id, &client, clock));
+        NodeWay { id, store, claims }
+    };
+    if policy == Policy::Forwarded {
+        return vec![open()];
+    }
+    (0..NODES).map(|_| open()).collect()
+}
+
+/// One call; gives what the claim and the settlement added to it.
+async fn call(policy: Policy, node: NodeWay, request: ClaimRequest) -> Option<Duration> {
+    let asked_at = Instant::now();
+    let deadline = asked_at + CLAIM_DEADLINE;
+    if policy == Policy::Single {
+        let claim = single::claim(&node.store, node.id, &request);
+        let claimed = tokio::time::timeout_at(deadline, claim).await;
+        if !matches!(claimed, Ok(Ok(true))) {
+            return None;
+        }
+        tokio::time::sleep(SERVICE_TIME).await;
+        let end = completed();
+        single::settle(&node.store, request.key, request.attempt, &end).await.ok()?;
+        return Some(asked_at.elapsed() - SERVICE_TIME);
+    }
+    if policy == Policy::Forwarded {
+        tokio::time::sleep(FORWARD_TIME).await;
+    }
+    let Claimed::Won(permit) = node.claims.claim(request, None, deadline).await else {
+        return None;
+    };
+    tokio::time::sleep(SERVICE_TIME).await;
+    if policy == Policy::Forwarded {
+        tokio::time::sleep(FORWARD_TIME).await;
+    }
+    permit.begin().settle(completed()).await;
+    Some(asked_at.elapsed() - SERVICE_TIME)
+}
--- /dev/null
+++ b/crates/bench/src/claims/single.rs
@@ -0,0 +1,62 @@
+//! Baseline: each claim and each settlement reads its shard and writes it by
+//! itself.
+
+use citrongw_protocol::{
+    claim::{self, ShardId},
+    store::{Change, Entry, Expected, Store, StoreResult, Write, WriteResult},
+};
+use citrongw_state::{
+    claim::{ClaimKey, ClaimRequest, ClaimTable, Settlement, Standing},
+    id::{AttemptId, NodeId},
+};
+
+/// Claims a call. False if another attempt holds it.
+pub async fn claim(store: &dyn Store, node: NodeId, request: &ClaimRequest) -> StoreResult<bool> {
+    change(store, request.key, |table| match table.standing(request) {
+        Standing::Free => {
+            table.open(request, node);
+            true
+        }
+        Standing::Own => true,
+        _ => false,
+    })
+    .await
+}
+
+/// Settles an attempt.
+pub async fn settle(
+    store: &dyn Store,
+    key: ClaimKey,
+    attempt: AttemptId,
+    settlement: &Settlement,
+) -> StoreResult<bool> {
+    change(store, key, |table| table.settle(key, attempt, settlement)).await
+}
+
+async fn change(
+    store: &dyn Store,
+    key: ClaimKey,
+    mut change: impl FnMut(&mut ClaimTable) -> bool,
+) -> StoreResult<bool> {
+    let shard = ShardId::of(key).key();
+    let mut entry = store.get(shard.clone()).await?.into_entry();
+    loop {
+        let mut table = entry.as_ref().map(decode).unwrap_or_default();
+        if !change(&mut table) {
+            return Ok(false);
+        }
+        let expected =
+            entry.as_ref().map_or(Expected::Absent, |it| Expected::Revision(it.revision));
+        let value = claim::encode(&table).unwrap_or_default();
+        let change = Change::Put(value);
+        let write = Write { key: shard.clone(), expected, change, lease: None };
+        match store.compare_and_swap(write).await? {
+            WriteResult::Committed(_) => return Ok(true),
+            WriteResult::Conflict(found) => entry = found,
+        }
+    }
+}
+
+fn decode(entry: &Entry) -> ClaimTable {
+    claim::decode(&entry.value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/bench/src/claims/store.rs
@@ -0,0 +1,153 @@
+//! The stand-in of the key-value service with a limit on its rates, as one node
+//! sees it.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use citrongw_fakes::kv::mem::{self, MemStore};
+use citrongw_protocol::store::{
+    Key, LeaseId, Snapshot, Store, StoreError, StoreResult, WatchEvent, Write, WriteResult,
+};
+use citrongw_state::id::Revision;
+use futures::{FutureExt, future, future::BoxFuture, stream::BoxStream};
+use tokio::time::Instant;
+
+/// Writes a second that the service takes from all nodes.
+pub const WRITES_PER_S: f64 = 300.0;
+/// Reads a second that it takes.
+pub const READS_PER_S: f64 = 2000.0;
+/// Longest time that a node waits for an answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The service with its limits.
+#[derive(Debug)]
+pub struct LimitedStore {
+    /// The service itself.
+    pub inner: MemStore,
+    write_slots: Slots,
+    read_slots: Slots,
+}
+
+/// Opens an empty service that takes `latency` for each call.
+pub fn open(latency: Duration) -> Arc<LimitedStore> {
+    let inner = mem::open();
+    inner.set_latency(latency);
+    let write_slots = Slots::new(WRITES_PER_S);
+    let read_slots = Slots::new(READS_PER_S);
+    Arc::new(LimitedStore { inner, write_slots, read_slots })
+}
+
+impl LimitedStore {
+    /// Calls so far, reads and writes.
+    pub fn calls(&self) -> (u64, u64) {
+        self.inner.inspect(|core| (core.reads, core.writes))
+    }
+}
+
+/// Places of calls in time.
+#[derive(Debug)]
+struct Slots {
+    interval: Duration,
+    next_at: Mutex<Option<Instant>>,
+}
+
+impl Slots {
+    fn new(rate_per_s: f64) -> Self {
+        Self { interval: Duration::from_secs_f64(1.0 / rate_per_s), next_at: Mutex::default() }
+    }
+
+    fn take(&self) -> Instant {
+        let mut next_at = self.next_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let slot = next_at.map_or(now, |it| it.max(now));
+        *next_at = Some(slot + self.interval);
+        slot
+    }
+}
+
+/// The service as one node sees it, until the node dies.
+#[derive(Debug, Clone)]
+pub struct NodeStore {
+    shared: Arc<LimitedStore>,
+    alive: Arc<AtomicBool>,
+}
+
+impl NodeStore {
+    /// View of one node.
+    pub fn new(shared: &Arc<LimitedStore>) -> Self {
+        Self { shared: Arc::clone(shared), alive: Arc::new(AtomicBool::new(true)) }
+    }
+
+    /// Ends the node: nothing that it does reaches the service, and no answer
+    /// reaches it.
+    pub fn kill(&self) {
+        self.alive.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether the node lives.
+    pub fn is_alive(&self) -> bool {
+        self.alive.load(Ordering::Relaxed)
+    }
+
+    /// Carries out a call, which takes effect though nobody waits for it.
+    async fn call<T: Send + 'static>(
+        &self,
+        slot: Instant,
+        call: impl Future<Output = StoreResult<T>> + Send + 'static,
+    ) -> StoreResult<T> {
+        if !self.is_alive() {
+            return future::pending().await;
+        }
+        let task = tokio::spawn(async move {
+            tokio::time::sleep_until(slot).await;
+            call.await
+        });
+        let res = tokio::time::timeout(TIMEOUT, task).await;
+        if !self.is_alive() {
+            return future::pending().await;
+        }
+        match res {
+            Ok(Ok(res)) => res,
+            Ok(Err(_)) | Err(_) => Err(StoreError::NoAnswer),
+        }
+    }
+}
+
+impl Store for NodeStore {
+    fn get(&self, key: Key) -> BoxFuture<'_, StoreResult<Snapshot>> {
+        let inner = self.shared.inner.clone();
+        self.call(self.shared.read_slots.take(), async move { inner.get(key).await }).boxed()
+    }
+
+    fn list(&self, prefix: Key) -> BoxFuture<'_, StoreResult<Snapshot>> {
+        let inner = self.shared.inner.clone();
+        self.call(self.shared.read_slots.take(), async move { inner.list(prefix).await }).boxed()
+    }
+
+    fn compare_and_swap(&self, write: Write) -> BoxFuture<'_, StoreResult<WriteResult>> {
+        let inner = self.shared.inner.clone();
+        let slot = self.shared.write_slots.take();
+        self.call(slot, async move { inner.compare_and_swap(write).await }).boxed()
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, StoreResult<LeaseId>> {
+        self.shared.inner.grant_lease(ttl)
+    }
+
+    fn renew_lease(&self, lease: LeaseId) -> BoxFuture<'_, StoreResult<()>> {
+        self.shared.inner.renew_lease(lease)
+    }
+
+    fn watch(
+        &self,
+        prefix: Key,
+        from: Revision,
+    ) -> BoxFuture<'_, StoreResult<BoxStream<'static, StoreResult<WatchEvent>>>> {
+        self.shared.inner.watch(prefix, from)
+    }
+}
