--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod args;
 pub mod claims;
 pub mod report;
+pub mod spread;
--- a/crates/citrongw/src/admin.rs
+++ b/crates/citrongw/src/admin.rs
@@ -10,6 +10,7 @@
 
 use citrongw_protocol::{
     admin::{Explanation, LogLevel},
+    admin_config::Acceptance,
     caller::ErrorBody,
     code::ResultCode,
     decision::Subject,
@@ -41,6 +42,7 @@
         .get("/admin/config", edit::read_current(shared))
         .get("/admin/config/:id", edit::read_earlier(shared))
         .get("/admin/config-history", edit::read_history(shared))
+        .get("/admin/acceptance/:id", read(shared, read_acceptance))
         .get("/admin/edits/:id", edit::read_change(shared))
         .post("/admin/edits", edit::make_change(shared))
         .get("/metrics", {
@@ -84,6 +86,11 @@
     Ok(explain::about(shared, Subject::Replica(path_param(req)?)))
 }
 
+/// How far a version has been accepted, as this node knows.
+fn read_acceptance(shared: &Shared, req: &Request) -> Result<Acceptance, ResultCode> {
+    Ok(shared.gate.acceptance(path_param(req)?))
+}
+
 /// Asks a live node for its planned stop, by way of the news if it is another.
 fn stop_node(shared: &Shared, req: &Request) -> Result<NodeId, ResultCode> {
     let operator = auth::check(shared, req, Role::Operate)?;
--- /dev/null
+++ b/crates/citrongw/src/peers.rs
@@ -0,0 +1,152 @@
+//! The node among its peers: binds UDP and TCP on one port and runs membership
+//! over them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use citrongw_coordination::{
+    config::holding::Rules,
+    membership::{
+        MembershipSettings,
+        driver::{self, Incoming, PeerNetwork, Peers, Surroundings},
+    },
+};
+use citrongw_protocol::peer::{FetchAnswer, FetchRequest, Message};
+use citrongw_state::id::NodeId;
+use citrongw_transport::{
+    peer_auth::{self, PeerKeys},
+    peer_counters::PeerCounters,
+    peer_tcp::{self, PeerTcp},
+    peer_udp::{self, PeerUdp},
+};
+use futures::{FutureExt, future::BoxFuture};
+use tokio::net::TcpListener;
+
+use crate::{
+    error::{Result, could_not},
+    node::Shared,
+    settings::Settings,
+};
+
+/// Tries to find a port that is free for both protocols.
+const MAX_BIND_ATTEMPTS: u32 = 16;
+
+/// Bound port.
+pub(crate) struct Endpoint {
+    udp: PeerUdp,
+    listener: TcpListener,
+    local_addr: SocketAddr,
+    keys: PeerKeys,
+    counters: Arc<PeerCounters>,
+}
+
+/// Running membership with its endpoints.
+pub(crate) struct RunningPeers {
+    peers: Peers,
+    _tcp: PeerTcp,
+}
+
+impl RunningPeers {
+    /// Tells the others that this node leaves.
+    pub(crate) async fn leave(&self) {
+        self.peers.leave().await;
+    }
+}
+
+/// Binds the port for other nodes.
+pub(crate) async fn bind(
+    settings: &Settings,
+    node: NodeId,
+    counters: Arc<PeerCounters>,
+) -> Result<Endpoint> {
+    let addr = settings.peer_addr;
+    let keys = keys(&settings.peer_secrets);
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let cause = |error| could_not("listen for other nodes", addr, error);
+        let listener = TcpListener::bind(addr).await.map_err(cause)?;
+        let local_addr = listener.local_addr().map_err(cause)?;
+        let udp = peer_udp::bind(local_addr, keys.clone(), node, Arc::clone(&counters)).await;
+        match udp {
+            Ok(udp) => return Ok(Endpoint { udp, listener, local_addr, keys, counters }),
+            // Another process may hold the port that was drawn for TCP.
+            Err(_) if addr.port() == 0 && attempts < MAX_BIND_ATTEMPTS => {}
+            Err(error) => return Err(cause(error)),
+        }
+    }
+}
+
+/// Keys of the settings; without one, a key that no other node has.
+fn keys(secrets: &[String]) -> PeerKeys {
+    peer_auth::derive_keys(secrets).unwrap_or_else(|| {
+        tracing::warn!("no [membership] keys are set: the node runs alone");
+        peer_auth::random_key()
+    })
+}
+
+impl Endpoint {
+    /// Address for other nodes.
+    pub(crate) fn local_addr(&self) -> SocketAddr {
+        self.local_addr
+    }
+
+    /// Runs membership.
+    pub(crate) async fn spawn(self, shared: &Arc<Shared>) -> Result<RunningPeers> {
+        let Self { udp, listener, local_addr, keys, counters } = self;
+        let network = Network { udp, keys: keys.clone(), counters: Arc::clone(&counters) };
+        let settings = MembershipSettings {
+            this: shared.nodes.this().clone(),
+            seeds: shared.settings.seeds.clone(),
+            random_seed: rand::random(),
+            rules: Rules::default(),
+        };
+        let around = Surroundings {
+            clock: shared.clock,
+            network: Arc::new(network),
+            store: Arc::clone(&shared.store),
+            news: Arc::clone(&shared.news),
+            nodes: Arc::clone(&shared.nodes),
+            config: Arc::clone(&shared.config),
+            gate: Arc::clone(&shared.gate),
+            replicas: Arc::clone(&shared.replicas),
+            decisions: Arc::clone(&shared.decisions),
+        };
+        let peers = driver::spawn(settings, around);
+        let answerer = peers.answerer();
+        let answer = move |request: FetchRequest| {
+            let answer = answerer.answer(&request);
+            std::future::ready(answer).boxed()
+        };
+        let tcp = peer_tcp::serve(listener, keys, Arc::new(answer), counters);
+        let tcp = tcp.map_err(|error| could_not("listen for other nodes", local_addr, error))?;
+        Ok(RunningPeers { peers, _tcp: tcp })
+    }
+}
+
+struct Network {
+    udp: PeerUdp,
+    keys: PeerKeys,
+    counters: Arc<PeerCounters>,
+}
+
+impl PeerNetwork for Network {
+    fn send(&self, addr: SocketAddr, to: NodeId, message: Message) -> BoxFuture<'_, ()> {
+        async move { self.udp.send(addr, to, &message).await }.boxed()
+    }
+
+    fn receive(&self) -> BoxFuture<'_, Incoming> {
+        async move {
+            let received = self.udp.receive().await;
+            Incoming { from: received.from, addr: received.addr, message: received.message }
+        }
+        .boxed()
+    }
+
+    fn fetch(&self, addr: SocketAddr, request: FetchRequest) -> BoxFuture<'_, Option<FetchAnswer>> {
+        async move {
+            let answer = peer_tcp::fetch(addr, &self.keys, &request, &self.counters).await;
+            answer.inspect_err(|error| tracing::debug!(%error, %addr, "could not ask peer")).ok()
+        }
+        .boxed()
+    }
+}
--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -50,6 +50,11 @@
     pub body_timeout: Duration,
     /// Certificate of the ports for callers and operators, if they take TLS.
     pub tls: Option<TlsFiles>,
+    /// Addresses at which other nodes may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// Secrets of the messages between nodes, the one that signs first. Without
+    /// one the node runs alone.
+    pub peer_secrets: Vec<String>,
     /// What is logged.
     pub log_level: String,
 }
@@ -88,6 +93,8 @@
         max_connections: reader.count("callers", "max-connections", DEFAULT_MAX_CONNECTIONS),
         body_timeout: reader.positive_duration("callers", "body-timeout", Duration::from_secs(10)),
         tls: read_tls(&mut reader),
+        seeds: reader.addrs("membership", "seeds"),
+        peer_secrets: reader.secrets("membership", "keys"),
         log_level: reader.log_level("log", "level", "info"),
     };
     reader.finish()?;
--- a/crates/citrongw/src/settings/tests.rs
+++ b/crates/citrongw/src/settings/tests.rs
@@ -48,7 +48,7 @@
             "[log]",
             "[extra]\n[log]",
             "[extra], line 19: unknown section, \
-             allowed: admin, callers, log, node, platform, store, tls",
+             allowed: admin, callers, log, membership, node, platform, store, tls",
         ),
         (
             "level = info",
@@ -66,6 +66,18 @@
             "[tls]\nkey = key.pem\n[callers]",
             "[tls] certificates: missing, allowed: path of a PEM file",
         ),
+        (
+            "seeds = 127.0.0.1:8081",
+            "seeds = 127.0.0.1:8081, there",
+            "[membership] seeds, line 27: value \"127.0.0.1:8081, there\", \
+             allowed: IP addresses and ports with commas between them",
+        ),
+        (
+            "keys = change-me-to-a-secret",
+            "keys = change-me-to-a-secret, short",
+            "[membership] keys, line 28: value \"(hidden)\", \
+             allowed: secrets of 16 characters or more with commas between them",
+        ),
         ("addr = 127.0.0.1:2379", "", "[store] addr: missing, allowed: IP address and port"),
     ];
     for (from, to, expected) in cases {
@@ -84,9 +96,10 @@
     let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
     let expected = [
         "[node] zone, line 3: value \"a b\", allowed: a name without blanks",
-        "[store] addr, line 26: value \"x\", allowed: once, and line 12 has it",
-        "[more], line 27: unknown section, allowed: admin, callers, log, node, platform, store, tls",
-        "[more] k, line 28: unknown key, value \"v\", allowed: none here",
+        "[store] addr, line 30: value \"x\", allowed: once, and line 12 has it",
+        "[more], line 31: unknown section, \
+         allowed: admin, callers, log, membership, node, platform, store, tls",
+        "[more] k, line 32: unknown key, value \"v\", allowed: none here",
     ];
     assert_eq!(faults, expected);
 }
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -4,7 +4,7 @@
 
 use citrongw_state::{
     admission,
-    id::{AttemptId, ReplicaId, RequestId},
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
@@ -44,6 +44,14 @@
         /// The replica that lost it.
         replica: ReplicaId,
     },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// A caller went away before its answer ended.
     #[display("request {request} was cancelled: its caller left")]
     CallerLeft {
@@ -58,6 +66,50 @@
         /// The code.
         code: ResultCode,
     },
+    /// A configuration was put in force.
+    #[display("configuration version {revision} is in force")]
+    ConfigInForce {
+        /// Its version.
+        revision: Revision,
+    },
+    /// The key-value service holds an older configuration than this node.
+    #[display(
+        "the key-value service went back to configuration version {found}; version {held} stays \
+         in force until an operator decides"
+    )]
+    ConfigWentBack {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// The key-value service holds a configuration that lacks a change.
+    #[display(
+        "configuration version {found} does not descend from version {held}, which stays in force \
+         until an operator decides"
+    )]
+    ConfigForked {
+        /// Version in force.
+        held: Revision,
+        /// Version in the service.
+        found: Revision,
+    },
+    /// A node is held for dead.
+    #[display("node {node} is held for dead: it did not answer, and did not refute")]
+    NodeDied {
+        /// The node.
+        node: NodeId,
+    },
+    /// The nodes of this node's zone were recorded.
+    #[display("record of zone {zone} names {members} nodes, as version {revision}")]
+    NodesRecorded {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Nodes in the record.
+        members: usize,
+        /// Its version.
+        revision: Revision,
+    },
     /// A replica was chosen among the candidates of a request.
     #[display("replica {replica} was chosen for request {request}: {reason}")]
     Chosen {
@@ -172,6 +224,7 @@
                 Self::Routed { request, .. }
                 | Self::Resumed { request, .. }
                 | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
                 | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
@@ -189,6 +242,7 @@
                 Self::Routed { replica, .. }
                 | Self::Resumed { replica, .. }
                 | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
@@ -206,7 +260,15 @@
                 | Self::CallReplayed { .. },
                 Subject::Replica(_),
             )
-            | (Self::Straggler { .. }, Subject::Request(_)) => false,
+            | (Self::Straggler { .. }, Subject::Request(_))
+            | (
+                Self::ConfigInForce { .. }
+                | Self::ConfigWentBack { .. }
+                | Self::ConfigForked { .. }
+                | Self::NodeDied { .. }
+                | Self::NodesRecorded { .. },
+                _,
+            ) => false,
         }
     }
 }
