Grant the shards' calls in turns at the node's share of the rate

Shards now ask for a turn, paced at the node's share of the service's writes, and make up the batch when it comes. The step function decides what a turn covers; idle shards free their claims and keep the ages. In the bench each node now calls through the store guard as in the program. Histories hold with turns granted late.

--- a/crates/bench/src/claims.rs
+++ b/crates/bench/src/claims.rs
@@ -2,6 +2,7 @@
 
 pub mod deaths;
 pub mod load;
+pub mod node;
 pub mod outage;
 pub mod single;
 pub mod size;
--- a/crates/bench/src/claims/deaths.rs
+++ b/crates/bench/src/claims/deaths.rs
@@ -5,31 +5,26 @@
 //! attempt that holds only the first has not sent, so that its call may be
 //! made again; one that holds both is unknown.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use citrongw_coordination::{
-    claims::{
-        driver::{self, Claimed, Claims},
-        shard::Verdict,
-    },
-    clock,
-};
-use citrongw_protocol::{claim::SHARDS, store::Store};
+use citrongw_coordination::claims::{driver::Claimed, shard::Verdict};
+use citrongw_protocol::claim::SHARDS;
 use citrongw_state::{
     claim::{ClaimKey, ClaimRequest},
-    id::{AttemptId, NodeId},
+    id::AttemptId,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use super::{
-    CLAIM_DEADLINE, NODES, completed, exponential, new_request, run_paused,
-    store::{self, LimitedStore, NodeStore},
+    CLAIM_DEADLINE, NODES, completed, exponential, new_request,
+    node::{self, Node},
+    run_paused, store,
 };
 use crate::report::Report;
 
 /// Calls a second over all nodes.
-const RATE_PER_S: f64 = 60.0;
+const RATE_PER_S: f64 = 20.0;
 /// Mean time that a call takes at its service.
 const SERVICE_TIME: Duration = Duration::from_millis(50);
 /// Mean life of a node, far below a real one so that deaths are seen.
@@ -48,7 +43,7 @@
 
 /// Measures both, with and without a wait between claim and send.
 pub fn report(report: &Report, seed: u64, full: bool) {
-    let span = Duration::from_secs(if full { 600 } else { 120 });
+    let span = Duration::from_secs(if full { 3600 } else { 600 });
     for wait_ms in [0, 100] {
         for (phases, policy) in
             [(Phases::Single, "single-claim"), (Phases::WithSend, "claim-and-sent-phase")]
@@ -71,16 +66,10 @@
     deaths: u64,
 }
 
-#[derive(Clone)]
-struct Node {
-    store: NodeStore,
-    claims: Arc<Claims>,
-}
-
 async fn measure(seed: u64, phases: Phases, wait: Duration, span: Duration) -> Deaths {
     let mut rng = SmallRng::seed_from_u64(seed);
     let service = store::open(LATENCY);
-    let mut nodes: Vec<Node> = (0..NODES).map(|_| open_node(&mut rng, &service)).collect();
+    let mut nodes: Vec<Node> = (0..NODES).map(|_| node::open(&mut rng, &service)).collect();
     let mut ends_at: Vec<Instant> =
         nodes.iter().map(|_| Instant::now() + exponential(&mut rng, MEAN_LIFE)).collect();
     let mut deaths = Deaths::default();
@@ -91,9 +80,9 @@
         tokio::time::sleep(exponential(&mut rng, mean)).await;
         for (node, ends_at) in nodes.iter_mut().zip(&mut ends_at) {
             if *ends_at <= Instant::now() {
-                node.store.kill();
+                node.link.kill();
                 deaths.deaths += 1;
-                *node = open_node(&mut rng, &service);
+                *node = node::open(&mut rng, &service);
                 *ends_at = Instant::now() + exponential(&mut rng, MEAN_LIFE);
             }
         }
@@ -106,7 +95,7 @@
     tokio::time::sleep(CLAIM_DEADLINE).await;
     deaths.writes = service.calls().1;
     deaths.calls = requests.len() as u64;
-    let judge = open_node(&mut rng, &service);
+    let judge = node::open(&mut rng, &service);
     for request in requests {
         if is_unknown(&judge, request, phases).await {
             deaths.unknown += 1;
@@ -115,13 +104,6 @@
     deaths
 }
 
-fn open_node(rng: &mut SmallRng, service: &Arc<LimitedStore>) -> Node {
-    let store = NodeStore::new(service);
-    let client: Arc<dyn Store> = Arc::new(store.clone());
-    let claims = Arc::new(driver::spawn(NodeId(rng.random()), &client, clock::open()));
-    Node { store, claims }
-}
-
 /// Claim of the phase in which a call is sent.
 fn sent_request(request: ClaimRequest) -> ClaimRequest {
     ClaimRequest { key: ClaimKey(request.key.0 ^ (1 << 100)), answer_bytes: 0, ..request }
@@ -143,10 +125,11 @@
         Phases::WithSend => Some(node.claims.claim(sent_request(request), None, deadline).await),
     };
     tokio::time::sleep(service_time).await;
-    if node.store.is_alive() {
+    if node.link.is_alive() {
         permit.begin().settle(completed()).await;
     }
-    drop(sent);
+    // The phase is one more write, and ends with the settlement of the claim.
+    std::mem::forget(sent);
 }
 
 /// Whether a resend would get `unknown`.
--- a/crates/bench/src/claims/load.rs
+++ b/crates/bench/src/claims/load.rs
@@ -1,20 +1,18 @@
 //! Rate, latency and calls to the service under an offered load.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use citrongw_coordination::{
-    claims::driver::{self, Claimed, Claims},
-    clock,
-};
-use citrongw_protocol::store::Store;
-use citrongw_state::{claim::ClaimRequest, id::NodeId};
+use citrongw_coordination::claims::driver::Claimed;
+use citrongw_protocol::claim::ShardId;
+use citrongw_state::claim::ClaimRequest;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use super::{
-    CLAIM_DEADLINE, NODES, completed, exponential, new_request, run_paused, single,
-    store::{self, LimitedStore, NodeStore},
+    CLAIM_DEADLINE, NODES, completed, exponential, new_request,
+    node::{self, Node},
+    run_paused, single, store,
 };
 use crate::report::Report;
 
@@ -22,6 +20,8 @@
 const SPAN: Duration = Duration::from_secs(4);
 /// Time that a call takes at its service.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Longest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
 /// Time to the shard's owner and back.
 const FORWARD_TIME: Duration = Duration::from_millis(1);
 
@@ -30,7 +30,7 @@
 enum Policy {
     /// As shipped: each node batches its own.
     Batched,
-    /// All nodes pass theirs to one that batches them.
+    /// Each node passes its own to the owner of the shard, which batches them.
     Forwarded,
     /// One write per claim and per settlement.
     Single,
@@ -92,32 +92,28 @@
     writes: u64,
 }
 
-/// A node's way to claim.
-#[derive(Clone)]
-struct NodeWay {
-    id: NodeId,
-    store: NodeStore,
-    claims: Arc<Claims>,
-}
-
 async fn measure(seed: u64, run: Run) -> Load {
     let mut rng = SmallRng::seed_from_u64(seed);
     let service = store::open(Duration::from_millis(run.latency_ms));
-    let nodes = open_nodes(&mut rng, &service, run.policy);
+    let nodes: Vec<Node> = (0..NODES).map(|_| node::open(&mut rng, &service)).collect();
     let started_at = Instant::now();
     let mut tasks = Vec::new();
     while started_at.elapsed() < SPAN {
         tokio::time::sleep(exponential(&mut rng, Duration::from_secs_f64(1.0 / run.rate_per_s)))
             .await;
-        let node = nodes[rng.random_range(0..nodes.len())].clone();
         let request = new_request(&mut rng, run.shards);
+        let node = match run.policy {
+            Policy::Forwarded => ShardId::of(request.key).0 as usize % NODES,
+            Policy::Batched | Policy::Single => rng.random_range(0..NODES),
+        };
+        let node = nodes[node].clone();
         tasks.push(tokio::spawn(call(run.policy, node, request)));
     }
     let mut load = Load {
         offered: tasks.len() as u64,
         completed: 0,
         refused: 0,
-        added_us: Histogram::new(3).expect("three digits are allowed"),
+        added_us: Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("bounds are in order"),
         span: SPAN,
         reads: 0,
         writes: 0,
@@ -136,33 +132,19 @@
     load
 }
 
-fn open_nodes(rng: &mut SmallRng, service: &Arc<LimitedStore>, policy: Policy) -> Vec<NodeWay> {
-    let clock = clock::open();
-    let mut open = || {
-        let (id, store) = (NodeId(rng.random()), NodeStore::new(service));
-        let client: Arc<dyn Store> = Arc::new(store.clone());
-        let claims = Arc::new(driver::spawn(id, &client, clock));
-        NodeWay { id, store, claims }
-    };
-    if policy == Policy::Forwarded {
-        return vec![open()];
-    }
-    (0..NODES).map(|_| open()).collect()
-}
-
 /// One call; gives what the claim and the settlement added to it.
-async fn call(policy: Policy, node: NodeWay, request: ClaimRequest) -> Option<Duration> {
+async fn call(policy: Policy, node: Node, request: ClaimRequest) -> Option<Duration> {
     let asked_at = Instant::now();
     let deadline = asked_at + CLAIM_DEADLINE;
     if policy == Policy::Single {
-        let claim = single::claim(&node.store, node.id, &request);
+        let claim = single::claim(node.store.as_ref(), node.id, &request);
         let claimed = tokio::time::timeout_at(deadline, claim).await;
         if !matches!(claimed, Ok(Ok(true))) {
             return None;
         }
         tokio::time::sleep(SERVICE_TIME).await;
         let end = completed();
-        single::settle(&node.store, request.key, request.attempt, &end).await.ok()?;
+        single::settle(node.store.as_ref(), request.key, request.attempt, &end).await.ok()?;
         return Some(asked_at.elapsed() - SERVICE_TIME);
     }
     if policy == Policy::Forwarded {
--- a/crates/bench/src/claims/outage.rs
+++ b/crates/bench/src/claims/outage.rs
@@ -2,19 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citrongw_coordination::{
-    claims::driver::{self, Claimed, Claims},
-    clock,
-};
+use citrongw_coordination::claims::driver::Claimed;
 use citrongw_fakes::kv::mem::Fault;
-use citrongw_protocol::{claim::SHARDS, store::Store};
-use citrongw_state::id::NodeId;
+use citrongw_protocol::claim::SHARDS;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 
 use super::{
-    CLAIM_DEADLINE, NODES, completed, exponential, new_request, run_paused,
-    store::{self, NodeStore},
+    CLAIM_DEADLINE, NODES, completed, exponential, new_request,
+    node::{self, Node},
+    run_paused, store,
 };
 use crate::report::Report;
 
@@ -53,22 +50,25 @@
 async fn measure(seed: u64, fault: Fault) -> Outage {
     let mut rng = SmallRng::seed_from_u64(seed);
     let service = store::open(Duration::from_millis(5));
-    let nodes: Vec<Arc<Claims>> = (0..NODES)
-        .map(|_| {
-            let client: Arc<dyn Store> = Arc::new(NodeStore::new(&service));
-            Arc::new(driver::spawn(NodeId(rng.random()), &client, clock::open()))
-        })
-        .collect();
+    let nodes: Vec<Node> = (0..NODES).map(|_| node::open(&mut rng, &service)).collect();
     let started_at = Instant::now();
     let (begins_at, ends_at) = (started_at + BEFORE, started_at + BEFORE + OUTAGE);
+    let (mut sent_before, mut sent_inside) = (None, None);
     let mut tasks = Vec::new();
     while Instant::now() < ends_at + AFTER {
         let mean = Duration::from_secs_f64(1.0 / RATE_PER_S);
         tokio::time::sleep(exponential(&mut rng, mean)).await;
         let now = Instant::now();
         let is_out = begins_at <= now && now < ends_at;
+        match is_out {
+            true if sent_before.is_none() => sent_before = Some(service.sent()),
+            false if ends_at <= now && sent_inside.is_none() => {
+                sent_inside = sent_before.map(|before| service.sent() - before);
+            }
+            _ => {}
+        }
         service.inner.set_fault(if is_out { fault } else { Fault::None });
-        let claims = Arc::clone(&nodes[rng.random_range(0..nodes.len())]);
+        let claims = Arc::clone(&nodes[rng.random_range(0..NODES)].claims);
         let request = new_request(&mut rng, SHARDS);
         tasks.push(tokio::spawn(async move {
             let claimed = claims.claim(request, None, now + CLAIM_DEADLINE).await;
@@ -82,13 +82,12 @@
     for task in tasks {
         calls.extend(task.await.ok());
     }
-    let failures: u64 = nodes.iter().map(|it| it.counters().snapshot().failures).sum();
-    summarise(&calls, begins_at, ends_at, failures)
+    summarise(&calls, begins_at, ends_at, sent_inside.unwrap_or_default())
 }
 
 type Call = (Instant, Option<Instant>);
 
-fn summarise(calls: &[Call], begins_at: Instant, ends_at: Instant, failures: u64) -> Outage {
+fn summarise(calls: &[Call], begins_at: Instant, ends_at: Instant, sent: u64) -> Outage {
     let inside: Vec<&Call> =
         calls.iter().filter(|(at, _)| begins_at <= *at && *at + CLAIM_DEADLINE < ends_at).collect();
     let refused = inside.iter().filter(|(_, won_at)| won_at.is_none()).count();
@@ -103,6 +102,6 @@
         first,
         all,
         refused: refused as f64 / inside.len() as f64,
-        calls_per_s: failures as f64 / OUTAGE.as_secs_f64(),
+        calls_per_s: sent as f64 / OUTAGE.as_secs_f64(),
     }
 }
--- a/crates/bench/src/claims/store.rs
+++ b/crates/bench/src/claims/store.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -31,6 +31,7 @@
     pub inner: MemStore,
     write_slots: Slots,
     read_slots: Slots,
+    sent: AtomicU64,
 }
 
 /// Opens an empty service that takes `latency` for each call.
@@ -39,11 +40,16 @@
     inner.set_latency(latency);
     let write_slots = Slots::new(WRITES_PER_S);
     let read_slots = Slots::new(READS_PER_S);
-    Arc::new(LimitedStore { inner, write_slots, read_slots })
+    Arc::new(LimitedStore { inner, write_slots, read_slots, sent: AtomicU64::new(0) })
 }
 
 impl LimitedStore {
-    /// Calls so far, reads and writes.
+    /// Calls that nodes made, answered or not.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Calls that were carried out, reads and writes.
     pub fn calls(&self) -> (u64, u64) {
         self.inner.inspect(|core| (core.reads, core.writes))
     }
@@ -103,6 +109,7 @@
         if !self.is_alive() {
             return future::pending().await;
         }
+        self.shared.sent.fetch_add(1, Ordering::Relaxed);
         let task = tokio::spawn(async move {
             tokio::time::sleep_until(slot).await;
             call.await
--- a/crates/citrongw/src/caller/service.rs
+++ b/crates/citrongw/src/caller/service.rs
@@ -15,9 +15,10 @@
 use citrongw_coordination::{
     claims::{self, driver::Claims},
     clock::Clock,
+    node_view::NodeView,
 };
 use citrongw_protocol::{code::ResultCode, store::Store};
-use citrongw_state::{config::CallClass, id::NodeId};
+use citrongw_state::config::CallClass;
 use citrongw_transport::http_client::{self, HttpClient};
 use viz::{Request, Response};
 
@@ -36,11 +37,11 @@
 }
 
 /// Opens the clients.
-pub fn open(node: NodeId, store: &Arc<dyn Store>, clock: Clock) -> ServiceClients {
+pub fn open(nodes: &Arc<NodeView>, store: &Arc<dyn Store>, clock: Clock) -> ServiceClients {
     ServiceClients {
         http: http_client::open(),
         once_http: http_client::open(),
-        claims: claims::driver::spawn(node, store, clock),
+        claims: claims::driver::spawn(nodes, store, clock),
     }
 }
 
--- a/crates/coordination/src/claims/driver.rs
+++ b/crates/coordination/src/claims/driver.rs
@@ -16,7 +16,7 @@
 };
 use citrongw_state::{
     claim::{ClaimKey, ClaimRequest, Settlement},
-    id::{AttemptId, NodeId},
+    id::AttemptId,
 };
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use tokio::{
@@ -28,11 +28,14 @@
     counters::{ClaimCounters, Counted},
     permit::{Guard, Held, Permit},
     shard::{self, Action, Event, Op, Shard, Verdict},
+    turns::{self, TurnPermit, Turns},
 };
-use crate::clock::Clock;
+use crate::{clock::Clock, node_view::NodeView};
 
 /// Attempts of one shard at one node that have not ended, at most.
 const MAX_ATTEMPTS: usize = 4096;
+/// Time without an event after which a shard's claims are forgotten.
+const IDLE_TIME: Duration = Duration::from_secs(30);
 /// Pause between two looks at whether all attempts have ended.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -95,8 +98,10 @@
 }
 
 /// Spawns the drivers of every shard.
-pub fn spawn(node: NodeId, store: &Arc<dyn Store>, clock: Clock) -> Claims {
+pub fn spawn(nodes: &Arc<NodeView>, store: &Arc<dyn Store>, clock: Clock) -> Claims {
     let counters = Arc::<ClaimCounters>::default();
+    let turns = Arc::new(turns::open(clock, Arc::clone(nodes)));
+    let node = nodes.this().id;
     let shards = (0..SHARDS).map(|id| {
         let shard = shard::open(ShardId(id), node, rand::random(), Arc::clone(&counters));
         let (commands_tx, commands_rx) = mpsc::unbounded_channel();
@@ -107,6 +112,9 @@
             store: Arc::clone(store),
             commands_rx,
             events: FuturesUnordered::new(),
+            turns: Arc::clone(&turns),
+            turn: None,
+            turns_rx: FuturesUnordered::new(),
             verdict_txs: HashMap::new(),
             done_txs: HashMap::new(),
             attempts: Arc::clone(&attempts),
@@ -172,6 +180,9 @@
     store: Arc<dyn Store>,
     commands_rx: mpsc::UnboundedReceiver<Command>,
     events: FuturesUnordered<BoxFuture<'static, Event>>,
+    turns: Arc<Turns>,
+    turn: Option<TurnPermit>,
+    turns_rx: FuturesUnordered<BoxFuture<'static, TurnPermit>>,
     verdict_txs: HashMap<AttemptId, oneshot::Sender<Verdict>>,
     done_txs: HashMap<AttemptId, oneshot::Sender<()>>,
     attempts: Arc<AtomicUsize>,
@@ -186,6 +197,14 @@
                     None => return,
                 },
                 Some(event) = self.events.next() => event,
+                () = tokio::time::sleep(IDLE_TIME), if self.shard.knows_claims() => {
+                    self.shard.forget_claims();
+                    continue;
+                }
+                Some(turn) = self.turns_rx.next() => {
+                    self.turn = Some(turn);
+                    Event::Turn
+                }
             };
             for action in self.shard.step(event, self.clock.now()) {
                 self.carry_out(action);
@@ -224,6 +243,11 @@
                 }
                 .boxed(),
             ),
+            Action::WantTurn => {
+                let turns = Arc::clone(&self.turns);
+                self.turns_rx.push(async move { turns.take().await }.boxed());
+            }
+            Action::EndTurn => self.turn = None,
             // Whoever stopped waiting has given up its attempt by its guard.
             Action::Answer(attempt, verdict) => {
                 let verdict_tx = self.verdict_txs.remove(&attempt);
--- a/crates/coordination/src/claims/shard.rs
+++ b/crates/coordination/src/claims/shard.rs
@@ -1,6 +1,10 @@
 //! Step function of one shard: all claims and settlements that wait share one
 //! compare-and-swap, and one call to the service is in flight at a time.
 //!
+//! Calls are made in turns, which the node grants to its shards at the rate
+//! that the service takes. The batch is made up when the turn comes, so that
+//! whatever waited for it shares the write.
+//!
 //! A write without an answer may still take effect, as long as the value it
 //! expects stands there. Nothing is concluded from its absence until a value
 //! of a later revision has been seen: the shard is read back, each operation
@@ -73,6 +77,8 @@
     WriteDone(StoreResult<WriteResult>),
     /// The pause is over.
     Resumed,
+    /// The shard may call the service until it ends its turn.
+    Turn,
 }
 
 /// What to do.
@@ -84,6 +90,10 @@
     Write(Write),
     /// Resume after a pause.
     Pause(Duration),
+    /// Grant a turn when one is free.
+    WantTurn,
+    /// Take the turn back.
+    EndTurn,
     /// Tell an attempt what became of its claim.
     Answer(AttemptId, Verdict),
     /// Tell an attempt that its end is recorded.
@@ -96,6 +106,8 @@
     id: ShardId,
     node: NodeId,
     view: Option<View>,
+    /// What a write on the newest value ever seen expects.
+    newest: Option<Expected>,
     first_seen: HashMap<AttemptId, Time>,
     queue: VecDeque<Queued>,
     call: Option<Call>,
@@ -103,12 +115,26 @@
     doubt: Option<Expected>,
     read_first: bool,
     contended: bool,
+    turn: Turn,
     failures: u32,
     conflicts: u32,
     rng: SmallRng,
     counters: Arc<ClaimCounters>,
 }
 
+/// Right to call the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Turn {
+    /// Neither held nor asked for.
+    None,
+    /// Asked for.
+    Wanted,
+    /// Held, until a write is committed or a call fails.
+    Held,
+    /// Held, and nothing more to be called.
+    Over,
+}
+
 #[derive(Debug)]
 struct Queued {
     op: Op,
@@ -139,12 +165,14 @@
         id,
         node,
         view: None,
+        newest: None,
         first_seen: HashMap::new(),
         queue: VecDeque::new(),
         call: None,
         doubt: None,
         read_first: false,
         contended: false,
+        turn: Turn::None,
         failures: 0,
         conflicts: 0,
         rng: SmallRng::seed_from_u64(seed),
@@ -161,11 +189,41 @@
             Event::ReadDone(res) => self.end_read(res, now, &mut actions),
             Event::WriteDone(res) => self.end_write(res, now, &mut actions),
             Event::Resumed => self.call = None,
+            Event::Turn => self.turn = Turn::Held,
+        }
+        if self.turn == Turn::Held {
+            self.pump(now, &mut actions);
         }
-        self.pump(now, &mut actions);
+        self.pass_turn(&mut actions);
         actions
     }
 
+    /// Ends a turn in which no call is in flight, and asks for the next one.
+    fn pass_turn(&mut self, actions: &mut Vec<Action>) {
+        let is_calling = matches!(self.call, Some(Call::Read { .. } | Call::Write { .. }));
+        if matches!(self.turn, Turn::Held | Turn::Over) && !is_calling {
+            self.turn = Turn::None;
+            actions.push(Action::EndTurn);
+        }
+        if self.turn == Turn::None && self.call.is_none() && !self.queue.is_empty() {
+            self.turn = Turn::Wanted;
+            actions.push(Action::WantTurn);
+        }
+    }
+
+    /// Whether the claims of the shard are held.
+    pub fn knows_claims(&self) -> bool {
+        self.view.is_some()
+    }
+
+    /// Frees the memory of a shard that is not in use. What is known of the ages
+    /// of its claims stays.
+    pub fn forget_claims(&mut self) {
+        if self.call.is_none() && self.queue.is_empty() {
+            self.view = None;
+        }
+    }
+
     fn submit(&mut self, op: Op, now: Time, actions: &mut Vec<Action>) {
         if let Op::Settle { attempt, settlement: Settlement::NotRun, .. } = &op {
             let attempt = *attempt;
@@ -196,13 +254,13 @@
         let Some(Call::Read { asked_at }) = self.call.take() else { return };
         match res {
             Ok(snapshot) => {
-                let before = self.view.as_ref().map(|it| it.expected);
+                let before = self.newest;
                 if !self.learn(snapshot.into_entry(), asked_at, now) {
                     return self.fail(actions);
                 }
                 self.failures = 0;
                 self.read_first = false;
-                if before == self.view.as_ref().map(|it| it.expected) {
+                if before == self.newest {
                     self.contended = false;
                 }
             }
@@ -214,6 +272,7 @@
         let Some(Call::Write { asked_at, base, table, ops }) = self.call.take() else { return };
         match res {
             Ok(WriteResult::Committed(revision)) => {
+                self.turn = Turn::Over;
                 self.commit(revision, table, asked_at, now);
                 self.deliver(ops, actions);
             }
@@ -242,7 +301,7 @@
     /// Takes in a value. False if it can't be trusted.
     fn learn(&mut self, entry: Option<Entry>, asked_at: Time, now: Time) -> bool {
         let Some(view) = view::read(entry, asked_at, now) else { return false };
-        if self.view.as_ref().is_some_and(|it| view.is_before(it)) {
+        if self.newest.is_some_and(|newest| view::is_before(view.expected, newest)) {
             return false;
         }
         self.take_view(view, now);
@@ -268,6 +327,7 @@
             }
         }
         self.first_seen = first_seen;
+        self.newest = Some(view.expected);
         self.view = Some(view);
     }
 
--- a/crates/coordination/src/claims/shard/tests.rs
+++ b/crates/coordination/src/claims/shard/tests.rs
@@ -12,6 +12,16 @@
     open(ShardId(0), NODE, 1, Arc::default())
 }
 
+/// Steps with a turn that is always free.
+fn step(shard: &mut Shard, event: Event, now: Time) -> Vec<Action> {
+    let mut actions = shard.step(event, now);
+    if actions.contains(&Action::WantTurn) {
+        actions.extend(shard.step(Event::Turn, now));
+    }
+    actions.retain(|it| !matches!(it, Action::WantTurn | Action::EndTurn));
+    actions
+}
+
 fn at(millis: u64) -> Time {
     Time::from_millis(millis)
 }
@@ -59,11 +69,11 @@
 /// A shard whose claim of key 1 by attempt 1 was written without an answer.
 fn in_doubt() -> (Shard, ClaimTable) {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    let (_, table) = written(&shard.step(read_done(0, None), at(1)));
-    let actions = shard.step(Event::WriteDone(Err(StoreError::NoAnswer)), at(2));
+    step(&mut shard, claim_of(1, 1), at(0));
+    let (_, table) = written(&step(&mut shard, read_done(0, None), at(1)));
+    let actions = step(&mut shard, Event::WriteDone(Err(StoreError::NoAnswer)), at(2));
     assert!(matches!(actions[..], [Action::Pause(_)]));
-    let actions = shard.step(Event::Resumed, at(9));
+    let actions = step(&mut shard, Event::Resumed, at(9));
     assert_eq!(actions, [Action::Read(ShardId(0).key())]);
     (shard, table)
 }
@@ -71,38 +81,51 @@
 #[test]
 fn what_waits_shares_one_write() {
     let mut shard = open_shard();
-    assert_eq!(shard.step(claim_of(1, 1), at(0)), [Action::Read(ShardId(0).key())]);
-    assert!(shard.step(claim_of(2, 2), at(0)).is_empty());
-    let (expected, table) = written(&shard.step(read_done(0, None), at(1)));
+    assert_eq!(step(&mut shard, claim_of(1, 1), at(0)), [Action::Read(ShardId(0).key())]);
+    assert!(step(&mut shard, claim_of(2, 2), at(0)).is_empty());
+    let (expected, table) = written(&step(&mut shard, read_done(0, None), at(1)));
     assert_eq!((expected, table.len()), (Expected::Absent, 2));
-    assert!(shard.step(claim_of(3, 3), at(1)).is_empty());
-    let actions = shard.step(committed(5), at(2));
+    assert!(step(&mut shard, claim_of(3, 3), at(1)).is_empty());
+    let actions = step(&mut shard, committed(5), at(2));
     let won = |attempt| Action::Answer(AttemptId(attempt), Verdict::Won);
     assert_eq!(actions[..2], [won(1), won(2)]);
     let (expected, table) = written(&actions[2..]);
     assert_eq!((expected, table.len()), (Expected::Revision(Revision(5)), 3));
 }
 
+#[test]
+fn a_batch_is_made_up_when_its_turn_comes() {
+    let mut shard = open_shard();
+    assert_eq!(shard.step(claim_of(1, 1), at(0)), [Action::WantTurn]);
+    assert!(shard.step(claim_of(2, 2), at(0)).is_empty());
+    assert_eq!(shard.step(Event::Turn, at(5)), [Action::Read(ShardId(0).key())]);
+    assert!(shard.step(claim_of(3, 3), at(6)).is_empty());
+    let (_, table) = written(&shard.step(read_done(0, None), at(7)));
+    assert_eq!(table.len(), 3);
+    let actions = shard.step(committed(1), at(8));
+    assert_eq!(actions.last(), Some(&Action::EndTurn));
+}
+
 #[test]
 fn a_lost_reply_is_read_back_by_attempt() {
     // It took effect.
     let (mut shard, table) = in_doubt();
-    let actions = shard.step(read_done(1, found(1, &table)), at(10));
+    let actions = step(&mut shard, read_done(1, found(1, &table)), at(10));
     assert_eq!(actions, [Action::Answer(AttemptId(1), Verdict::Won)]);
 
     // It has not taken effect: it is written again on the same value.
     let (mut shard, _) = in_doubt();
-    let (expected, table) = written(&shard.step(read_done(0, None), at(10)));
+    let (expected, table) = written(&step(&mut shard, read_done(0, None), at(10)));
     assert_eq!(expected, Expected::Absent);
     // The first copy comes late and wins.
     let conflict = Event::WriteDone(Ok(WriteResult::Conflict(found(1, &table))));
-    assert_eq!(shard.step(conflict, at(11)), [Action::Answer(AttemptId(1), Verdict::Won)]);
+    assert_eq!(step(&mut shard, conflict, at(11)), [Action::Answer(AttemptId(1), Verdict::Won)]);
 
     // Another attempt was first.
     let (mut shard, _) = in_doubt();
     let mut other = ClaimTable::default();
     other.open(&request(1, 2), NodeId(2));
-    let actions = shard.step(read_done(1, found(1, &other)), at(10));
+    let actions = step(&mut shard, read_done(1, found(1, &other)), at(10));
     let verdict = Verdict::Open { node: NodeId(2), attempt: AttemptId(2) };
     assert_eq!(actions, [Action::Answer(AttemptId(1), verdict)]);
 }
@@ -110,76 +133,99 @@
 #[test]
 fn a_claim_given_up_in_doubt_is_ended_by_a_write() {
     let (mut shard, _) = in_doubt();
-    assert!(shard.step(end(1, 1, Settlement::NotRun), at(9)).is_empty());
+    assert!(step(&mut shard, end(1, 1, Settlement::NotRun), at(9)).is_empty());
     // The claim is not there yet; a write makes sure that it never will be.
-    let (expected, table) = written(&shard.step(read_done(0, None), at(10)));
+    let (expected, table) = written(&step(&mut shard, read_done(0, None), at(10)));
     assert_eq!((expected, table.len()), (Expected::Absent, 0));
-    assert_eq!(shard.step(committed(1), at(11)), [Action::Ended(AttemptId(1))]);
+    assert_eq!(step(&mut shard, committed(1), at(11)), [Action::Ended(AttemptId(1))]);
 }
 
 #[test]
 fn a_claim_given_up_before_any_write_needs_no_call() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    let actions = shard.step(end(1, 1, Settlement::NotRun), at(1));
+    step(&mut shard, claim_of(1, 1), at(0));
+    let actions = step(&mut shard, end(1, 1, Settlement::NotRun), at(1));
     assert_eq!(actions, [Action::Ended(AttemptId(1))]);
-    assert!(shard.step(read_done(0, None), at(2)).is_empty());
+    assert!(step(&mut shard, read_done(0, None), at(2)).is_empty());
 }
 
 #[test]
 fn a_claim_given_up_in_flight_is_withdrawn_after_its_commit() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    shard.step(read_done(0, None), at(1));
-    shard.step(end(1, 1, Settlement::NotRun), at(2));
-    let (_, table) = written(&shard.step(committed(1), at(3)));
+    step(&mut shard, claim_of(1, 1), at(0));
+    step(&mut shard, read_done(0, None), at(1));
+    step(&mut shard, end(1, 1, Settlement::NotRun), at(2));
+    let (_, table) = written(&step(&mut shard, committed(1), at(3)));
     assert!(table.is_empty());
-    assert_eq!(shard.step(committed(2), at(4)), [Action::Ended(AttemptId(1))]);
+    assert_eq!(step(&mut shard, committed(2), at(4)), [Action::Ended(AttemptId(1))]);
 }
 
 #[test]
 fn a_claim_of_another_attempt_is_answered_from_a_read_after_the_question() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    shard.step(read_done(0, None), at(1));
-    shard.step(committed(1), at(2));
-    assert_eq!(shard.step(claim_of(1, 2), at(3)), [Action::Read(ShardId(0).key())]);
+    step(&mut shard, claim_of(1, 1), at(0));
+    step(&mut shard, read_done(0, None), at(1));
+    step(&mut shard, committed(1), at(2));
+    assert_eq!(step(&mut shard, claim_of(1, 2), at(3)), [Action::Read(ShardId(0).key())]);
     let mut table = ClaimTable::default();
     table.open(&request(1, 1), NODE);
     let outcome = SettledOutcome::Unknown;
     table.settle(ClaimKey(1), AttemptId(1), &Settlement::Sent(outcome.clone()));
-    let actions = shard.step(read_done(2, found(2, &table)), at(4));
+    let actions = step(&mut shard, read_done(2, found(2, &table)), at(4));
     let verdict = Verdict::Settled { outcome, attempt: AttemptId(1) };
     assert_eq!(actions, [Action::Answer(AttemptId(2), verdict)]);
     // A settled claim too: it may have been dropped and its key used again.
-    assert_eq!(shard.step(claim_of(1, 3), at(5)), [Action::Read(ShardId(0).key())]);
+    assert_eq!(step(&mut shard, claim_of(1, 3), at(5)), [Action::Read(ShardId(0).key())]);
 }
 
 #[test]
 fn a_settled_claim_is_dropped_after_its_retention_by_the_next_write() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    shard.step(read_done(0, None), at(1));
-    shard.step(committed(1), at(2));
-    shard.step(end(1, 1, Settlement::Sent(SettledOutcome::Unknown)), at(3));
-    shard.step(committed(2), at(10));
-    let (_, table) = written(&shard.step(claim_of(2, 2), at(60_009)));
+    step(&mut shard, claim_of(1, 1), at(0));
+    step(&mut shard, read_done(0, None), at(1));
+    step(&mut shard, committed(1), at(2));
+    step(&mut shard, end(1, 1, Settlement::Sent(SettledOutcome::Unknown)), at(3));
+    step(&mut shard, committed(2), at(10));
+    let (_, table) = written(&step(&mut shard, claim_of(2, 2), at(60_009)));
     assert_eq!(table.len(), 2);
-    shard.step(committed(3), at(60_009));
-    let (_, table) = written(&shard.step(claim_of(3, 3), at(60_010)));
+    step(&mut shard, committed(3), at(60_009));
+    let (_, table) = written(&step(&mut shard, claim_of(3, 3), at(60_010)));
     assert_eq!(table.len(), 2);
     assert!(table.get(ClaimKey(1)).is_none());
 }
 
+#[test]
+fn ages_outlast_forgotten_claims() {
+    let mut shard = open_shard();
+    let mut table = ClaimTable::default();
+    table.open(&request(1, 1), NODE);
+    table.settle(ClaimKey(1), AttemptId(1), &Settlement::Sent(SettledOutcome::Unknown));
+    step(&mut shard, claim_of(2, 2), at(0));
+    written(&step(&mut shard, read_done(1, found(1, &table)), at(1)));
+    step(&mut shard, committed(2), at(2));
+    shard.forget_claims();
+    assert!(!shard.knows_claims());
+    let actions = step(&mut shard, claim_of(3, 3), at(60_001));
+    assert_eq!(actions, [Action::Read(ShardId(0).key())]);
+    let (_, table) = written(&step(&mut shard, read_done(2, found(2, &table)), at(60_002)));
+    assert!(table.get(ClaimKey(1)).is_none());
+    // Nor is an older value believed then.
+    shard.step(committed(3), at(60_003));
+    shard.forget_claims();
+    step(&mut shard, claim_of(4, 4), at(60_004));
+    let actions = step(&mut shard, read_done(2, None), at(60_005));
+    assert!(matches!(actions[..], [Action::Pause(_)]));
+}
+
 #[test]
 fn a_full_shard_refuses_and_still_settles() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
+    step(&mut shard, claim_of(1, 1), at(0));
     let mut table = ClaimTable::default();
     let mut big = request(2, 2);
     big.answer_bytes = u32::try_from(claim::SHARD_LIMIT_BYTES).unwrap() - 200;
     table.open(&big, NODE);
-    let actions = shard.step(read_done(1, found(1, &table)), at(1));
+    let actions = step(&mut shard, read_done(1, found(1, &table)), at(1));
     assert_eq!(actions, [Action::Answer(AttemptId(1), Verdict::Full)]);
     let body = vec![7; claim::SHARD_LIMIT_BYTES - 200];
     let answer = citrongw_state::claim::StoredAnswer {
@@ -188,7 +234,7 @@
         body: citrongw_state::claim::StoredBody::Whole(Bytes::from(body)),
     };
     let settlement = Settlement::Sent(SettledOutcome::Completed(answer));
-    let actions = shard.step(end(2, 2, settlement), at(2));
+    let actions = step(&mut shard, end(2, 2, settlement), at(2));
     let [Action::Write(write)] = &actions[..] else { panic!() };
     let Change::Put(value) = &write.change else { panic!() };
     assert!(value.len() < citrongw_protocol::store::MAX_VALUE_BYTES);
@@ -197,10 +243,10 @@
 #[test]
 fn a_value_of_an_older_revision_is_not_believed() {
     let mut shard = open_shard();
-    shard.step(claim_of(1, 1), at(0));
-    shard.step(read_done(5, found(5, &ClaimTable::default())), at(1));
-    shard.step(committed(6), at(2));
-    shard.step(claim_of(1, 2), at(3));
-    let actions = shard.step(read_done(4, None), at(4));
+    step(&mut shard, claim_of(1, 1), at(0));
+    step(&mut shard, read_done(5, found(5, &ClaimTable::default())), at(1));
+    step(&mut shard, committed(6), at(2));
+    step(&mut shard, claim_of(1, 2), at(3));
+    let actions = step(&mut shard, read_done(4, None), at(4));
     assert!(matches!(actions[..], [Action::Pause(_)]));
 }
--- a/crates/coordination/src/claims/shard/view.rs
+++ b/crates/coordination/src/claims/shard/view.rs
@@ -36,13 +36,11 @@
     Some(View { expected: Expected::Revision(entry.revision), table, asked_at, learnt_at })
 }
 
-impl View {
-    /// Whether it is older than `known`, which a sound service never shows.
-    pub(super) fn is_before(&self, known: &Self) -> bool {
-        match (self.expected, known.expected) {
-            (Expected::Revision(this), Expected::Revision(known)) => this < known,
-            (Expected::Absent, Expected::Revision(_)) => true,
-            (_, Expected::Absent) => false,
-        }
+/// Whether a value is older than `newest`, which a sound service never shows.
+pub(super) fn is_before(value: Expected, newest: Expected) -> bool {
+    match (value, newest) {
+        (Expected::Revision(value), Expected::Revision(newest)) => value < newest,
+        (Expected::Absent, Expected::Revision(_)) => true,
+        (_, Expected::Absent) => false,
     }
 }
--- a/crates/coordination/tests/claim_histories/event.rs
+++ b/crates/coordination/tests/claim_histories/event.rs
@@ -96,6 +96,8 @@
     Request(Call),
     /// A reply of the store to a call of one start.
     Store(Origin, StoreReply),
+    /// The turn of the shard of one start.
+    Turn(u64),
     /// Something of an attempt of one start.
     Attempt(u64, AttemptId, AttemptEvent),
 }
--- a/crates/coordination/tests/claim_histories/node.rs
+++ b/crates/coordination/tests/claim_histories/node.rs
@@ -110,7 +110,8 @@
             NodeEvent::Attempt(start, attempt, event) if start == self.start => {
                 self.attempt_event(world, attempt, event);
             }
-            NodeEvent::Attempt(..) => {}
+            NodeEvent::Turn(start) if start == self.start => self.step(world, Event::Turn),
+            NodeEvent::Attempt(..) | NodeEvent::Turn(_) => {}
         }
     }
 
@@ -213,6 +214,12 @@
                     let event = NodeEvent::Store(self.origin(), StoreReply::Resumed);
                     world.after(span, Place::Node(self.place, event));
                 }
+                Action::WantTurn => {
+                    let delay = world.micros(0..=2_000);
+                    let event = NodeEvent::Turn(self.start);
+                    world.after(delay, Place::Node(self.place, event));
+                }
+                Action::EndTurn => {}
                 Action::Answer(attempt, verdict) => self.verdict(world, attempt, verdict),
                 Action::Ended(attempt) => self.ended(world, attempt),
             }
