Count each write against the turns of a node

A turn that met a conflict wrote again without taking a turn, so that a node under contention went above its share, its guard delayed the writes, and they met newer values.

--- a/crates/coordination/src/claims/driver.rs
+++ b/crates/coordination/src/claims/driver.rs
@@ -114,6 +114,7 @@
             events: FuturesUnordered::new(),
             turns: Arc::clone(&turns),
             turn: None,
+            has_written: false,
             turns_rx: FuturesUnordered::new(),
             verdict_txs: HashMap::new(),
             done_txs: HashMap::new(),
@@ -182,6 +183,8 @@
     events: FuturesUnordered<BoxFuture<'static, Event>>,
     turns: Arc<Turns>,
     turn: Option<TurnPermit>,
+    /// Whether the turn has seen a write.
+    has_written: bool,
     turns_rx: FuturesUnordered<BoxFuture<'static, TurnPermit>>,
     verdict_txs: HashMap<AttemptId, oneshot::Sender<Verdict>>,
     done_txs: HashMap<AttemptId, oneshot::Sender<()>>,
@@ -233,9 +236,13 @@
             Action::Read(key) => {
                 self.events.push(async move { Event::ReadDone(store.get(key).await) }.boxed());
             }
-            Action::Write(write) => self
-                .events
-                .push(async move { Event::WriteDone(store.compare_and_swap(write).await) }.boxed()),
+            Action::Write(write) => {
+                if std::mem::replace(&mut self.has_written, true) {
+                    self.turns.add_write();
+                }
+                let write = async move { Event::WriteDone(store.compare_and_swap(write).await) };
+                self.events.push(write.boxed());
+            }
             Action::Pause(span) => self.events.push(
                 async move {
                     tokio::time::sleep(span).await;
@@ -247,7 +254,10 @@
                 let turns = Arc::clone(&self.turns);
                 self.turns_rx.push(async move { turns.take().await }.boxed());
             }
-            Action::EndTurn => self.turn = None,
+            Action::EndTurn => {
+                self.turn = None;
+                self.has_written = false;
+            }
             // Whoever stopped waiting has given up its attempt by its guard.
             Action::Answer(attempt, verdict) => {
                 let verdict_tx = self.verdict_txs.remove(&attempt);
--- a/crates/coordination/src/claims/turns.rs
+++ b/crates/coordination/src/claims/turns.rs
@@ -14,12 +14,14 @@
 
 use crate::{clock::Clock, node_view::NodeView, store_guard::WRITES_PER_S};
 
+/// Part of a node's share of the writes that its claims take.
+const CLAIMS_PART: f64 = 0.9;
 /// Turns a second that a node may always take.
 const MIN_TURNS_PER_S: f64 = 2.0;
 /// Turns at once.
 const MAX_TURNS: usize = 8;
 /// Time whose turns may be taken at once.
-const BURST: Duration = Duration::from_secs(2);
+const BURST: Duration = Duration::from_secs(1);
 
 /// Turns of one node.
 #[derive(Debug)]
@@ -52,9 +54,14 @@
         TurnPermit { _place: place }
     }
 
+    /// Counts a further write in a turn.
+    pub(super) fn add_write(&self) {
+        self.next_turn();
+    }
+
     fn next_turn(&self) -> Time {
         let nodes = self.nodes.alive().len().max(1) as f64;
-        let per_s = (WRITES_PER_S / nodes).max(MIN_TURNS_PER_S);
+        let per_s = (WRITES_PER_S * CLAIMS_PART / nodes).max(MIN_TURNS_PER_S);
         let mut next_at = self.next_at.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
         let turn = (*next_at).max(now - BURST);
