Pay retries of plain services from the node's budget

Idempotent calls were retried by a rule of their own. They now ask the retry decision of the node, with its budget and pauses, and count their successes; organisations' limits hold for plain services too, and a caller whose call still runs is told when to ask again. A call without a key where none is required ends at its deadline.

--- a/crates/citrongw/src/caller/refusal.rs
+++ b/crates/citrongw/src/caller/refusal.rs
@@ -40,7 +40,8 @@
 pub(super) fn body(failure: impl Into<Failure>, request: RequestId) -> ErrorBody {
     let failure = failure.into();
     let mut body = ErrorBody::new(failure.code, request);
-    if matches!(failure.code.http_status(), 429 | 503) {
+    let helps = matches!(failure.code.http_status(), 429 | 503);
+    if helps || failure.code == ResultCode::StillRunning {
         let retry_after = failure.retry_after.unwrap_or(RETRY_AFTER);
         // A part of a second counts as a whole one.
         body.error.retry_after_s = Some(retry_after.as_millis().div_ceil(1000).max(1) as u64);
--- a/crates/citrongw/src/caller/service/at_most_once.rs
+++ b/crates/citrongw/src/caller/service/at_most_once.rs
@@ -40,10 +40,7 @@
     let key = match &call.key {
         Some(key) => ClaimKey::of(&call.caller.organisation, &call.caller.service, key),
         None if call.rule.key_required => return Err(ResultCode::KeyMissing),
-        None => {
-            let res = send_once(shared, &call).await;
-            return res.map_err(|error| repeat::failure(shared, &call, error));
-        }
+        None => return run_unclaimed(shared, &call).await,
     };
     let deadline = shared.clock.instant(call.deadline());
     let (answer_tx, answer_rx) = oneshot::channel();
@@ -63,6 +60,14 @@
     }
 }
 
+/// Sends a call without a key, which no resend can be told apart from.
+async fn run_unclaimed(shared: &Shared, call: &Call) -> Answer {
+    let deadline = shared.clock.instant(call.deadline());
+    let res = tokio::time::timeout_at(deadline, send_once(shared, call)).await;
+    let res = res.unwrap_or(Err(SendError::BrokenOff));
+    res.map_err(|error| repeat::failure(shared, call, error))
+}
+
 async fn run_claimed(
     shared: &Shared,
     call: &Call,
--- a/crates/citrongw/src/caller/service/call.rs
+++ b/crates/citrongw/src/caller/service/call.rs
@@ -81,6 +81,9 @@
 ) -> Result<Call, ResultCode> {
     let caller = auth::find(shared, &req)?;
     entry.set_organisation(&caller.organisation);
+    if caller.limit.as_ref().is_some_and(|it| it.take(shared.clock.now()).is_err()) {
+        return Err(ResultCode::LimitReached);
+    }
     let (name, path) = split_path(req.uri().path())?;
     let (service, rule) = find_rule(shared, name, req.method(), path)?;
     let query = req.uri().query().map(|it| format!("?{it}")).unwrap_or_default();
--- a/crates/citrongw/src/caller/service/repeat.rs
+++ b/crates/citrongw/src/caller/service/repeat.rs
@@ -1,10 +1,15 @@
 //! Exchanges that may be repeated: sent again after a lost reply, within a
-//! deadline and the attempts of the profile.
+//! deadline, the attempts of the profile and the retry budget of the node.
 
 use std::time::Duration;
 
-use citrongw_protocol::code::ResultCode;
-use citrongw_state::{claim::ClaimKey, time::Time};
+use citrongw_protocol::{code::ResultCode, decision::Decision};
+use citrongw_state::{
+    claim::ClaimKey,
+    config::CallClass,
+    retry::{self, FailedAttempt, Reached},
+    time::Time,
+};
 
 use super::{
     answer::BackendAnswer,
@@ -13,10 +18,6 @@
 };
 use crate::node::Shared;
 
-/// Longest pause before the second attempt; doubles with each further one.
-const RETRY_PAUSE: Duration = Duration::from_millis(10);
-/// Most doublings of that pause.
-const MAX_DOUBLINGS: u32 = 6;
 /// Answers with which a backend server asks to be called again.
 const RETRIED_STATUSES: [u16; 3] = [502, 503, 504];
 
@@ -26,39 +27,62 @@
     res.map_err(|error| failure(shared, call, error))
 }
 
-/// Sends a call until it is answered. The time left is divided among the
-/// attempts left, so that one silent exchange doesn't use it up.
+/// Sends a call until it is answered.
 pub(super) async fn send(
     shared: &Shared,
     call: &Call,
     key: Option<ClaimKey>,
     until: Time,
 ) -> Result<BackendAnswer, SendError> {
-    let attempts = call.caller.profile.retries + 1;
     let addrs = call.rotated_addrs();
     let mut result = Err(SendError::NotReached);
-    for attempt in 0..attempts {
-        let left = until.since(shared.clock.now());
-        let Some(addr) = addrs.get(attempt as usize % addrs.len().max(1)) else { break };
-        if left.is_zero() {
-            break;
-        }
-        let limit = shared.clock.instant(shared.clock.now() + left / (attempts - attempt));
-        match send::send(&shared.services.http, *addr, call, key, limit).await {
-            Ok(answer) if RETRIED_STATUSES.contains(&answer.status) => result = Ok(answer),
-            Ok(answer) => return Ok(answer),
-            Err(SendError::BrokenOff) => result = Err(SendError::BrokenOff),
-            Err(SendError::NotReached) => {}
-        }
-        if attempt + 1 < attempts {
-            let pause = RETRY_PAUSE * 2u32.pow(attempt.min(MAX_DOUBLINGS));
-            let pause = pause.mul_f64(rand::random());
-            tokio::time::sleep(pause.min(until.since(shared.clock.now()))).await;
+    for (attempt, addr) in (1..).zip(addrs.iter().cycle()) {
+        let limit = shared.clock.instant(attempt_limit(shared, call, attempt, until));
+        let reached = match send::send(&shared.services.http, *addr, call, key, limit).await {
+            Ok(answer) if RETRIED_STATUSES.contains(&answer.status) => {
+                result = Ok(answer);
+                Reached::MayHaveRun
+            }
+            Ok(answer) => {
+                shared.callers.retries.add_success();
+                return Ok(answer);
+            }
+            Err(SendError::BrokenOff) => {
+                result = Err(SendError::BrokenOff);
+                Reached::MayHaveRun
+            }
+            Err(SendError::NotReached) => Reached::NotRun,
+        };
+        let failed = FailedAttempt {
+            // A server that takes the key runs it once, however often it comes.
+            class: CallClass::Idempotent,
+            reached,
+            attempts: attempt,
+            max_retries: call.caller.profile.retries,
+            from_node: false,
+            expected: Duration::ZERO,
+            deadline: until,
+        };
+        let now = shared.clock.now();
+        match retry::decide(&failed, &shared.callers.retries, now, rand::random()) {
+            Ok(pause) => tokio::time::sleep(pause).await,
+            Err(reason) => {
+                shared.decisions.add(Decision::NotRetried { request: call.request, reason });
+                break;
+            }
         }
     }
     result
 }
 
+/// Divides the time left among the attempts left, so that one silent exchange
+/// doesn't use it up.
+fn attempt_limit(shared: &Shared, call: &Call, attempt: u32, until: Time) -> Time {
+    let attempts_left = (call.caller.profile.retries + 2).saturating_sub(attempt).max(1);
+    let now = shared.clock.now();
+    now + until.since(now) / attempts_left
+}
+
 /// Code of an exchange that failed.
 pub(super) fn failure(shared: &Shared, call: &Call, error: SendError) -> ResultCode {
     match error {
--- a/crates/coordination/src/claims/shard.rs
+++ b/crates/coordination/src/claims/shard.rs
@@ -12,6 +12,7 @@
 //! read. So an operation takes effect once, whichever copy of it arrives.
 
 mod batch;
+mod event;
 mod view;
 
 use std::{
@@ -22,17 +23,20 @@
 
 use citrongw_protocol::{
     claim::{self, ShardId},
-    store::{Change, Entry, Expected, Key, Snapshot, StoreError, StoreResult, Write, WriteResult},
+    store::{Change, Entry, Expected, Snapshot, StoreError, StoreResult, Write, WriteResult},
 };
 use citrongw_state::{
-    claim::{ClaimKey, ClaimPhase, ClaimRequest, ClaimTable, Settlement},
+    claim::{ClaimPhase, ClaimTable, Settlement},
     id::{AttemptId, NodeId, Revision},
     time::Time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-pub use self::batch::Verdict;
 use self::{batch::Batch, view::View};
+pub use self::{
+    batch::Verdict,
+    event::{Action, Event, Op},
+};
 use super::counters::{ClaimCounters, Counted};
 
 /// First pause after a failed call; doubles with each further failure.
@@ -44,62 +48,6 @@
 /// Longest pause after conflicts.
 const MAX_CONFLICT_PAUSE: Duration = Duration::from_millis(64);
 
-/// What an attempt wants of its shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Op {
-    /// To claim its call. `replaces` is an attempt that has ended without a
-    /// known outcome and whose claim may be taken over.
-    Claim {
-        /// The claim.
-        request: ClaimRequest,
-        /// Attempt to take over from.
-        replaces: Option<AttemptId>,
-    },
-    /// To end. Cancels a claim of the attempt that has not been answered.
-    Settle {
-        /// Key of the call.
-        key: ClaimKey,
-        /// The attempt.
-        attempt: AttemptId,
-        /// How it ended.
-        settlement: Settlement,
-    },
-}
-
-/// What happened.
-#[derive(Debug)]
-pub enum Event {
-    /// An attempt wants something.
-    Submitted(Op),
-    /// The read was answered or failed.
-    ReadDone(StoreResult<Snapshot>),
-    /// The write was answered or failed.
-    WriteDone(StoreResult<WriteResult>),
-    /// The pause is over.
-    Resumed,
-    /// The shard may call the service until it ends its turn.
-    Turn,
-}
-
-/// What to do.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Read the shard.
-    Read(Key),
-    /// Write the shard.
-    Write(Write),
-    /// Resume after a pause.
-    Pause(Duration),
-    /// Grant a turn when one is free.
-    WantTurn,
-    /// Take the turn back.
-    EndTurn,
-    /// Tell an attempt what became of its claim.
-    Answer(AttemptId, Verdict),
-    /// Tell an attempt that its end is recorded.
-    Ended(AttemptId),
-}
-
 /// One shard as one node knows it.
 #[derive(Debug)]
 pub struct Shard {
--- a/crates/coordination/src/claims/shard/tests.rs
+++ b/crates/coordination/src/claims/shard/tests.rs
@@ -1,7 +1,9 @@
 //! Cases of one shard: batches, lost replies, and giving up.
 
 use bytes::Bytes;
-use citrongw_state::claim::{RequestDigest, SettledOutcome};
+use citrongw_state::claim::{
+    ClaimKey, ClaimRequest, RequestDigest, SettledOutcome, StoredAnswer, StoredBody,
+};
 
 use super::*;
 
@@ -228,10 +230,10 @@
     let actions = step(&mut shard, read_done(1, found(1, &table)), at(1));
     assert_eq!(actions, [Action::Answer(AttemptId(1), Verdict::Full)]);
     let body = vec![7; claim::SHARD_LIMIT_BYTES - 200];
-    let answer = citrongw_state::claim::StoredAnswer {
+    let answer = StoredAnswer {
         status: 200,
         content_type: None,
-        body: citrongw_state::claim::StoredBody::Whole(Bytes::from(body)),
+        body: StoredBody::Whole(Bytes::from(body)),
     };
     let settlement = Settlement::Sent(SettledOutcome::Completed(answer));
     let actions = step(&mut shard, end(2, 2, settlement), at(2));
