--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -13,6 +13,7 @@
     id::{AvailabilityZone, Region},
 };
 
+use citrongw_coordination::control::context::ControlSettings;
 use citrongw_transport::{http_server::DEFAULT_MAX_CONNECTIONS, tls::TlsFiles};
 
 use crate::error::{NodeError, Result, could_not};
@@ -55,6 +56,8 @@
     /// Secrets of the messages between nodes, the one that signs first. Without
     /// one the node runs alone.
     pub peer_secrets: Vec<String>,
+    /// Replica control.
+    pub control: ControlSettings,
     /// What is logged.
     pub log_level: String,
 }
@@ -95,6 +98,7 @@
         tls: read_tls(&mut reader),
         seeds: reader.addrs("membership", "seeds"),
         peer_secrets: reader.secrets("membership", "keys"),
+        control: control(&mut reader),
         log_level: reader.log_level("log", "level", "info"),
     };
     reader.finish()?;
@@ -119,5 +123,32 @@
     }
 }
 
+/// Settings of replica control; what is not set keeps its default.
+fn control<'a>(reader: &mut reader::Reader<'a>) -> ControlSettings {
+    const SECTION: &str = "control";
+    let default = ControlSettings::default();
+    ControlSettings {
+        objective: reader.objective(SECTION, "objective"),
+        load_time: reader.positive_duration(SECTION, "load-time", default.load_time),
+        wait_most: reader.positive_duration(SECTION, "wait-most", default.wait_most),
+        together: reader.positive_duration(SECTION, "keep-together", default.together),
+        dark_hold: reader.positive_duration(SECTION, "dark-hold", default.dark_hold),
+        abandon_after: reader.positive_duration(SECTION, "abandon-after", default.abandon_after),
+        drain_deadline: reader.positive_duration(SECTION, "drain-deadline", default.drain_deadline),
+        change_deadline: reader.positive_duration(
+            SECTION,
+            "change-deadline",
+            default.change_deadline,
+        ),
+        loads_at_once: u32::try_from(reader.count(
+            SECTION,
+            "loads-at-once",
+            default.loads_at_once as usize,
+        ))
+        .unwrap_or(u32::MAX),
+        ..default
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/citrongw/src/settings/tests.rs
+++ b/crates/citrongw/src/settings/tests.rs
@@ -48,7 +48,7 @@
             "[log]",
             "[extra]\n[log]",
             "[extra], line 19: unknown section, \
-             allowed: admin, callers, log, membership, node, platform, store, tls",
+             allowed: admin, callers, control, log, membership, node, platform, store, tls",
         ),
         (
             "level = info",
@@ -78,6 +78,12 @@
             "[membership] keys, line 28: value \"(hidden)\", \
              allowed: secrets of 16 characters or more with commas between them",
         ),
+        (
+            "objective = group-downtime",
+            "objective = cheap",
+            "[control] objective, line 31: value \"cheap\", \
+             allowed: group-downtime or stranded-accelerators",
+        ),
         ("addr = 127.0.0.1:2379", "", "[store] addr: missing, allowed: IP address and port"),
     ];
     for (from, to, expected) in cases {
@@ -96,10 +102,10 @@
     let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
     let expected = [
         "[node] zone, line 3: value \"a b\", allowed: a name without blanks",
-        "[store] addr, line 30: value \"x\", allowed: once, and line 12 has it",
-        "[more], line 31: unknown section, \
-         allowed: admin, callers, log, membership, node, platform, store, tls",
-        "[more] k, line 32: unknown key, value \"v\", allowed: none here",
+        "[store] addr, line 34: value \"x\", allowed: once, and line 12 has it",
+        "[more], line 35: unknown section, \
+         allowed: admin, callers, control, log, membership, node, platform, store, tls",
+        "[more] k, line 36: unknown key, value \"v\", allowed: none here",
     ];
     assert_eq!(faults, expected);
 }
--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -6,14 +6,18 @@
 //! the configuration wants among the domains, alike on every node. [`driver`]
 //! feeds both from the service, the instance list and the engines.
 
+mod call;
 pub mod claim;
 pub mod context;
 pub mod domain;
+pub mod driver;
 mod edit;
 mod leaving;
 mod mend;
+pub mod operate;
 mod order;
 mod own;
 pub mod plan;
 mod release;
 mod seen;
+pub mod summary;
--- a/crates/coordination/src/control/edit.rs
+++ b/crates/coordination/src/control/edit.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use citrongw_protocol::{
-    decision::Decision,
+    decision::control::ControlDecision,
     instance_list::InstanceState,
     record::{DomainRecord, DownReplica, DrainCause, FailedChange},
 };
@@ -34,13 +34,13 @@
         ctx: &Context<'_>,
         now: Time,
         actions: &mut Vec<Action>,
-    ) -> Option<(DomainRecord, Vec<Decision>)> {
+    ) -> Option<(DomainRecord, Vec<ControlDecision>)> {
         self.go_on_claiming(now, actions);
         let record = Arc::clone(self.record.as_ref()?);
         let mut next = DomainRecord::clone(&record);
         let mut decisions = Vec::new();
         self.mark_leaving(&mut next, now, actions, &mut decisions);
-        self.settle_releases(&mut next, now);
+        self.settle_releases(&mut next, ctx, now);
         self.begin_drains(&mut next, ctx, &mut decisions);
         self.end_drains(&mut next, now);
         self.catch_up_epochs(&mut next);
@@ -61,9 +61,19 @@
         })
     }
 
+    /// Whether no order of an earlier owner can arrive and be carried out.
+    pub(super) fn is_quiet(&self, ctx: &Context<'_>, now: Time) -> bool {
+        self.quiet_until <= now || ctx.all_honour_fencing()
+    }
+
     /// Instances that may join a replica now.
-    pub(super) fn free_instances(&self, record: &DomainRecord, now: Time) -> Vec<Member> {
-        if now < self.quiet_until {
+    pub(super) fn free_instances(
+        &self,
+        record: &DomainRecord,
+        ctx: &Context<'_>,
+        now: Time,
+    ) -> Vec<Member> {
+        if !self.is_quiet(ctx, now) {
             return Vec::new();
         }
         self.seen.iter().filter_map(|(id, seen)| self.as_free(record, id, seen, now)).collect()
@@ -76,8 +86,11 @@
         seen: &Seen,
         now: Time,
     ) -> Option<Member> {
-        let listed = seen.listed.as_ref().filter(|it| it.state == InstanceState::Live)?;
+        let listed = seen.listed.as_ref()?;
         let report = seen.fresh(now, self.settings.freshness)?.report;
+        if listed.state == InstanceState::Leaving && !record.is_returned(id, report.incarnation) {
+            return None;
+        }
         let free = report.replica.is_none()
             && !report.leaving
             && !record.holds(id)
@@ -137,7 +150,7 @@
         next: &mut DomainRecord,
         ctx: &Context<'_>,
         now: Time,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         next.failed_changes.retain(|change| {
             let deployment = ctx.deployment(&change.deployment);
@@ -169,7 +182,7 @@
         });
         let Some((replica, change)) = failed else { return };
         let (deployment, version) = (change.deployment.clone(), change.version.clone());
-        decisions.push(Decision::ChangeHalted { deployment, version, replica });
+        decisions.push(ControlDecision::ChangeHalted { deployment, version, replica });
         if !next.failed_changes.contains(&change) {
             next.failed_changes.push(change);
         }
@@ -180,7 +193,7 @@
     }
 
     /// Makes replicas active whose claims stand, and drops those refused.
-    fn settle_claims(&mut self, next: &mut DomainRecord, decisions: &mut Vec<Decision>) {
+    fn settle_claims(&mut self, next: &mut DomainRecord, decisions: &mut Vec<ControlDecision>) {
         for mut spec in std::mem::take(&mut next.pending) {
             match self.claims.step(spec.id) {
                 Some(ClaimStep::Granted) => {
@@ -202,9 +215,14 @@
         }
     }
 
-    fn activate(&self, next: &mut DomainRecord, spec: ReplicaSpec, decisions: &mut Vec<Decision>) {
+    fn activate(
+        &self,
+        next: &mut DomainRecord,
+        spec: ReplicaSpec,
+        decisions: &mut Vec<ControlDecision>,
+    ) {
         let (replica, epoch, domain) = (spec.id, spec.epoch, self.domain.clone());
-        decisions.push(Decision::ReplicaFormed { replica, domain, epoch });
+        decisions.push(ControlDecision::ReplicaFormed { replica, domain, epoch });
         self.add_load(next, &spec, u32::try_from(spec.members.len()).unwrap_or(u32::MAX));
         next.replicas.push(spec);
     }
@@ -215,13 +233,13 @@
         next: &mut DomainRecord,
         ctx: &Context<'_>,
         now: Time,
-        decisions: &mut Vec<Decision>,
+        decisions: &mut Vec<ControlDecision>,
     ) {
         let Some(plan) = ctx.fleet.domains.get(&self.domain) else { return };
         if ctx.doubting || plan.revision != self.revision || self.dark_since.is_some() {
             return;
         }
-        let mut free = self.free_instances(next, now);
+        let mut free = self.free_instances(next, ctx, now);
         for formation in &plan.form {
             let Some(spec) = self.new_spec(ctx, formation, &mut free) else { continue };
             if formation.elsewhere.is_empty() {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod node_record;
 pub mod peer;
 pub mod record;
+pub mod status;
 pub mod store;
 pub mod weight_store;
