--- a/crates/bench/src/crash.rs
+++ b/crates/bench/src/crash.rs
@@ -7,8 +7,10 @@
 
 mod node;
 mod run;
+mod scenario;
 
 pub use self::{
     node::Policy,
-    run::{Outcome, Scenario, run},
+    run::run,
+    scenario::{Outcome, Scenario},
 };
--- a/crates/bench/src/overload.rs
+++ b/crates/bench/src/overload.rs
@@ -11,11 +11,13 @@
 mod node;
 mod outcome;
 mod run;
+mod scenario;
 
 pub use self::{
     cost::measure_queue_cost,
     limit::{LimitError, LimitScenario, measure_limit},
     node::Policy,
     outcome::{LARGE, Outcome},
-    run::{Scenario, run},
+    run::run,
+    scenario::Scenario,
 };
