Measure the path of a request through a node process

The bench starts a node process among stand-ins and sends the same load to the engines and through it.

--- /dev/null
+++ b/crates/bench/src/node.rs
@@ -0,0 +1,5 @@
+//! Cost of a node process.
+
+pub mod child;
+mod load;
+pub mod request;
--- /dev/null
+++ b/crates/bench/src/node/load.rs
@@ -0,0 +1,138 @@
+//! The same load for an engine and for a node: workers that each send their
+//! next request when they have read the answer to the last.
+
+use std::{net::SocketAddr, time::Duration};
+
+use citrongw::demo::DEMO_KEY;
+use citrongw_protocol::engine::GenerateRequest;
+use citrongw_state::{
+    config::Priority,
+    id::{Epoch, Incarnation, ReplicaId, RequestId, StreamId},
+};
+use citrongw_transport::http_client::{self, HttpClient};
+use hdrhistogram::Histogram;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Significant digits of the measured times.
+const DIGITS: u8 = 3;
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Target {
+    /// To an engine.
+    Engine {
+        /// Its address.
+        addr: SocketAddr,
+        /// Replica that it serves.
+        replica: ReplicaId,
+        /// Its start.
+        incarnation: Incarnation,
+    },
+    /// Through a node.
+    Node {
+        /// Its address.
+        addr: SocketAddr,
+        /// Whether answers come as events.
+        stream: bool,
+    },
+}
+
+/// What a load came to.
+pub(super) struct Measured {
+    /// Requests answered whole.
+    pub(super) requests: u64,
+    /// Time that it ran.
+    pub(super) elapsed: Duration,
+    /// Times of the requests, in microseconds.
+    pub(super) times_us: Histogram<u64>,
+}
+
+/// Runs `workers` for `duration`.
+pub(super) async fn run(
+    targets: &[Target],
+    workers: usize,
+    tokens: u32,
+    duration: Duration,
+) -> Measured {
+    let http = http_client::open();
+    let started_at = Instant::now();
+    let until = started_at + duration;
+    let work = (0..workers).map(|worker| {
+        let (http, target) = (http.clone(), targets[worker % targets.len()]);
+        tokio::spawn(run_worker(http, target, worker, tokens, until))
+    });
+    let mut times_us = Histogram::new(DIGITS).expect("histogram");
+    for times in futures::future::join_all(work).await {
+        times_us.add(times.expect("worker")).expect("times");
+    }
+    Measured { requests: times_us.len(), elapsed: started_at.elapsed(), times_us }
+}
+
+async fn run_worker(
+    http: HttpClient,
+    target: Target,
+    worker: usize,
+    tokens: u32,
+    until: Instant,
+) -> Histogram<u64> {
+    let mut times_us = Histogram::new(DIGITS).expect("histogram");
+    let mut number = 0;
+    while Instant::now() < until {
+        let sent_at = Instant::now();
+        let prompt = format!("climb palm {worker} row {number}");
+        send(&http, target, &prompt, tokens).await;
+        let took_us = u64::try_from(sent_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        times_us.record(took_us.max(1)).expect("time");
+        number += 1;
+    }
+    times_us
+}
+
+/// Sends one request and reads its whole answer.
+pub(super) async fn send(http: &HttpClient, target: Target, prompt: &str, tokens: u32) {
+    let response = http.send(request(target, prompt, tokens)).await.expect("answer");
+    assert_eq!(response.status(), 200);
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        frame.expect("whole answer");
+    }
+}
+
+/// Request for a target.
+pub(super) fn request(target: Target, prompt: &str, tokens: u32) -> Request<Full<bytes::Bytes>> {
+    let (uri, body) = match target {
+        Target::Engine { addr, replica, incarnation } => {
+            let id = RequestId(rand::random());
+            let body = GenerateRequest {
+                request: id,
+                stream: StreamId::from(format!("{id}-1")),
+                replica,
+                epoch: Epoch(1),
+                incarnation,
+                model: "plans".into(),
+                adapter: None,
+                priority: Priority::Normal,
+                prompt: prompt.to_owned(),
+                max_tokens: tokens,
+            };
+            let body = serde_json::to_string(&body).expect("body");
+            (format!("http://{addr}/engine/generate"), body)
+        }
+        Target::Node { addr, stream } => {
+            let body = json!({
+                "model": "plans", "prompt": prompt, "max_tokens": tokens, "stream": stream,
+            });
+            (format!("http://{addr}/v1/completions"), body.to_string())
+        }
+    };
+    Request::builder()
+        .method(Method::POST)
+        .uri(uri)
+        .header("authorization", format!("Bearer {DEMO_KEY}"))
+        .header("content-type", "application/json")
+        .body(Full::from(body))
+        .expect("request")
+}
--- /dev/null
+++ b/crates/bench/src/node/request.rs
@@ -0,0 +1,176 @@
+//! Cost of the path of a request: the same load sent to the engines and through
+//! a node process, and the memory of a node over the length of a stream.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw::demo::{self, Surroundings, SurroundingsOptions};
+use citrongw_fakes::engine::EngineSettings;
+use citrongw_protocol::{engine::Engine, engine::EngineStatus};
+use citrongw_transport::{engine_client, http_client};
+use http_body_util::BodyExt;
+
+use super::{
+    child::{self, NodeProcess},
+    load::{self, Measured, Target},
+};
+use crate::report::Report;
+
+/// Tokens of a short answer.
+const SHORT_TOKENS: u32 = 8;
+/// Tokens of a longer one.
+const LONG_TOKENS: u32 = 256;
+/// Tokens of an answer that is generated at a pace.
+const PACED_TOKENS: u32 = 50;
+/// Pace of that answer: each token comes by itself.
+const PACE: Duration = Duration::from_millis(5);
+/// Requests at once.
+const WORKERS: usize = 32;
+/// Time of one load.
+const DURATION: Duration = Duration::from_secs(4);
+/// Time of one load in the large size.
+const FULL_DURATION: Duration = Duration::from_secs(30);
+/// Time of the load that warms both ends.
+const WARM_UP: Duration = Duration::from_secs(1);
+/// Tokens of the stream over which memory is watched.
+const STREAM_TOKENS: u32 = 200_000;
+/// Part of that stream after which memory must not grow.
+const SETTLED_SHARE: u32 = 4;
+/// Lines of one event.
+const LINES_PER_EVENT: usize = 2;
+/// Highest processor time of a short request, in microseconds.
+const CPU_TARGET_US: f64 = 150.0;
+/// Highest growth of memory over the rest of the stream.
+const GROWTH_TARGET_BYTES: u64 = 4 * 1024 * 1024;
+/// Pause between two looks at a node that starts.
+const START_PAUSE: Duration = Duration::from_millis(50);
+
+/// Runs the measures.
+pub fn run(report: &Report, full: bool) {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(measure(report, if full { FULL_DURATION } else { DURATION }));
+}
+
+async fn measure(report: &Report, duration: Duration) {
+    let fast = open(Duration::ZERO).await;
+    for (kind, stream, tokens) in [
+        ("short", false, SHORT_TOKENS),
+        ("short_stream", true, SHORT_TOKENS),
+        ("long_stream", true, LONG_TOKENS),
+    ] {
+        compare(report, &fast, kind, stream, tokens, duration).await;
+    }
+    watch_memory(report, &fast.node).await;
+    drop(fast);
+    let paced = open(PACE).await;
+    compare(report, &paced, "paced_stream", true, PACED_TOKENS, duration).await;
+}
+
+/// A node among stand-ins.
+struct Rig {
+    node: NodeProcess,
+    engines: Vec<Target>,
+    _surroundings: Surroundings,
+}
+
+async fn open(between_tokens: Duration) -> Rig {
+    let engine =
+        EngineSettings { first_token: Duration::ZERO, between_tokens, ..EngineSettings::default() };
+    let options = SurroundingsOptions { engine, ..SurroundingsOptions::default() };
+    let surroundings = demo::open_surroundings_with(options, |_| {}).await.expect("stand-ins");
+    let node = child::open(&surroundings);
+    wait_until_serving(&node).await;
+    let engines = engine_targets(&surroundings).await;
+    Rig { node, engines, _surroundings: surroundings }
+}
+
+/// The same load to the engines and through the node.
+async fn compare(
+    report: &Report,
+    rig: &Rig,
+    kind: &str,
+    stream: bool,
+    tokens: u32,
+    duration: Duration,
+) {
+    let through = [Target::Node { addr: rig.node.addr(), stream }];
+    load::run(&rig.engines, WORKERS, tokens, WARM_UP).await;
+    let direct = load::run(&rig.engines, WORKERS, tokens, duration).await;
+    load::run(&through, WORKERS, tokens, WARM_UP).await;
+    let before = rig.node.cpu_time();
+    let measured = load::run(&through, WORKERS, tokens, duration).await;
+    let cpu = rig.node.cpu_time() - before;
+    tell(report, "direct", kind, &direct);
+    tell(report, "node", kind, &measured);
+    let cpu_us = cpu.as_secs_f64() * 1e6 / measured.requests as f64;
+    report.add("node", &format!("{kind}_cpu_per_request"), cpu_us, "us");
+    if kind == "short" {
+        report.add("node", "short_cpu_target", CPU_TARGET_US, "us");
+    }
+    report.add("node", &format!("{kind}_cpu_per_token"), cpu_us / f64::from(tokens), "us");
+    let share = measured.requests as f64 / direct.requests as f64;
+    report.add("node", &format!("{kind}_rate_to_direct"), share, "ratio");
+}
+
+fn tell(report: &Report, policy: &str, kind: &str, measured: &Measured) {
+    let rate = measured.requests as f64 / measured.elapsed.as_secs_f64();
+    report.add(policy, &format!("{kind}_requests_per_s"), rate, "1/s");
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+        let time_us = measured.times_us.value_at_quantile(quantile) as f64;
+        report.add(policy, &format!("{kind}_time_{name}"), time_us, "us");
+    }
+}
+
+/// Memory of the node while one long stream passes through it.
+async fn watch_memory(report: &Report, node: &NodeProcess) {
+    let http = http_client::open();
+    let target = Target::Node { addr: node.addr(), stream: true };
+    let request = load::request(target, "a long stream", STREAM_TOKENS);
+    let mut body = http.send(request).await.expect("answer").into_body();
+    let (mut lines, mut tokens, mut settled_bytes, mut most_bytes) = (0, 0, 0, 0);
+    let mut looked_at = 0;
+    while let Some(frame) = body.frame().await {
+        let data = frame.expect("whole answer").into_data().unwrap_or_default();
+        lines += data.iter().filter(|it| **it == b'\n').count();
+        tokens = lines / LINES_PER_EVENT;
+        if tokens < looked_at {
+            continue;
+        }
+        looked_at = tokens + 2000;
+        let resident_bytes = node.resident_bytes();
+        if tokens < (STREAM_TOKENS / SETTLED_SHARE) as usize {
+            settled_bytes = settled_bytes.max(resident_bytes);
+        }
+        most_bytes = most_bytes.max(resident_bytes);
+    }
+    let growth_bytes = most_bytes.saturating_sub(settled_bytes);
+    report.add("node", "resident", most_bytes as f64, "B");
+    report.add("node", "stream_growth", growth_bytes as f64, "B");
+    report.add("node", "stream_growth_target", GROWTH_TARGET_BYTES as f64, "B");
+    assert!((STREAM_TOKENS as usize) <= tokens, "{tokens} tokens came");
+    assert!(growth_bytes <= GROWTH_TARGET_BYTES, "memory grew by {growth_bytes} B");
+}
+
+async fn wait_until_serving(node: &NodeProcess) {
+    let http = http_client::open();
+    let target = Target::Node { addr: node.addr(), stream: false };
+    loop {
+        let response = http.send(load::request(target, "warm", 1)).await;
+        if response.is_ok_and(|it| it.status() == 200) {
+            return;
+        }
+        tokio::time::sleep(START_PAUSE).await;
+    }
+}
+
+/// Engines that take requests, as the node would name them.
+async fn engine_targets(surroundings: &Surroundings) -> Vec<Target> {
+    let client = Arc::new(engine_client::open(Duration::from_secs(1)));
+    let mut targets = Vec::new();
+    for server in surroundings.servers.iter().take(surroundings.engines.len()).step_by(4) {
+        let addr = server.local_addr();
+        let EngineStatus { member, .. } = client.status(addr).await.expect("status");
+        let replica = member.replica.expect("member of a replica");
+        targets.push(Target::Engine { addr, replica, incarnation: member.incarnation });
+    }
+    targets
+}
