--- a/crates/citrongwctl/src/change.rs
+++ b/crates/citrongwctl/src/change.rs
@@ -29,8 +29,24 @@
 const MAX_ACCEPTANCE_LOOKS: u32 = 60;
 
 /// Configuration that a change is made from: the version named, or the newest.
+/// A version that is no longer kept stands for the newest document under its
+/// own name, so that the change meets the conflict.
 pub(crate) async fn view(context: &Context, base: Option<Revision>) -> Result<ConfigView> {
-    let path = base.map_or_else(|| "/admin/config".to_owned(), |it| format!("/admin/config/{it}"));
+    let newest = || context.client.get::<ConfigView>("/admin/config");
+    let Some(base) = base else { return newest().await };
+    let kept = context.client.get::<ConfigView>(&format!("/admin/config/{base}")).await;
+    match kept {
+        Err(report) if matches!(report.current_context(), CtlError::Failed { .. }) => {
+            Ok(ConfigView { revision: Some(base), ..newest().await? })
+        }
+        kept => kept,
+    }
+}
+
+/// One version, as long as it is kept.
+pub(crate) async fn version(context: &Context, revision: Option<Revision>) -> Result<ConfigView> {
+    let path =
+        revision.map_or_else(|| "/admin/config".to_owned(), |it| format!("/admin/config/{it}"));
     context.client.get(&path).await
 }
 
@@ -100,23 +116,36 @@
     let path = format!("/admin/acceptance/{revision}");
     let mut last: Option<Acceptance> = None;
     for _ in 0..MAX_ACCEPTANCE_LOOKS {
-        // The node that was asked may be gone; the others know as well.
-        if let Ok(acceptance) = context.client.get::<Acceptance>(&path).await {
-            if last.as_ref() != Some(&acceptance) {
-                let Acceptance { holding, recorded, .. } = acceptance;
-                eprintln!("version {revision}: held by {holding} of {recorded} nodes");
-            }
-            if acceptance.accepted && acceptance.holding == acceptance.recorded {
-                print_done(context, &acceptance);
-                return Ok(());
+        match context.client.get::<Acceptance>(&path).await {
+            Ok(acceptance) => {
+                if last.as_ref() != Some(&acceptance) {
+                    let Acceptance { holding, recorded, .. } = acceptance;
+                    eprintln!("version {revision}: held by {holding} of {recorded} nodes");
+                }
+                if acceptance.accepted && acceptance.holding == acceptance.recorded {
+                    print_done(context, &acceptance);
+                    return Ok(());
+                }
+                last = Some(acceptance);
             }
-            last = Some(acceptance);
+            Err(report) => check_token(revision, &report)?,
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
     Err(error_stack::Report::new(not_accepted(revision, last.as_ref())))
 }
 
+/// A node that does not answer is asked again; a token that the change itself
+/// took away is not.
+fn check_token(revision: Revision, report: &error_stack::Report<CtlError>) -> Result<()> {
+    let CtlError::NotAllowed { .. } = report.current_context() else { return Ok(()) };
+    let message = format!(
+        "version {revision} is committed; the token no longer counts, so nobody can be asked who \
+         holds it"
+    );
+    Err(error_stack::Report::new(CtlError::NotAccepted { message }))
+}
+
 fn print_done(context: &Context, acceptance: &Acceptance) {
     if context.json {
         output::json(acceptance);
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -1,5 +1,7 @@
 //! Decisions as the system explains them: typed, and one plain sentence each.
 
+pub mod control;
+
 use std::time::Duration;
 
 use citrongw_state::{
@@ -10,6 +12,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use self::control::ControlDecision;
 use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
@@ -196,6 +199,9 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// What replica control decided.
+    #[display("{_0}")]
+    Control(ControlDecision),
 }
 
 /// Decision with its time.
@@ -248,27 +254,8 @@
                 | Self::Isolated { replica, .. },
                 Subject::Replica(id),
             ) => *replica == id,
-            (
-                Self::Refused { .. }
-                | Self::CallerLeft { .. }
-                | Self::NotChosen { .. }
-                | Self::NotAdmitted { .. }
-                | Self::NotRetried { .. }
-                | Self::Contained { .. }
-                | Self::CallClaimed { .. }
-                | Self::CallSettled { .. }
-                | Self::CallReplayed { .. },
-                Subject::Replica(_),
-            )
-            | (Self::Straggler { .. }, Subject::Request(_))
-            | (
-                Self::ConfigInForce { .. }
-                | Self::ConfigWentBack { .. }
-                | Self::ConfigForked { .. }
-                | Self::NodeDied { .. }
-                | Self::NodesRecorded { .. },
-                _,
-            ) => false,
+            (Self::Control(decision), Subject::Replica(id)) => decision.is_about(id),
+            _ => false,
         }
     }
 }
