Check the second look at a replica, and read chunks in place

A test of the attempt itself now loses a member between the choice and the send, and sees nothing sent and the place given back. Chunks were read through a tagged enum, which buffers each field; a flat record is read in place, and one without its place is still refused. The limit of an organisation counts calls of plain services as well.

--- a/crates/citrongw/src/caller/attempt.rs
+++ b/crates/citrongw/src/caller/attempt.rs
@@ -248,3 +248,6 @@
         tracing::debug!(%error, %stream, "could not cancel stream");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/citrongw/src/caller/attempt/tests.rs
@@ -0,0 +1,100 @@
+//! Cases of one attempt, in a node among stand-ins.
+
+use citrongw_fakes::engine::FakeEngine;
+use citrongw_protocol::engine::EngineError;
+use citrongw_state::{id::RequestId, replica::HeardReport, routing::PrefixHash};
+
+use super::*;
+use crate::{
+    caller::{
+        body::BodyBudget,
+        route::{self, Want},
+    },
+    demo::{self, DEMO_KEY, Demo},
+};
+
+const PAUSE: Duration = Duration::from_millis(5);
+
+async fn open() -> Demo {
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    demo::spawn(any_port, any_port).await.unwrap()
+}
+
+fn work(shared: &Shared) -> Option<Work> {
+    let config = shared.config.load_full()?;
+    let callers = &shared.callers;
+    let caller = callers.directory.find(&config, &callers.limits, DEMO_KEY)?;
+    Some(Work {
+        request: RequestId(7),
+        _place: caller.profile.enter()?,
+        caller,
+        prompt: "climb".to_owned(),
+        max_tokens: 1,
+        arrived_at: shared.clock.now(),
+        _share: BodyBudget::default().open_share(),
+    })
+}
+
+fn want(work: &Work) -> Want {
+    Want {
+        request: work.request,
+        profile: Arc::clone(&work.caller.profile),
+        fingerprint: route::fingerprint(&work.caller.profile, &work.prompt, work.max_tokens),
+        prefix: PrefixHash::of(&work.prompt),
+        prompt_tokens: 1,
+        tried: Vec::new(),
+    }
+}
+
+/// Waits until a place can be taken.
+async fn place(demo: &Demo) -> (Work, Placed) {
+    let shared = demo.node.shared();
+    loop {
+        if let Some(work) = work(shared)
+            && let Ok(placed) = route::take_place(shared, &want(&work))
+        {
+            return (work, placed);
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn generated(demo: &Demo) -> u64 {
+    demo.surroundings.engines.iter().map(FakeEngine::generated).sum()
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_a_replica_that_lost_a_member_since_it_was_chosen() {
+    let demo = open().await;
+    let shared = demo.node.shared();
+    let (work, placed) = place(&demo).await;
+    let side = Arc::clone(&placed.side);
+    let mut attempt = Attempt::new(shared, &work, placed, 1);
+    let mut report = side.entry.heard()[3].unwrap().report;
+    report.incarnation.0 += 1000;
+    side.entry.set_heard(3, HeardReport { report, asked_at: shared.clock.now() });
+    let refused = attempt.next(&work).await.unwrap().unwrap_err();
+    assert!(matches!(refused, EngineError::Refused { .. }), "{refused}");
+    assert!(!attempt.may_have_run());
+    drop(attempt);
+    assert_eq!((generated(&demo), side.entry.in_flight()), (0, 0));
+}
+
+#[tokio::test]
+async fn place_is_given_back_whatever_becomes_of_the_attempt() {
+    let demo = open().await;
+    let (work, placed) = place(&demo).await;
+    let side = Arc::clone(&placed.side);
+    assert_eq!(side.entry.in_flight(), 1);
+    drop(placed);
+    assert_eq!(side.entry.in_flight(), 0);
+    let (_, placed) = place(&demo).await;
+    let side = Arc::clone(&placed.side);
+    let mut attempt = Attempt::new(demo.node.shared(), &work, placed, 2);
+    assert!(matches!(attempt.next(&work).await, Some(Ok(Chunk::Token { .. }))));
+    assert!(attempt.may_have_run());
+    assert!(matches!(attempt.next(&work).await, Some(Ok(Chunk::End { .. }))));
+    assert_eq!(side.entry.in_flight(), 1);
+    drop(attempt);
+    assert_eq!(side.entry.in_flight(), 0);
+}
--- a/crates/citrongw/src/caller/body.rs
+++ b/crates/citrongw/src/caller/body.rs
@@ -32,7 +32,8 @@
 }
 
 impl BodyBudget {
-    fn open_share(&self) -> BodyShare {
+    /// Opens a share that holds nothing yet.
+    pub(super) fn open_share(&self) -> BodyShare {
         BodyShare { used_bytes: Arc::clone(&self.used_bytes), taken_bytes: 0 }
     }
 }
--- a/crates/citrongw/src/caller/completion.rs
+++ b/crates/citrongw/src/caller/completion.rs
@@ -114,19 +114,12 @@
     if asked.model != caller.profile.model.as_str() {
         return Err(ResultCode::UnknownModel.into());
     }
-    check_limit(shared, &caller)?;
+    caller.check_limit(shared.clock.now())?;
     let (shape, stream) = (asked.shape, asked.stream);
     let work = work(caller, asked, share, entry)?;
     Ok(Prepared { work, shape, stream })
 }
 
-fn check_limit(shared: &Shared, caller: &Caller) -> Result<(), Failure> {
-    let Some(limit) = &caller.limit else { return Ok(()) };
-    limit
-        .take(shared.clock.now())
-        .map_err(|over| Failure::from(ResultCode::LimitReached).with_retry_after(over.retry_after))
-}
-
 fn work(caller: Caller, asked: Asked, share: BodyShare, entry: &Entry) -> Result<Work, ResultCode> {
     let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
     Ok(Work {
--- a/crates/citrongw/src/caller/directory.rs
+++ b/crates/citrongw/src/caller/directory.rs
@@ -11,15 +11,18 @@
 
 use arc_swap::ArcSwapOption;
 use citrongw_coordination::config_watch::VersionedConfig;
+use citrongw_protocol::code::ResultCode;
 use citrongw_state::{
     config::{KeyDigest, Profile},
     id::{OrganisationId, ProfileId, Revision, ServiceId},
+    time::Time,
 };
 use derive_more::Deref;
 
 use super::{
     limits::{Limits, OrganisationLimit},
     queue::{GroupKey, GroupQueue},
+    refusal::Failure,
 };
 
 /// Caller as its key names it.
@@ -36,7 +39,7 @@
     /// Weight of the organisation in fair sharing.
     pub(super) weight: u32,
     /// Limit of the organisation over all nodes, if it has one.
-    pub(super) limit: Option<Arc<OrganisationLimit>>,
+    limit: Option<Arc<OrganisationLimit>>,
     /// The profile that it runs under.
     pub(super) profile: Arc<CallerProfile>,
 }
@@ -63,6 +66,16 @@
     }
 }
 
+impl CallerEntry {
+    /// Counts a request, unless the organisation is over its limit.
+    pub(super) fn check_limit(&self, now: Time) -> Result<(), Failure> {
+        let Some(limit) = &self.limit else { return Ok(()) };
+        limit.take(now).map_err(|over| {
+            Failure::from(ResultCode::LimitReached).with_retry_after(over.retry_after)
+        })
+    }
+}
+
 impl CallerProfile {
     /// Takes a place, unless the profile is at its limit.
     pub(super) fn enter(&self) -> Option<ProfilePlace> {
--- a/crates/citrongw/src/caller/service/call.rs
+++ b/crates/citrongw/src/caller/service/call.rs
@@ -89,6 +89,7 @@
     let key = read_key(&req)?;
     let timeout = shared.settings.body_timeout.min(caller.profile.deadline());
     let (body, share) = body::read_bytes(req, &shared.callers.bodies, timeout).await?;
+    caller.check_limit(shared.clock.now()).map_err(|it| it.code)?;
     let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
     Ok(Call {
         request: entry.request(),
--- a/crates/protocol/src/engine.rs
+++ b/crates/protocol/src/engine.rs
@@ -1,5 +1,7 @@
 //! Model engines: generation, streams, load, KV cache and orders.
 
+mod chunk;
+
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -42,7 +44,7 @@
 
 /// Piece of a stream. Sequence numbers count tokens from 0 without gaps.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "kind")]
+#[serde(rename_all = "snake_case", tag = "kind", try_from = "chunk::WireChunk")]
 pub enum Chunk {
     /// One token.
     Token {
