--- a/crates/coordination/src/claims/turns.rs
+++ b/crates/coordination/src/claims/turns.rs
@@ -21,7 +21,7 @@
 /// Turns at once.
 const MAX_TURNS: usize = 8;
 /// Time whose turns may be taken at once.
-const BURST: Duration = Duration::from_secs(1);
+const BURST: Duration = Duration::from_millis(500);
 
 /// Turns of one node.
 #[derive(Debug)]
@@ -64,8 +64,8 @@
         let per_s = (WRITES_PER_S * CLAIMS_PART / nodes).max(MIN_TURNS_PER_S);
         let mut next_at = self.next_at.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.clock.now();
-        let turn = (*next_at).max(now - BURST);
+        let turn = (*next_at).max(now);
         *next_at = turn + Duration::from_secs_f64(1.0 / per_s);
-        turn.max(now)
+        now + turn.since(now).saturating_sub(BURST)
     }
 }
