--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod control_history;
 pub mod control_world;
+pub mod crash;
 pub mod model;
 pub mod overload;
 pub mod report;
