Test the encoding of claim shards at its largest

The room that a shard reserves for open claims rests on an upper bound of the encoded size of one claim, which nothing tested. The largest claim, open and settled with an answer of 60,000 bytes, now has to fit its reservation and to read back as written; values of an unknown format are refused.

--- a/crates/protocol/src/claim.rs
+++ b/crates/protocol/src/claim.rs
@@ -61,3 +61,6 @@
 fn bad_shard(error: postcard::Error) -> BadShard {
     BadShard { reason: error.to_string() }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/protocol/src/claim/tests.rs
@@ -0,0 +1,49 @@
+//! Cases of the encoding of shards.
+
+use std::time::Duration;
+
+use citrongw_state::{
+    claim::{ClaimRequest, RequestDigest, SettledOutcome, Settlement, StoredAnswer, StoredBody},
+    id::{AttemptId, NodeId},
+};
+
+use super::*;
+
+/// Claim whose every number takes the most room.
+fn largest_table(answer: Option<&'static [u8]>) -> ClaimTable {
+    let mut table = ClaimTable::default();
+    let request = ClaimRequest {
+        key: ClaimKey(u128::MAX),
+        digest: RequestDigest(u128::MAX),
+        attempt: AttemptId(u128::MAX),
+        answer_bytes: 64 * 1024,
+        retention: Duration::MAX,
+    };
+    table.open(&request, NodeId(u64::MAX));
+    if let Some(answer) = answer {
+        let body = StoredBody::Whole(Bytes::from_static(answer));
+        let content_type = Some("application/json".to_owned());
+        let answer = StoredAnswer { status: u16::MAX, content_type, body };
+        let settlement = Settlement::Sent(SettledOutcome::Completed(answer));
+        table.settle(request.key, request.attempt, &settlement);
+        table.advance(Duration::from_millis(u64::MAX - 1), |_| Duration::ZERO);
+    }
+    table
+}
+
+#[test]
+fn a_shard_is_read_as_it_was_written_and_keeps_its_reservation() {
+    const HEAD_BYTES: usize = 4;
+    for table in [ClaimTable::default(), largest_table(None), largest_table(Some(&[7; 60_000]))] {
+        let value = encode(&table).unwrap();
+        assert!(value.len() <= table.reserved_bytes() + HEAD_BYTES, "{}", value.len());
+        assert_eq!(decode(&value).unwrap(), table);
+    }
+}
+
+#[test]
+fn other_values_are_refused() {
+    for value in [&b""[..], b"\x00", b"\x02\x00", b"\x01", b"\x01\x05"] {
+        assert!(decode(value).is_err(), "{value:?}");
+    }
+}
