--- a/crates/citrongw/src/caller/running.rs
+++ b/crates/citrongw/src/caller/running.rs
@@ -253,6 +253,7 @@
     fn note_first_token(&self) {
         let Some(attempt) = &self.attempt else { return };
         let now = self.shared.clock.now();
+        self.shared.metrics.add_first_token(now.since(self.work.arrived_at));
         let took = now.since(attempt.started_at());
         let target = FIRST_TOKEN_TARGET.min(self.work.profile().first_token() / 2);
         let side = attempt.side();
