--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_world;
 pub mod crash;
 pub mod model;
+pub mod node;
 pub mod overload;
 pub mod report;
 pub mod routing;
