Split the engine stand-in's streams off and bound what it keeps

The stand-in kept every stream for resuming, which a bench at 50,000 requests a second would have turned into hundreds of megabytes; it keeps the last 4,096.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -2,9 +2,10 @@
 //! one by one, and keeps its streams for resuming.
 
 pub mod orders;
+pub mod streams;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -12,7 +13,7 @@
 };
 
 use citrongw_protocol::engine::{
-    Chunk, EngineStatus, GenerateRequest, LoadReport, Order, OrderKind, OrderReply,
+    EngineStatus, GenerateRequest, LoadReport, Order, OrderKind, OrderReply,
 };
 use citrongw_state::{
     id::{Epoch, Incarnation, ReplicaId, StreamId},
@@ -20,17 +21,19 @@
 };
 use citrongw_transport::{
     engine_client::{CancelBody, RefusalBody, ResumeBody},
-    event_stream,
     http_server::{self, HttpServer},
 };
-use futures::{StreamExt, TryStreamExt, stream};
 use http_body_util::Full;
-use tokio::sync::{OnceCell, OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
 use viz::{Body, Request, RequestExt, Response, ResponseExt, Router, StatusCode};
 
 use self::orders::EngineOrders;
+pub use self::streams::StreamFault;
 use crate::http;
 
+/// Streams that are kept for resuming.
+const MAX_STREAMS: usize = 4096;
+
 /// Speed and manners of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineSettings {
@@ -58,19 +61,6 @@
     }
 }
 
-/// What goes wrong with one stream. Counts are tokens of that connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamFault {
-    /// The connection ends after so many.
-    Break(u64),
-    /// Nothing more comes after so many.
-    Hang(u64),
-    /// The one after so many is left out.
-    Skip(u64),
-    /// The stream is lost after so many: it cannot be resumed.
-    Lose(u64),
-}
-
 /// Engine, shared with its server.
 #[derive(Debug, Clone)]
 pub struct FakeEngine {
@@ -90,6 +80,7 @@
     load: LoadReport,
     step_ms: f32,
     streams: BTreeMap<StreamId, StreamState>,
+    oldest_streams: VecDeque<StreamId>,
     stream_fault: Option<StreamFault>,
     silent: bool,
     poison: Option<String>,
@@ -111,6 +102,7 @@
         load: LoadReport::default(),
         step_ms: 0.0,
         streams: BTreeMap::new(),
+        oldest_streams: VecDeque::new(),
         stream_fault: None,
         silent: false,
         poison: None,
@@ -237,97 +229,15 @@
         let mut state = self.state();
         state.generated += 1;
         state.streams.insert(request.stream.clone(), StreamState { words, cancel_tx });
-    }
-
-    fn body(&self, id: &StreamId, offset: u64, first: Duration) -> Option<Body> {
-        let mut state = self.state();
-        let fault = state.stream_fault.take();
-        let between = self.shared.settings.between_tokens;
-        let stream = state.streams.get(id)?;
-        let words = Arc::clone(&stream.words);
-        let cancel_rx = stream.cancel_tx.subscribe();
-        let total = words.len() as u64;
-        let (engine, id) = (self.clone(), id.clone());
-        let slot = Arc::new(OnceCell::new());
-        let chunks = stream::iter(offset..=total).then(move |sequence| {
-            let pause = if sequence == offset { first } else { between };
-            let chunk = chunk(&words, sequence);
-            let mut cancel_rx = cancel_rx.clone();
-            let (engine, id) = (engine.clone(), id.clone());
-            let slot = Arc::clone(&slot);
-            async move {
-                engine.take_slot(&slot, &mut cancel_rx).await?;
-                wait(pause, &mut cancel_rx).await?;
-                if !engine.suffer(fault, &id, sequence - offset).await? {
-                    return Ok(bytes::Bytes::new());
-                }
-                event_stream::event(&chunk).map_err(io::Error::from)
-            }
-        });
-        Some(Body::from_stream(chunks.try_filter(|it| std::future::ready(!it.is_empty()))))
-    }
-
-    /// Takes the slot of a stream, unless it has one.
-    async fn take_slot(
-        &self,
-        slot: &OnceCell<OwnedSemaphorePermit>,
-        cancel_rx: &mut watch::Receiver<bool>,
-    ) -> io::Result<()> {
-        let slots = Arc::clone(&self.shared.slots);
-        let taken = slot.get_or_try_init(|| slots.acquire_owned());
-        tokio::select! {
-            res = taken => res.map(drop).map_err(io::Error::other),
-            _ = cancel_rx.wait_for(|it| *it) => Err(io::ErrorKind::BrokenPipe.into()),
-        }
-    }
-
-    /// Suffers the fault of a stream before its token `count`. False if the
-    /// token is left out.
-    async fn suffer(
-        &self,
-        fault: Option<StreamFault>,
-        id: &StreamId,
-        count: u64,
-    ) -> io::Result<bool> {
-        match fault {
-            Some(StreamFault::Break(after)) if after <= count => {
-                Err(io::ErrorKind::BrokenPipe.into())
-            }
-            Some(StreamFault::Hang(after)) if after <= count => std::future::pending().await,
-            Some(StreamFault::Skip(after)) if after == count => Ok(false),
-            Some(StreamFault::Lose(after)) if after <= count => {
-                self.state().streams.remove(id);
-                Err(io::ErrorKind::BrokenPipe.into())
-            }
-            Some(_) | None => Ok(true),
+        state.oldest_streams.push_back(request.stream.clone());
+        if MAX_STREAMS < state.oldest_streams.len()
+            && let Some(oldest) = state.oldest_streams.pop_front()
+        {
+            state.streams.remove(&oldest);
         }
     }
 }
 
-/// Waits for a token, unless the stream is cancelled.
-async fn wait(pause: Duration, cancel_rx: &mut watch::Receiver<bool>) -> io::Result<()> {
-    let cancelled = || Err(io::Error::from(io::ErrorKind::BrokenPipe));
-    if pause.is_zero() {
-        return if *cancel_rx.borrow() { cancelled() } else { Ok(()) };
-    }
-    tokio::select! {
-        () = tokio::time::sleep(pause) => Ok(()),
-        _ = cancel_rx.wait_for(|it| *it) => cancelled(),
-    }
-}
-
-fn chunk(words: &[String], sequence: u64) -> Chunk {
-    let word = usize::try_from(sequence).ok().and_then(|idx| words.get(idx));
-    match word {
-        Some(text) => Chunk::Token { sequence, text: text.clone() },
-        None => Chunk::End {
-            tokens: words.len() as u64,
-            reason: "stop".to_owned(),
-            load: Some(LoadReport::default()),
-        },
-    }
-}
-
 /// Serves `engine` on `addr`.
 pub async fn bind(addr: SocketAddr, engine: FakeEngine) -> io::Result<HttpServer> {
     let on = |engine: &FakeEngine| engine.clone();
