--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod args;
 pub mod control_history;
 pub mod control_world;
+pub mod formation;
 pub mod report;
 pub mod spread;
