--- a/crates/bench/src/control_history.rs
+++ b/crates/bench/src/control_history.rs
@@ -67,6 +67,7 @@
         late_orders: 0.05,
         variant,
         checked: true,
+        measured: false,
     }
 }
 
--- a/crates/bench/src/formation.rs
+++ b/crates/bench/src/formation.rs
@@ -83,6 +83,7 @@
         late_orders: 0.0,
         variant: Variant::None,
         checked: false,
+        measured: true,
     }
 }
 
--- a/crates/coordination/src/control/claim.rs
+++ b/crates/coordination/src/control/claim.rs
@@ -19,10 +19,7 @@
     time::Time,
 };
 
-use super::{
-    context::Formation,
-    domain::{Action, DomainControl, OtherRead, RecordWrite},
-};
+use super::domain::{Action, DomainControl, OtherRead, RecordWrite};
 
 /// Reads of one domain after which a claim is given up.
 const CLAIM_READS: u32 = 16;
@@ -91,8 +88,8 @@
     }
 
     /// Remembers which domain each proposed member is in.
-    pub(super) fn propose(&mut self, replica: ReplicaId, formation: &Formation) {
-        self.members.insert(replica, formation.elsewhere.clone());
+    pub(super) fn propose(&mut self, replica: ReplicaId, elsewhere: Vec<(FabricDomainId, Member)>) {
+        self.members.insert(replica, elsewhere);
     }
 
     /// Whether the claim of a pending replica is decided.
--- a/crates/coordination/src/control/context.rs
+++ b/crates/coordination/src/control/context.rs
@@ -89,6 +89,8 @@
     pub domains: BTreeMap<FabricDomainId, DomainPlan>,
     /// Size of the smallest replica that no domain has room for.
     pub wanted_elsewhere: Option<u32>,
+    /// Free instances that no replica is to form with.
+    pub spares: Vec<(FabricDomainId, Member)>,
 }
 
 /// What replicas of a deployment are to hold.
--- a/crates/coordination/src/control/edit.rs
+++ b/crates/coordination/src/control/edit.rs
@@ -47,7 +47,7 @@
         self.note_serving(&mut next, now);
         self.halt_changes(&mut next, ctx, now, &mut decisions);
         self.mend(&mut next, ctx, now, &mut decisions);
-        self.settle_claims(&mut next, &mut decisions);
+        self.settle_claims(&mut next, now, &mut decisions);
         self.form(&mut next, ctx, now, &mut decisions);
         self.start_loads(&mut next, ctx);
         self.note_unusable(&mut next, now);
@@ -136,6 +136,11 @@
             }
         }
         next.loads.retain(|it| down.iter().any(|down| down.replica == it.replica));
+        // A replacement is over once it serves, or is gone.
+        next.replacements.retain(|it| {
+            down.iter().any(|down| down.replica == it.new)
+                || next.pending.iter().any(|spec| spec.id == it.new)
+        });
         // A change of the cause alone is not worth a write.
         let ids = |list: &[DownReplica]| Vec::from_iter(list.iter().map(|it| it.replica));
         if ids(&down) != ids(&next.down) {
@@ -193,7 +198,12 @@
     }
 
     /// Makes replicas active whose claims stand, and drops those refused.
-    fn settle_claims(&mut self, next: &mut DomainRecord, decisions: &mut Vec<ControlDecision>) {
+    fn settle_claims(
+        &mut self,
+        next: &mut DomainRecord,
+        now: Time,
+        decisions: &mut Vec<ControlDecision>,
+    ) {
         for mut spec in std::mem::take(&mut next.pending) {
             match self.claims.step(spec.id) {
                 Some(ClaimStep::Granted) => {
@@ -201,11 +211,12 @@
                     if lifecycle::claim(&spec).activate(granted).is_ok() {
                         next.epoch = next.epoch.next();
                         spec.epoch = next.epoch;
-                        self.activate(next, spec, decisions);
+                        self.activate(next, spec, now, decisions);
                     }
                 }
                 Some(ClaimStep::Refused) => {
                     next.epoch = next.epoch.next();
+                    next.replacements.retain(|it| it.new != spec.id);
                     for member in spec.members {
                         withhold_own(self, next, member);
                     }
@@ -215,16 +226,33 @@
         }
     }
 
+    /// Lists a replica, in place of what it was before a repair.
     fn activate(
         &self,
         next: &mut DomainRecord,
         spec: ReplicaSpec,
+        now: Time,
         decisions: &mut Vec<ControlDecision>,
     ) {
         let (replica, epoch, domain) = (spec.id, spec.epoch, self.domain.clone());
-        decisions.push(ControlDecision::ReplicaFormed { replica, domain, epoch });
-        self.add_load(next, &spec, u32::try_from(spec.members.len()).unwrap_or(u32::MAX));
+        let old = next.replaced_by(replica);
+        let old = old.and_then(|old| next.replicas.iter().position(|it| it.id == old));
+        let old = old.map(|idx| next.replicas.remove(idx));
+        self.add_load(next, &spec, now);
         next.replicas.push(spec);
+        let Some(old) = old else {
+            decisions.push(ControlDecision::ReplicaFormed { replica, domain, epoch });
+            return;
+        };
+        next.loads.retain(|it| it.replica != old.id);
+        next.down.retain(|it| it.replica != old.id);
+        let gone: Vec<Member> =
+            old.members.into_iter().filter(|it| !next.holds(&it.instance)).collect();
+        let replaced = u32::try_from(gone.len()).unwrap_or(u32::MAX);
+        for member in gone {
+            withhold(next, member);
+        }
+        decisions.push(ControlDecision::ReplicaRepaired { replica, replaced });
     }
 
     /// Forms what the plan assigns to this domain.
@@ -245,9 +273,9 @@
             if formation.elsewhere.is_empty() {
                 next.epoch = next.epoch.next();
                 let spec = ReplicaSpec { epoch: next.epoch, ..spec };
-                self.activate(next, spec, decisions);
+                self.activate(next, spec, now, decisions);
             } else {
-                self.claims.propose(spec.id, formation);
+                self.claims.propose(spec.id, formation.elsewhere.clone());
                 next.pending.push(spec);
             }
         }
--- a/crates/coordination/src/control/mend.rs
+++ b/crates/coordination/src/control/mend.rs
@@ -4,11 +4,11 @@
 
 use citrongw_protocol::{
     decision::control::ControlDecision,
-    record::{DomainRecord, DrainCause, WeightLoad},
+    record::{DomainRecord, DrainCause, Replacement, WeightLoad},
 };
 use citrongw_state::{
-    id::ReplicaId,
-    repair::{self, Broken, Patience, Step},
+    id::{FabricDomainId, ReplicaId},
+    repair::{self, Broken, Patience, Spares, Step},
     replica::{Member, ReplicaSpec},
     time::Time,
 };
@@ -54,7 +54,9 @@
         }
         let held_back = self.is_held_back(next, now, decisions);
         self.abandon(next, now, decisions);
-        let broken = self.broken(next, now);
+        let mut broken = self.broken(next, now);
+        // A repair under way is decided by its claims.
+        broken.retain(|(id, _)| !next.is_under_repair(*id));
         let mut spares = self.free_instances(next, ctx, now);
         for (id, vacancies) in &broken {
             if !held_back && vacancies.open.is_empty() && !vacancies.busy {
@@ -68,14 +70,19 @@
             return;
         }
         let patience = self.patience(ctx);
-        let count = u32::try_from(spares.len()).unwrap_or(u32::MAX);
-        let steps = repair::decide(self.settings.objective, &candidates, count, &patience);
+        let mut elsewhere = self.spares_elsewhere(ctx);
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        let supply = Spares { here: count(spares.len()), elsewhere: count(elsewhere.len()) };
+        let steps = repair::decide(self.settings.objective, &candidates, supply, &patience);
         // A domain that went dark is taken in order, one replica a write.
         let most = if self.dark_since.is_some() { 1 } else { steps.len() };
         for (id, step) in steps.into_iter().take(most) {
             let Some((_, vacancies)) = broken.iter().find(|it| it.0 == id) else { continue };
             match step {
                 Step::Replace => self.refill(next, id, vacancies, &mut spares, now, decisions),
+                Step::ReplaceAcross => {
+                    self.claim_spares(next, id, vacancies, &mut spares, &mut elsewhere);
+                }
                 Step::TakeApart => drain(next, id, DrainCause::TakenApart, decisions),
             }
         }
@@ -219,9 +226,20 @@
             waited: vacancies.waited,
             broken_for: since.map_or(Duration::ZERO, |it| now.since(it)),
             may_give: vacancies.any_alive,
+            may_span: self.is_of_one_domain(spec, vacancies),
         })
     }
 
+    /// Whether the members that stay are all of this domain. A claim elsewhere
+    /// stands for one replica alone and does not pass to the one that takes its
+    /// place.
+    fn is_of_one_domain(&self, spec: &ReplicaSpec, vacancies: &Vacancies) -> bool {
+        let stays =
+            spec.members.iter().enumerate().filter(|(idx, _)| !vacancies.open.contains(idx));
+        let mut stays = stays.map(|(_, member)| &member.instance);
+        stays.all(|id| self.seen.get(id).is_some_and(|it| it.listed.is_some()))
+    }
+
     /// Fills the places of a replica under a new epoch, so that no member's
     /// earlier report vouches for the new composition.
     fn refill(
@@ -255,29 +273,86 @@
         for member in gone {
             withhold(next, member);
         }
-        let members = spec.members.iter();
-        let unloaded = members.filter(|it| !self.keeps_weights(&spec, it, now)).count();
-        self.add_load(next, &spec, u32::try_from(unloaded).unwrap_or(u32::MAX));
+        self.add_load(next, &spec, now);
         decisions.push(ControlDecision::ReplicaRepaired { replica: id, replaced });
     }
 
-    fn keeps_weights(&self, spec: &ReplicaSpec, member: &Member, now: Time) -> bool {
+    /// Whether a member holds the weights of the replica already, from before
+    /// its repair.
+    pub(super) fn keeps_weights(
+        &self,
+        record: &DomainRecord,
+        spec: &ReplicaSpec,
+        member: &Member,
+        now: Time,
+    ) -> bool {
         let seen = self.seen.get(&member.instance);
         let heard = seen.and_then(|it| it.fresh(now, self.settings.freshness));
         heard.is_some_and(|it| {
-            it.report.replica == Some(spec.id)
+            let serves = it.report.replica;
+            it.report.ready
                 && it.report.incarnation == member.incarnation
-                && it.report.ready
+                && (serves == Some(spec.id)
+                    || serves.is_some() && serves == record.replaced_by(spec.id))
         })
     }
 
-    /// Lists a weight load, in place of an earlier one of the replica.
-    pub(super) fn add_load(&self, next: &mut DomainRecord, spec: &ReplicaSpec, members: u32) {
+    /// Lists the weight load of the members that have none yet, in place of an
+    /// earlier load of the replica.
+    pub(super) fn add_load(&self, next: &mut DomainRecord, spec: &ReplicaSpec, now: Time) {
         next.loads.retain(|it| it.replica != spec.id);
+        let members = spec.members.iter();
+        let unloaded = members.filter(|it| !self.keeps_weights(next, spec, it, now)).count();
+        let members = u32::try_from(unloaded).unwrap_or(u32::MAX);
         let accelerators = self.accelerators(spec);
         next.loads.push(WeightLoad { replica: spec.id, members, accelerators, running: false });
     }
 
+    /// Spares of other domains, beginning at another place for each domain, so
+    /// that two owners seldom reach for the same one.
+    fn spares_elsewhere(&self, ctx: &Context<'_>) -> Vec<(FabricDomainId, Member)> {
+        let others = ctx.fleet.spares.iter().filter(|(domain, _)| *domain != self.domain);
+        let mut others: Vec<(FabricDomainId, Member)> = others.cloned().collect();
+        let count = others.len().max(1);
+        let domains: Vec<&FabricDomainId> = ctx.fleet.domains.keys().collect();
+        let place = domains.iter().position(|it| **it == self.domain).unwrap_or_default();
+        others.rotate_left(place * count / domains.len().max(1) % count);
+        others
+    }
+
+    /// Lists the replica as it is to be; it stays as it is until the claims of
+    /// the instances elsewhere stand.
+    fn claim_spares(
+        &mut self,
+        next: &mut DomainRecord,
+        id: ReplicaId,
+        vacancies: &Vacancies,
+        spares: &mut Vec<Member>,
+        elsewhere: &mut Vec<(FabricDomainId, Member)>,
+    ) {
+        let Some(spec) = next.replicas.iter().find(|it| it.id == id).cloned() else { return };
+        if !self.is_of_one_domain(&spec, vacancies) {
+            return;
+        }
+        let mut spec = ReplicaSpec { id: self.draw_replica(), ..spec };
+        let mut claimed = Vec::new();
+        for (place, member) in &vacancies.returned {
+            spec.members[*place] = member.clone();
+        }
+        for place in &vacancies.open {
+            if spares.is_empty() {
+                let Some((domain, member)) = elsewhere.pop() else { return };
+                spec.members[*place] = member.clone();
+                claimed.push((domain, member));
+            } else {
+                spec.members[*place] = spares.remove(0);
+            }
+        }
+        next.replacements.push(Replacement { new: spec.id, old: id });
+        self.claims.propose(spec.id, claimed);
+        next.pending.push(spec);
+    }
+
     fn accelerators(&self, spec: &ReplicaSpec) -> u32 {
         let of = |it: &Member| {
             let seen = self.seen.get(&it.instance)?;
--- a/crates/coordination/src/control/operate.rs
+++ b/crates/coordination/src/control/operate.rs
@@ -18,7 +18,7 @@
 use citrongw_state::id::{AttemptId, FabricDomainId, Incarnation, InstanceId, ReplicaId, Revision};
 use derive_more::{Display, Error};
 
-use super::call::read_entry;
+use super::{call::read_entry, release::abandon_repair};
 
 /// Attempts that a record remembers.
 const ASKED_KEPT: usize = 32;
@@ -124,6 +124,7 @@
             }
             let place = next.replicas.iter().position(|it| it.id == *replica);
             let spec = next.replicas.remove(place.ok_or(AskError::Unknown)?);
+            abandon_repair(&mut next, *replica);
             next.loads.retain(|it| it.replica != *replica);
             next.down.retain(|it| it.replica != *replica);
             next.draining.push(DrainingReplica { spec, cause: DrainCause::Operator });
--- a/crates/coordination/src/control/order.rs
+++ b/crates/coordination/src/control/order.rs
@@ -69,8 +69,7 @@
         for member in &spec.members {
             let Some(seen) = self.seen.get(&member.instance) else { continue };
             let standing = seen.standing(spec, member, now, self.settings.freshness);
-            let keeps_weights =
-                seen.heard.is_some_and(|it| it.report.replica == Some(spec.id) && it.report.ready);
+            let keeps_weights = self.keeps_weights(record, spec, member, now);
             if standing != Standing::Astray || !(may_load || keeps_weights) {
                 continue;
             }
--- a/crates/coordination/src/control/plan.rs
+++ b/crates/coordination/src/control/plan.rs
@@ -62,9 +62,7 @@
     }
     let mut standings = stand(input.records);
     let mut demands = Vec::new();
-    let coming = input.records.values().any(|(it, _)| {
-        !it.draining.is_empty() || !it.releasing.is_empty() || !it.pending.is_empty()
-    });
+    let coming = input.records.values().any(|(it, _)| !it.draining.is_empty());
     for deployment in &input.config.deployments {
         let standing = standings.remove(&deployment.id).unwrap_or_default();
         let target = target(deployment, &standing, input.records);
@@ -104,7 +102,8 @@
                 standing.down.insert(spec.id);
             }
         }
-        for spec in &record.pending {
+        // One that takes another's place is counted already.
+        for spec in record.pending.iter().filter(|it| record.replaced_by(it.id).is_none()) {
             standings.entry(spec.deployment.clone()).or_default().pending += 1;
         }
         for draining in &record.draining {
@@ -183,9 +182,6 @@
 }
 
 fn form(input: &PlanInput<'_>, demands: &[Demand], fleet: &mut FleetPlan) {
-    if demands.iter().all(|it| it.missing == 0) {
-        return;
-    }
     let mut free = free_instances(input);
     let supplies: Vec<Supply> = free
         .iter()
@@ -207,6 +203,18 @@
             part.form.push(Formation { assignment, elsewhere });
         }
     }
+    let left = free
+        .into_iter()
+        .flat_map(|(domain, list)| list.into_iter().map(|it| (domain.clone(), member(it))));
+    fleet.spares = left.collect();
+}
+
+fn member(instance: &ListedInstance) -> Member {
+    Member {
+        instance: instance.id.clone(),
+        incarnation: instance.incarnation,
+        engine_addr: instance.engine_addr,
+    }
 }
 
 fn free_instances<'a>(
@@ -244,12 +252,7 @@
         let Some(list) = free.get_mut(&part.domain) else { continue };
         let taken = (part.instances as usize).min(list.len());
         for instance in list.drain(..taken).filter(|_| 0 < idx) {
-            let member = Member {
-                instance: instance.id.clone(),
-                incarnation: instance.incarnation,
-                engine_addr: instance.engine_addr,
-            };
-            members.push((part.domain.clone(), member));
+            members.push((part.domain.clone(), member(instance)));
         }
     }
     members
--- a/crates/coordination/src/control/release.rs
+++ b/crates/coordination/src/control/release.rs
@@ -129,12 +129,21 @@
 ) {
     let Some(idx) = next.replicas.iter().position(|it| it.id == replica) else { return };
     let spec = next.replicas.remove(idx);
+    abandon_repair(next, replica);
     next.loads.retain(|it| it.replica != replica);
     next.down.retain(|it| it.replica != replica);
     next.draining.push(DrainingReplica { spec, cause });
     decisions.push(ControlDecision::ReplicaDrained { replica, cause });
 }
 
+/// Drops a repair under way of a replica that ends.
+pub(super) fn abandon_repair(next: &mut DomainRecord, old: ReplicaId) {
+    let dropped: Vec<ReplicaId> =
+        next.replacements.iter().filter(|it| it.old == old).map(|it| it.new).collect();
+    next.pending.retain(|it| !dropped.contains(&it.id));
+    next.replacements.retain(|it| it.old != old);
+}
+
 /// Withholds all members of a replica that ended.
 pub(super) fn release(next: &mut DomainRecord, spec: ReplicaSpec) {
     next.epoch = next.epoch.next();
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -45,6 +45,11 @@
     /// Replicas across domains whose instances are still being claimed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub pending: Vec<ReplicaSpec>,
+    /// Which replicas take the place of which under repair. A repair with
+    /// instances of other domains is a new replica, so that no claim of an
+    /// earlier repair can be taken for one of it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replacements: Vec<Replacement>,
     /// Replicas that take no new work, with their members still allocated.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub draining: Vec<DrainingReplica>,
@@ -77,6 +82,15 @@
     pub asked: Vec<AttemptId>,
 }
 
+/// Replica that takes the place of another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replacement {
+    /// The new replica.
+    pub new: ReplicaId,
+    /// The one under repair.
+    pub old: ReplicaId,
+}
+
 /// Why a replica drains.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display,
@@ -229,6 +243,16 @@
     pub fn backs(&self, replica: ReplicaId, instance: &InstanceId) -> bool {
         self.replica(replica).is_some_and(|it| it.members.iter().any(|m| m.instance == *instance))
     }
+
+    /// Replica whose place the new one takes.
+    pub fn replaced_by(&self, new: ReplicaId) -> Option<ReplicaId> {
+        self.replacements.iter().find(|it| it.new == new).map(|it| it.old)
+    }
+
+    /// Whether a repair of the replica is under way.
+    pub fn is_under_repair(&self, old: ReplicaId) -> bool {
+        self.replacements.iter().any(|it| it.old == old)
+    }
 }
 
 #[cfg(test)]
--- a/crates/state/src/repair.rs
+++ b/crates/state/src/repair.rs
@@ -1,10 +1,12 @@
 //! What to do about replicas that lost members.
 //!
 //! The replicas of one domain are looked at together, for they compete for its
-//! spares. A lost member is waited for as long as loading a spare would take:
-//! then neither waiting nor loading can cost more than twice the better of the
-//! two. Spares go to the replicas that return most for each. What is left over
-//! is taken apart to complete others, once its members have had time to return.
+//! spares. For the least group downtime, a lost member is waited for as long as
+//! loading a spare would take: then neither waiting nor loading can cost more
+//! than twice the better of the two. For the fewest stranded accelerators it is
+//! not waited for at all, since only waiting leaves the others idle. Spares go to the replicas that return most for each, those of other domains
+//! once the domain's own are used up. What is left over is taken apart to complete
+//! others, once its members have had time to return.
 
 use std::{cmp::Reverse, time::Duration};
 
@@ -27,6 +29,8 @@
     pub broken_for: Duration,
     /// Whether the members left may go to other replicas.
     pub may_give: bool,
+    /// Whether instances of other domains may join the members left.
+    pub may_span: bool,
 }
 
 /// Bounds of waiting.
@@ -45,37 +49,55 @@
 /// What to do with one replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
-    /// Spares take the places of the lost members.
+    /// Spares of the domain take the places of the lost members.
     Replace,
+    /// Spares of the domain and, where those do not reach, of other domains.
+    ReplaceAcross,
     /// The members left become spares.
     TakeApart,
 }
 
-/// Decides on the replicas of one domain that has so many spares. Those not
-/// named wait.
+/// Spares that may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spares {
+    /// In the domain.
+    pub here: u32,
+    /// In other domains.
+    pub elsewhere: u32,
+}
+
+/// Decides on the replicas of one domain. Those not named wait.
 pub fn decide(
     objective: Objective,
     broken: &[Broken],
-    spares: u32,
+    mut spares: Spares,
     patience: &Patience,
 ) -> Vec<(ReplicaId, Step)> {
     let mut ordered: Vec<&Broken> = broken.iter().collect();
     ordered.sort_by_key(|it| (Reverse(rank(objective, it)), it.replica));
     let mut steps = Vec::new();
-    let mut spares = spares;
     let mut lacking = Vec::new();
     for replica in ordered {
-        if !wait_is_over(replica, patience) {
+        if !wait_is_over(objective, replica, patience) {
             continue;
         }
-        if replica.lost <= spares {
-            spares -= replica.lost;
+        if replica.lost <= spares.here {
+            spares.here -= replica.lost;
             steps.push((replica.replica, Step::Replace));
+        } else if replica.may_span
+            && 0 < replica.left
+            && replica.lost <= spares.here + spares.elsewhere
+        {
+            spares.elsewhere -= replica.lost - spares.here;
+            spares.here = 0;
+            steps.push((replica.replica, Step::ReplaceAcross));
+        } else if forms_anew(replica, spares, patience) {
+            steps.push((replica.replica, Step::TakeApart));
         } else {
             lacking.push(replica);
         }
     }
-    steps.extend(take_apart(&lacking, spares, patience));
+    steps.extend(take_apart(&lacking, spares.here, patience));
     steps
 }
 
@@ -85,11 +107,24 @@
     objective.worth(broken.accelerators) * SCALE / u64::from(broken.lost.max(1))
 }
 
-fn wait_is_over(broken: &Broken, patience: &Patience) -> bool {
-    let most = patience.load_time.min(patience.most);
+fn wait_is_over(objective: Objective, broken: &Broken, patience: &Patience) -> bool {
+    let most = match objective {
+        Objective::GroupDowntime => patience.load_time.min(patience.most),
+        // The members left are idle while they wait, and not while they load.
+        Objective::StrandedAccelerators => Duration::ZERO,
+    };
     broken.waited.is_none_or(|waited| most <= waited)
 }
 
+/// Whether a replica that cannot be completed in place had better form anew,
+/// with its own members among others.
+fn forms_anew(broken: &Broken, spares: Spares, patience: &Patience) -> bool {
+    !broken.may_span
+        && 0 < broken.left
+        && patience.together <= broken.broken_for
+        && broken.lost <= spares.here + spares.elsewhere
+}
+
 /// Finds the last replicas whose members complete an earlier one, or a replica
 /// that is missing altogether.
 fn take_apart(lacking: &[&Broken], spares: u32, patience: &Patience) -> Option<(ReplicaId, Step)> {
