--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -72,10 +72,11 @@
     pub surroundings: Surroundings,
 }
 
-/// Spawns the demo.
-pub async fn spawn(listen: SocketAddr) -> Result<Demo> {
+/// Spawns the demo with addresses for callers and for operators.
+pub async fn spawn(caller_addr: SocketAddr, admin_addr: SocketAddr) -> Result<Demo> {
     let surroundings = open_surroundings().await?;
-    let node = node::spawn(settings(&surroundings, listen)).await?;
+    let settings = Settings { admin_addr, ..settings(&surroundings, caller_addr) };
+    let node = node::spawn(settings).await?;
     Ok(Demo { node, surroundings })
 }
 
@@ -113,14 +114,22 @@
 }
 
 /// What the stand-ins differ in.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct SurroundingsOptions {
+    /// Replicas.
+    pub replicas: u64,
     /// Manners of the engines.
     pub engine: EngineSettings,
     /// Whether a device that can forget connections stands before each engine.
     pub middleboxes: bool,
 }
 
+impl Default for SurroundingsOptions {
+    fn default() -> Self {
+        Self { replicas: REPLICAS, engine: EngineSettings::default(), middleboxes: false }
+    }
+}
+
 /// Starts the stand-ins.
 pub async fn open_surroundings() -> Result<Surroundings> {
     open_surroundings_with(SurroundingsOptions::default(), |_| {}).await
@@ -138,7 +147,7 @@
     let mut servers = Vec::new();
     let mut engines = Vec::new();
     let mut middleboxes = Vec::new();
-    for replica in 1..=REPLICAS {
+    for replica in 1..=options.replicas {
         for member in 1..=MEMBERS {
             let incarnation = Incarnation(replica * 100 + member);
             let engine = engine::open(incarnation, options.engine);
@@ -155,7 +164,7 @@
         }
     }
     let plain = plain_service::bind(ANY_PORT, runs.clone()).await.map_err(cause)?;
-    let mut config = config(plain.local_addr())?;
+    let mut config = config(plain.local_addr(), options)?;
     change(&mut config);
     write(&store, CONFIG_KEY.into(), &config).await?;
     let store_server = kv::server::bind(ANY_PORT, store.clone()).await.map_err(cause)?;
@@ -174,12 +183,15 @@
     })
 }
 
-fn config(plain_addr: SocketAddr) -> Result<Config> {
+fn config(plain_addr: SocketAddr, options: SurroundingsOptions) -> Result<Config> {
     let mut config: Config = serde_json::from_str(DEMO_CONFIG)
         .map_err(|error| could_not("read configuration", "demo", error))?;
     for service in &mut config.services {
         service.key_digests = vec![KeyDigest::of(DEMO_KEY)];
     }
+    for deployment in &mut config.deployments {
+        deployment.replicas = u32::try_from(options.replicas).unwrap_or(u32::MAX);
+    }
     for service in &mut config.plain_services {
         service.addrs = vec![plain_addr];
     }
--- a/crates/citrongw/src/node.rs
+++ b/crates/citrongw/src/node.rs
@@ -15,6 +15,7 @@
     control::summary::ControlView,
     decision_log::{self, DecisionLog},
     hand_over::HandOver,
+    instance_watch::InstancesCell,
     news_board::{self, NewsBoard},
     node_view::{self, NodeInfo, NodeView},
     record_watch::RecordsCell,
@@ -56,6 +57,9 @@
 /// Longest time for the last answers of a node that ends at once.
 const END_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time that a stop waits for claims to be settled.
+const CLAIMS_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// What the parts of a node share.
 pub struct Shared {
     /// The node.
@@ -76,6 +80,8 @@
     pub decisions: Arc<DecisionLog>,
     /// Replicas known.
     pub replicas: Arc<ReplicaTable>,
+    /// Instances as the platform lists them.
+    pub instances: Arc<InstancesCell>,
     /// Domain records known.
     pub records: Arc<RecordsCell>,
     /// What operators see of replica control.
@@ -148,6 +154,10 @@
         let finish = async {
             tokio::time::sleep(shared.settings.balancer_lag).await;
             self.server.stop().await;
+            let drain = shared.services.claims().drain();
+            if tokio::time::timeout(CLAIMS_TIMEOUT, drain).await.is_err() {
+                tracing::warn!("ended while claims were not settled");
+            }
         };
         tokio::pin!(finish);
         tokio::select! {
@@ -198,10 +208,11 @@
         decisions: Arc::new(decision_log::open(clock)),
         config: Arc::default(),
         replicas: Arc::default(),
+        services: service::open(node, &store, clock),
+        instances: Arc::default(),
         records: Arc::default(),
         control: Arc::default(),
         store,
-        services: service::open(),
         engine,
         metrics: metrics::open(),
         stop_asked: Notify::new(),
@@ -213,6 +224,7 @@
     let peers = endpoint.spawn(&shared).await?;
     let mut drivers = vec![spawn_stop_watch(&shared)];
     drivers.extend(control::spawn(&shared));
+    drivers.extend(caller::spawn(&shared));
     let tls = open_tls(&shared.settings)?;
     let options = ServerOptions {
         tls: tls.clone(),
--- a/crates/protocol/src/decision.rs
+++ b/crates/protocol/src/decision.rs
@@ -6,14 +6,14 @@
 
 use citrongw_state::{
     admission,
-    id::{AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
+    id::{AttemptId, AvailabilityZone, NodeId, ReplicaId, RequestId, Revision},
     retry, routing, straggler,
 };
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use self::control::ControlDecision;
-use crate::code::ResultCode;
+use crate::code::{Outcome, ResultCode};
 
 /// One decision. Its text is the sentence that an operator reads.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Display)]
@@ -47,6 +47,14 @@
         /// The replica that lost it.
         replica: ReplicaId,
     },
+    /// A second attempt was started beside a slow first one.
+    #[display("request {request} was sent to replica {replica} as well: the first is slow")]
+    Hedged {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: ReplicaId,
+    },
     /// A caller went away before its answer ended.
     #[display("request {request} was cancelled: its caller left")]
     CallerLeft {
@@ -165,6 +173,32 @@
         /// Replicas that died with it in flight.
         deaths: u32,
     },
+    /// An at-most-once call was claimed; its attempt sends it, once.
+    #[display("request {request} holds the claim of its call, attempt {attempt}")]
+    CallClaimed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The attempt of an at-most-once call has ended.
+    #[display("request {request} ended attempt {attempt} of its call: {outcome}")]
+    CallSettled {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        outcome: Outcome,
+    },
+    /// A resend of an at-most-once call got the stored answer.
+    #[display("request {request} got the answer that attempt {attempt} left; nothing ran again")]
+    CallReplayed {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// What replica control decided.
     #[display("{_0}")]
     Control(ControlDecision),
@@ -196,6 +230,7 @@
                 Self::Routed { request, .. }
                 | Self::Resumed { request, .. }
                 | Self::RunAgain { request, .. }
+                | Self::Hedged { request, .. }
                 | Self::CallerLeft { request }
                 | Self::Refused { request, .. }
                 | Self::Chosen { request, .. }
@@ -203,38 +238,24 @@
                 | Self::NotAdmitted { request, .. }
                 | Self::NotRetried { request, .. }
                 | Self::Isolated { request, .. }
-                | Self::Contained { request, .. },
+                | Self::Contained { request, .. }
+                | Self::CallClaimed { request, .. }
+                | Self::CallSettled { request, .. }
+                | Self::CallReplayed { request, .. },
                 Subject::Request(id),
             ) => *request == id,
             (
                 Self::Routed { replica, .. }
                 | Self::Resumed { replica, .. }
                 | Self::RunAgain { replica, .. }
+                | Self::Hedged { replica, .. }
                 | Self::Chosen { replica, .. }
                 | Self::Straggler { replica, .. }
                 | Self::Isolated { replica, .. },
                 Subject::Replica(id),
             ) => *replica == id,
             (Self::Control(decision), Subject::Replica(id)) => decision.is_about(id),
-            (
-                Self::Refused { .. }
-                | Self::CallerLeft { .. }
-                | Self::NotChosen { .. }
-                | Self::NotAdmitted { .. }
-                | Self::NotRetried { .. }
-                | Self::Contained { .. },
-                Subject::Replica(_),
-            )
-            | (Self::Straggler { .. }, Subject::Request(_))
-            | (
-                Self::ConfigInForce { .. }
-                | Self::ConfigWentBack { .. }
-                | Self::ConfigForked { .. }
-                | Self::NodeDied { .. }
-                | Self::NodesRecorded { .. }
-                | Self::Control(_),
-                _,
-            ) => false,
+            _ => false,
         }
     }
 }
