Test outages, planned changes and stragglers of replica control

The histories draw faults but never a three-hour outage, a change of version or a slow member. Four cases now do, by the shipped step functions: nothing is written, formed or moved while the service is down and repair follows its return; a change keeps the stated number serving, with one more replica where there is no other way; a version that does not come up is rolled back and marked; a straggler's place is filled by a spare.

--- a/crates/coordination/src/control/operate.rs
+++ b/crates/coordination/src/control/operate.rs
@@ -158,3 +158,6 @@
     }
     Ok(Some(next))
 }
+
+#[cfg(test)]
+mod tests;
