Repair replicas that span domains

Cause: a replica with members of several domains was only ever formed anew. Change: claims of members that stay pass to the replica that takes the place.

--- a/crates/coordination/src/control/claim.rs
+++ b/crates/coordination/src/control/claim.rs
@@ -119,12 +119,18 @@
         let Some(record) = self.record.clone() else { return };
         self.claims.retain(&record);
         for spec in &record.pending {
-            self.go_on_with(spec, now, actions);
+            self.go_on_with(spec, record.replaced_by(spec.id), now, actions);
         }
         self.check_foreign(&record, now, actions);
     }
 
-    fn go_on_with(&mut self, spec: &ReplicaSpec, now: Time, actions: &mut Vec<Action>) {
+    fn go_on_with(
+        &mut self,
+        spec: &ReplicaSpec,
+        old: Option<ReplicaId>,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
         let members = self.claims.members.get(&spec.id).cloned();
         let claim = self.claims.made.entry(spec.id).or_insert_with(|| begin(members, now));
         let lost = claim.step == ClaimStep::Waiting
@@ -135,7 +141,7 @@
         }
         if let Some((other, revision)) = claim.found.take() {
             let replica = spec.id;
-            if let Some(write) = claim.advance(replica, &self.domain, &other, revision) {
+            if let Some(write) = claim.advance(replica, old, &self.domain, &other, revision) {
                 claim.step = ClaimStep::Waiting;
                 claim.asked_at = now;
                 actions.push(Action::WriteOther(replica, write));
@@ -190,6 +196,7 @@
     fn advance(
         &mut self,
         replica: ReplicaId,
+        old: Option<ReplicaId>,
         home: &FabricDomainId,
         other: &Arc<DomainRecord>,
         revision: Revision,
@@ -203,8 +210,17 @@
             self.step = if self.left.is_empty() { ClaimStep::Granted } else { ClaimStep::Read };
             return None;
         }
+        // The replica under repair holds the members that stay until this one
+        // takes its place.
+        let stays = |member: &Member| {
+            let mut claims =
+                other.foreign.iter().filter(|it| it.member.instance == member.instance);
+            claims.all(|it| Some(it.replica) == old)
+                && other.foreign.iter().any(|it| it.member == *member)
+        };
         let taken = |it: &Member| {
-            other.holds(&it.instance) || other.is_leaving(&it.instance, it.incarnation)
+            !stays(it) && other.holds(&it.instance)
+                || other.is_leaving(&it.instance, it.incarnation)
         };
         if members.iter().any(|it| !granted(it) && taken(it)) {
             self.step = ClaimStep::Refused;
--- a/crates/coordination/src/control/context.rs
+++ b/crates/coordination/src/control/context.rs
@@ -6,7 +6,10 @@
 use citrongw_protocol::record::DrainCause;
 use citrongw_state::{
     config::Deployment,
-    id::{AdapterId, DeploymentId, FabricDomainId, ModelVersion, NodeId, ReplicaId, Revision},
+    id::{
+        AdapterId, DeploymentId, FabricDomainId, InstanceId, ModelVersion, NodeId, ReplicaId,
+        Revision,
+    },
     objective::Objective,
     placement::Assignment,
     replica::Member,
@@ -89,6 +92,8 @@
     pub domains: BTreeMap<FabricDomainId, DomainPlan>,
     /// Size of the smallest replica that no domain has room for.
     pub wanted_elsewhere: Option<u32>,
+    /// Domains of the instances that replicas of other domains hold.
+    pub foreign: BTreeMap<InstanceId, FabricDomainId>,
     /// Free instances that no replica is to form with.
     pub spares: Vec<(FabricDomainId, Member)>,
 }
--- a/crates/coordination/src/control/mend.rs
+++ b/crates/coordination/src/control/mend.rs
@@ -65,7 +65,7 @@
         }
         let open = broken.iter().filter(|(_, it)| !it.open.is_empty() && !it.busy);
         let candidates: Vec<Broken> =
-            open.filter_map(|(id, it)| self.describe(next, *id, it, now)).collect();
+            open.filter_map(|(id, it)| self.describe(next, ctx, *id, it, now)).collect();
         if held_back || candidates.is_empty() {
             return;
         }
@@ -81,7 +81,7 @@
             match step {
                 Step::Replace => self.refill(next, id, vacancies, &mut spares, now, decisions),
                 Step::ReplaceAcross => {
-                    self.claim_spares(next, id, vacancies, &mut spares, &mut elsewhere);
+                    self.claim_spares(next, ctx, id, vacancies, &mut spares, &mut elsewhere);
                 }
                 Step::TakeApart => drain(next, id, DrainCause::TakenApart, decisions),
             }
@@ -210,6 +210,7 @@
     fn describe(
         &self,
         record: &DomainRecord,
+        ctx: &Context<'_>,
         id: ReplicaId,
         vacancies: &Vacancies,
         now: Time,
@@ -226,18 +227,29 @@
             waited: vacancies.waited,
             broken_for: since.map_or(Duration::ZERO, |it| now.since(it)),
             may_give: vacancies.any_alive,
-            may_span: self.is_of_one_domain(spec, vacancies),
+            may_span: self.foreign_members(ctx, spec, vacancies).is_some(),
         })
     }
 
-    /// Whether the members that stay are all of this domain. A claim elsewhere
-    /// stands for one replica alone and does not pass to the one that takes its
-    /// place.
-    fn is_of_one_domain(&self, spec: &ReplicaSpec, vacancies: &Vacancies) -> bool {
-        let stays =
-            spec.members.iter().enumerate().filter(|(idx, _)| !vacancies.open.contains(idx));
-        let mut stays = stays.map(|(_, member)| &member.instance);
-        stays.all(|id| self.seen.get(id).is_some_and(|it| it.listed.is_some()))
+    /// Members of other domains that stay, with their domains. None if the
+    /// domain of one is not known.
+    fn foreign_members(
+        &self,
+        ctx: &Context<'_>,
+        spec: &ReplicaSpec,
+        vacancies: &Vacancies,
+    ) -> Option<Vec<(FabricDomainId, Member)>> {
+        let filled = |idx: &usize| {
+            vacancies.open.contains(idx) || vacancies.returned.iter().any(|(it, _)| it == idx)
+        };
+        let stays = spec.members.iter().enumerate().filter(|(idx, _)| !filled(idx));
+        let is_own =
+            |it: &Member| self.seen.get(&it.instance).is_some_and(|it| it.listed.is_some());
+        if vacancies.returned.iter().any(|(_, it)| !is_own(it)) {
+            return None;
+        }
+        let foreign = stays.map(|(_, it)| it).filter(|it| !is_own(it));
+        foreign.map(|it| Some((ctx.fleet.foreign.get(&it.instance)?.clone(), it.clone()))).collect()
     }
 
     /// Fills the places of a replica under a new epoch, so that no member's
@@ -325,17 +337,15 @@
     fn claim_spares(
         &mut self,
         next: &mut DomainRecord,
+        ctx: &Context<'_>,
         id: ReplicaId,
         vacancies: &Vacancies,
         spares: &mut Vec<Member>,
         elsewhere: &mut Vec<(FabricDomainId, Member)>,
     ) {
         let Some(spec) = next.replicas.iter().find(|it| it.id == id).cloned() else { return };
-        if !self.is_of_one_domain(&spec, vacancies) {
-            return;
-        }
+        let Some(mut claimed) = self.foreign_members(ctx, &spec, vacancies) else { return };
         let mut spec = ReplicaSpec { id: self.draw_replica(), ..spec };
-        let mut claimed = Vec::new();
         for (place, member) in &vacancies.returned {
             spec.members[*place] = member.clone();
         }
--- a/crates/coordination/src/control/plan.rs
+++ b/crates/coordination/src/control/plan.rs
@@ -60,6 +60,7 @@
         let part = DomainPlan { revision: Some(*revision), ..DomainPlan::default() };
         fleet.domains.insert(domain.clone(), part);
     }
+    fleet.foreign = foreign(input.records);
     let mut standings = stand(input.records);
     let mut demands = Vec::new();
     let coming = input.records.values().any(|(it, _)| !it.draining.is_empty());
@@ -86,6 +87,13 @@
     fleet
 }
 
+fn foreign(records: &Records) -> BTreeMap<InstanceId, FabricDomainId> {
+    let claims = records.iter().flat_map(|(domain, (record, _))| {
+        record.foreign.iter().map(move |it| (it.member.instance.clone(), domain.clone()))
+    });
+    claims.collect()
+}
+
 fn count<T>(list: &[T]) -> u32 {
     u32::try_from(list.len()).unwrap_or(u32::MAX)
 }
