--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control_history;
 pub mod control_world;
 pub mod crash;
+pub mod formation;
 pub mod model;
 pub mod node;
 pub mod overload;
