Let a refutation overtake the suspicion, and tell who holds a change both ways

At 40 and 80 nodes live nodes were held for dead: a refutation waited behind the usual budget while the suspicion did not. It now has the same rank. Nodes ask each other every 350 ms instead of 250 ms, and every 250 ms while the service is silent; pushes go along the tree; an exchange over TCP compares member lists only when asked to.

--- a/crates/bench/benches/spread.rs
+++ b/crates/bench/benches/spread.rs
@@ -57,6 +57,8 @@
     add("service_calls", figures.calls_per_min, "1/min");
     add("sent_mean", figures.bytes_per_s, "B/s");
     add("sent_max", figures.max_bytes_per_s, "B/s");
+    add("sent_acks", figures.ack_bytes_per_s, "B/s");
+    add("sent_tcp", figures.exchange_bytes_per_s, "B/s");
     add("cpu", figures.cpu_share, "share");
     let polls = nodes as f64 * 60.0;
     report.add(BASELINE, &format!("{scenario}/{nodes}/service_calls"), polls, "1/min");
--- a/crates/bench/src/spread/fleet.rs
+++ b/crates/bench/src/spread/fleet.rs
@@ -106,6 +106,26 @@
     }
 }
 
+/// Bytes sent by kind, headers of lower layers among them.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SentBytes {
+    /// Pings.
+    pub pings: u64,
+    /// Answers to pings.
+    pub acks: u64,
+    /// All other datagrams.
+    pub others: u64,
+    /// Over TCP.
+    pub exchanges: u64,
+}
+
+impl SentBytes {
+    /// All bytes.
+    pub fn total(&self) -> u64 {
+        self.pings + self.acks + self.others + self.exchanges
+    }
+}
+
 /// Node of a fleet.
 pub struct FleetNode {
     /// The node.
@@ -127,7 +147,7 @@
     /// News heard, with their times.
     pub heard: Vec<(Time, News)>,
     /// Bytes sent.
-    pub sent_bytes: u64,
+    pub sent: SentBytes,
     /// Calls to the service.
     pub service_calls: u64,
     /// Steps carried out.
@@ -217,7 +237,7 @@
             serve_until: None,
             in_force: Vec::new(),
             heard: Vec::new(),
-            sent_bytes: 0,
+            sent: SentBytes::default(),
             service_calls: 0,
             steps: 0,
             started_at: self.now,
@@ -301,7 +321,8 @@
             Item::Event(event) => self.step(idx, *event),
             Item::Question { asker, asked_at, request } => {
                 let answer = self.nodes[idx].membership.answer(&request);
-                self.nodes[idx].sent_bytes += (size(&answer) + EXCHANGE_AROUND_BYTES / 2) as u64;
+                self.nodes[idx].sent.exchanges +=
+                    (size(&answer) + EXCHANGE_AROUND_BYTES / 2) as u64;
                 self.give_answer(idx, asker, asked_at, answer);
             }
             Item::Call(call) => {
@@ -362,7 +383,13 @@
     }
 
     fn send(&mut self, idx: usize, addr: SocketAddr, mut message: Box<Message>) {
-        self.nodes[idx].sent_bytes += (size(&message) + DATAGRAM_AROUND_BYTES) as u64;
+        let bytes = (size(&message) + DATAGRAM_AROUND_BYTES) as u64;
+        let sent = &mut self.nodes[idx].sent;
+        match *message {
+            Message::Ping(_) => sent.pings += bytes,
+            Message::Ack(_) => sent.acks += bytes,
+            _ => sent.others += bytes,
+        }
         let Some(to) = self.by_addr.get(&addr).copied() else { return };
         if !self.reaches(idx, to) || self.rng.random_bool(self.settings.loss) {
             return;
@@ -378,7 +405,7 @@
 
     fn ask(&mut self, idx: usize, addr: SocketAddr, request: Box<FetchRequest>) {
         let asked_at = self.now;
-        self.nodes[idx].sent_bytes += (size(&request) + EXCHANGE_AROUND_BYTES / 2) as u64;
+        self.nodes[idx].sent.exchanges += (size(&request) + EXCHANGE_AROUND_BYTES / 2) as u64;
         let to = self.by_addr.get(&addr).copied().filter(|to| self.reaches(idx, *to));
         match to.filter(|to| self.nodes[*to].runs) {
             Some(to) => {
--- a/crates/bench/src/spread/measure.rs
+++ b/crates/bench/src/spread/measure.rs
@@ -15,8 +15,8 @@
 
 /// Time for the nodes to find each other and to be recorded.
 const WARM_UP: Duration = Duration::from_secs(20);
-/// Pause between two edits.
-const EDIT_INTERVAL: Duration = Duration::from_secs(6);
+/// Pause between two edits: 15,000 a day.
+const EDIT_INTERVAL: Duration = Duration::from_millis(5760);
 /// Pause between two replacements.
 const REPLACE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time into an interval at which the edit is made.
@@ -83,6 +83,10 @@
     pub bytes_per_s: f64,
     /// The same of the node that sent most.
     pub max_bytes_per_s: f64,
+    /// Bytes of answers that a node sent, a second, in the mean.
+    pub ack_bytes_per_s: f64,
+    /// Bytes over TCP that a node sent, a second, in the mean.
+    pub exchange_bytes_per_s: f64,
     /// Share of a core that the steps of a node took.
     pub cpu_share: f64,
 }
@@ -108,6 +112,7 @@
     served: Served,
     figures: Figures,
     pending: Vec<(Time, Revision)>,
+    not_accepted: Vec<(Time, Revision)>,
 }
 
 #[derive(Default)]
@@ -146,15 +151,18 @@
         served: Served::default(),
         figures: Figures::default(),
         pending: Vec::new(),
+        not_accepted: Vec::new(),
     };
     run.pass(WARM_UP);
     run.served = Served::default();
-    let sent_before: Vec<u64> = run.fleet.nodes.iter().map(|it| it.sent_bytes).collect();
+    let sent_before: Vec<u64> = run.fleet.nodes.iter().map(|it| it.sent.total()).collect();
     let calls_before: u64 = run.fleet.nodes.iter().map(|it| it.service_calls).sum();
     let (began_at, clock) = (run.fleet.now(), Instant::now());
     for edit in 0..edits {
         run.interval(scenario, edit);
     }
+    run.pass(EDIT_INTERVAL);
+    run.note_accepted();
     let took = clock.elapsed();
     let passed = run.fleet.now().since(began_at).as_secs_f64();
     run.finish(passed, took, &sent_before, calls_before)
@@ -273,11 +281,13 @@
     }
 
     fn note_accepted(&mut self) {
-        for (committed_at, revision) in &self.pending {
-            if let Some((_, at)) = self.check.accepted().range(*revision..).next() {
-                self.figures.accepted_s.push(at.since(*committed_at).as_secs_f64());
-            }
-        }
+        self.not_accepted.extend(&self.pending);
+        let accepted = self.check.accepted();
+        self.not_accepted.retain(|(committed_at, revision)| {
+            let Some((_, at)) = accepted.range(*revision..).next() else { return true };
+            self.figures.accepted_s.push(at.since(*committed_at).as_secs_f64());
+            false
+        });
     }
 
     fn finish(
@@ -289,9 +299,15 @@
     ) -> Figures {
         let nodes = self.fleet.running().len() as f64;
         let sent = |(idx, node): (usize, &fleet::FleetNode)| {
-            (node.sent_bytes - sent_before.get(idx).copied().unwrap_or(0)) as f64 / passed_s
+            (node.sent.total() - sent_before.get(idx).copied().unwrap_or(0)) as f64 / passed_s
         };
         let sent: Vec<f64> = self.fleet.nodes.iter().enumerate().map(sent).collect();
+        let of_all = |part: fn(&fleet::FleetNode) -> u64| {
+            let sum: u64 = self.fleet.nodes.iter().map(part).sum();
+            sum as f64 / self.fleet.now().0.as_secs_f64() / nodes
+        };
+        self.figures.ack_bytes_per_s = of_all(|it| it.sent.acks);
+        self.figures.exchange_bytes_per_s = of_all(|it| it.sent.exchanges);
         let calls: u64 = self.fleet.nodes.iter().map(|it| it.service_calls).sum();
         self.figures.bytes_per_s = sent.iter().sum::<f64>() / nodes;
         self.figures.max_bytes_per_s = sent.iter().copied().fold(0.0, f64::max);
--- a/crates/coordination/src/config/holders.rs
+++ b/crates/coordination/src/config/holders.rs
@@ -131,12 +131,8 @@
                     }
                 }
             }
-            OwnZone::Ever(bits) if bits.len() == self.own.len().div_ceil(8) => {
-                for (idx, recorded) in self.own.iter_mut().enumerate() {
-                    recorded.held |= bits[idx / 8] >> (idx % 8) & 1 == 1;
-                }
-            }
-            OwnZone::None | OwnZone::Ages(_) | OwnZone::Ever(_) => {}
+            OwnZone::Ever(bits) => self.add_ever(from, bits),
+            OwnZone::None | OwnZone::Ages(_) => {}
         }
         for zone in &holders.zones {
             if Some(zone.zone_idx) != self.own_idx {
@@ -145,6 +141,17 @@
         }
     }
 
+    /// Takes in who ever held the token, as `from` tells of its own zone.
+    pub fn add_ever(&mut self, from: NodeId, bits: &[u8]) {
+        let same_zone = self.own.binary_search_by_key(&from, |it| it.node).is_ok();
+        if !same_zone || bits.len() != self.own.len().div_ceil(8) {
+            return;
+        }
+        for (idx, recorded) in self.own.iter_mut().enumerate() {
+            recorded.held |= bits[idx / 8] >> (idx % 8) & 1 == 1;
+        }
+    }
+
     /// What to tell another holder of the token.
     pub fn tell(&self, wanted: HoldersWanted, same_zone: bool, now: Time) -> Option<Holders> {
         let age = |it: &Recorded| it.held_at.map_or(HOLDER_UNKNOWN, |at| units(now.since(at)));
@@ -163,7 +170,8 @@
         Some(Holders { own_zone, zones })
     }
 
-    fn bits(&self) -> Vec<u8> {
+    /// A bit for each recorded node of the own zone that ever held the token.
+    pub fn bits(&self) -> Vec<u8> {
         let mut bits = vec![0; self.own.len().div_ceil(8)];
         for (idx, _) in self.own.iter().enumerate().filter(|(_, it)| it.held) {
             bits[idx / 8] |= 1 << (idx % 8);
--- a/crates/coordination/src/config/holding.rs
+++ b/crates/coordination/src/config/holding.rs
@@ -174,6 +174,21 @@
         }
     }
 
+    /// Takes in who ever held the token, as a question tells.
+    pub fn take_ever_held(&mut self, from: NodeId, token: HeldToken, bits: &[u8]) {
+        if token == self.token {
+            self.holders.add_ever(from, bits);
+        }
+    }
+
+    /// What a question tells a node of the own zone.
+    pub fn tell_ever_held(&self, now: Time) -> Vec<u8> {
+        match self.holders_wanted(now) {
+            HoldersWanted::Ever => self.holders.bits(),
+            HoldersWanted::None | HoldersWanted::Ages => Vec::new(),
+        }
+    }
+
     /// What to tell a node of the own zone, or of another.
     pub fn tell_holders(
         &mut self,
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -3,7 +3,7 @@
 //! One step function `(state, event, now) -> actions`; the driver in
 //! [`driver`] feeds it from sockets, the clock and the key-value service.
 //!
-//! Each node asks another four times a second. Half of the questions go to the
+//! Each node asks another three times a second. Half of the questions go to the
 //! node above it in the order of its zone, so that confirmations and sums reach
 //! everybody in a few steps; most others go round the zone; a few go to other
 //! zones. What has changed rides along. A node that does not answer, directly
@@ -328,7 +328,9 @@
     pub fn answer(&self, request: &FetchRequest) -> FetchAnswer {
         let mut answer = FetchAnswer::default();
         self.holding.answer(request, &mut answer);
-        answer.members = self.members.differing(&request.member_buckets);
+        if let Some(theirs) = &request.member_buckets {
+            answer.members = self.members.differing(theirs);
+        }
         if request.want_news {
             answer.news = self.gossip.recent();
         }
--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -94,6 +94,10 @@
             introduction: self.members.own().filter(|_| introduces).cloned(),
             standing: self.holding.standing(now),
             holders_wanted: self.holding.holders_wanted(now),
+            ever_held: match self.is_inside(to) {
+                true => self.holding.tell_ever_held(now),
+                false => Vec::new(),
+            },
             demand,
             gossip: Gossip::default(),
         });
@@ -165,6 +169,7 @@
         }
         self.take_gossip(&ping.gossip, now, actions);
         self.take_demand(from, &ping.demand, now);
+        self.holding.take_ever_held(from, ping.standing.token, &ping.ever_held);
         self.compare(from, addr, &ping.standing, now, actions);
         let ack = self.acknowledge(from, ping, now);
         self.send(addr, from, Message::Ack(ack), actions);
@@ -276,11 +281,18 @@
         let differs = own != standing.token && own.config <= standing.token.config;
         let rested = self.exchanges.fetch_at <= now;
         if ahead || (rested && (stranger || differs)) {
-            self.fetch(addr, now, actions);
+            self.fetch(addr, stranger, now, actions);
         }
     }
 
-    pub(super) fn fetch(&mut self, addr: SocketAddr, now: Time, actions: &mut Vec<Action>) {
+    /// Asks a node over TCP for what it holds and this one does not.
+    pub(super) fn fetch(
+        &mut self,
+        addr: SocketAddr,
+        with_members: bool,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
         let under_way = self.fetching_since.is_some_and(|at| now.since(at) < FETCH_LOST);
         if under_way || self.leaving {
             return;
@@ -291,7 +303,7 @@
         let mut request = FetchRequest {
             config: None,
             records: Vec::new(),
-            member_buckets: self.members.buckets(),
+            member_buckets: with_members.then(|| self.members.buckets()),
             want_replicas: false,
             want_news: young,
         };
--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -96,9 +96,13 @@
 impl GossipQueue {
     /// Adds a member; it takes the place of what was to be told of it.
     pub fn add_member(&mut self, update: MemberUpdate) {
-        let rank = match update.state {
-            MemberState::Alive => Rank::Joining,
-            MemberState::Suspect | MemberState::Dead | MemberState::Left => Rank::Liveness,
+        let rank = match (update.state, update.incarnation) {
+            (MemberState::Alive, 0) => Rank::Joining,
+            // A refutation must overtake the suspicion.
+            (
+                MemberState::Alive | MemberState::Suspect | MemberState::Dead | MemberState::Left,
+                _,
+            ) => Rank::Liveness,
         };
         self.add(Key::Member(update.node), rank, Content::Member(update));
     }
--- a/crates/coordination/src/membership/probing.rs
+++ b/crates/coordination/src/membership/probing.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use citrongw_protocol::peer::{MemberState, Message, Stamp};
+use citrongw_protocol::peer::{HoldersWanted, MemberState, Message, Stamp};
 use citrongw_state::{id::NodeId, time::Time};
 use rand::{Rng, seq::SliceRandom};
 
@@ -12,7 +12,9 @@
 };
 
 /// Pause between two questions.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(350);
+/// The same while the service is silent and the nodes vouch for each other.
+const SILENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for an answer before others are asked to try.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for an answer before the node is suspected.
@@ -20,7 +22,7 @@
 /// Time for which a late answer is still taken in.
 const ANSWER_TAKEN: Duration = Duration::from_secs(4);
 /// Nodes asked to try.
-const HELPERS: usize = 3;
+const HELPERS: usize = 2;
 /// Of so many questions, one goes to another zone.
 const OUTSIDE_EVERY: u64 = 8;
 /// Pause between two tries to find nodes that are not known or gone.
@@ -84,7 +86,7 @@
     pub(super) fn probe(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.judge_silence(now, actions);
         if self.probing.next_at <= now {
-            self.probing.next_at = now + self.exchange_interval();
+            self.probing.next_at = now + self.exchange_interval(now);
             self.exchanges.count += 1;
             if let Some(target) = self.next_target() {
                 self.ping(target, now, actions);
@@ -97,13 +99,15 @@
             self.probing.compare_at = now + COMPARE_INTERVAL;
             let target = self.any_inside().or_else(|| self.any_outside());
             if let Some(addr) = target.and_then(|it| self.addr_of(it)) {
-                self.fetch(addr, now, actions);
+                self.fetch(addr, true, now, actions);
             }
         }
     }
 
-    fn exchange_interval(&mut self) -> Duration {
-        INTERVAL.mul_f64(self.rng.random_range(0.9..1.1))
+    fn exchange_interval(&mut self, now: Time) -> Duration {
+        let silent = self.holding.holders_wanted(now) == HoldersWanted::Ages;
+        let interval = if silent { SILENT_INTERVAL } else { INTERVAL };
+        interval.mul_f64(self.rng.random_range(0.9..1.1))
     }
 
     fn next_target(&mut self) -> Option<NodeId> {
--- a/crates/coordination/src/membership/targets.rs
+++ b/crates/coordination/src/membership/targets.rs
@@ -13,8 +13,6 @@
 const FAN_OUT: usize = 4;
 /// Of the first nodes of another zone, how many are asked by those of this.
 const FIRST_NODES: usize = 2;
-/// Members pushed to within the zone, and outside.
-const PUSH_INSIDE: usize = 3;
 
 impl Membership {
     /// Place of this node in its zone.
@@ -63,11 +61,13 @@
         self.members.gone().choose(&mut self.rng)
     }
 
-    /// Members to be told something at once.
+    /// Members to be told something at once: those next to this one in the
+    /// tree, so that each is told by few, any other of the zone, and one outside.
     pub(super) fn push_targets(&mut self) -> Vec<NodeId> {
-        let this = self.this.id;
-        let inside = self.members.zone(&self.this.zone).filter(|it| *it != this);
-        let mut targets = inside.choose_multiple(&mut self.rng, PUSH_INSIDE);
+        let first = self.place() * FAN_OUT + 1;
+        let below = self.members.zone(&self.this.zone).skip(first).take(FAN_OUT);
+        let mut targets: Vec<NodeId> = below.chain(self.above()).collect();
+        targets.extend(self.any_inside());
         targets.extend(self.any_outside());
         targets
     }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -168,6 +168,9 @@
     pub standing: Standing,
     /// What is wanted of holders.
     pub holders_wanted: HoldersWanted,
+    /// A bit for each node of the sender's own zone record that ever held the
+    /// token; empty if nobody is to be told. Needs no age, so it may be unasked.
+    pub ever_held: Vec<u8>,
     /// Demand told to the node above, or to another zone.
     pub demand: Vec<DemandSum>,
     /// Passed on.
@@ -226,8 +229,8 @@
     pub config: Option<ConfigVersion>,
     /// Versions of the node records held.
     pub records: Vec<(AvailabilityZone, Revision)>,
-    /// Digests of the member list by bucket.
-    pub member_buckets: [u64; MEMBER_BUCKETS],
+    /// Digests of the member list by bucket, if that is to be compared.
+    pub member_buckets: Option<[u64; MEMBER_BUCKETS]>,
     /// Whether the replica list is wanted.
     pub want_replicas: bool,
     /// Whether the asker has just joined and wants recent news.
