--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,13 @@
-//! What the benches share: their arguments and the lines they print.
+//! What the benches and history checks share.
 
 pub mod args;
+pub mod claims;
+pub mod control_history;
+pub mod control_world;
+pub mod crash;
+pub mod model;
+pub mod overload;
 pub mod report;
+pub mod routing;
 pub mod spread;
+pub mod timeline;
--- a/crates/citrongw/src/lib.rs
+++ b/crates/citrongw/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod caller;
 pub mod cmd;
+mod control;
 pub mod demo;
 pub mod error;
 pub mod http_answer;
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use citrongw_state::config::KeyDigest;
+use citrongw_state::{config::KeyDigest, objective::Objective};
 use derive_more::Display;
 use ini::Ini;
 
@@ -23,6 +23,7 @@
 const COUNT_ALLOWED: &str = "a number from 1";
 const LEVEL_ALLOWED: &str = "error, warn, info, debug, trace or off, or a list of target=level";
 const POSITIVE_ALLOWED: &str = "a duration above zero such as 500ms";
+const OBJECTIVE_ALLOWED: &str = "group-downtime or stranded-accelerators";
 const NAME_ALLOWED: &str = "a name without blanks";
 
 /// What is allowed where a file is named.
@@ -119,6 +120,15 @@
     faults: Vec<Fault>,
 }
 
+/// Name of a setting.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SettingName<'a> {
+    /// Its section.
+    pub section: &'a str,
+    /// Its key.
+    pub key: &'a str,
+}
+
 /// Opens a reader.
 pub fn open<'a>(text: &str) -> Result<Reader<'a>, Vec<Fault>> {
     let ini = Ini::load_from_str(text).map_err(|error| {
@@ -210,6 +220,12 @@
         self.optional(section, key, LEVEL_ALLOWED, parse).unwrap_or_else(|| default.to_owned())
     }
 
+    /// Objective of replica control.
+    pub fn objective(&mut self, section: &'a str, key: &'a str) -> Objective {
+        let parse = |it: &str| it.parse().ok();
+        self.optional(section, key, OBJECTIVE_ALLOWED, parse).unwrap_or_default()
+    }
+
     /// Any text.
     pub fn text(&mut self, section: &'a str, key: &'a str, default: &str) -> String {
         let value = self.optional(section, key, "any text", |it| Some(it.to_owned()));
@@ -262,6 +278,14 @@
         });
     }
 
+    /// Settings asked for so far.
+    pub fn names(&self) -> impl Iterator<Item = SettingName<'a>> + '_ {
+        let of = |section: &'a str, keys: &BTreeSet<&'a str>| {
+            keys.iter().map(|key| SettingName { section, key }).collect::<Vec<_>>()
+        };
+        self.known.iter().flat_map(move |(section, keys)| of(section, keys))
+    }
+
     /// Ends the reading with the faults found, unknown and doubled keys and
     /// sections among them.
     pub fn finish(mut self) -> Result<(), Vec<Fault>> {
--- a/crates/state/src/routing.rs
+++ b/crates/state/src/routing.rs
@@ -25,7 +25,11 @@
 use crate::time::Time;
 
 /// Time after which half of a load report is held for outdated.
-const REPORT_HALF_LIFE: Duration = Duration::from_secs(2);
+const REPORT_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Share of the other nodes taken to have acted like this one since a report.
+const OTHERS_ALIKE: f64 = 0.5;
+/// Usual time that a request stays on a replica.
+const SERVICE_S: f64 = 10.0;
 /// Cost of one more request in the batch of a replica.
 const RUNNING_COST_MS: f64 = 4.0;
 /// Cost of one more request in the queue of a replica.
@@ -146,8 +150,8 @@
     /// This node has as many requests on each candidate as it may have.
     #[display("every candidate is full")]
     AllFull,
-    /// A candidate has just died: ask again at `until`.
-    #[display("a candidate has just died, and its cause is not known yet")]
+    /// The candidates have just died: ask again at `until`.
+    #[display("the candidates have just died, and the cause is not known yet")]
     Settle {
         /// When to ask again.
         until: Time,
@@ -156,7 +160,7 @@
 
 /// Chooses among the homes of a request. `look` reads one replica.
 pub fn select(
-    homes: &Homes,
+    homes: &Homes<'_>,
     request: &RouteRequest,
     mut look: impl FnMut(Slot) -> Look,
 ) -> Result<Choice, NoChoice> {
@@ -166,7 +170,13 @@
     for (rank, &slot) in homes.slots().iter().enumerate() {
         let seen = look(slot);
         match seen.health {
-            Health::NewlyDead { settled_at } => return Err(NoChoice::Settle { until: settled_at }),
+            Health::NewlyDead { settled_at } => {
+                pair.add_dead(settled_at);
+                if pair.is_complete() {
+                    break;
+                }
+                continue;
+            }
             Health::Unusable => continue,
             Health::Ejected => {
                 ejected = ejected.or(Some((rank, slot, seen)));
@@ -178,22 +188,30 @@
             full = true;
             continue;
         }
+        if 0 < seen.load.queued {
+            homes.batch.add(seen.load.running);
+        }
         let is_prefix_home = rank == 0;
-        if is_prefix_home && is_overloaded(&seen.load, request) {
-            pair.spare = Some(choice(slot, &seen, request, true));
+        let batch = homes.batch.get();
+        let choice = choice(slot, &seen, request, batch, is_prefix_home);
+        if is_prefix_home && is_overloaded(&seen.load, request, batch) {
+            pair.spare = Some(choice);
             continue;
         }
-        pair.add(choice(slot, &seen, request, is_prefix_home));
+        pair.add(choice);
         if pair.is_complete() {
             break;
         }
     }
+    if let Some(until) = pair.settles_at() {
+        return Err(NoChoice::Settle { until });
+    }
     if let Some(choice) = pair.best() {
         return Ok(choice);
     }
     match ejected {
         Some((rank, slot, seen)) if seen.load.own < seen.load.own_limit => {
-            let choice = choice(slot, &seen, request, rank == 0);
+            let choice = choice(slot, &seen, request, homes.batch.get(), rank == 0);
             Ok(Choice { reason: Reason::StragglerForWant, ..choice })
         }
         Some(_) => Err(NoChoice::AllFull),
@@ -205,29 +223,46 @@
 /// Requests on the replica now, as far as can be told.
 ///
 /// What this node sent since the report is known. The other nodes saw the same
-/// report and are taken to have acted alike, in proportion to their part of
-/// the reported load. With its age the report gives way to the typical load.
+/// report, and are taken to have acted alike in part. With its age the report
+/// gives way to the typical load.
 pub fn estimate_load(load: &LoadView, request: &RouteRequest) -> f64 {
     let own = f64::from(load.own);
     let Some(age) = load.report_age else { return own.max(request.typical_load) };
     let reported = f64::from(load.running + load.queued);
     let own_then = f64::from(load.own_at_report);
-    let others = (reported / own_then.max(1.0)).clamp(1.0, f64::from(request.nodes.max(1)));
+    let others = (OTHERS_ALIKE * f64::from(request.nodes)).max(1.0);
     let trust = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
     let then = trust * reported + (1.0 - trust) * request.typical_load.max(own_then);
     let sent_since = (own - own_then) * others * trust;
     (then + sent_since).max(own)
 }
 
-fn is_overloaded(load: &LoadView, request: &RouteRequest) -> bool {
-    let bound = request.typical_load * OVERLOADED_FACTOR + OVERLOADED_SLACK;
+fn is_overloaded(load: &LoadView, request: &RouteRequest, batch: Option<u32>) -> bool {
+    let by_typical = request.typical_load * OVERLOADED_FACTOR + OVERLOADED_SLACK;
+    let bound = batch.map_or(by_typical, |it| by_typical.min(f64::from(it)));
     bound < estimate_load(load, request)
 }
 
-fn choice(slot: Slot, seen: &Look, request: &RouteRequest, is_prefix_home: bool) -> Choice {
+/// Requests that wait on a replica whose load is `load` within the error of a
+/// report of this age.
+fn expected_queue(load: f64, batch: f64, report_age: Option<Duration>) -> f64 {
+    let age_s = report_age.map_or(SERVICE_S, |it| it.as_secs_f64().min(SERVICE_S));
+    let error = (2.0 * load * age_s / SERVICE_S).sqrt().max(1.0);
+    error * ((load - batch) / error).exp().ln_1p()
+}
+
+fn choice(
+    slot: Slot,
+    seen: &Look,
+    request: &RouteRequest,
+    batch: Option<u32>,
+    is_prefix_home: bool,
+) -> Choice {
     let uncached = if is_prefix_home { 0.0 } else { f64::from(request.prompt_tokens) };
-    let cost_ms = estimate_load(&seen.load, request) * RUNNING_COST_MS
-        + f64::from(seen.load.queued) * QUEUED_COST_MS
+    let load = estimate_load(&seen.load, request);
+    let queued = batch.map_or(0.0, |it| expected_queue(load, f64::from(it), seen.load.report_age));
+    let cost_ms = load * RUNNING_COST_MS
+        + queued * QUEUED_COST_MS
         + uncached * PROMPT_TOKEN_COST_MS
         + distance_cost_ms(seen.distance);
     let reason = if is_prefix_home { Reason::PrefixHome } else { Reason::SmallerWait };
@@ -244,11 +279,16 @@
 
 /// The two candidates that are weighed, and the prefix's home if it is passed
 /// over for its load.
+///
+/// A newly dead candidate keeps its place: the request may be what killed it,
+/// and must not go on to a third replica before that is known.
 #[derive(Debug, Default)]
 struct Pair {
     first: Option<Choice>,
     second: Option<Choice>,
     spare: Option<Choice>,
+    dead: usize,
+    settled_at: Option<Time>,
 }
 
 impl Pair {
@@ -259,8 +299,20 @@
         }
     }
 
+    fn add_dead(&mut self, settled_at: Time) {
+        self.dead += 1;
+        self.settled_at = Some(self.settled_at.map_or(settled_at, |it| it.min(settled_at)));
+    }
+
     fn is_complete(&self) -> bool {
-        self.second.is_some()
+        let alive = usize::from(self.first.is_some()) + usize::from(self.second.is_some());
+        2 <= self.dead + alive
+    }
+
+    /// When to ask again, if no candidate but dead ones is left.
+    fn settles_at(&self) -> Option<Time> {
+        let is_left = self.first.is_some() || self.dead < 2 && self.spare.is_some();
+        if is_left { None } else { self.settled_at }
     }
 
     fn best(self) -> Option<Choice> {
