Measure idle control, and ask for the whole document when changes do not fit

A peer's changes that do not lead to the digest were refused and asked for again as changes, without end; the next question now asks for the whole document. Cases cover which document may take the place of another: descendants alone, by hand forwards alone, a lost version only when the edit names it.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control_history;
 pub mod control_world;
 pub mod crash;
+pub mod memory;
 pub mod model;
 pub mod overload;
 pub mod report;
--- /dev/null
+++ b/crates/bench/src/memory.rs
@@ -0,0 +1,11 @@
+//! Memory of this process, as the operating system tells it.
+
+/// Bytes of a page.
+const PAGE_BYTES: u64 = 4096;
+
+/// Resident bytes; zero where the system does not tell.
+pub fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|it| it.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/coordination/src/config/document.rs
+++ b/crates/coordination/src/config/document.rs
@@ -152,3 +152,6 @@
         Some(ConfigContent::Changes(steps.flat_map(|it| it.changes.iter().cloned()).collect()))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/config/holding.rs
+++ b/crates/coordination/src/config/holding.rs
@@ -65,6 +65,8 @@
     backward_reads: u32,
     went_back_to: Option<Revision>,
     forked: bool,
+    /// Whether changes from a peer did not fit, so that the whole is asked for.
+    asks_whole: bool,
 }
 
 /// What a read of the configuration key calls for.
@@ -98,6 +100,7 @@
             backward_reads: 0,
             went_back_to: None,
             forked: false,
+            asks_whole: false,
         }
     }
 
@@ -241,6 +244,7 @@
             Offer::Forked => true,
             Offer::NotNewer | Offer::DoesNotFit => self.forked,
         };
+        self.asks_whole = offer == Offer::DoesNotFit;
         if offer == Offer::Applied {
             self.went_back_to = None;
             self.backward_reads = 0;
@@ -356,7 +360,8 @@
 
     /// Adds to a question what is held.
     pub fn ask(&self, request: &mut FetchRequest) {
-        request.config = self.document.as_ref().map(|it| it.version);
+        let held = self.document.as_ref().filter(|_| !self.asks_whole);
+        request.config = held.map(|it| it.version);
         let version = |it: &VersionedNodeRecord| (it.zone.clone(), it.revision);
         request.records = self.records.values().map(version).collect();
     }
