--- a/crates/bench/src/spread/fleet.rs
+++ b/crates/bench/src/spread/fleet.rs
@@ -8,7 +8,6 @@
 };
 
 use citrongw_coordination::{
-    config::holding::Rules,
     membership::{Action, Event, Membership, MembershipSettings},
     node_view::NodeInfo,
 };
@@ -25,6 +24,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::service::{self, ServiceCall};
+pub use super::setup::{Broken, FleetSettings, SentBytes};
 
 /// Bytes of a datagram beside its message: seal, UDP and IP headers.
 const DATAGRAM_AROUND_BYTES: usize = 41 + 28;
@@ -33,42 +33,6 @@
 /// Time after which a question over TCP fails.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// What a fleet is like.
-#[derive(Debug, Clone)]
-pub struct FleetSettings {
-    /// Nodes.
-    pub nodes: usize,
-    /// Zones, filled in turn.
-    pub zones: usize,
-    /// Share of datagrams lost.
-    pub loss: f64,
-    /// Time of a message on its way, inside a zone.
-    pub latency: Duration,
-    /// Time of a call to the service.
-    pub service_latency: Duration,
-    /// Pause between two ticks of a node.
-    pub tick: Duration,
-    /// Rules of the nodes.
-    pub rules: Rules,
-    /// Deliberate faults of a broken variant.
-    pub broken: Broken,
-    /// Seed.
-    pub seed: u64,
-}
-
-/// Deliberate faults, for checks of the checks.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Broken {
-    /// Edits overwrite whatever stands there.
-    pub edits_overwrite: bool,
-    /// A node that was cut off returns with what it held at its start.
-    pub returns_with_old: bool,
-    /// Changes of the recorded nodes count at once.
-    pub records_at_once: bool,
-    /// News are not passed on.
-    pub news_dropped: bool,
-}
-
 /// What happens at a point in time.
 #[derive(Debug)]
 enum Item {
@@ -127,7 +91,7 @@
     /// News heard, with their times.
     pub heard: Vec<(Time, News)>,
     /// Bytes sent.
-    pub sent_bytes: u64,
+    pub sent: SentBytes,
     /// Calls to the service.
     pub service_calls: u64,
     /// Steps carried out.
@@ -217,7 +181,7 @@
             serve_until: None,
             in_force: Vec::new(),
             heard: Vec::new(),
-            sent_bytes: 0,
+            sent: SentBytes::default(),
             service_calls: 0,
             steps: 0,
             started_at: self.now,
@@ -301,7 +265,8 @@
             Item::Event(event) => self.step(idx, *event),
             Item::Question { asker, asked_at, request } => {
                 let answer = self.nodes[idx].membership.answer(&request);
-                self.nodes[idx].sent_bytes += (size(&answer) + EXCHANGE_AROUND_BYTES / 2) as u64;
+                self.nodes[idx].sent.exchanges +=
+                    (size(&answer) + EXCHANGE_AROUND_BYTES / 2) as u64;
                 self.give_answer(idx, asker, asked_at, answer);
             }
             Item::Call(call) => {
@@ -362,7 +327,13 @@
     }
 
     fn send(&mut self, idx: usize, addr: SocketAddr, mut message: Box<Message>) {
-        self.nodes[idx].sent_bytes += (size(&message) + DATAGRAM_AROUND_BYTES) as u64;
+        let bytes = (size(&message) + DATAGRAM_AROUND_BYTES) as u64;
+        let sent = &mut self.nodes[idx].sent;
+        match *message {
+            Message::Ping(_) => sent.pings += bytes,
+            Message::Ack(_) => sent.acks += bytes,
+            _ => sent.others += bytes,
+        }
         let Some(to) = self.by_addr.get(&addr).copied() else { return };
         if !self.reaches(idx, to) || self.rng.random_bool(self.settings.loss) {
             return;
@@ -378,7 +349,7 @@
 
     fn ask(&mut self, idx: usize, addr: SocketAddr, request: Box<FetchRequest>) {
         let asked_at = self.now;
-        self.nodes[idx].sent_bytes += (size(&request) + EXCHANGE_AROUND_BYTES / 2) as u64;
+        self.nodes[idx].sent.exchanges += (size(&request) + EXCHANGE_AROUND_BYTES / 2) as u64;
         let to = self.by_addr.get(&addr).copied().filter(|to| self.reaches(idx, *to));
         match to.filter(|to| self.nodes[*to].runs) {
             Some(to) => {
--- a/crates/coordination/src/membership/targets.rs
+++ b/crates/coordination/src/membership/targets.rs
@@ -11,10 +11,6 @@
 
 /// Nodes below one.
 const FAN_OUT: usize = 4;
-/// Of the first nodes of another zone, how many are asked by those of this.
-const FIRST_NODES: usize = 2;
-/// Members pushed to within the zone, and outside.
-const PUSH_INSIDE: usize = 3;
 
 impl Membership {
     /// Place of this node in its zone.
@@ -47,10 +43,10 @@
         self.members.zone(&zone).choose(&mut self.rng)
     }
 
-    /// One of the first members of another zone.
+    /// The first member of another zone.
     pub(super) fn first_outside(&mut self) -> Option<NodeId> {
         let zone = self.other_zone()?;
-        self.members.zone(&zone).take(FIRST_NODES).choose(&mut self.rng)
+        self.members.zone(&zone).next()
     }
 
     fn other_zone(&mut self) -> Option<AvailabilityZone> {
@@ -63,11 +59,13 @@
         self.members.gone().choose(&mut self.rng)
     }
 
-    /// Members to be told something at once.
+    /// Members to be told something at once: those next to this one in the
+    /// tree, so that each is told by few, any other of the zone, and one outside.
     pub(super) fn push_targets(&mut self) -> Vec<NodeId> {
-        let this = self.this.id;
-        let inside = self.members.zone(&self.this.zone).filter(|it| *it != this);
-        let mut targets = inside.choose_multiple(&mut self.rng, PUSH_INSIDE);
+        let first = self.place() * FAN_OUT + 1;
+        let below = self.members.zone(&self.this.zone).skip(first).take(FAN_OUT);
+        let mut targets: Vec<NodeId> = below.chain(self.above()).collect();
+        targets.extend(self.any_inside());
         targets.extend(self.any_outside());
         targets
     }
