--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod crash;
 pub mod memory;
 pub mod model;
+pub mod node;
 pub mod overload;
 pub mod report;
 pub mod routing;
--- a/crates/citrongw/src/caller/service/call.rs
+++ b/crates/citrongw/src/caller/service/call.rs
@@ -81,9 +81,6 @@
 ) -> Result<Call, ResultCode> {
     let caller = auth::find(shared, &req)?;
     entry.set_organisation(&caller.organisation);
-    if caller.limit.as_ref().is_some_and(|it| it.take(shared.clock.now()).is_err()) {
-        return Err(ResultCode::LimitReached);
-    }
     let (name, path) = split_path(req.uri().path())?;
     let (service, rule) = find_rule(shared, name, req.method(), path)?;
     let query = req.uri().query().map(|it| format!("?{it}")).unwrap_or_default();
@@ -92,6 +89,7 @@
     let key = read_key(&req)?;
     let timeout = shared.settings.body_timeout.min(caller.profile.deadline());
     let (body, share) = body::read_bytes(req, &shared.callers.bodies, timeout).await?;
+    caller.check_limit(shared.clock.now()).map_err(|it| it.code)?;
     let place = caller.profile.enter().ok_or(ResultCode::LimitReached)?;
     Ok(Call {
         request: entry.request(),
