Let a drain wait for every request that may still run

Cause: a drain ended after a minute whatever the engine still ran, so a planned drain cut requests whose profile lets them take longer. Change: a drain with requests in flight ends no sooner than the longest deadline of any profile that this owner has seen, when each request has ended by itself. Measured: with a profile of 300 s and one request running, the old rule released the members within that time and the new test failed; it passes now, and an idle replica is still released at once.

--- a/crates/bench/src/control_world/engine.rs
+++ b/crates/bench/src/control_world/engine.rs
@@ -31,6 +31,8 @@
     pub unlisted: bool,
     /// Time of its steps.
     pub step_ms: f32,
+    /// Requests that it runs.
+    pub running: u32,
     /// Version whose weights it never gets ready with.
     pub bad_version: Option<ModelVersion>,
     /// When each thing that it vouched for was last true.
@@ -67,6 +69,7 @@
         paused: false,
         unlisted: false,
         step_ms: 20.0,
+        running: 0,
         bad_version: None,
         vouched_at: BTreeMap::new(),
         alive_at: BTreeMap::new(),
@@ -84,7 +87,7 @@
     pub fn status(&self) -> Option<EngineStatus> {
         self.answers().then(|| EngineStatus {
             member: self.orders.report,
-            load: LoadReport::default(),
+            load: LoadReport { running: self.running, ..LoadReport::default() },
             step_ms: if self.orders.report.ready { self.step_ms } else { 0.0 },
         })
     }
--- a/crates/bench/tests/control_cases.rs
+++ b/crates/bench/tests/control_cases.rs
@@ -131,6 +131,31 @@
     assert_eq!(marks, 1);
 }
 
+#[test]
+fn a_drain_waits_for_every_request_that_may_still_run() {
+    const LONGEST_S: u64 = 300;
+    for (running, released_by) in [(1, LONGEST_S + 30), (0, 30)] {
+        let mut world = open(2, 2, 1);
+        world.settings.config.profiles[0].deadline_ms = LONGEST_S * 1000;
+        world.run_until(at(100));
+        assert_eq!(serving(&world).len(), 2);
+        for engine in &mut world.engines {
+            engine.running = running;
+        }
+        world.settings.config.deployments[0].replicas = 1;
+        world.run_until(at(115));
+        let joined = |world: &World| {
+            world.engines.iter().filter(|it| it.orders.report.replica.is_some()).count()
+        };
+        if 0 < running {
+            world.run_until(at(100 + LONGEST_S));
+            assert_eq!(joined(&world), 4, "requests in flight were cut");
+        }
+        world.run_until(at(100 + released_by));
+        assert_eq!(joined(&world), 2, "running {running}");
+    }
+}
+
 #[test]
 fn a_straggling_member_is_replaced() {
     let mut world = open(3, 2, 1);
--- a/crates/coordination/src/control/context.rs
+++ b/crates/coordination/src/control/context.rs
@@ -39,7 +39,8 @@
     pub dark_hold: Duration,
     /// Silence after which a replica without any live member is given up.
     pub abandon_after: Duration,
-    /// Longest time that a drain waits for requests in flight.
+    /// Time that a drain waits for requests in flight, at least. It is longer
+    /// where a profile lets requests take longer.
     pub drain_deadline: Duration,
     /// Time within which a replica must come up after a planned change.
     pub change_deadline: Duration,
@@ -92,6 +93,8 @@
     pub domains: BTreeMap<FabricDomainId, DomainPlan>,
     /// Size of the smallest replica that no domain has room for.
     pub wanted_elsewhere: Option<u32>,
+    /// Longest time that a request may take under any profile.
+    pub longest_request: Duration,
     /// Domains of the instances that replicas of other domains hold.
     pub foreign: BTreeMap<InstanceId, FabricDomainId>,
     /// Free instances that no replica is to form with.
--- a/crates/coordination/src/control/domain.rs
+++ b/crates/coordination/src/control/domain.rs
@@ -162,6 +162,8 @@
     pub(super) seen: BTreeMap<InstanceId, Seen>,
     pub(super) notes: BTreeMap<ReplicaId, Notes>,
     pub(super) draining_since: BTreeMap<ReplicaId, Time>,
+    /// Longest time that a request may take under any profile so far.
+    pub(super) longest_request: Duration,
     pub(super) claims: Claims,
     pub(super) peers: Peers,
     pub(super) stragglers: Vec<InstanceId>,
@@ -194,6 +196,7 @@
         seen: BTreeMap::new(),
         notes: BTreeMap::new(),
         draining_since: BTreeMap::new(),
+        longest_request: Duration::ZERO,
         claims: Claims::default(),
         peers: Peers::default(),
         stragglers: Vec::new(),
--- a/crates/coordination/src/control/edit.rs
+++ b/crates/coordination/src/control/edit.rs
@@ -35,6 +35,7 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) -> Option<(DomainRecord, Vec<ControlDecision>)> {
+        self.longest_request = self.longest_request.max(ctx.fleet.longest_request);
         self.go_on_claiming(now, actions);
         let record = Arc::clone(self.record.as_ref()?);
         let mut next = DomainRecord::clone(&record);
--- a/crates/coordination/src/control/mend.rs
+++ b/crates/coordination/src/control/mend.rs
@@ -191,7 +191,7 @@
         let left_at = spec.members.iter().filter_map(|it| self.seen.get(&it.instance)?.leaving_at);
         let Some(first) = spec.members.first() else { return false };
         let running = self.seen.get(&first.instance).map_or(0, |it| it.running);
-        let deadline = self.settings.drain_deadline;
+        let deadline = self.drain_deadline();
         spec.members.iter().all(vouches)
             && 0 < running
             && left_at.min().is_some_and(|it| now.since(it) < deadline)
--- a/crates/coordination/src/control/plan.rs
+++ b/crates/coordination/src/control/plan.rs
@@ -16,7 +16,7 @@
     record::{DomainRecord, DrainCause},
 };
 use citrongw_state::{
-    config::{Config, Deployment},
+    config::{Config, Deployment, Profile},
     id::{DeploymentId, FabricDomainId, InstanceId, ReplicaId, Revision},
     objective::Objective,
     placement::{self, Assignment, Demand, Supply},
@@ -55,7 +55,9 @@
 
 /// Works out the plan.
 pub fn compute(input: &PlanInput<'_>) -> FleetPlan {
-    let mut fleet = FleetPlan::default();
+    let deadlines = input.config.profiles.iter().map(Profile::deadline);
+    let mut fleet =
+        FleetPlan { longest_request: deadlines.max().unwrap_or_default(), ..FleetPlan::default() };
     for (domain, (_, revision)) in input.records {
         let part = DomainPlan { revision: Some(*revision), ..DomainPlan::default() };
         fleet.domains.insert(domain.clone(), part);
--- a/crates/coordination/src/control/release.rs
+++ b/crates/coordination/src/control/release.rs
@@ -1,6 +1,8 @@
 //! The end of replicas: draining, release, and instances withheld until their
 //! engines say that they are free.
 
+use std::time::Duration;
+
 use citrongw_protocol::{
     decision::control::ControlDecision,
     record::{DomainRecord, DrainCause, DrainingReplica, ForeignClaim},
@@ -92,7 +94,7 @@
             let Some(idx) = next.draining.iter().position(|it| it.spec.id == id) else { continue };
             let spec = &next.draining[idx].spec;
             let running = self.running_on(spec, now);
-            let overdue = self.settings.drain_deadline <= now.since(since);
+            let overdue = self.drain_deadline() <= now.since(since);
             if lifecycle::resume_draining(spec).release(running, overdue).is_ok() {
                 let ended = next.draining.remove(idx).spec;
                 release(next, ended);
@@ -100,6 +102,13 @@
         }
     }
 
+    /// Time after which nothing that was in flight can still be running: each
+    /// request has ended by the deadline of its own profile.
+    pub(super) fn drain_deadline(&self) -> Duration {
+        let longest = self.longest_request + self.settings.freshness;
+        self.settings.drain_deadline.max(longest)
+    }
+
     /// Requests on a replica. One that cannot be asked counts as busy, unless
     /// its first member is another start of its process.
     pub(super) fn running_on(&self, spec: &ReplicaSpec, now: Time) -> u32 {
