Let the node bench ask the engines for the replica that they serve

Cause: replicas are formed by the node now; the direct load named epoch 1 and every fourth engine, was refused with 409, and the bench failed. Change: the direct load waits until all engines are ready and names replica and epoch as they report them.

--- a/crates/bench/src/node/load.rs
+++ b/crates/bench/src/node/load.rs
@@ -28,6 +28,8 @@
         addr: SocketAddr,
         /// Replica that it serves.
         replica: ReplicaId,
+        /// Epoch of the replica.
+        epoch: Epoch,
         /// Its start.
         incarnation: Incarnation,
     },
@@ -104,13 +106,13 @@
 /// Request for a target.
 pub(super) fn request(target: Target, prompt: &str, tokens: u32) -> Request<Full<bytes::Bytes>> {
     let (uri, body) = match target {
-        Target::Engine { addr, replica, incarnation } => {
+        Target::Engine { addr, replica, epoch, incarnation } => {
             let id = RequestId(rand::random());
             let body = GenerateRequest {
                 request: id,
                 stream: StreamId::from(format!("{id}-1")),
                 replica,
-                epoch: Epoch(1),
+                epoch,
                 incarnation,
                 model: "plans".into(),
                 adapter: None,
--- a/crates/bench/src/node/request.rs
+++ b/crates/bench/src/node/request.rs
@@ -1,11 +1,12 @@
 //! Cost of the path of a request: the same load sent to the engines and through
 //! a node process, and the memory of a node over the length of a stream.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use citrongw::demo::{self, Surroundings, SurroundingsOptions};
 use citrongw_fakes::engine::EngineSettings;
 use citrongw_protocol::{engine::Engine, engine::EngineStatus};
+use citrongw_state::replica::MemberReport;
 use citrongw_transport::{engine_client, http_client};
 use http_body_util::BodyExt;
 
@@ -162,15 +163,26 @@
     }
 }
 
-/// Engines that take requests, as the node would name them.
+/// One engine of each replica, as the node would name it, once all are ready.
 async fn engine_targets(surroundings: &Surroundings) -> Vec<Target> {
     let client = Arc::new(engine_client::open(Duration::from_secs(1)));
-    let mut targets = Vec::new();
-    for server in surroundings.servers.iter().take(surroundings.engines.len()).step_by(4) {
+    let mut targets = BTreeMap::new();
+    for server in surroundings.servers.iter().take(surroundings.engines.len()) {
         let addr = server.local_addr();
+        let member = wait_until_ready(client.as_ref(), addr).await;
+        let Some(replica) = member.replica else { continue };
+        let MemberReport { epoch, incarnation, .. } = member;
+        targets.entry(replica).or_insert(Target::Engine { addr, replica, epoch, incarnation });
+    }
+    targets.into_values().collect()
+}
+
+async fn wait_until_ready(client: &dyn Engine, addr: SocketAddr) -> MemberReport {
+    loop {
         let EngineStatus { member, .. } = client.status(addr).await.expect("status");
-        let replica = member.replica.expect("member of a replica");
-        targets.push(Target::Engine { addr, replica, incarnation: member.incarnation });
+        if member.ready {
+            return member;
+        }
+        tokio::time::sleep(START_PAUSE).await;
     }
-    targets
 }
