Divide a new limit at once, and tell joiners which requests are refused

Cause: a limit that the configuration sets anew let each node take the whole of it until its first tick; and a node that joined long after a request was refused learned of it from nobody, since recent news are bounded. Change: a bucket opens with its part of the limit among the live nodes; the first three of the old nodes publish the refusals' evidence when one joins.

--- a/crates/citrongw/src/caller/limits.rs
+++ b/crates/citrongw/src/caller/limits.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -38,9 +38,10 @@
 }
 
 impl OrganisationLimit {
-    fn open(limit_per_s: f64) -> Self {
+    /// Until demand is known, each of `nodes` takes the same share.
+    fn open(limit_per_s: f64, nodes: u32) -> Self {
         let bucket = ShareBucket::default();
-        bucket.set_rate(RequestsPerSecond(limit_per_s));
+        bucket.set_rate(RequestsPerSecond(limit_per_s / f64::from(nodes.max(1))));
         Self { limit_per_s, meter: DemandMeter::default(), bucket, state: Mutex::default() }
     }
 
@@ -74,6 +75,8 @@
 pub(super) struct Limits {
     by_organisation: ArcSwap<HashMap<OrganisationId, Arc<OrganisationLimit>>>,
     sequence: AtomicU64,
+    /// Live nodes as of the last tick.
+    nodes: AtomicU32,
 }
 
 impl Limits {
@@ -86,11 +89,12 @@
     /// unchanged one stays.
     pub(super) fn replace(&self, config: &Config) {
         let old = self.by_organisation.load_full();
+        let nodes = self.nodes.load(Ordering::Relaxed);
         let limit = |organisation: &Organisation| {
             let limit_per_s = organisation.limit_requests_per_s?;
             let kept = old.get(&organisation.id).filter(|it| it.limit_per_s == limit_per_s);
-            let limit =
-                kept.map_or_else(|| Arc::new(OrganisationLimit::open(limit_per_s)), Arc::clone);
+            let open = || Arc::new(OrganisationLimit::open(limit_per_s, nodes));
+            let limit = kept.map_or_else(open, Arc::clone);
             Some((organisation.id.clone(), limit))
         };
         let limits = config.organisations.iter().filter_map(limit).collect();
@@ -113,6 +117,7 @@
 pub(super) fn tick(shared: &Shared, passed: Duration) {
     let limits = &shared.callers.limits;
     let nodes = u32::try_from(shared.nodes.alive().len()).unwrap_or(u32::MAX);
+    limits.nodes.store(nodes, Ordering::Relaxed);
     let now = shared.clock.now();
     let sequence = limits.sequence.fetch_add(1, Ordering::Relaxed);
     for (organisation, limit) in limits.by_organisation.load().iter() {
--- a/crates/citrongw/src/caller/limits/tests.rs
+++ b/crates/citrongw/src/caller/limits/tests.rs
@@ -57,3 +57,14 @@
     let error = f64::from(taken) / allowed - 1.0;
     assert!(error.abs() <= 0.05, "{error}");
 }
+
+#[test]
+fn a_new_limit_is_divided_before_demand_is_known() {
+    let limits = Limits::default();
+    limits.nodes.store(20, Ordering::Relaxed);
+    limits.replace(&config());
+    let limit = limits.get(&"a".into()).unwrap();
+    let taken = (0..1000).filter(|ms| limit.take(Time::from_millis(*ms)).is_ok()).count();
+    // A share of 5 requests/s, and a burst of one second.
+    assert!(taken <= 11, "{taken}");
+}
--- a/crates/citrongw/src/caller/suspects.rs
+++ b/crates/citrongw/src/caller/suspects.rs
@@ -1,12 +1,15 @@
 //! Requests suspected of crashing replicas, as this node knows them, and how it
 //! tells the others.
 
-use std::sync::{Arc, Mutex, PoisonError, atomic::Ordering};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+};
 
 use arc_swap::ArcSwap;
 use citrongw_protocol::news::{News, RequestCleared, RequestSuspicion};
 use citrongw_state::{
-    id::Fingerprint,
+    id::{Fingerprint, NodeId},
     suspicion::{Completions, DeathId, Evidence, Suspicions},
     time::Time,
 };
@@ -20,8 +23,12 @@
     current: ArcSwap<Suspicions>,
     change: Mutex<()>,
     completions: Completions,
+    known_nodes: Mutex<BTreeSet<NodeId>>,
 }
 
+/// Nodes that tell a node that joins which requests are refused.
+const TELLERS: usize = 3;
+
 impl Suspects {
     /// What is known now.
     pub(super) fn current(&self) -> Arc<Suspicions> {
@@ -64,6 +71,32 @@
     }
 }
 
+/// Tells nodes that have joined which requests are refused, if this node is one
+/// of those that do. Recent news reach them anyway; a refusal outlasts those.
+pub(super) fn tell_joined(shared: &Shared) {
+    let alive: BTreeSet<NodeId> = shared.nodes.alive().iter().map(|it| it.id).collect();
+    let suspects = &shared.callers.suspects;
+    let known = {
+        let mut known = suspects.known_nodes.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *known, alive.clone())
+    };
+    if !must_tell(&known, &alive, shared.node) {
+        return;
+    }
+    for Evidence { fingerprint, death } in suspects.current.load().evidence() {
+        let DeathId { replica, incarnation } = death;
+        let told = RequestSuspicion { fingerprint, replica, incarnation, beside: 0 };
+        shared.news.publish(News::Suspicion(told));
+    }
+}
+
+/// Whether a node has joined and `this` is among the first of those that were
+/// there before.
+fn must_tell(known: &BTreeSet<NodeId>, alive: &BTreeSet<NodeId>, this: NodeId) -> bool {
+    let has_joined = !alive.is_subset(known);
+    has_joined && known.intersection(alive).take(TELLERS).any(|it| *it == this)
+}
+
 /// Takes in that a request succeeded on this node.
 pub(super) fn add_success(shared: &Shared, fingerprint: Fingerprint) {
     let (suspects, now) = (&shared.callers.suspects, shared.clock.now());
@@ -102,3 +135,6 @@
         shared.news.publish(News::Suspicion(told));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/citrongw/src/caller/tick.rs
+++ b/crates/citrongw/src/caller/tick.rs
@@ -14,7 +14,7 @@
 };
 use tokio::{sync::broadcast::error::RecvError, task::JoinHandle};
 
-use super::{fleet::Side, limits, queue};
+use super::{fleet::Side, limits, queue, suspects};
 use crate::node::Shared;
 
 /// Pause between two looks at queues and load reports.
@@ -44,6 +44,7 @@
         tokio::time::sleep(LONG_TICK).await;
         shared.callers.retries.tick(LONG_TICK);
         shared.callers.suspects.forget(shared.clock.now());
+        suspects::tell_joined(&shared);
         limits::tick(&shared, LONG_TICK);
         judge_speeds(&shared, &mut detectors);
     }
