Let an operator replace a version that the service lost

Cause: when the service comes back older, nodes hold the newer configuration and ask for an operator, who had no way to answer: the interface dropped the version that an edit replaces. Measured: a test restores an earlier head under a newer revision, sees the complaint and the held version, and has the new document in force on the node afterwards.

--- a/contrib/completions/citrongwctl.bash
+++ b/contrib/completions/citrongwctl.bash
@@ -23,7 +23,8 @@
     else
         case "$group $verb" in
             'profile create' | 'profile edit') choices="$choices --file --base" ;;
-            'profile retire' | 'service assign' | 'config put') choices="$choices --base" ;;
+            'profile retire' | 'service assign') choices="$choices --base" ;;
+            'config put') choices="$choices --base --replaces-lost" ;;
         esac
     fi
     mapfile -t COMPREPLY < <(compgen -W "$choices" -- "$word")
--- a/crates/citrongw/src/admin/edit.rs
+++ b/crates/citrongw/src/admin/edit.rs
@@ -96,7 +96,7 @@
         operator: operator.id.clone(),
         at_unix_ms: request.at_unix_ms,
         config,
-        replaces_lost: None,
+        replaces_lost: request.replaces_lost,
     };
     let result = edit::propose(store, base.as_deref(), request).await;
     shared.gate.refresh();
--- a/crates/citrongw/src/admin/status.rs
+++ b/crates/citrongw/src/admin/status.rs
@@ -131,7 +131,9 @@
             what: format!("the key-value service went back to configuration version {revision}"),
             lasting: None,
             doing: "keeps the newer configuration in force".to_owned(),
-            advice: "write the newer configuration again with citrongwctl config put".to_owned(),
+            advice: "write the configuration again with citrongwctl config put FILE \
+                     --replaces-lost VERSION, with the version that nodes still hold"
+                .to_owned(),
         });
     }
     if standing.forked {
--- a/crates/citrongwctl/src/args/config.rs
+++ b/crates/citrongwctl/src/args/config.rs
@@ -28,6 +28,9 @@
             required path: PathBuf
             /// Version that the change is made from; the newest otherwise.
             optional --base revision: Revision
+            /// Latest version that the service lost, after it was restored to an
+            /// older state.
+            optional --replaces-lost revision: Revision
         }
     }
 }
--- a/crates/citrongwctl/src/change.rs
+++ b/crates/citrongwctl/src/change.rs
@@ -52,10 +52,20 @@
 
 /// Makes a change from `view` and waits until it is in force everywhere.
 pub(crate) async fn make(context: &Context, view: &ConfigView, edit: ConfigChange) -> Result<()> {
+    make_replacing(context, view, edit, None).await
+}
+
+/// Makes a change that may replace a version that the service lost.
+pub(crate) async fn make_replacing(
+    context: &Context,
+    view: &ConfigView,
+    edit: ConfigChange,
+    replaces_lost: Option<Revision>,
+) -> Result<()> {
     let after =
         change::apply(&view.config, &edit).map_err(|error| failed(error.to_string()))?.redacted();
     let lines = edit::differences(&view.config, &after);
-    if lines.is_empty() {
+    if lines.is_empty() && replaces_lost.is_none() {
         println!("nothing changes");
         return Ok(());
     }
@@ -70,6 +80,7 @@
         base: view.revision,
         at_unix_ms: unix_ms(),
         edit,
+        replaces_lost,
     };
     let revision = send(context, &request).await?;
     wait_accepted(context, revision).await
--- a/crates/citrongwctl/src/cmd/config.rs
+++ b/crates/citrongwctl/src/cmd/config.rs
@@ -1,9 +1,6 @@
 //! `citrongwctl config`.
 
-use std::{
-    path::Path,
-    time::{Duration, UNIX_EPOCH},
-};
+use std::time::{Duration, UNIX_EPOCH};
 
 use citrongw_protocol::admin_config::ChangeRecord;
 use citrongw_state::{
@@ -13,7 +10,7 @@
 
 use super::Context;
 use crate::{
-    args::config::ConfigCmd,
+    args::config::{ConfigCmd, Put},
     change, edit,
     error::{Result, could_not},
     output::{self, table},
@@ -28,7 +25,7 @@
             output::json(&change::version(context, args.revision).await?);
             Ok(())
         }
-        ConfigCmd::Put(args) => put(context, &args.path, args.base).await,
+        ConfigCmd::Put(args) => put(context, &args).await,
     }
 }
 
@@ -67,12 +64,13 @@
     Ok(())
 }
 
-async fn put(context: &Context, path: &Path, base: Option<Revision>) -> Result<()> {
-    let cause = |error: &dyn std::fmt::Display| could_not("read", path.display(), error);
-    let text = std::fs::read_to_string(path).map_err(|error| cause(&error))?;
+async fn put(context: &Context, args: &Put) -> Result<()> {
+    let cause = |error: &dyn std::fmt::Display| could_not("read", args.path.display(), error);
+    let text = std::fs::read_to_string(&args.path).map_err(|error| cause(&error))?;
     let config: Config = serde_json::from_str(&text).map_err(|error| cause(&error))?;
-    let view = change::view(context, base).await?;
-    change::make(context, &view, ConfigChange::Replace { config: Box::new(config) }).await
+    let view = change::view(context, args.base).await?;
+    let edit = ConfigChange::Replace { config: Box::new(config) };
+    change::make_replacing(context, &view, edit, args.replaces_lost).await
 }
 
 fn when(at_unix_ms: u64) -> String {
--- a/crates/citrongwctl/tests/races.rs
+++ b/crates/citrongwctl/tests/races.rs
@@ -10,6 +10,10 @@
     },
 };
 
+use citrongw_protocol::{
+    record::CONFIG_KEY,
+    store::{Change, Expected, Store, Write},
+};
 use common::{check, ctl, spawn_demo};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -105,3 +109,40 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_the_service_lost_is_replaced_by_the_operator() {
+    let demo = spawn_demo().await;
+    let node = demo.node.admin_addr();
+    let store = &demo.surroundings.store;
+    check(&ctl(node, &["profile", "edit", "interactive", "hedge=true"]).await, 0, "in force");
+    let old = store.get(CONFIG_KEY.into()).await.unwrap().into_entry().unwrap();
+    check(&ctl(node, &["profile", "edit", "interactive", "retries=1"]).await, 0, "in force");
+    let held = demo.node.shared().config.load_full().unwrap();
+
+    // The service is restored to what it held before.
+    let now = store.get(CONFIG_KEY.into()).await.unwrap().into_entry().unwrap();
+    let write = Write {
+        key: now.key,
+        expected: Expected::Revision(now.revision),
+        change: Change::Put(old.value),
+        lease: None,
+    };
+    store.compare_and_swap(write).await.unwrap();
+    while !ctl(node, &["status"]).await.stdout.contains("lacks a change") {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_eq!(demo.node.shared().config.load_full().unwrap().revision, held.revision);
+
+    let mut config = held.config.clone();
+    config.profiles[0].retries = 4;
+    let name = format!("citrongwctl-lost-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, serde_json::to_string(&config).unwrap()).unwrap();
+    let lost = held.revision.to_string();
+    let put = ["config", "put", path.to_str().unwrap(), "--replaces-lost", &lost];
+    let ran = ctl(node, &put).await;
+    std::fs::remove_file(&path).unwrap();
+    check(&ran, 0, "in force");
+    assert_eq!(demo.node.shared().config.load_full().unwrap().config.profiles[0].retries, 4);
+}
--- a/crates/coordination/src/control.rs
+++ b/crates/coordination/src/control.rs
@@ -12,6 +12,7 @@
 pub mod domain;
 pub mod driver;
 mod edit;
+mod event;
 mod leaving;
 mod mend;
 pub mod operate;
--- a/crates/protocol/src/admin.rs
+++ b/crates/protocol/src/admin.rs
@@ -155,6 +155,10 @@
     pub at_unix_ms: u64,
     /// What to change.
     pub edit: ConfigChange,
+    /// Latest version that the service lost when it was restored to an older
+    /// state, and that this change replaces.
+    #[serde(default)]
+    pub replaces_lost: Option<Revision>,
 }
 
 /// What became of a change.
