Name measures and loopback by the field's terms

Cause: a read-through found doc comments in the wording of the users' pages. Change: five doc comments; no code. Measured: formatter and linter clean with warnings denied.

--- a/crates/bench/src/control_world.rs
+++ b/crates/bench/src/control_world.rs
@@ -3,7 +3,7 @@
 //!
 //! The controls are the shipped step functions; everything around them is a
 //! small model with the faults that the real thing has. [`checker`] watches
-//! what must never happen, [`measure`] what the users count.
+//! what must never happen, [`measure`] the two measures.
 
 mod calls;
 pub mod checker;
@@ -112,7 +112,7 @@
     pub listed: Arc<Vec<ListedInstance>>,
     /// What must never happen.
     pub checker: Checker,
-    /// What the users count.
+    /// Group downtime and stranded accelerators.
     pub measures: Measures,
     /// Steps taken.
     pub steps: u64,
--- a/crates/bench/src/control_world/measure.rs
+++ b/crates/bench/src/control_world/measure.rs
@@ -1,4 +1,4 @@
-//! What the users count: group downtime and stranded accelerators.
+//! Measures of a run: group downtime and stranded accelerators.
 //!
 //! An accelerator is stranded while it is alive and serves nothing although a
 //! wanted replica is missing that it belongs to or could make up: it is paid for
--- a/crates/citrongw/src/cmd/demo.rs
+++ b/crates/citrongw/src/cmd/demo.rs
@@ -9,7 +9,7 @@
     log,
 };
 
-/// This machine.
+/// Loopback address.
 const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 /// Address for callers, unless told otherwise.
 const DEFAULT_LISTEN: SocketAddr = SocketAddr::new(LOCALHOST, 8080);
--- a/crates/citrongw/src/demo.rs
+++ b/crates/citrongw/src/demo.rs
@@ -37,7 +37,7 @@
 pub const DEMO_TOKEN: &str = "demo-token";
 /// Configuration of the demo.
 const DEMO_CONFIG: &str = include_str!("../../../contrib/demo-config.json");
-/// Any free port of this machine.
+/// Any free port on loopback.
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Instances of one replica.
 const MEMBERS: u64 = 4;
