--- a/crates/citrongw/src/caller/service/send.rs
+++ b/crates/citrongw/src/caller/service/send.rs
@@ -53,7 +53,7 @@
     request: Request<Full<bytes::Bytes>>,
 ) -> Result<BackendAnswer, SendError> {
     let response = http.send(request).await.map_err(|error| match error {
-        HttpError::NotReached => SendError::NotReached,
+        HttpError::NotReached | HttpError::ConnectionRefused => SendError::NotReached,
         HttpError::BrokenOff | HttpError::BadAnswer | HttpError::Status { .. } => {
             SendError::BrokenOff
         }
--- a/crates/citrongwctl/src/client.rs
+++ b/crates/citrongwctl/src/client.rs
@@ -59,7 +59,9 @@
         for node in &self.nodes {
             match self.call(*node, Method::GET, path, Bytes::new()).await {
                 Ok(body) => return parse(path, &body),
-                Err(HttpError::NotReached | HttpError::BrokenOff) => {}
+                Err(
+                    HttpError::NotReached | HttpError::ConnectionRefused | HttpError::BrokenOff,
+                ) => {}
                 Err(error) => return Err(refusal(path, &error)),
             }
         }
@@ -80,7 +82,7 @@
         for node in &self.nodes {
             match self.call(*node, method.clone(), path, body.clone()).await {
                 Ok(body) => return parse(path, &body).map(Sent::Answered),
-                Err(HttpError::NotReached) => {}
+                Err(HttpError::NotReached | HttpError::ConnectionRefused) => {}
                 Err(HttpError::BrokenOff | HttpError::BadAnswer) => return Ok(Sent::NoAnswer),
                 Err(error) => return Err(refusal(path, &error)),
             }
--- /dev/null
+++ b/crates/gateway/src/control/driver.rs
@@ -0,0 +1,414 @@
+//! Feeds the control of the domains that this node owns.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use citrongw_protocol::store::{
+    Change, Expected, LeaseId, StoreError, StoreResult, Write, WriteResult,
+};
+use citrongw_state::{
+    id::{AttemptId, Epoch, Incarnation, InstanceId, ReplicaId, Revision},
+    time::Time,
+};
+use tokio::{
+    task::{JoinHandle, JoinSet},
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+
+use super::{
+    loads::LoadBudget,
+    ownership::{self, LEASE_TIME, Vacancies},
+    plan::{DomainKey, DomainPlan},
+    reports::Reports,
+    step::{self, Hosts, Memory, Rules},
+};
+use crate::{
+    adapter::{CallError, Order, OrderReply},
+    directory::EngineSpec,
+    instance::InstanceReport,
+    node::Gateway,
+};
+
+/// Pause between two looks at which domains have no owner.
+const OWNERS_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Same, while this node knows of a domain without one.
+const VACANT_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two steps of a domain without news.
+const STEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause between two renewals of a lease: a third of its time.
+const RENEW_INTERVAL: Duration = Duration::from_millis(800);
+/// Longest time for one question to an instance. Answers take milliseconds.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Longest time for the answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Delay of a step, or step of the time of day, from which on this process is
+/// taken to have slept.
+const SLEPT: Duration = Duration::from_millis(600);
+/// Part of a lease that is kept as margin for differing clocks.
+const LEASE_MARGIN: Duration = Duration::from_millis(200);
+
+/// Spawns the control of all domains that come to this node.
+pub(crate) fn spawn(gateway: &Arc<Gateway>) -> JoinHandle<()> {
+    tokio::spawn(campaign(Arc::clone(gateway)))
+}
+
+/// Reaches for domains without an owner.
+async fn campaign(gateway: Arc<Gateway>) {
+    let mut domains: BTreeMap<DomainKey, JoinHandle<()>> = BTreeMap::new();
+    let mut vacancies = Vacancies::default();
+    let mut pause = VACANT_INTERVAL;
+    loop {
+        sleep(pause).await;
+        domains.retain(|_, task| !task.is_finished());
+        let listed = listed_domains(&gateway);
+        if listed.is_empty() || gateway.is_stopping() {
+            pause = VACANT_INTERVAL;
+            continue;
+        }
+        let owned = match ownership::read_owned(&*gateway.adapter.store).await {
+            Ok(owned) => owned,
+            Err(error) => {
+                tracing::debug!(%error, "could not read the owners of domains");
+                pause = OWNERS_INTERVAL;
+                continue;
+            }
+        };
+        let free: BTreeSet<DomainKey> = listed
+            .into_iter()
+            .filter(|it| !owned.contains(&it.owner_key()) && !domains.contains_key(it))
+            .collect();
+        pause = if free.is_empty() { OWNERS_INTERVAL } else { VACANT_INTERVAL };
+        for domain in vacancies.due(&free, domains.len(), gateway.clock.now()) {
+            let asked_at = gateway.clock.now();
+            match ownership::acquire(&*gateway.adapter.store, &domain, gateway.node).await {
+                Ok(Some(lease)) => {
+                    tracing::info!(%domain, node = %gateway.node, "owns a domain");
+                    let control = Control::new(&gateway, domain.clone(), lease, asked_at);
+                    domains.insert(domain, tokio::spawn(control.run()));
+                }
+                Ok(None) => {}
+                Err(error) => tracing::info!(%domain, %error, "could not take hold of a domain"),
+            }
+        }
+    }
+}
+
+/// Domains of all engines that the platform lists instances of.
+fn listed_domains(gateway: &Gateway) -> BTreeSet<DomainKey> {
+    let Some(directory) = gateway.world.directory.load_full() else { return BTreeSet::new() };
+    let instances = gateway.world.instances.load();
+    let of_engine = instances.instances.values().filter(|it| {
+        directory.services.get(&it.entry.service).is_some_and(|it| it.engine.is_some())
+    });
+    of_engine
+        .filter_map(|it| {
+            let (service, domain) = (it.entry.service.clone(), it.entry.domain.clone()?);
+            Some(DomainKey { service, domain })
+        })
+        .collect()
+}
+
+/// What a task of the domain came back with.
+enum Outcome {
+    Report {
+        instance: InstanceId,
+        incarnation: Incarnation,
+        asked_at: Time,
+        outcome: Result<InstanceReport, CallError>,
+    },
+    Order {
+        instance: InstanceId,
+        order: Order,
+        outcome: Result<OrderReply, CallError>,
+    },
+}
+
+/// Control of one domain while this node owns it.
+struct Control {
+    gateway: Arc<Gateway>,
+    domain: DomainKey,
+    lease: LeaseId,
+    /// Until when the lease holds, in milliseconds of this node's clock.
+    held_until_ms: Arc<AtomicU64>,
+    plan: Option<(DomainPlan, Revision)>,
+    /// Whether no record stood when this node took the domain over.
+    is_first: bool,
+    memory: Memory,
+    reports: Reports,
+    loads: LoadBudget,
+    tasks: JoinSet<Outcome>,
+}
+
+impl Control {
+    fn new(gateway: &Arc<Gateway>, domain: DomainKey, lease: LeaseId, asked_at: Time) -> Self {
+        let held_until_ms = Arc::new(AtomicU64::new(millis(held_until(asked_at))));
+        Self {
+            gateway: Arc::clone(gateway),
+            domain,
+            lease,
+            held_until_ms,
+            plan: None,
+            is_first: false,
+            memory: Memory::default(),
+            reports: Reports::default(),
+            loads: LoadBudget::open(gateway.clock.now(), 0.0),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Controls the domain until its lease is lost.
+    async fn run(mut self) {
+        let renewal = tokio::spawn(renew(
+            Arc::clone(&self.gateway),
+            self.lease,
+            Arc::clone(&self.held_until_ms),
+        ));
+        let mut ticks = interval(STEP_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut wakefulness = Wakefulness::new(self.gateway.clock.now());
+        loop {
+            let changed = tokio::select! {
+                _ = ticks.tick() => true,
+                Some(done) = self.tasks.join_next(), if !self.tasks.is_empty() => match done {
+                    Ok(outcome) => self.take_in(outcome),
+                    Err(error) => {
+                        tracing::error!(domain = %self.domain, %error, "task of a domain failed");
+                        false
+                    }
+                },
+            };
+            let now = self.gateway.clock.now();
+            if wakefulness.has_slept(now) {
+                tracing::warn!(domain = %self.domain, "process slept; silence of instances is forgiven");
+                self.reports.forgive();
+                if self.confirm_lease().await.is_err() {
+                    break;
+                }
+            }
+            if self.held_until() <= self.gateway.clock.now() || self.gateway.is_stopping() {
+                break;
+            }
+            if changed && let Err(error) = self.step().await {
+                tracing::info!(domain = %self.domain, %error, "step of a domain is put off");
+                self.plan = None;
+            }
+        }
+        renewal.abort();
+        tracing::info!(domain = %self.domain, node = %self.gateway.node, "no longer owns a domain");
+        if self.gateway.is_stopping() {
+            // Ends sooner than by itself, so that another node takes over.
+            let end = self.gateway.adapter.store.end_lease(self.lease);
+            if let Ok(Err(error)) = timeout(ORDER_TIMEOUT, end).await {
+                tracing::info!(domain = %self.domain, %error, "could not end a lease");
+            }
+        }
+    }
+
+    fn held_until(&self) -> Time {
+        Time::from_millis(self.held_until_ms.load(Ordering::Relaxed))
+    }
+
+    async fn confirm_lease(&self) -> StoreResult<()> {
+        let asked_at = self.gateway.clock.now();
+        self.gateway.adapter.store.renew_lease(self.lease).await?;
+        self.held_until_ms.store(millis(held_until(asked_at)), Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Takes in what a task brought. True if a step is due.
+    fn take_in(&mut self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Report { instance, incarnation, asked_at, outcome } => {
+                if let Err(error) = &outcome {
+                    tracing::info!(domain = %self.domain, %instance, %error, "instance gives no report");
+                }
+                self.reports.add(&instance, incarnation, asked_at, outcome)
+            }
+            Outcome::Order { instance, order, outcome } => {
+                match &outcome {
+                    Ok(reply) => {
+                        tracing::info!(domain = %self.domain, %instance, %order, %reply, "order answered");
+                    }
+                    Err(error) => {
+                        tracing::info!(domain = %self.domain, %instance, %order, %error, "order not answered");
+                    }
+                }
+                match (order, outcome) {
+                    (
+                        Order::Leave { replica, epoch },
+                        Ok(OrderReply::Begun | OrderReply::Done | OrderReply::Unfit),
+                    ) => self.memory.add_released(replica, epoch),
+                    (Order::Join { replica, epoch, .. }, Ok(OrderReply::OldEpoch)) => {
+                        self.memory.add_refused(replica, epoch);
+                    }
+                    _ => return false,
+                }
+                true
+            }
+        }
+    }
+
+    async fn step(&mut self) -> StoreResult<()> {
+        let gateway = Arc::clone(&self.gateway);
+        let Some(directory) = gateway.world.directory.load_full() else { return Ok(()) };
+        let service = directory.services.get(&self.domain.service);
+        let Some(engine) = service.and_then(|it| it.engine.as_ref()) else { return Ok(()) };
+        if self.plan.is_none() {
+            self.plan = Some(self.read_plan().await?);
+        }
+        let now = gateway.clock.now();
+        let hosts = self.reports.hosts(&gateway.world.instances.load(), &self.domain);
+        self.ask(&hosts, now);
+        let rules = Rules { engine, stall_time: gateway.settings.stall_time };
+        let Some((plan, revision)) = &self.plan else { return Ok(()) };
+        let draw = || ReplicaId(rand::random::<u32>().into());
+        let next = step::next_plan(plan, &hosts, &rules, &mut self.memory, now, draw);
+        if let Some(next) = next {
+            let revision = self.write_plan(next, Some(*revision)).await?;
+            tracing::info!(domain = %self.domain, revision = revision.0, "record of a domain changed");
+        }
+        let now = gateway.clock.now();
+        // The write may have taken long.
+        if self.held_until() <= now {
+            return Ok(());
+        }
+        self.give_orders(engine, &hosts, &rules, now);
+        Ok(())
+    }
+
+    fn give_orders(&mut self, engine: &EngineSpec, hosts: &Hosts, rules: &Rules<'_>, now: Time) {
+        let Some((plan, _)) = &self.plan else { return };
+        let domains = listed_domains(&self.gateway).len().max(1);
+        let unlimited = self.is_first && !self.gateway.has_traffic();
+        self.loads.fill(now, engine.loads_per_s / domains as f64, unlimited);
+        let due = step::orders(plan, hosts, rules, &mut self.memory, &mut self.loads, now);
+        for (instance, addr, order) in due {
+            let gateway = Arc::clone(&self.gateway);
+            self.tasks.spawn(async move {
+                let call = gateway.adapter.instances.order(addr, order.clone());
+                let outcome = timeout(ORDER_TIMEOUT, call).await;
+                let outcome = outcome.unwrap_or(Err(CallError::NoAnswer));
+                Outcome::Order { instance, order, outcome }
+            });
+        }
+    }
+
+    /// Asks the instances that are due for their reports.
+    fn ask(&mut self, hosts: &Hosts, now: Time) {
+        let plan = self.plan.as_ref().map(|(plan, _)| plan);
+        for host in self.reports.due(hosts, plan, now) {
+            let gateway = Arc::clone(&self.gateway);
+            self.tasks.spawn(async move {
+                let call = gateway.adapter.instances.report(host.addr);
+                let outcome = timeout(REPORT_TIMEOUT, call).await;
+                let outcome = outcome.unwrap_or(Err(CallError::NoAnswer));
+                let (instance, incarnation) = (host.id, host.incarnation);
+                Outcome::Report { instance, incarnation, asked_at: now, outcome }
+            });
+        }
+    }
+
+    /// Reads the record and makes this node its owner.
+    async fn read_plan(&mut self) -> StoreResult<(DomainPlan, Revision)> {
+        let store = &self.gateway.adapter.store;
+        let entry = store.get(self.domain.plan_key()).await?.into_entry();
+        let (mut plan, revision) = match entry {
+            Some(entry) => {
+                let plan: DomainPlan = serde_json::from_slice(&entry.value).map_err(|error| {
+                    StoreError::Refused { reason: format!("record cannot be read: {error}") }
+                })?;
+                (plan, Some(entry.revision))
+            }
+            None => (DomainPlan::default(), None),
+        };
+        if plan.owner == self.gateway.node
+            && let Some(revision) = revision
+        {
+            return Ok((plan, revision));
+        }
+        self.is_first = plan.epoch == Epoch::default();
+        plan.owner = self.gateway.node;
+        let revision = self.write_plan(plan.clone(), revision).await?;
+        Ok((plan, revision))
+    }
+
+    /// Writes the record if it is still as last read. A write without an answer
+    /// is an error; the record is read again before the next step.
+    async fn write_plan(
+        &mut self,
+        mut plan: DomainPlan,
+        expected: Option<Revision>,
+    ) -> StoreResult<Revision> {
+        plan.attempt = AttemptId(rand::random());
+        let value = serde_json::to_vec(&plan)
+            .map_err(|error| StoreError::Refused { reason: error.to_string() })?;
+        let write = Write {
+            key: self.domain.plan_key(),
+            expected: expected.map_or(Expected::Absent, Expected::Revision),
+            change: Change::Put(Bytes::from(value)),
+            lease: None,
+        };
+        match self.gateway.adapter.store.compare_and_swap(write).await? {
+            WriteResult::Committed(revision) => {
+                self.plan = Some((plan, revision));
+                Ok(revision)
+            }
+            WriteResult::Conflict(_) => {
+                let reason = "record was changed by another node".to_owned();
+                Err(StoreError::Refused { reason })
+            }
+        }
+    }
+}
+
+/// Renews a lease until it is lost.
+async fn renew(gateway: Arc<Gateway>, lease: LeaseId, held_until_ms: Arc<AtomicU64>) {
+    loop {
+        sleep(RENEW_INTERVAL).await;
+        let asked_at = gateway.clock.now();
+        match timeout(RENEW_INTERVAL, gateway.adapter.store.renew_lease(lease)).await {
+            Ok(Ok(())) => {
+                held_until_ms.fetch_max(millis(held_until(asked_at)), Ordering::Relaxed);
+            }
+            Ok(Err(error)) => tracing::info!(%error, %lease, "could not renew a lease"),
+            Err(_) => tracing::info!(%lease, "renewal of a lease was not answered"),
+        }
+    }
+}
+
+fn held_until(asked_at: Time) -> Time {
+    asked_at + LEASE_TIME - LEASE_MARGIN
+}
+
+fn millis(time: Time) -> u64 {
+    u64::try_from(time.0.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Tells whether this process did not run for a while: its steps come late, or
+/// the time of day went on without its clock.
+struct Wakefulness {
+    stepped_at: Time,
+    time_of_day: SystemTime,
+}
+
+impl Wakefulness {
+    fn new(now: Time) -> Self {
+        Self { stepped_at: now, time_of_day: SystemTime::now() }
+    }
+
+    fn has_slept(&mut self, now: Time) -> bool {
+        let passed = now.since(self.stepped_at);
+        let time_of_day = SystemTime::now();
+        // A time of day that was set back says nothing of sleep.
+        let passed_of_day = time_of_day.duration_since(self.time_of_day).unwrap_or(passed);
+        (self.stepped_at, self.time_of_day) = (now, time_of_day);
+        STEP_INTERVAL + SLEPT <= passed || passed + SLEPT <= passed_of_day
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/layout.rs
@@ -0,0 +1,48 @@
+//! Which replicas a domain is to hold.
+//!
+//! Answers the load of replicas that lose a member every few seconds: a part of
+//! the domain stays free as spares, since a replica with a staged spare is
+//! back in seconds and one without waits for a whole load. What is left is
+//! filled with the models that have the least capacity for their share of the
+//! work.
+
+use citrongw_state::id::ModelId;
+
+use crate::directory::ModelSpec;
+
+/// Share of a domain's instances that stay free as spares.
+const SPARE_SHARE: f64 = 0.15;
+
+/// Spares that a domain of so many instances keeps.
+pub fn spares(instances: usize) -> usize {
+    (instances as f64 * SPARE_SHARE).ceil() as usize
+}
+
+/// Models of the replicas of a domain with so many instances.
+pub fn layout(models: &[ModelSpec], instances: usize) -> Vec<ModelId> {
+    let mut free = instances.saturating_sub(spares(instances));
+    let mut counts = vec![0_usize; models.len()];
+    loop {
+        let fitting = (0..models.len()).filter(|idx| (1..=free).contains(&models[*idx].size));
+        // Every model has one replica before any has more.
+        let neediest = fitting.min_by(|a, b| {
+            let has_one = |idx: usize| counts[idx] != 0;
+            let covered = |idx: usize| coverage(&models[idx], counts[idx] + 1);
+            has_one(*a).cmp(&has_one(*b)).then(covered(*a).total_cmp(&covered(*b)))
+        });
+        let Some(idx) = neediest else { break };
+        counts[idx] += 1;
+        free -= models[idx].size;
+    }
+    let of_model = |(spec, count): (&ModelSpec, &usize)| vec![spec.model.clone(); *count];
+    models.iter().zip(&counts).flat_map(of_model).collect()
+}
+
+/// Work that so many replicas can do, against the model's share.
+fn coverage(spec: &ModelSpec, replicas: usize) -> f64 {
+    let capacity = replicas as f64 / spec.pace.max(f64::MIN_POSITIVE);
+    capacity / spec.share.max(f64::MIN_POSITIVE)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/control/layout/tests.rs
@@ -0,0 +1,29 @@
+use super::*;
+use crate::testing::model;
+
+fn counts(models: &[ModelSpec], instances: usize) -> Vec<usize> {
+    let layout = layout(models, instances);
+    models.iter().map(|it| layout.iter().filter(|model| **model == it.model).count()).collect()
+}
+
+#[test]
+fn domain_is_filled_up_to_its_spares() {
+    let models = [model("large", 6, 1.0, 0.67), model("small", 3, 0.6, 0.33)];
+    assert_eq!(counts(&models, 11), [1, 1]);
+    assert_eq!(counts(&models, 27), [3, 1]);
+    assert_eq!(counts(&models, 2), [0, 0]);
+    assert_eq!(counts(&models, 0), [0, 0]);
+}
+
+#[test]
+fn model_with_the_least_capacity_for_its_share_is_served_first() {
+    let models = [model("calm", 2, 1.0, 0.1), model("busy", 2, 1.0, 0.9)];
+    assert_eq!(counts(&models, 3), [0, 1]);
+    assert_eq!(counts(&models, 5), [1, 1], "each model has one before any has more");
+    assert_eq!(counts(&models, 8), [1, 2]);
+}
+
+#[test]
+fn model_without_members_takes_no_place() {
+    assert_eq!(counts(&[model("empty", 0, 1.0, 1.0)], 10), [0]);
+}
--- /dev/null
+++ b/crates/gateway/src/control/reports/tests.rs
@@ -0,0 +1,72 @@
+use citrongw_state::id::Incarnation;
+
+use super::*;
+use crate::{
+    instance::Membership,
+    testing::{member, view},
+};
+
+const FIRST: Incarnation = Incarnation(1);
+
+fn domain() -> DomainKey {
+    DomainKey { service: "engine".into(), domain: "d".into() }
+}
+
+fn report(incarnation: u64, membership: Option<Membership>) -> InstanceReport {
+    InstanceReport {
+        incarnation: Some(Incarnation(incarnation)),
+        staged: vec!["m".into()],
+        membership,
+        busy: false,
+        running: 0,
+        waiting: 0,
+    }
+}
+
+#[test]
+fn instance_is_silent_after_two_questions_without_answer() {
+    let (view, id) = (view(vec![member("a", 7, 1, 0)]), "a".into());
+    let mut reports = Reports::default();
+    let liveness = |reports: &mut Reports| reports.hosts(&view, &domain())[&id].liveness;
+    reports.add(&id, FIRST, Time::from_millis(100), Err(CallError::NoAnswer));
+    assert_eq!(liveness(&mut reports), Liveness::Alive);
+    reports.add(&id, FIRST, Time::from_millis(500), Err(CallError::NoAnswer));
+    assert_eq!(liveness(&mut reports), Liveness::Silent { since: Time::from_millis(100) });
+    reports.add(&id, FIRST, Time::from_millis(900), Err(CallError::NotReached));
+    assert_eq!(liveness(&mut reports), Liveness::Refusing);
+    reports.forgive();
+    assert_eq!(liveness(&mut reports), Liveness::Alive);
+}
+
+#[test]
+fn newer_of_entry_and_report_counts() {
+    let id = "a".into();
+    let mut reports = Reports::default();
+    let at = Time::from_millis(1_000);
+    reports.add(&id, FIRST, at, Ok(report(1, None)));
+    let old = view(vec![member("a", 7, 1, 0)]);
+    assert_eq!(reports.hosts(&old, &domain())[&id].membership, None);
+    let mut new = old;
+    new.instances.get_mut(&id).unwrap().changed_at = at + Duration::from_millis(1);
+    assert!(reports.hosts(&new, &domain())[&id].membership.is_some());
+}
+
+#[test]
+fn report_of_another_start_is_no_report_of_this_one() {
+    let (view, id) = (view(vec![member("a", 7, 1, 0)]), "a".into());
+    let mut reports = Reports::default();
+    reports.add(&id, FIRST, Time::from_millis(100), Ok(report(2, None)));
+    let liveness = reports.hosts(&view, &domain())[&id].liveness;
+    assert!(matches!(liveness, Liveness::Silent { .. }));
+}
+
+#[test]
+fn unanswered_question_is_put_again_at_once() {
+    let (view, id) = (view(vec![member("a", 7, 1, 0)]), "a".into());
+    let mut reports = Reports::default();
+    let hosts = reports.hosts(&view, &domain());
+    assert_eq!(reports.due(&hosts, None, Time::START).len(), 1);
+    assert!(reports.due(&hosts, None, Time::START).is_empty(), "one question at a time");
+    reports.add(&id, FIRST, Time::START, Err(CallError::NoAnswer));
+    assert_eq!(reports.due(&hosts, None, Time::from_millis(1)).len(), 1);
+}
--- /dev/null
+++ b/crates/gateway/src/control/step/tests.rs
@@ -0,0 +1,295 @@
+use super::*;
+use crate::testing::{engine, model};
+
+/// A domain whose instances carry out orders at once.
+struct World {
+    hosts: Hosts,
+    plan: DomainPlan,
+    memory: Memory,
+    loads: LoadBudget,
+    engine: EngineSpec,
+    now: Time,
+    next_replica: u64,
+    /// Orders given, in order.
+    given: Vec<(String, Order)>,
+}
+
+const STALL: Duration = Duration::from_secs(6);
+
+fn open(hosts: usize) -> World {
+    let mut world = World {
+        hosts: Hosts::new(),
+        plan: DomainPlan::default(),
+        memory: Memory::default(),
+        loads: LoadBudget::open(Time::START, 100.0),
+        engine: engine(vec![model("l", 3, 1.0, 0.7), model("s", 2, 1.0, 0.3)]),
+        now: Time::START,
+        next_replica: 1,
+        given: Vec::new(),
+    };
+    for idx in 0..hosts {
+        world.add_host(&format!("h{idx}"), 1);
+    }
+    world
+}
+
+impl World {
+    fn add_host(&mut self, id: &str, incarnation: u64) {
+        let host = Host {
+            id: id.into(),
+            incarnation: Incarnation(incarnation),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            liveness: Liveness::Alive,
+            leaving: false,
+            staged: Vec::new(),
+            membership: None,
+        };
+        self.hosts.insert(host.id.clone(), host);
+    }
+
+    fn host(&mut self, id: &str) -> &mut Host {
+        self.hosts.get_mut(&InstanceId::from(id)).unwrap()
+    }
+
+    fn step(&mut self) {
+        let rules = Rules { engine: &self.engine, stall_time: STALL };
+        let next_replica = &mut self.next_replica;
+        let draw = || {
+            *next_replica += 1;
+            ReplicaId(*next_replica)
+        };
+        let (memory, now) = (&mut self.memory, self.now);
+        if let Some(next) = next_plan(&self.plan, &self.hosts, &rules, memory, now, draw) {
+            self.plan = next;
+        }
+        self.loads.fill(self.now, 100.0, true);
+        let due = orders(&self.plan, &self.hosts, &rules, memory, &mut self.loads, now);
+        for (id, _, order) in due {
+            self.carry_out(id.as_str(), &order);
+            self.given.push((id.to_string(), order));
+        }
+        self.now = self.now + Duration::from_millis(1_300);
+    }
+
+    fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.step();
+        }
+    }
+
+    fn carry_out(&mut self, id: &str, order: &Order) {
+        let host = self.host(id);
+        if host.liveness != Liveness::Alive {
+            return;
+        }
+        match order.clone() {
+            Order::Stage { model } => host.staged = vec![model],
+            Order::Join { replica, epoch, model, members } => {
+                let rank = members.iter().position(|it| *it == host.id).unwrap();
+                let state = MemberState::Ready;
+                host.staged = vec![model];
+                host.membership = Some(Membership { replica: Some(replica), epoch, rank, state });
+            }
+            Order::Open { replica, epoch } => host.set_state(replica, epoch, MemberState::Open),
+            Order::Close { replica, epoch } => host.set_state(replica, epoch, MemberState::Closing),
+            Order::Leave { replica, epoch } => {
+                if host.membership.is_some_and(|it| it.is_of(replica, epoch)) {
+                    host.membership = None;
+                }
+                self.memory.add_released(replica, epoch);
+            }
+        }
+    }
+
+    /// Models of the replicas whose head is open and whose members all hold the
+    /// same list.
+    fn open_models(&self) -> Vec<String> {
+        let is_whole = |replica: &&PlannedReplica| {
+            replica.members.iter().enumerate().all(|(rank, member)| {
+                find(&self.hosts, member).is_some_and(|host| {
+                    host.is_alive()
+                        && host.membership.is_some_and(|it| {
+                            it.is_of(replica.id, replica.epoch)
+                                && it.rank == rank
+                                && (rank != 0 || it.state == MemberState::Open)
+                        })
+                })
+            })
+        };
+        let mut models: Vec<String> =
+            self.plan.replicas.iter().filter(is_whole).map(|it| it.model.to_string()).collect();
+        models.sort();
+        models
+    }
+
+    fn members(&self, model: &str) -> Vec<String> {
+        let replica = self.plan.replicas.iter().find(|it| it.model.as_str() == model).unwrap();
+        replica.members.iter().map(|it| it.instance.to_string()).collect()
+    }
+}
+
+impl Host {
+    fn set_state(&mut self, replica: ReplicaId, epoch: Epoch, state: MemberState) {
+        if let Some(membership) = &mut self.membership
+            && membership.is_of(replica, epoch)
+        {
+            membership.state = state;
+        }
+    }
+}
+
+#[test]
+fn empty_domain_forms_its_layout_and_stages_its_spares() {
+    let mut world = open(7);
+    world.run(4);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    let spares: Vec<&Host> = world.hosts.values().filter(|it| it.membership.is_none()).collect();
+    assert_eq!(spares.len(), 2);
+    assert!(spares.iter().all(|it| !it.staged.is_empty()));
+}
+
+#[test]
+fn head_opens_only_when_every_member_is_ready_under_the_same_list() {
+    let mut world = open(7);
+    world.step();
+    let joined = world.members("l");
+    world.host(&joined[1]).membership.as_mut().unwrap().state = MemberState::Joining;
+    world.step();
+    assert_eq!(world.open_models(), ["s"]);
+    world.host(&joined[1]).membership.as_mut().unwrap().state = MemberState::Ready;
+    world.step();
+    assert_eq!(world.open_models(), ["l", "s"]);
+}
+
+#[test]
+fn lost_member_is_replaced_by_the_spare_with_its_weights_once_the_head_has_left() {
+    let mut world = open(7);
+    world.run(4);
+    let before = world.members("l");
+    let spare = world
+        .hosts
+        .values()
+        .find(|it| it.membership.is_none() && it.staged.iter().any(|it| it.as_str() == "l"));
+    let spare = spare.unwrap().id.to_string();
+    let epoch = world.plan.epoch;
+    world.host(&before[1]).liveness = Liveness::Silent { since: world.now };
+    world.given.clear();
+    world.run(3);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    let after = world.members("l");
+    assert_eq!(after, [before[0].clone(), spare, before[2].clone()]);
+    assert!(epoch < world.plan.epoch);
+    let left = world
+        .given
+        .iter()
+        .position(|(id, it)| *id == before[0] && matches!(it, Order::Leave { .. }));
+    let joined = world.given.iter().position(|(_, it)| matches!(it, Order::Join { .. }));
+    assert!(left.unwrap() < joined.unwrap(), "{:?}", world.given);
+}
+
+#[test]
+fn members_of_a_silent_head_wait_until_it_has_broken_by_itself() {
+    let mut world = open(7);
+    world.run(4);
+    let before = world.members("l");
+    let lost_at = world.now;
+    world.host(&before[0]).liveness = Liveness::Silent { since: lost_at };
+    world.given.clear();
+    while world.now.since(lost_at) < STALL {
+        assert!(!world.given.iter().any(|(_, it)| matches!(it, Order::Join { .. })));
+        world.step();
+    }
+    world.run(3);
+    assert_eq!(world.open_models(), ["l", "s"]);
+}
+
+#[test]
+fn members_of_a_head_whose_process_ended_join_at_once() {
+    for restarted in [false, true] {
+        let mut world = open(7);
+        world.run(4);
+        let head = world.members("l")[0].clone();
+        match restarted {
+            true => world.add_host(&head, 2),
+            false => world.host(&head).liveness = Liveness::Refusing,
+        }
+        world.run(2);
+        assert_eq!(world.open_models(), ["l", "s"], "restarted: {restarted}");
+    }
+}
+
+#[test]
+fn leaving_member_goes_after_the_head_has_closed() {
+    let mut world = open(7);
+    world.run(4);
+    let before = world.members("l");
+    world.host(&before[2]).leaving = true;
+    world.given.clear();
+    world.run(2);
+    assert!(matches!(world.given[0].1, Order::Close { .. }), "{:?}", world.given);
+    assert!(!world.given.iter().any(|(_, it)| matches!(it, Order::Join { .. })));
+    world.host(&before[0]).membership.as_mut().unwrap().state = MemberState::Ready;
+    world.run(3);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    assert!(!world.members("l").contains(&before[2]));
+}
+
+#[test]
+fn replica_without_spares_gives_its_members_to_another() {
+    let mut world = open(6);
+    world.run(4);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    for _ in 0..2 {
+        let lost = world.members("s")[1].clone();
+        world.host(&lost).liveness = Liveness::Refusing;
+        world.run(6);
+    }
+    assert_eq!(world.open_models(), ["l"]);
+    let lost = world.members("l")[1].clone();
+    world.host(&lost).liveness = Liveness::Refusing;
+    world.run(6);
+    assert_eq!(world.open_models(), ["l"], "the one left of the other replica completes it");
+}
+
+#[test]
+fn stray_member_leaves_before_it_is_a_spare() {
+    let mut world = open(7);
+    world.run(4);
+    let spare = world.hosts.values().find(|it| it.membership.is_none()).unwrap().id.to_string();
+    let stray = Membership {
+        replica: Some(ReplicaId(999)),
+        epoch: Epoch(500),
+        rank: 1,
+        state: MemberState::Ready,
+    };
+    world.host(&spare).membership = Some(stray);
+    world.given.clear();
+    world.step();
+    let expected = Order::Leave { replica: ReplicaId(999), epoch: Epoch(500) };
+    assert_eq!(world.given, [(spare, expected)]);
+}
+
+#[test]
+fn epoch_passes_all_that_instances_have_seen() {
+    let mut world = open(7);
+    let seen = Membership { replica: None, epoch: Epoch(500), rank: 0, state: MemberState::Ready };
+    world.host("h6").membership = Some(seen);
+    world.step();
+    assert!(Epoch(500) < world.plan.epoch);
+}
+
+#[test]
+fn loads_wait_for_the_rate() {
+    let mut world = open(7);
+    let rules = Rules { engine: &world.engine, stall_time: STALL };
+    let draw = || ReplicaId(1);
+    let plan =
+        next_plan(&world.plan, &world.hosts, &rules, &mut world.memory, world.now, draw).unwrap();
+    let mut loads = LoadBudget::open(world.now, 1.0);
+    let due = orders(&plan, &world.hosts, &rules, &mut world.memory, &mut loads, world.now);
+    assert_eq!(due.len(), 2, "the burst only");
+    let later = world.now + Duration::from_millis(1_000);
+    loads.fill(later, 1.0, false);
+    let due = orders(&plan, &world.hosts, &rules, &mut world.memory, &mut loads, later);
+    assert_eq!(due.len(), 1, "one a second");
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,238 @@
+//! Backend servers that requests may be sent to, as one snapshot.
+//!
+//! A plain service's instance takes requests while it is listed and not
+//! leaving. A model's replica takes them at its first member, while that is open
+//! and every other member is listed under the same replica and epoch.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use citrongw_state::{
+    breaker::Breaker,
+    id::{AvailabilityZone, Epoch, Incarnation, InstanceId, ModelId, PlainServiceId, ReplicaId},
+    time::Time,
+};
+
+use crate::{
+    adapter::ServerLoad,
+    directory::Directory,
+    instance::MemberState,
+    instance_book::{InstancesView, KnownInstance},
+};
+
+/// Age at which a load that a server told no longer counts: a long answer has
+/// ended by then.
+const LOAD_AGE: Duration = Duration::from_secs(3);
+
+/// What this node knows of a backend server from its own requests.
+#[derive(Debug, Default)]
+pub struct BackendStats {
+    /// Breaker of its requests.
+    pub breaker: Breaker,
+    in_flight: AtomicU32,
+    told_load: AtomicU32,
+    told_at_ms: AtomicU64,
+    sent_since_told: AtomicU32,
+    heard_at_ms: AtomicU64,
+    suspect_until_ms: AtomicU64,
+}
+
+impl BackendStats {
+    /// Requests of this node that it has.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.sent_since_told.fetch_add(1, Ordering::Relaxed);
+        InFlight { stats: Arc::clone(self) }
+    }
+
+    /// Takes in the load that it told.
+    pub fn hear_load(&self, now: Time, load: ServerLoad) {
+        self.told_load.store(load.running + load.waiting, Ordering::Relaxed);
+        self.sent_since_told.store(0, Ordering::Relaxed);
+        self.told_at_ms.store(millis(now), Ordering::Relaxed);
+    }
+
+    /// Takes in that any byte came from it.
+    pub fn hear(&self, now: Time) {
+        self.heard_at_ms.store(millis(now), Ordering::Relaxed);
+        self.suspect_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// When a byte last came from it.
+    pub fn heard_at(&self) -> Time {
+        Time::from_millis(self.heard_at_ms.load(Ordering::Relaxed))
+    }
+
+    /// Sends it no requests until a time.
+    pub fn suspect(&self, until: Time) {
+        self.suspect_until_ms.fetch_max(millis(until), Ordering::Relaxed);
+    }
+
+    /// Whether it is to get no requests now.
+    pub fn is_suspect(&self, now: Time) -> bool {
+        millis(now) < self.suspect_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Requests that it has now, as far as this node can tell.
+    pub fn estimated_load(&self, now: Time) -> u32 {
+        let own = self.in_flight();
+        let told_at = Time::from_millis(self.told_at_ms.load(Ordering::Relaxed));
+        if LOAD_AGE < now.since(told_at) {
+            return own;
+        }
+        let told = self.told_load.load(Ordering::Relaxed);
+        own.max(told + self.sent_since_told.load(Ordering::Relaxed))
+    }
+}
+
+fn millis(time: Time) -> u64 {
+    u64::try_from(time.0.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Request in flight at a backend server.
+#[derive(Debug)]
+pub struct InFlight {
+    stats: Arc<BackendStats>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.stats.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Replica that a backend server takes requests for.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReplicaKey {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
+/// Backend server that takes requests.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// Instance that takes the requests.
+    pub id: InstanceId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: AvailabilityZone,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Replica, if it is the first member of one.
+    pub replica: Option<ReplicaKey>,
+    /// What this node knows of it.
+    pub stats: Arc<BackendStats>,
+}
+
+/// Backend servers of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ServicePool {
+    /// Servers of a plain service.
+    pub servers: Vec<Arc<Backend>>,
+    /// Open replicas by model.
+    pub replicas: BTreeMap<ModelId, Vec<Arc<Backend>>>,
+}
+
+/// Statistics are kept for one incarnation of an instance, as the first member
+/// of one replica.
+type StatsKey = (InstanceId, Incarnation, Option<ReplicaKey>);
+
+/// All backend servers.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    pools: HashMap<PlainServiceId, ServicePool>,
+    stats: HashMap<StatsKey, Arc<BackendStats>>,
+}
+
+impl Fleet {
+    /// Servers of a service.
+    pub fn pool(&self, service: &PlainServiceId) -> Option<&ServicePool> {
+        self.pools.get(service)
+    }
+
+    /// Builds the fleet that follows this one.
+    pub fn next(&self, directory: &Directory, view: &InstancesView) -> Self {
+        let mut next = Self::default();
+        let mut members: BTreeMap<(PlainServiceId, ReplicaKey), Vec<&KnownInstance>> =
+            BTreeMap::new();
+        for known in view.instances.values() {
+            let entry = &known.entry;
+            let Some(service) = directory.services.get(&entry.service) else { continue };
+            if service.engine.is_none() {
+                if !entry.leaving {
+                    let backend = next.backend(self, known, None);
+                    next.pools.entry(entry.service.clone()).or_default().servers.push(backend);
+                }
+                continue;
+            }
+            let Some(membership) = entry.membership else { continue };
+            let Some(replica) = membership.replica else { continue };
+            let key = ReplicaKey { replica, epoch: membership.epoch };
+            members.entry((entry.service.clone(), key)).or_default().push(known);
+        }
+        for ((service, key), members) in members {
+            let engine = directory.services.get(&service).and_then(|it| it.engine.as_ref());
+            let Some(engine) = engine else { continue };
+            let Some(head) = open_head(&members) else { continue };
+            let Some(model) = &head.entry.model else { continue };
+            let Some(spec) = engine.model(model) else { continue };
+            let ranks: BTreeSet<usize> =
+                members.iter().filter_map(|it| Some(it.entry.membership?.rank)).collect();
+            if ranks.len() < spec.size {
+                continue;
+            }
+            let backend = next.backend(self, head, Some(key));
+            let pool = next.pools.entry(service).or_default();
+            pool.replicas.entry(model.clone()).or_default().push(backend);
+        }
+        next
+    }
+
+    fn backend(
+        &mut self,
+        old: &Self,
+        known: &KnownInstance,
+        replica: Option<ReplicaKey>,
+    ) -> Arc<Backend> {
+        let entry = &known.entry;
+        let key = (entry.id.clone(), entry.incarnation, replica.clone());
+        let stats = old.stats.get(&key).map(Arc::clone).unwrap_or_default();
+        self.stats.insert(key, Arc::clone(&stats));
+        Arc::new(Backend {
+            id: entry.id.clone(),
+            addr: entry.addr,
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            replica,
+            stats,
+        })
+    }
+}
+
+/// First member that takes requests and is not leaving.
+fn open_head<'a>(members: &[&'a KnownInstance]) -> Option<&'a KnownInstance> {
+    let is_open = |known: &&&KnownInstance| {
+        let membership = known.entry.membership;
+        let opened = membership.is_some_and(|it| it.rank == 0 && it.state == MemberState::Open);
+        opened && !known.entry.leaving
+    };
+    members.iter().find(is_open).copied()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/fleet/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+use crate::{
+    instance::InstanceEntry,
+    testing::{directory, engine, entry, member, model, view},
+};
+
+fn build(old: &Fleet, entries: Vec<InstanceEntry>) -> Fleet {
+    let directory = directory(engine(vec![model("m", 2, 1.0, 1.0)]));
+    old.next(&directory, &view(entries))
+}
+
+fn open_heads(entries: Vec<InstanceEntry>) -> Vec<String> {
+    let fleet = build(&Fleet::default(), entries);
+    let pool = fleet.pool(&"engine".into());
+    let replicas = pool.and_then(|it| it.replicas.get(&"m".into()));
+    replicas.into_iter().flatten().map(|it| it.id.to_string()).collect()
+}
+
+#[test]
+fn whole_replica_takes_requests_at_its_head() {
+    assert_eq!(open_heads(vec![member("b", 7, 1, 1), member("a", 7, 1, 0)]), ["a"]);
+}
+
+#[test]
+fn replica_takes_no_requests_while_a_member_is_elsewhere() {
+    let head = || member("a", 7, 2, 0);
+    assert!(open_heads(vec![head()]).is_empty(), "member not listed");
+    assert!(open_heads(vec![head(), member("b", 7, 1, 1)]).is_empty(), "member of an old epoch");
+    assert!(open_heads(vec![head(), member("b", 8, 2, 1)]).is_empty(), "member of another replica");
+    assert!(open_heads(vec![head(), member("b", 7, 2, 0)]).is_empty(), "place taken twice");
+}
+
+#[test]
+fn replica_takes_no_requests_unless_its_head_is_open_and_stays() {
+    for state in [MemberState::Joining, MemberState::Ready, MemberState::Closing] {
+        let mut head = member("a", 7, 1, 0);
+        head.membership.as_mut().unwrap().state = state;
+        assert!(open_heads(vec![head, member("b", 7, 1, 1)]).is_empty(), "{state}");
+    }
+    let leaving = InstanceEntry { leaving: true, ..member("a", 7, 1, 0) };
+    assert!(open_heads(vec![leaving, member("b", 7, 1, 1)]).is_empty());
+}
+
+#[test]
+fn plain_server_takes_requests_until_it_leaves() {
+    let leaving = InstanceEntry { leaving: true, ..entry("b", "plain") };
+    let fleet = build(&Fleet::default(), vec![entry("a", "plain"), leaving, entry("c", "unknown")]);
+    let servers = &fleet.pool(&"plain".into()).unwrap().servers;
+    assert_eq!(servers.iter().map(|it| it.id.as_str()).collect::<Vec<_>>(), ["a"]);
+    assert!(fleet.pool(&"unknown".into()).is_none());
+}
+
+#[test]
+fn what_is_known_of_a_server_outlives_the_snapshot_but_not_the_process() {
+    let first = build(&Fleet::default(), vec![entry("a", "plain")]);
+    let server = |fleet: &Fleet| Arc::clone(&fleet.pool(&"plain".into()).unwrap().servers[0]);
+    server(&first).stats.suspect(Time::from_millis(50));
+    let second = build(&first, vec![entry("a", "plain")]);
+    assert!(server(&second).stats.is_suspect(Time::START));
+    let restarted = InstanceEntry { incarnation: Incarnation(2), ..entry("a", "plain") };
+    let third = build(&second, vec![restarted]);
+    assert!(!server(&third).stats.is_suspect(Time::START));
+}
+
+#[test]
+fn estimate_adds_what_was_sent_since_the_server_told_its_load() {
+    let stats = Arc::new(BackendStats::default());
+    let now = Time::from_millis(1_000);
+    stats.hear_load(now, ServerLoad { running: 5, waiting: 2, slots: 8 });
+    let request = stats.enter();
+    assert_eq!(stats.estimated_load(now), 8);
+    assert_eq!(stats.estimated_load(now + LOAD_AGE * 2), 1);
+    drop(request);
+    assert_eq!(stats.estimated_load(now + LOAD_AGE * 2), 0);
+}
--- /dev/null
+++ b/crates/gateway/src/instance_book/tests.rs
@@ -0,0 +1,55 @@
+use std::net::SocketAddr;
+
+use citrongw_state::id::Incarnation;
+
+use super::*;
+
+fn entry(id: &str) -> InstanceEntry {
+    InstanceEntry {
+        id: id.into(),
+        incarnation: Incarnation(1),
+        service: "engine".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".into(),
+        slots: 1,
+        leaving: false,
+        domain: None,
+        model: None,
+        staged: Vec::new(),
+        membership: None,
+    }
+}
+
+fn ids(view: &InstancesView) -> Vec<&str> {
+    view.instances.keys().map(InstanceId::as_str).collect()
+}
+
+#[test]
+fn missing_entry_is_gone_at_once_while_polls_go_on() {
+    let mut book = InstanceBook::default();
+    let both = vec![(entry("a"), Revision(1)), (entry("b"), Revision(2))];
+    book.apply(Time::from_millis(1_000), both);
+    let view = book.apply(Time::from_millis(2_000), vec![(entry("a"), Revision(1))]);
+    assert_eq!(ids(view), ["a"]);
+}
+
+#[test]
+fn missing_entry_is_kept_for_a_while_after_an_outage() {
+    let mut book = InstanceBook::default();
+    let both = vec![(entry("a"), Revision(1)), (entry("b"), Revision(2))];
+    book.apply(Time::from_millis(1_000), both);
+    let only = || vec![(entry("a"), Revision(1))];
+    assert_eq!(ids(book.apply(Time::from_millis(9_000), only())), ["a", "b"]);
+    assert_eq!(ids(book.apply(Time::from_millis(10_000), only())), ["a", "b"]);
+    assert_eq!(ids(book.apply(Time::from_millis(11_600), only())), ["a"]);
+}
+
+#[test]
+fn change_is_dated_by_the_poll_that_saw_it() {
+    let mut book = InstanceBook::default();
+    book.apply(Time::from_millis(1_000), vec![(entry("a"), Revision(1))]);
+    let view = book.apply(Time::from_millis(2_000), vec![(entry("a"), Revision(1))]);
+    assert_eq!(view.instances[&"a".into()].changed_at, Time::from_millis(1_000));
+    let view = book.apply(Time::from_millis(3_000), vec![(entry("a"), Revision(5))]);
+    assert_eq!(view.instances[&"a".into()].changed_at, Time::from_millis(3_000));
+}
--- /dev/null
+++ b/crates/gateway/src/log.rs
@@ -0,0 +1,55 @@
+//! Logs as JSON lines on standard output, written by a thread of their own.
+//!
+//! The queue to the writer is bounded. What does not fit is dropped and
+//! counted, so that no request ever waits for a log line.
+
+use std::{io, sync::OnceLock};
+
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::{EnvFilter, Registry, fmt, prelude::*, reload};
+
+/// Lines that wait for the writer, at most.
+const MAX_QUEUED_LINES: usize = 4_096;
+
+static FILTER: OnceLock<reload::Handle<EnvFilter, Registry>> = OnceLock::new();
+
+/// Running writer. Dropped, it writes what is queued and ends.
+#[derive(Debug)]
+pub struct Log {
+    _guard: WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl Log {
+    /// Lines that found the queue full so far.
+    pub fn dropped_lines(&self) -> usize {
+        self.dropped.dropped_lines()
+    }
+}
+
+/// Starts logging at a level such as `info`.
+pub fn open(level: &str) -> Log {
+    let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_QUEUED_LINES).lossy(true);
+    let (writer, guard) = builder.finish(io::stdout());
+    let dropped = writer.error_counter();
+    let (filter, handle) = reload::Layer::new(filter(level));
+    let layer = fmt::layer().json().flatten_event(true).with_target(false).with_writer(writer);
+    let opened = tracing_subscriber::registry().with(filter).with(layer).try_init();
+    // A second start in one process, as tests make it, keeps the first.
+    if opened.is_ok() {
+        let _ = FILTER.set(handle);
+    }
+    Log { _guard: guard, dropped }
+}
+
+/// Changes the level of the running process.
+pub fn set_level(level: &str) {
+    let Some(handle) = FILTER.get() else { return };
+    if let Err(error) = handle.reload(filter(level)) {
+        tracing::warn!(%error, level, "could not change the log level");
+    }
+}
+
+fn filter(level: &str) -> EnvFilter {
+    EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"))
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and latency histograms in the OpenMetrics text form.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_protocol::code::ResultCode;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+/// Upper bounds of request times, in seconds.
+const BUCKETS_S: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    service: String,
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabels {
+    code: u16,
+}
+
+type Times = Family<ServiceLabels, Histogram, fn() -> Histogram>;
+
+/// Metrics of one gateway. Clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    requests: Family<RequestLabels, Counter>,
+    refusals: Family<CodeLabels, Counter>,
+    request_time: Times,
+    first_event_time: Times,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
+/// Opens the metrics of a gateway.
+pub fn open() -> Metrics {
+    let mut registry = Registry::with_prefix("citrongw_gateway");
+    let requests = Family::default();
+    let refusals = Family::default();
+    let request_time: Times = Family::new_with_constructor(histogram as fn() -> Histogram);
+    let first_event_time: Times = Family::new_with_constructor(histogram as fn() -> Histogram);
+    registry.register("requests", "Requests by status; 0 if they broke off", requests.clone());
+    registry.register("refusals", "Requests refused unread, by result code", refusals.clone());
+    registry.register_with_unit(
+        "request_time",
+        "Time from the request to the end of its answer",
+        Unit::Seconds,
+        request_time.clone(),
+    );
+    registry.register_with_unit(
+        "first_event_time",
+        "Time from the request to the first event of its stream",
+        Unit::Seconds,
+        first_event_time.clone(),
+    );
+    Metrics { registry: Arc::new(registry), requests, refusals, request_time, first_event_time }
+}
+
+impl Metrics {
+    /// Counts a request that ended.
+    pub fn count_request(
+        &self,
+        service: &str,
+        status: Option<u16>,
+        took: Duration,
+        first_event_after: Option<Duration>,
+    ) {
+        let labels = RequestLabels { service: service.to_owned(), status: status.unwrap_or(0) };
+        self.requests.get_or_create(&labels).inc();
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.request_time.get_or_create(&labels).observe(took.as_secs_f64());
+        if let Some(after) = first_event_after {
+            self.first_event_time.get_or_create(&labels).observe(after.as_secs_f64());
+        }
+    }
+
+    /// Counts a request that was refused before its body was read.
+    pub fn count_refusal(&self, code: ResultCode) {
+        self.refusals.get_or_create(&CodeLabels { code: code.number() }).inc();
+    }
+
+    /// The page.
+    pub fn page(&self) -> String {
+        let mut page = String::new();
+        if let Err(error) = text::encode(&mut page, &self.registry) {
+            tracing::error!(%error, "could not write the metrics");
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,191 @@
+//! Wiring of a gateway: what its parts share, its ports, and its stop.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use citrongw::error::{Result, could_not};
+use citrongw_coordination::clock::{self, Clock};
+use citrongw_state::{id::NodeId, retry::RetryBudget};
+use citrongw_transport::{
+    http_client::{self, HttpClient},
+    http_server::{self, HttpServer, ServerOptions},
+};
+use tokio::{
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval, sleep, timeout},
+};
+use viz::{Request, Response, ResponseExt, Router};
+
+use crate::{
+    adapter::Adapter,
+    control,
+    feed::{self, World},
+    metrics::{self, Metrics},
+    relay,
+    settings::Settings,
+};
+
+/// Pause between two ticks of the retry budget.
+const BUDGET_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a stop leaves between its last answers and the end of the grace.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time that a caller's connection may stay idle: above what the
+/// operators' configuration may tell callers, who close first.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What the parts of a gateway share.
+#[derive(Debug)]
+pub struct Gateway {
+    /// This process.
+    pub node: NodeId,
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clock.
+    pub clock: Clock,
+    /// The platform.
+    pub adapter: Adapter,
+    /// Configuration and instances.
+    pub world: Arc<World>,
+    /// Client of the backend servers.
+    pub http: HttpClient,
+    /// Budget of all retries.
+    pub retries: RetryBudget,
+    /// Metrics.
+    pub metrics: Metrics,
+    pub(crate) stopping: AtomicBool,
+    traffic: AtomicBool,
+}
+
+impl Gateway {
+    /// Whether the planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Whether any request has come yet.
+    pub fn has_traffic(&self) -> bool {
+        self.traffic.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn see_request(&self) {
+        self.traffic.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Running gateway.
+#[derive(Debug)]
+pub struct Node {
+    gateway: Arc<Gateway>,
+    callers: HttpServer,
+    ready: HttpServer,
+    metrics: HttpServer,
+    drivers: Vec<JoinHandle<()>>,
+}
+
+/// Spawns a gateway. The balancer asks for `ready_path`.
+pub async fn spawn(settings: Settings, adapter: Adapter, ready_path: &str) -> Result<Node> {
+    let clock = clock::open();
+    let world = Arc::new(feed::open());
+    let gateway = Arc::new(Gateway {
+        node: NodeId(rand::random()),
+        settings,
+        clock,
+        adapter,
+        world,
+        http: http_client::open(),
+        retries: RetryBudget::default(),
+        metrics: metrics::open(),
+        stopping: AtomicBool::new(false),
+        traffic: AtomicBool::new(false),
+    });
+    let settings = &gateway.settings;
+    let options = ServerOptions {
+        max_connections: settings.max_connections,
+        header_timeout: IDLE_TIMEOUT,
+        ..ServerOptions::default()
+    };
+    let addr = settings.caller_addr;
+    let callers = http_server::bind_with(addr, relay::router(&gateway), options)
+        .await
+        .map_err(|error| could_not("listen for callers", addr, error))?;
+    let ready = bind(settings.ready_addr, relay::ready_router(&gateway, ready_path)).await?;
+    let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
+    let mut drivers = feed::spawn(&gateway.adapter, &gateway.world, clock);
+    drivers.push(control::driver::spawn(&gateway));
+    drivers.push(tokio::spawn(tick_budget(Arc::clone(&gateway))));
+    tracing::info!(
+        node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
+        callers = %addr, "started"
+    );
+    Ok(Node { gateway, callers, ready, metrics, drivers })
+}
+
+async fn bind(addr: SocketAddr, router: Router) -> Result<HttpServer> {
+    let bound = http_server::bind(addr, router).await;
+    bound.map_err(|error| could_not("listen", addr, error))
+}
+
+fn metrics_router(gateway: &Arc<Gateway>) -> Router {
+    let gateway = Arc::clone(gateway);
+    Router::new().get("/metrics", move |_: Request| {
+        let page = gateway.metrics.page();
+        async move { Ok::<_, viz::Error>(Response::text(page)) }
+    })
+}
+
+async fn tick_budget(gateway: Arc<Gateway>) {
+    let mut ticks = interval(BUDGET_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        gateway.retries.tick(BUDGET_INTERVAL);
+    }
+}
+
+impl Node {
+    /// What its parts share.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
+    /// Address for callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.callers.local_addr()
+    }
+
+    /// Address for the balancer.
+    pub fn ready_addr(&self) -> SocketAddr {
+        self.ready.local_addr()
+    }
+
+    /// Address of the metrics.
+    pub fn metrics_addr(&self) -> SocketAddr {
+        self.metrics.local_addr()
+    }
+
+    /// Tells the balancer, goes on serving until it has seen that, finishes all
+    /// that is in flight, and ends within the grace of its settings.
+    pub async fn stop(self) {
+        let settings = &self.gateway.settings;
+        self.gateway.stopping.store(true, Ordering::Relaxed);
+        tracing::info!(node = %self.gateway.node, "stops");
+        let lag = settings.balancer_lag;
+        sleep(lag).await;
+        let left = settings.grace.saturating_sub(lag + END_MARGIN);
+        if timeout(left, self.callers.stop()).await.is_err() {
+            tracing::warn!("ended while requests were in flight");
+        }
+        for driver in &self.drivers {
+            driver.abort();
+        }
+        self.ready.abort();
+        self.metrics.abort();
+        tracing::info!(node = %self.gateway.node, "stopped");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,82 @@
+//! The path of a caller's request to a backend server and back.
+
+mod attempts;
+mod call;
+mod events;
+mod log;
+mod plain;
+mod refuse;
+mod send;
+mod stream;
+
+use std::sync::{Arc, atomic::Ordering};
+
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::id::RequestId;
+use viz::{Body, Request, Response, Router, StatusCode};
+
+use self::{attempts::Attempts, log::RequestLog, refuse::Refusal};
+use crate::node::Gateway;
+
+/// Routes of the port for callers: all paths.
+pub(crate) fn router(gateway: &Arc<Gateway>) -> Router {
+    let on = || Arc::clone(gateway);
+    let (root, rest) = (on(), on());
+    Router::new()
+        .any("/", move |req| serve(Arc::clone(&root), req))
+        .any("/*", move |req| serve(Arc::clone(&rest), req))
+}
+
+/// Routes of the port that tells the balancer whether to send callers here.
+pub(crate) fn ready_router(gateway: &Arc<Gateway>, path: &str) -> Router {
+    let gateway = Arc::clone(gateway);
+    Router::new().get(path, move |_: Request| check_ready(Arc::clone(&gateway)))
+}
+
+async fn check_ready(gateway: Arc<Gateway>) -> viz::Result<Response> {
+    let code = if gateway.stopping.load(Ordering::Relaxed) {
+        ResultCode::Stopping
+    } else if gateway.world.directory.load().is_none() {
+        ResultCode::NotConfirmed
+    } else {
+        let mut response = Response::new(Body::Empty);
+        *response.status_mut() = StatusCode::OK;
+        return Ok(response);
+    };
+    Ok(Refusal::from(code).into_response(new_request_id()))
+}
+
+fn new_request_id() -> RequestId {
+    RequestId(rand::random())
+}
+
+async fn serve(gateway: Arc<Gateway>, req: Request) -> viz::Result<Response> {
+    let request = new_request_id();
+    gateway.see_request();
+    let call = match call::read(&gateway, request, req).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            let code = refusal.code;
+            let config = gateway.world.directory.load().as_ref().map(|it| it.version);
+            tracing::info!(%request, %code, config, "request is refused unread");
+            gateway.metrics.count_refusal(code);
+            return Ok(refusal.into_response(request));
+        }
+    };
+    let version = gateway.world.directory.load().as_ref().map(|it| it.version);
+    let mut log = RequestLog::open(&call, gateway.clock, version, &gateway.metrics);
+    let mut attempts = Attempts::default();
+    if call::is_stream(&call) {
+        return Ok(stream::serve(&gateway, call, attempts, log).await);
+    }
+    match plain::serve(&gateway, &call, &mut attempts).await {
+        Ok(response) => {
+            log.end_with_status(response.status().as_u16(), &attempts);
+            Ok(response)
+        }
+        Err(refusal) => {
+            log.refuse(refusal.code, &attempts);
+            Ok(refusal.into_response(request))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/attempts.rs
@@ -0,0 +1,135 @@
+//! The attempts of one request: which server is next, and whether there is one.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::{
+    id::InstanceId,
+    retry::{self, FailedAttempt, Reached},
+};
+use tokio::time::sleep;
+
+use super::{
+    call::Call,
+    refuse::Refusal,
+    send::{Cause, Failed},
+};
+use crate::{
+    choose::{Wish, choose},
+    fleet::Backend,
+    node::Gateway,
+};
+
+/// Pause that a caller is asked for when no server takes requests: the time
+/// until a replica whose weights are staged serves again.
+const NO_SERVER_PAUSE: Duration = Duration::from_millis(700);
+/// Pause that a caller is asked for when all servers are full.
+const FULL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Attempts made so far.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    tried: Vec<InstanceId>,
+    /// Servers that the request, or part of it, was sent to.
+    sent: u32,
+    may_have_run: bool,
+    last: Option<Cause>,
+}
+
+impl Attempts {
+    /// Servers tried so far.
+    pub(super) fn count(&self) -> usize {
+        self.tried.len()
+    }
+
+    /// Why the last one failed.
+    pub(super) fn last_cause(&self) -> Option<Cause> {
+        self.last
+    }
+
+    /// Picks the server of the next attempt.
+    pub(super) fn next_server(
+        &mut self,
+        gateway: &Gateway,
+        call: &Call,
+    ) -> Result<Arc<Backend>, Refusal> {
+        let fleet = gateway.world.fleet.load();
+        let wish =
+            Wish { zone: &gateway.settings.zone, tried: &self.tried, now: gateway.clock.now() };
+        let chosen = choose(call.servers(&fleet), &wish, rand::random);
+        let server = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
+        self.tried.push(server.id.clone());
+        Ok(server)
+    }
+
+    /// Decides on another attempt after one failed; waits before it.
+    pub(super) async fn retry(
+        &mut self,
+        gateway: &Gateway,
+        call: &Call,
+        failed: Failed,
+    ) -> Result<(), Refusal> {
+        self.last = Some(failed.cause);
+        self.may_have_run |= failed.reached != Reached::NotRun;
+        self.sent += u32::from(failed.cause != Cause::NotReached);
+        let attempt = FailedAttempt {
+            class: call.class(),
+            reached: failed.reached,
+            attempts: self.sent,
+            max_retries: call.route.max_attempts.saturating_sub(1),
+            from_node: false,
+            expected: Duration::ZERO,
+            deadline: call.deadline(),
+        };
+        let decision =
+            retry::decide(&attempt, &gateway.retries, gateway.clock.now(), rand::random());
+        let server = self.tried.last();
+        match decision {
+            Ok(pause) => {
+                tracing::info!(
+                    request = %call.request, attempt = call.meta.attempt, server = server.map(InstanceId::as_str),
+                    cause = %failed.cause, attempts = self.tried.len(),
+                    budget = gateway.retries.attempts_left(), "request is sent again"
+                );
+                sleep(pause).await;
+                Ok(())
+            }
+            Err(reason) => {
+                tracing::info!(
+                    request = %call.request, attempt = call.meta.attempt, server = server.map(InstanceId::as_str),
+                    cause = %failed.cause, attempts = self.tried.len(), %reason,
+                    budget = gateway.retries.attempts_left(), "request is not sent again"
+                );
+                Err(self.refusal(code_of(failed.cause)))
+            }
+        }
+    }
+
+    /// Refusal that is true for all attempts made.
+    pub(super) fn refusal(&self, code: ResultCode) -> Refusal {
+        if self.may_have_run {
+            return match code {
+                ResultCode::DeadlinePassed => code.into(),
+                _ => ResultCode::BrokenOff.into(),
+            };
+        }
+        match code {
+            ResultCode::NoReplica | ResultCode::NotReached => {
+                Refusal::from(code).after(NO_SERVER_PAUSE)
+            }
+            ResultCode::Overloaded => Refusal::from(code).after(FULL_PAUSE),
+            code => code.into(),
+        }
+    }
+}
+
+fn code_of(cause: Cause) -> ResultCode {
+    match cause {
+        Cause::NotReached => ResultCode::NotReached,
+        Cause::ServerRefused => ResultCode::Overloaded,
+        Cause::ReplicaBroken => ResultCode::NoReplica,
+        Cause::BrokeOff | Cause::ForeignAnswer | Cause::Stalled => ResultCode::BrokenOff,
+        Cause::ServerError => ResultCode::EngineError,
+        Cause::DeadlinePassed => ResultCode::DeadlinePassed,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/call.rs
@@ -0,0 +1,177 @@
+//! A caller's request, read whole and matched to its route.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::{
+    config::CallClass,
+    id::{PlainServiceId, RequestId},
+    time::Time,
+};
+use http::{HeaderMap, Method, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use viz::Request;
+
+use super::refuse::Refusal;
+use crate::{
+    adapter::RequestMeta,
+    directory::{CallKind, Directory, KeyHolder, Route},
+    fleet::{Backend, Fleet},
+    node::Gateway,
+};
+
+/// Pause that a caller is asked for while this node has no configuration yet.
+const NO_CONFIG_PAUSE: Duration = Duration::from_millis(300);
+
+/// Request of a caller.
+#[derive(Debug)]
+pub(super) struct Call {
+    /// Id in this node's logs.
+    pub(super) request: RequestId,
+    /// What it says of itself.
+    pub(super) meta: RequestMeta,
+    /// Its route.
+    pub(super) route: Arc<Route>,
+    /// Service that the route sends it to.
+    pub(super) service: PlainServiceId,
+    /// Holder of its key.
+    pub(super) holder: Option<Arc<KeyHolder>>,
+    /// Method.
+    pub(super) method: Method,
+    /// Target, as the caller wrote it.
+    pub(super) uri: Uri,
+    /// Headers that are passed on.
+    pub(super) headers: HeaderMap,
+    /// Body.
+    pub(super) body: Bytes,
+    /// When it arrived.
+    pub(super) arrived_at: Time,
+}
+
+impl Call {
+    /// Point by which the caller must have its answer.
+    pub(super) fn deadline(&self) -> Time {
+        let timeout = self.route.timeout;
+        self.arrived_at + self.meta.remaining.map_or(timeout, |it| it.min(timeout))
+    }
+
+    /// Time that the caller still waits.
+    pub(super) fn remaining(&self, now: Time) -> Duration {
+        let remaining = self.meta.remaining.unwrap_or(self.route.timeout);
+        (self.arrived_at + remaining).since(now)
+    }
+
+    /// What retries may do with it.
+    pub(super) fn class(&self) -> CallClass {
+        if self.route.kind.may_rerun() { CallClass::Idempotent } else { CallClass::AtMostOnce }
+    }
+
+    /// Urgency at an engine: the rank of the key's holder before the route's.
+    pub(super) fn urgency(&self) -> u8 {
+        let of_holder = self.holder.as_ref().and_then(|it| it.priority);
+        of_holder.unwrap_or(self.route.priority).min(9)
+    }
+
+    /// Servers that may take it.
+    pub(super) fn servers<'a>(&self, fleet: &'a Fleet) -> &'a [Arc<Backend>] {
+        let Some(pool) = fleet.pool(&self.service) else { return &[] };
+        match &self.meta.model {
+            Some(model) if pool.servers.is_empty() => {
+                pool.replicas.get(model).map_or(&[], Vec::as_slice)
+            }
+            _ => &pool.servers,
+        }
+    }
+}
+
+/// Reads a request, unless it is refused.
+pub(super) async fn read(
+    gateway: &Gateway,
+    request: RequestId,
+    req: Request,
+) -> Result<Call, Refusal> {
+    let arrived_at = gateway.clock.now();
+    let Some(directory) = gateway.world.directory.load_full() else {
+        return Err(Refusal::from(ResultCode::NotConfirmed).after(NO_CONFIG_PAUSE));
+    };
+    let (parts, body) = req.into_parts();
+    let mut meta = gateway.adapter.codec.decode_request(&parts.headers);
+    let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let route = directory.routes.find(host, parts.uri.path()).ok_or(ResultCode::NotFound)?;
+    let holder = find_holder(&directory, route, &meta)?;
+    // The key stays here.
+    meta.api_key = None;
+    let target = route.pick_target(rand::random()).ok_or(ResultCode::NoReplica)?;
+    let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
+    let read = Limited::new(body, directory.limits.max_body_bytes).collect();
+    let body = match tokio::time::timeout(timeout, read).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(ResultCode::TooLarge.into());
+        }
+        Ok(Err(_)) => return Err(ResultCode::Malformed.into()),
+        Err(_) => return Err(ResultCode::TooSlow.into()),
+    };
+    Ok(Call {
+        request,
+        meta,
+        route: Arc::clone(route),
+        service: target.service.clone(),
+        holder,
+        method: parts.method,
+        uri: parts.uri,
+        headers: end_to_end(parts.headers),
+        body,
+        arrived_at,
+    })
+}
+
+fn find_holder(
+    directory: &Directory,
+    route: &Route,
+    meta: &RequestMeta,
+) -> Result<Option<Arc<KeyHolder>>, ResultCode> {
+    let Some(keys) = &directory.keys else { return Ok(None) };
+    let holder = meta.api_key.as_ref().and_then(|it| keys.get(it)).map(Arc::clone);
+    if holder.is_none() && route.needs_key {
+        return Err(ResultCode::Unauthorised);
+    }
+    Ok(holder)
+}
+
+/// Headers without those that concern one connection only.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    const HOP_BY_HOP: [&str; 10] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .map(|it| it.trim().to_ascii_lowercase())
+        .collect();
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    for name in named.iter().filter(|it| !it.is_empty()) {
+        headers.remove(name.as_str());
+    }
+    headers
+}
+
+/// Whether a route's answers are streams.
+pub(super) fn is_stream(call: &Call) -> bool {
+    matches!(call.route.kind, CallKind::Stream | CallKind::ResumableStream)
+}
--- /dev/null
+++ b/crates/gateway/src/relay/log.rs
@@ -0,0 +1,100 @@
+//! One line for each request: what became of it, and where.
+
+use std::time::Duration;
+
+use citrongw_coordination::clock::Clock;
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::{id::RequestId, time::Time};
+
+use super::{attempts::Attempts, call::Call, send::Cause};
+use crate::metrics::Metrics;
+
+/// Line that is written when the request ends, or when its caller leaves.
+#[derive(Debug)]
+pub(super) struct RequestLog {
+    request: RequestId,
+    attempt: Option<String>,
+    route: String,
+    service: String,
+    version: Option<u64>,
+    clock: Clock,
+    arrived_at: Time,
+    first_event_after: Option<Duration>,
+    ended: bool,
+    metrics: Metrics,
+}
+
+impl RequestLog {
+    /// Opens the line of a request.
+    pub(super) fn open(call: &Call, clock: Clock, version: Option<u64>, metrics: &Metrics) -> Self {
+        Self {
+            request: call.request,
+            attempt: call.meta.attempt.clone(),
+            route: call.route.name.clone(),
+            service: call.service.to_string(),
+            version,
+            clock,
+            arrived_at: call.arrived_at,
+            first_event_after: None,
+            ended: false,
+            metrics: metrics.clone(),
+        }
+    }
+
+    /// Notes that the first event is there.
+    pub(super) fn first_event(&mut self) {
+        self.first_event_after = Some(self.age());
+    }
+
+    /// Ends with a backend server's answer.
+    pub(super) fn end_with_status(&mut self, status: u16, attempts: &Attempts) {
+        self.write("answered", Some(status), attempts.last_cause(), attempts.count());
+    }
+
+    /// Ends with a refusal or failure of the gateway's own.
+    pub(super) fn refuse(&mut self, code: ResultCode, attempts: &Attempts) {
+        self.write(
+            &code.to_string(),
+            Some(code.http_status()),
+            attempts.last_cause(),
+            attempts.count(),
+        );
+    }
+
+    /// Ends in the middle of a stream.
+    pub(super) fn break_off(&mut self, cause: Cause, attempts: &Attempts) {
+        self.write("stream broken off", None, Some(cause), attempts.count());
+    }
+
+    fn age(&self) -> Duration {
+        self.clock.now().since(self.arrived_at)
+    }
+
+    fn write(&mut self, outcome: &str, status: Option<u16>, cause: Option<Cause>, attempts: usize) {
+        self.ended = true;
+        let age = self.age();
+        self.metrics.count_request(&self.service, status, age, self.first_event_after);
+        tracing::info!(
+            request = %self.request,
+            attempt = self.attempt,
+            route = self.route,
+            service = self.service,
+            config = self.version,
+            outcome,
+            status,
+            cause = cause.map(|it| it.to_string()),
+            attempts,
+            took_ms = age.as_millis(),
+            first_event_ms = self.first_event_after.map(|it| it.as_millis()),
+            "request ended"
+        );
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.write("caller left", None, None, 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/stream.rs
@@ -0,0 +1,283 @@
+//! Requests whose answer is a stream of events.
+//!
+//! Events are passed on one by one as they come. When a server breaks off or
+//! falls silent, a stream that may be resumed goes on at another replica after
+//! the last event passed on, under the headers of the first answer; any other
+//! ends with an error, so that it does not look complete.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::time::Time;
+use futures::stream;
+use http_body_util::BodyExt;
+use tokio::time::{sleep_until, timeout_at};
+use viz::{Body, Response};
+
+use super::{
+    attempts::Attempts,
+    call::{Call, end_to_end},
+    events::{Event, EventSplitter},
+    log::RequestLog,
+    plain,
+    refuse::Refusal,
+    send::{self, Answer, Cause, Failed},
+};
+use crate::{fleet::Backend, node::Gateway};
+
+/// Silence of a server, as a multiple of the expected pause between events,
+/// after which a stream goes on elsewhere.
+const SILENT_GAPS: u32 = 2;
+/// Silence before the first event, as a multiple of the expected latency, after
+/// which a request goes elsewhere if its server is silent to all.
+const SILENT_LATENCIES: u32 = 3;
+/// Time that a server that fell silent gets no requests.
+const SILENT_PAUSE: Duration = Duration::from_secs(2);
+
+/// Serves a request.
+pub(super) async fn serve(
+    gateway: &Arc<Gateway>,
+    call: Call,
+    mut attempts: Attempts,
+    mut log: RequestLog,
+) -> Response {
+    let call = Arc::new(call);
+    let (answer, source) = match open(gateway, &call, &mut attempts, call.meta.last_event).await {
+        Ok(Opened::Stream(answer, source)) => (answer, source),
+        Ok(Opened::Failure(response)) => {
+            log.end_with_status(response.status().as_u16(), &attempts);
+            return response;
+        }
+        Err(refusal) => {
+            log.refuse(refusal.code, &attempts);
+            return refusal.into_response(call.request);
+        }
+    };
+    log.first_event();
+    let mut response = Response::new(Body::Empty);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = end_to_end(answer.headers);
+    let relay = Relay {
+        gateway: Arc::clone(gateway),
+        last_event: call.meta.last_event,
+        call,
+        attempts,
+        source,
+        log,
+    };
+    let events = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+            Ok(None) => {
+                relay.gateway.retries.add_success();
+                relay.log.end_with_status(200, &relay.attempts);
+                None
+            }
+            Err(cause) => {
+                relay.log.break_off(cause, &relay.attempts);
+                Some((Err(io::Error::other(cause.to_string())), None))
+            }
+        }
+    });
+    *response.body_mut() = Body::from_stream(events);
+    response
+}
+
+enum Opened {
+    Stream(http::response::Parts, Source),
+    Failure(Response),
+}
+
+/// Where events come from.
+struct Source {
+    body: citrongw_transport::http_client::PooledBody,
+    splitter: EventSplitter,
+    /// Event that was read before the answer was passed on.
+    first: Option<Event>,
+    backend: Arc<Backend>,
+    _in_flight: crate::fleet::InFlight,
+}
+
+/// Sends the request until a server has brought its first event.
+async fn open(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &mut Attempts,
+    resume_after: Option<u64>,
+) -> Result<Opened, Refusal> {
+    loop {
+        let server = attempts.next_server(gateway, call)?;
+        let failed = match open_at(gateway, call, &server, resume_after).await {
+            Ok(Ok((parts, source))) => return Ok(Opened::Stream(parts, source)),
+            Ok(Err(answer)) => {
+                let failed = Failed::may_have_run(Cause::ServerError);
+                let fails = answer.parts.status.is_server_error();
+                if fails && attempts.retry(gateway, call, failed).await.is_ok() {
+                    continue;
+                }
+                let left = call.deadline().since(gateway.clock.now());
+                let passed = plain::pass_on(call, answer, left).await;
+                return passed
+                    .map(Opened::Failure)
+                    .ok_or_else(|| attempts.refusal(ResultCode::BrokenOff));
+            }
+            Err(failed) => failed,
+        };
+        attempts.retry(gateway, call, failed).await?;
+    }
+}
+
+/// Sends the request to one server and reads the first event. An answer that is
+/// not a stream is given back.
+async fn open_at(
+    gateway: &Gateway,
+    call: &Call,
+    server: &Arc<Backend>,
+    resume_after: Option<u64>,
+) -> Result<Result<(http::response::Parts, Source), Answer>, Failed> {
+    let sent_at = gateway.clock.now();
+    let exchange = async {
+        let answer = send::send(gateway, call, server, resume_after).await?;
+        if !answer.parts.status.is_success() {
+            return Ok(Err(answer));
+        }
+        let Answer { parts, body, backend, in_flight } = answer;
+        let splitter = EventSplitter::default();
+        let mut source = Source { body, splitter, first: None, backend, _in_flight: in_flight };
+        source.first = source.read(gateway).await?;
+        Ok(Ok((parts, source)))
+    };
+    let patience = call.route.target_latency * SILENT_LATENCIES;
+    tokio::select! {
+        res = exchange => res,
+        () = sleep_until(gateway.clock.instant(call.deadline())) => {
+            Err(Failed::may_have_run(Cause::DeadlinePassed))
+        }
+        () = wait_for_silence(gateway, server, sent_at, patience) => {
+            server.stats.suspect(gateway.clock.now() + SILENT_PAUSE);
+            Err(Failed::may_have_run(Cause::Stalled))
+        }
+    }
+}
+
+/// Ends once a server has been silent to all of this node's requests for
+/// `patience`.
+async fn wait_for_silence(gateway: &Gateway, server: &Backend, since: Time, patience: Duration) {
+    loop {
+        let heard_at = server.stats.heard_at().max(since);
+        let until = heard_at + patience;
+        if until <= gateway.clock.now() {
+            return;
+        }
+        sleep_until(gateway.clock.instant(until)).await;
+    }
+}
+
+impl Source {
+    /// Reads the next event; none at the clean end.
+    async fn read(&mut self, gateway: &Gateway) -> Result<Option<Event>, Failed> {
+        let broke_off = || Failed::may_have_run(Cause::BrokeOff);
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return Ok(Some(event));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    self.backend.stats.hear(gateway.clock.now());
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.splitter.push(&data).map_err(|_| broke_off())?;
+                }
+                Some(Err(_)) => return Err(broke_off()),
+                None if self.splitter.is_mid_event() => return Err(broke_off()),
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+/// Stream on its way to the caller.
+struct Relay {
+    gateway: Arc<Gateway>,
+    call: Arc<Call>,
+    attempts: Attempts,
+    source: Source,
+    last_event: Option<u64>,
+    log: RequestLog,
+}
+
+impl Relay {
+    /// Next bytes for the caller; none at the clean end.
+    async fn next(&mut self) -> Result<Option<Bytes>, Cause> {
+        loop {
+            let failed = match self.read().await {
+                Ok(None) => return Ok(None),
+                Ok(Some(event)) => match self.check(&event) {
+                    Place::Next => return Ok(Some(event.bytes)),
+                    Place::Repeated => continue,
+                    Place::AfterGap => Failed::may_have_run(Cause::BrokeOff),
+                },
+                Err(failed) => failed,
+            };
+            self.resume(failed).await?;
+        }
+    }
+
+    async fn read(&mut self) -> Result<Option<Event>, Failed> {
+        if let Some(first) = self.source.first.take() {
+            return Ok(Some(first));
+        }
+        let gateway = Arc::clone(&self.gateway);
+        let backend = Arc::clone(&self.source.backend);
+        let since = gateway.clock.now();
+        let patience = self.call.route.target_gap * SILENT_GAPS;
+        let deadline = gateway.clock.instant(self.call.deadline());
+        tokio::select! {
+            res = timeout_at(deadline, self.source.read(&gateway)) => {
+                res.unwrap_or(Err(Failed::may_have_run(Cause::DeadlinePassed)))
+            }
+            () = wait_for_silence(&gateway, &backend, since, patience) => {
+                backend.stats.suspect(gateway.clock.now() + SILENT_PAUSE);
+                Err(Failed::may_have_run(Cause::Stalled))
+            }
+        }
+    }
+
+    /// Goes on at another replica after the last event that the caller has.
+    async fn resume(&mut self, failed: Failed) -> Result<(), Cause> {
+        if failed.cause == Cause::DeadlinePassed {
+            return Err(failed.cause);
+        }
+        let (gateway, call) = (Arc::clone(&self.gateway), Arc::clone(&self.call));
+        if self.attempts.retry(&gateway, &call, failed).await.is_err() {
+            return Err(failed.cause);
+        }
+        match open(&gateway, &call, &mut self.attempts, self.last_event).await {
+            Ok(Opened::Stream(_, source)) => {
+                self.source = source;
+                Ok(())
+            }
+            Ok(Opened::Failure(_)) | Err(_) => Err(failed.cause),
+        }
+    }
+
+    fn check(&mut self, event: &Event) -> Place {
+        let Some(id) = event.id else { return Place::Next };
+        match self.last_event {
+            Some(last) if id <= last => Place::Repeated,
+            Some(last) if last + 1 < id => Place::AfterGap,
+            _ => {
+                self.last_event = Some(id);
+                Place::Next
+            }
+        }
+    }
+}
+
+/// Place of an event in the stream.
+enum Place {
+    Next,
+    Repeated,
+    AfterGap,
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,84 @@
+//! Settings of a gateway, read from an INI file.
+
+use std::{net::SocketAddr, path::Path, time::Duration};
+
+use citrongw::{
+    error::{NodeError, Result, could_not},
+    settings::reader::{self, Fault, Reader},
+};
+use citrongw_state::id::AvailabilityZone;
+
+/// Settings of one gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name, for logs.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address at which the balancer asks whether this node is ready.
+    pub ready_addr: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_addr: SocketAddr,
+    /// Address of the key-value service.
+    pub store_addr: SocketAddr,
+    /// Longest time for one call to it.
+    pub store_timeout: Duration,
+    /// Time after which a replica that lost a member breaks by itself, with a
+    /// margin.
+    pub stall_time: Duration,
+    /// Time between refusing to be ready and the stop, for the balancer to see
+    /// it.
+    pub balancer_lag: Duration,
+    /// Time after the request to stop by which the process has to end.
+    pub grace: Duration,
+    /// Connections of callers at once, at most.
+    pub max_connections: usize,
+    /// What is logged.
+    pub log_level: String,
+}
+
+/// Reads a settings file.
+pub fn open(path: &Path) -> Result<Settings> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| could_not("read settings", path.display(), error))?;
+    parse(&text).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let message = format!("settings have faults: {}\n{}", path.display(), faults.join("\n"));
+        error_stack::Report::new(NodeError { message })
+    })
+}
+
+/// Reads settings from text.
+pub fn parse(text: &str) -> std::result::Result<Settings, Vec<Fault>> {
+    let mut reader = reader::open(text)?;
+    let settings = read(&mut reader);
+    reader.finish()?;
+    Ok(settings)
+}
+
+/// Margin on the time after which a replica breaks: its last step and the
+/// clocks of both sides.
+const STALL_MARGIN: Duration = Duration::from_millis(700);
+
+fn read(reader: &mut Reader<'_>) -> Settings {
+    let stall = reader.positive_duration("control", "stall-time", Duration::from_secs(6));
+    Settings {
+        name: reader.name("node", "name"),
+        zone: reader.name("node", "zone").into(),
+        caller_addr: reader.addr("node", "caller-addr"),
+        ready_addr: reader.addr("node", "ready-addr"),
+        metrics_addr: reader.addr("node", "metrics-addr"),
+        store_addr: reader.addr("store", "addr"),
+        store_timeout: reader.positive_duration("store", "timeout", Duration::from_secs(1)),
+        stall_time: stall + STALL_MARGIN,
+        balancer_lag: reader.duration("node", "balancer-lag", Duration::from_millis(2_500)),
+        grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
+        max_connections: reader.count("callers", "max-connections", 1_024),
+        log_level: reader.log_level("log", "level", "info"),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -137,6 +137,12 @@
     /// Reads all keys that begin with `prefix`.
     fn list(&self, prefix: Key) -> BoxFuture<'_, StoreResult<Snapshot>>;
 
+    /// Reads all keys that begin with `prefix`, as they were a short while ago
+    /// if that is cheaper.
+    fn list_stale(&self, prefix: Key) -> BoxFuture<'_, StoreResult<Snapshot>> {
+        self.list(prefix)
+    }
+
     /// Changes one key if it is as expected.
     fn compare_and_swap(&self, write: Write) -> BoxFuture<'_, StoreResult<WriteResult>>;
 
@@ -146,6 +152,11 @@
     /// Renews a lease. Refused if it has lapsed.
     fn renew_lease(&self, lease: LeaseId) -> BoxFuture<'_, StoreResult<()>>;
 
+    /// Ends a lease. One that lapses by itself ends later.
+    fn end_lease(&self, _lease: LeaseId) -> BoxFuture<'_, StoreResult<()>> {
+        Box::pin(std::future::ready(Ok(())))
+    }
+
     /// Watches the keys that begin with `prefix`, from `from` on.
     fn watch(
         &self,
--- a/crates/transport/src/engine_client.rs
+++ b/crates/transport/src/engine_client.rs
@@ -173,7 +173,7 @@
 
 fn engine_error(error: HttpError) -> EngineError {
     match error {
-        HttpError::NotReached => EngineError::NotReached,
+        HttpError::NotReached | HttpError::ConnectionRefused => EngineError::NotReached,
         HttpError::BrokenOff | HttpError::BadAnswer => EngineError::BrokenOff,
         HttpError::Status { status, body } => match serde_json::from_str::<RefusalBody>(&body) {
             Ok(refusal) if refusal.not_run => {
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -28,6 +28,9 @@
     /// No byte of the request was sent.
     #[display("could not connect")]
     NotReached,
+    /// Nobody listens at the address, so no byte of the request was sent.
+    #[display("connection was refused")]
+    ConnectionRefused,
     /// The exchange broke or took too long after the request may have left.
     #[display("exchange broke off")]
     BrokenOff,
@@ -102,6 +105,45 @@
         tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::BrokenOff))
     }
 
+    /// Posts JSON and returns the status of the answer, whatever it is, within
+    /// `timeout`.
+    pub async fn post_status<T: Serialize>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &T,
+        timeout: Duration,
+    ) -> Result<u16, HttpError> {
+        let request = json_request(addr, path, body)?;
+        let exchange = async {
+            let response = self.send(request).await?;
+            let status = response.status().as_u16();
+            read_bytes(response.into_body()).await?;
+            Ok(status)
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::BrokenOff))
+    }
+
+    /// Deletes a resource within `timeout`.
+    pub async fn delete(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<(), HttpError> {
+        let request = request_builder(Method::DELETE, addr, path)
+            .body(Full::default())
+            .map_err(|_| HttpError::NotReached)?;
+        let exchange = async {
+            let response = self.send(request).await?;
+            if !response.status().is_success() {
+                return Err(status_error(response.status(), response.into_body()).await);
+            }
+            read_bytes(response.into_body()).await.map(drop)
+        };
+        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::BrokenOff))
+    }
+
     /// Gets a JSON answer within `timeout`.
     pub async fn get_json<R: DeserializeOwned>(
         &self,
--- a/crates/transport/src/http_client/connection.rs
+++ b/crates/transport/src/http_client/connection.rs
@@ -1,6 +1,6 @@
 //! One connection: opening it, and its age.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -38,7 +38,13 @@
 /// Connects to `addr`.
 pub(super) async fn open(addr: SocketAddr) -> Result<Connection, HttpError> {
     let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-    let Ok(Ok(stream)) = connect else { return Err(HttpError::NotReached) };
+    let stream = match connect {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            return Err(HttpError::ConnectionRefused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(HttpError::NotReached),
+    };
     if let Err(error) = set_options(&stream) {
         tracing::debug!(%error, %addr, "could not set options of a connection");
     }
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -169,7 +169,7 @@
 
 fn store_error(error: HttpError) -> StoreError {
     match error {
-        HttpError::NotReached => StoreError::NotReached,
+        HttpError::NotReached | HttpError::ConnectionRefused => StoreError::NotReached,
         HttpError::Status { status, body } if status < 500 => StoreError::Refused { reason: body },
         HttpError::Status { .. } | HttpError::BrokenOff | HttpError::BadAnswer => {
             StoreError::NoAnswer
