Let gateways tell each other which replicas ceased or began to serve

Cause: a member lost at 2.29 s was noticed by streams at 2.67 s, by the owner of its domain at 3.89 s, and the re-formed replica took requests from each node only after its next read of the list.

Change: gateways list themselves under a lease and send sealed datagrams. A node whose request a replica does not answer tells the domain's owner, which asks the members at once and tells all nodes when a replica goes down or opens; streams of a replica that is down go on elsewhere without waiting for a silence. The node that hashing suggests reaches for a free domain first.

--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -17,6 +17,7 @@
         zone: zone.into(),
         slots: 10,
         replica: Some(ReplicaKey { replica: ReplicaId(1), epoch: Epoch(1) }),
+        domain: None,
         stats,
     })
 }
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -1,7 +1,7 @@
 //! Feeds the control of the domains that this node owns.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -14,10 +14,11 @@
     Change, Expected, LeaseId, StoreError, StoreResult, Write, WriteResult,
 };
 use citrongw_state::{
-    id::{AttemptId, Epoch, Incarnation, InstanceId, ReplicaId, Revision},
+    id::{AttemptId, Epoch, Incarnation, InstanceId, NodeId, ReplicaId, Revision},
     time::Time,
 };
 use tokio::{
+    sync::mpsc,
     task::{JoinHandle, JoinSet},
     time::{MissedTickBehavior, interval, sleep, timeout},
 };
@@ -34,18 +35,20 @@
     directory::EngineSpec,
     instance::InstanceReport,
     node::Gateway,
+    peers::{
+        ReplicaEpoch,
+        message::{OpenReplica, PeerMessage},
+    },
 };
 
 /// Pause between two looks at which domains have no owner.
-const OWNERS_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Same, while this node knows of a domain without one.
-const VACANT_INTERVAL: Duration = Duration::from_millis(100);
+const CAMPAIGN_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two steps of a domain without news.
 const STEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause between two renewals of a lease: a third of its time.
 const RENEW_INTERVAL: Duration = Duration::from_millis(800);
 /// Longest time for one question to an instance. Answers take milliseconds.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Delay of a step, or step of the time of day, from which on this process is
@@ -63,29 +66,24 @@
 async fn campaign(gateway: Arc<Gateway>) {
     let mut domains: BTreeMap<DomainKey, JoinHandle<()>> = BTreeMap::new();
     let mut vacancies = Vacancies::default();
-    let mut pause = VACANT_INTERVAL;
     loop {
-        sleep(pause).await;
+        sleep(CAMPAIGN_INTERVAL).await;
         domains.retain(|_, task| !task.is_finished());
         let listed = listed_domains(&gateway);
         if listed.is_empty() || gateway.is_stopping() {
-            pause = VACANT_INTERVAL;
             continue;
         }
-        let owned = match ownership::read_owned(&*gateway.adapter.store).await {
-            Ok(owned) => owned,
-            Err(error) => {
-                tracing::debug!(%error, "could not read the owners of domains");
-                pause = OWNERS_INTERVAL;
-                continue;
-            }
-        };
+        let live = gateway.peers.live();
+        // Before that, its picture of the others is as unfinished.
+        if !live.nodes.contains_key(&gateway.node) {
+            continue;
+        }
+        let nodes: Vec<NodeId> = live.nodes.keys().copied().collect();
         let free: BTreeSet<DomainKey> = listed
             .into_iter()
-            .filter(|it| !owned.contains(&it.owner_key()) && !domains.contains_key(it))
+            .filter(|it| !live.owners.contains_key(&it.owner_key()) && !domains.contains_key(it))
             .collect();
-        pause = if free.is_empty() { OWNERS_INTERVAL } else { VACANT_INTERVAL };
-        for domain in vacancies.due(&free, domains.len(), gateway.clock.now()) {
+        for domain in vacancies.due(&free, gateway.node, &nodes, gateway.clock.now()) {
             let asked_at = gateway.clock.now();
             match ownership::acquire(&*gateway.adapter.store, &domain, gateway.node).await {
                 Ok(Some(lease)) => {
@@ -144,11 +142,16 @@
     reports: Reports,
     loads: LoadBudget,
     tasks: JoinSet<Outcome>,
+    /// Replicas that other gateways doubt.
+    doubts_rx: mpsc::Receiver<ReplicaEpoch>,
+    /// Replicas that take requests, as last told to the other gateways.
+    told_up: HashSet<ReplicaEpoch>,
 }
 
 impl Control {
     fn new(gateway: &Arc<Gateway>, domain: DomainKey, lease: LeaseId, asked_at: Time) -> Self {
         let held_until_ms = Arc::new(AtomicU64::new(millis(held_until(asked_at))));
+        let doubts_rx = gateway.peers.own(&domain);
         Self {
             gateway: Arc::clone(gateway),
             domain,
@@ -160,6 +163,8 @@
             reports: Reports::default(),
             loads: LoadBudget::open(gateway.clock.now(), 0.0),
             tasks: JoinSet::new(),
+            doubts_rx,
+            told_up: HashSet::new(),
         }
     }
 
@@ -176,6 +181,7 @@
         loop {
             let changed = tokio::select! {
                 _ = ticks.tick() => true,
+                Some(replica) = self.doubts_rx.recv() => self.hear_doubt(replica),
                 Some(done) = self.tasks.join_next(), if !self.tasks.is_empty() => match done {
                     Ok(outcome) => self.take_in(outcome),
                     Err(error) => {
@@ -201,6 +207,7 @@
             }
         }
         renewal.abort();
+        self.gateway.peers.disown(&self.domain);
         tracing::info!(domain = %self.domain, node = %self.gateway.node, "no longer owns a domain");
         if self.gateway.is_stopping() {
             // Ends sooner than by itself, so that another node takes over.
@@ -279,10 +286,56 @@
         if self.held_until() <= now {
             return Ok(());
         }
+        self.tell_peers(&hosts);
         self.give_orders(engine, &hosts, &rules, now);
         Ok(())
     }
 
+    /// Asks the members of a doubted replica at once.
+    fn hear_doubt(&mut self, (replica, epoch): ReplicaEpoch) -> bool {
+        let Some((plan, _)) = &self.plan else { return false };
+        let doubted = plan.replicas.iter().find(|it| (it.id, it.epoch) == (replica, epoch));
+        let Some(doubted) = doubted else { return false };
+        let now = self.gateway.clock.now();
+        let members = doubted.members.iter();
+        let hurried =
+            members.filter(|it| self.reports.hurry(&it.instance, it.incarnation, now)).count();
+        if 0 < hurried {
+            tracing::info!(domain = %self.domain, %replica, %epoch, "replica is doubted");
+        }
+        0 < hurried
+    }
+
+    /// Tells the other gateways which replicas began or ceased to take requests.
+    fn tell_peers(&mut self, hosts: &Hosts) {
+        let Some((plan, _)) = &self.plan else { return };
+        let up = step::serving(plan, hosts, &self.memory);
+        let mut messages = Vec::new();
+        for replica in plan.replicas.iter().filter(|it| up.contains(&(it.id, it.epoch))) {
+            if self.told_up.contains(&(replica.id, replica.epoch)) {
+                continue;
+            }
+            let Some(head) = replica.head() else { continue };
+            messages.push(PeerMessage::Up(OpenReplica {
+                service: self.domain.service.clone(),
+                model: replica.model.clone(),
+                replica: replica.id,
+                epoch: replica.epoch,
+                head: head.instance.clone(),
+            }));
+        }
+        for (replica, epoch) in self.told_up.difference(&up) {
+            messages.push(PeerMessage::Down { replica: *replica, epoch: *epoch });
+        }
+        self.told_up = up;
+        for message in messages {
+            tracing::info!(domain = %self.domain, ?message, "replica changed");
+            self.gateway.world.hear(&message, self.gateway.clock.now());
+            let peers = Arc::clone(&self.gateway.peers);
+            tokio::spawn(async move { peers.tell_all(&message).await });
+        }
+    }
+
     fn give_orders(&mut self, engine: &EngineSpec, hosts: &Hosts, rules: &Rules<'_>, now: Time) {
         let Some((plan, _)) = &self.plan else { return };
         let domains = listed_domains(&self.gateway).len().max(1);
--- a/crates/gateway/src/control/ownership.rs
+++ b/crates/gateway/src/control/ownership.rs
@@ -6,20 +6,20 @@
 };
 
 use bytes::Bytes;
-use citrongw_protocol::store::{
-    Change, Expected, Key, LeaseId, Store, StoreResult, Write, WriteResult,
-};
-use citrongw_state::{id::NodeId, time::Time};
+use citrongw_protocol::store::{Change, Expected, LeaseId, Store, StoreResult, Write, WriteResult};
+use citrongw_state::{id::NodeId, ownership, time::Time};
 
-use super::plan::{DomainKey, OWNER_PREFIX};
+use super::plan::DomainKey;
 
 /// Time that an owner keeps its domain after its last renewal.
 pub(super) const LEASE_TIME: Duration = Duration::from_millis(2_500);
-/// Longest random wait before a node reaches for a free domain, so that seldom
-/// two do at once.
-const MAX_JITTER_MS: u64 = 250;
-/// Further wait for each domain that the node owns, so that domains spread.
-const OWNED_WAIT: Duration = Duration::from_millis(350);
+/// Wait of a node that is not the one suggested as owner.
+const OTHERS_WAIT: Duration = Duration::from_millis(500);
+/// Longest random wait after that, so that seldom two reach for one domain.
+const MAX_JITTER_MS: u64 = 500;
+/// Wait after a domain was reached for: by then the list of owners tells who
+/// has it.
+const NEXT_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Domains without an owner, and when this node may reach for each.
 #[derive(Debug, Default)]
@@ -27,32 +27,40 @@
     reach_at: BTreeMap<DomainKey, Time>,
 }
 
+/// Node that suggests itself as the owner of a domain.
+fn suggested(domain: &DomainKey, nodes: &[NodeId]) -> Option<NodeId> {
+    ownership::domain_owner(&domain.to_string().into(), nodes)
+}
+
 impl Vacancies {
     /// Takes in which domains are free and gives those to reach for now.
     pub(super) fn due(
         &mut self,
         free: &BTreeSet<DomainKey>,
-        owned: usize,
+        node: NodeId,
+        nodes: &[NodeId],
         now: Time,
     ) -> Vec<DomainKey> {
-        self.reach_at.retain(|domain, _| free.contains(domain));
-        let wait = OWNED_WAIT * u32::try_from(owned).unwrap_or(u32::MAX);
+        self.reach_at.retain(|domain, at| free.contains(domain) || now < *at);
         for domain in free {
-            let jitter = Duration::from_millis(rand::random_range(0..MAX_JITTER_MS));
-            self.reach_at.entry(domain.clone()).or_insert(now + wait + jitter);
+            self.reach_at.entry(domain.clone()).or_insert_with(|| {
+                if suggested(domain, nodes) == Some(node) {
+                    return now;
+                }
+                now + OTHERS_WAIT + Duration::from_millis(rand::random_range(0..MAX_JITTER_MS))
+            });
         }
-        let due = self.reach_at.iter().filter(|(_, at)| **at <= now);
-        due.map(|(domain, _)| domain.clone()).collect()
+        let mut due = Vec::new();
+        for (domain, at) in &mut self.reach_at {
+            if *at <= now && free.contains(domain) {
+                *at = now + NEXT_WAIT;
+                due.push(domain.clone());
+            }
+        }
+        due
     }
 }
 
-/// Reads which domains have an owner. The answer may be a little old; taking
-/// hold of a domain decides.
-pub(super) async fn read_owned(store: &dyn Store) -> StoreResult<BTreeSet<Key>> {
-    let snapshot = store.list_stale(OWNER_PREFIX.into()).await?;
-    Ok(snapshot.entries.into_iter().map(|it| it.key).collect())
-}
-
 /// Takes hold of a domain; none if another node has it.
 pub(super) async fn acquire(
     store: &dyn Store,
--- a/crates/gateway/src/control/plan.rs
+++ b/crates/gateway/src/control/plan.rs
@@ -8,10 +8,10 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::peers::OWNER_PREFIX;
+
 /// Prefix of the records.
 const PLAN_PREFIX: &str = "citrongw/plan/";
-/// Prefix of the keys that name owners; each ends with its owner's lease.
-pub const OWNER_PREFIX: &str = "citrongw/owner/";
 
 /// Fabric domain of one service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -29,7 +29,7 @@
         format!("{PLAN_PREFIX}{self}").into()
     }
 
-    /// Key that names its owner.
+    /// Key that names its owner and ends with the owner's lease.
     pub fn owner_key(&self) -> Key {
         format!("{OWNER_PREFIX}{self}").into()
     }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -23,7 +23,7 @@
 /// Pause between two questions to a member of a replica that serves.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Pause between two questions to an instance from which news is awaited.
-const AWAITED_INTERVAL: Duration = Duration::from_millis(400);
+const AWAITED_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause between two questions to a spare.
 const SPARE_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Questions without an answer after which an instance counts as silent.
@@ -78,6 +78,23 @@
         }
     }
 
+    /// Makes an instance due to be asked at once, unless it just was.
+    pub(super) fn hurry(
+        &mut self,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+        now: Time,
+    ) -> bool {
+        let Some(heard) = self.heard.get_mut(&(instance.clone(), incarnation)) else {
+            return false;
+        };
+        let is_old = heard.asked_at.is_none_or(|at| AWAITED_INTERVAL <= now.since(at));
+        if is_old && !heard.in_flight {
+            heard.asked_at = None;
+        }
+        is_old && !heard.in_flight
+    }
+
     /// Forgets that questions were not answered: this process did not run.
     pub(super) fn forgive(&mut self) {
         for heard in self.heard.values_mut() {
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -347,6 +347,21 @@
     }
 }
 
+/// Replicas whose members all answer under the record's list and whose head is
+/// open.
+pub fn serving(plan: &DomainPlan, hosts: &Hosts, memory: &Memory) -> HashSet<(ReplicaId, Epoch)> {
+    let serves = |replica: &&PlannedReplica| {
+        let state = |member| -> Option<MemberState> {
+            let membership = find(hosts, member)?.membership?;
+            membership.is_of(replica.id, replica.epoch).then_some(membership.state)
+        };
+        ailment(replica, hosts, memory).is_none()
+            && replica.members.iter().all(|it| state(it).is_some())
+            && replica.head().and_then(state) == Some(MemberState::Open)
+    };
+    plan.replicas.iter().filter(serves).map(|it| (it.id, it.epoch)).collect()
+}
+
 /// Orders that are due.
 pub fn orders(
     plan: &DomainPlan,
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,12 +1,15 @@
 //! Reads the configuration and the list of instances from the platform's
 //! key-value service, and publishes what requests are routed by.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::{Entry, StoreError, WatchEvent};
-use citrongw_state::id::Revision;
+use citrongw_state::{id::Revision, time::Time};
 use futures::StreamExt;
 use tokio::{
     sync::watch,
@@ -17,8 +20,10 @@
 use crate::{
     adapter::Adapter,
     directory::Directory,
-    fleet::Fleet,
+    fleet::{Fleet, ReplicaKey},
     instance_book::{InstanceBook, InstancesView},
+    peers::message::PeerMessage,
+    told::ToldReplicas,
 };
 
 /// Pause between two reads of the instance list. A leaving instance has to be
@@ -36,6 +41,7 @@
     pub instances: ArcSwap<InstancesView>,
     /// Backend servers.
     pub fleet: ArcSwap<Fleet>,
+    told: Mutex<ToldReplicas>,
     changes_tx: watch::Sender<u64>,
 }
 
@@ -45,6 +51,7 @@
         directory: ArcSwapOption::empty(),
         instances: ArcSwap::default(),
         fleet: ArcSwap::default(),
+        told: Mutex::default(),
         changes_tx: watch::channel(0).0,
     }
 }
@@ -73,21 +80,40 @@
         self.rebuild();
     }
 
+    /// Takes in what the owner of a domain tells of a replica.
+    pub fn hear(&self, message: &PeerMessage, now: Time) {
+        let is_new = lock(&self.told).hear(message, now);
+        if !is_new {
+            return;
+        }
+        if let PeerMessage::Down { replica, epoch } = message {
+            let key = ReplicaKey { replica: *replica, epoch: *epoch };
+            self.fleet.load().replica_stats(&key).for_each(|it| it.take_down());
+        }
+        self.rebuild();
+    }
+
     /// Takes in a read of the instance list.
     pub fn set_instances(&self, view: InstancesView) {
+        lock(&self.told).forget_old(view.asked_at);
         self.instances.store(Arc::new(view));
         self.rebuild();
     }
 
     fn rebuild(&self) {
         if let Some(directory) = &*self.directory.load() {
-            let fleet = self.fleet.load().next(directory, &self.instances.load());
+            let told = lock(&self.told).clone();
+            let fleet = self.fleet.load().next(directory, &self.instances.load(), &told);
             self.fleet.store(Arc::new(fleet));
         }
         self.changes_tx.send_modify(|count| *count += 1);
     }
 }
 
+fn lock(told: &Mutex<ToldReplicas>) -> MutexGuard<'_, ToldReplicas> {
+    told.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Spawns the readers.
 pub fn spawn(adapter: &Adapter, world: &Arc<World>, clock: Clock) -> Vec<JoinHandle<()>> {
     vec![
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -20,11 +20,16 @@
     time::Time,
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     adapter::ServerLoad,
+    control::plan::DomainKey,
     directory::Directory,
     instance::MemberState,
     instance_book::{InstancesView, KnownInstance},
+    peers::message::OpenReplica,
+    told::ToldReplicas,
 };
 
 /// Age at which a load that a server told no longer counts: a long answer has
@@ -42,6 +47,8 @@
     sent_since_told: AtomicU32,
     heard_at_ms: AtomicU64,
     suspect_until_ms: AtomicU64,
+    is_down: AtomicBool,
+    went_down: Notify,
 }
 
 impl BackendStats {
@@ -85,6 +92,23 @@
         millis(now) < self.suspect_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Takes in that it takes no requests any more; what it has is stuck.
+    pub fn take_down(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.went_down.notify_waiters();
+    }
+
+    /// Ends once it takes no requests any more.
+    pub async fn wait_until_down(&self) {
+        let notified = self.went_down.notified();
+        tokio::pin!(notified);
+        // Listens before it looks, so that nothing falls between.
+        notified.as_mut().enable();
+        if !self.is_down.load(Ordering::Relaxed) {
+            notified.await;
+        }
+    }
+
     /// Requests that it has now, as far as this node can tell.
     pub fn estimated_load(&self, now: Time) -> u32 {
         let own = self.in_flight();
@@ -135,6 +159,8 @@
     pub slots: u32,
     /// Replica, if it is the first member of one.
     pub replica: Option<ReplicaKey>,
+    /// Fabric domain, if it has one.
+    pub domain: Option<DomainKey>,
     /// What this node knows of it.
     pub stats: Arc<BackendStats>,
 }
@@ -166,7 +192,7 @@
     }
 
     /// Builds the fleet that follows this one.
-    pub fn next(&self, directory: &Directory, view: &InstancesView) -> Self {
+    pub fn next(&self, directory: &Directory, view: &InstancesView, told: &ToldReplicas) -> Self {
         let mut next = Self::default();
         let mut members: BTreeMap<(PlainServiceId, ReplicaKey), Vec<&KnownInstance>> =
             BTreeMap::new();
@@ -186,6 +212,9 @@
             members.entry((entry.service.clone(), key)).or_default().push(known);
         }
         for ((service, key), members) in members {
+            if told.is_down(&key) {
+                continue;
+            }
             let engine = directory.services.get(&service).and_then(|it| it.engine.as_ref());
             let Some(engine) = engine else { continue };
             let Some(head) = open_head(&members) else { continue };
@@ -200,9 +229,37 @@
             let pool = next.pools.entry(service).or_default();
             pool.replicas.entry(model.clone()).or_default().push(backend);
         }
+        for open in told.open() {
+            next.add_told(self, view, open);
+        }
         next
     }
 
+    /// Adds a replica that its owner tells of before the list does.
+    fn add_told(&mut self, old: &Self, view: &InstancesView, open: &OpenReplica) {
+        let Some(head) = view.instances.get(&open.head) else { return };
+        if head.entry.leaving || head.entry.service != open.service {
+            return;
+        }
+        let key = ReplicaKey { replica: open.replica, epoch: open.epoch };
+        let pool = self.pools.entry(open.service.clone()).or_default();
+        let listed = pool.replicas.entry(open.model.clone()).or_default();
+        if listed.iter().any(|it| it.id == open.head && it.replica.as_ref() == Some(&key)) {
+            return;
+        }
+        // The list still has it as the head of an earlier epoch.
+        listed.retain(|it| it.id != open.head);
+        let backend = self.backend(old, head, Some(key));
+        let pool = self.pools.entry(open.service.clone()).or_default();
+        pool.replicas.entry(open.model.clone()).or_default().push(backend);
+    }
+
+    /// Statistics of the head of a replica.
+    pub fn replica_stats(&self, key: &ReplicaKey) -> impl Iterator<Item = &Arc<BackendStats>> {
+        let of_replica = self.stats.iter().filter(|((_, _, it), _)| it.as_ref() == Some(key));
+        of_replica.map(|(_, stats)| stats)
+    }
+
     fn backend(
         &mut self,
         old: &Self,
@@ -219,6 +276,10 @@
             zone: entry.zone.clone(),
             slots: entry.slots,
             replica,
+            domain: entry.domain.clone().map(|domain| {
+                let service = entry.service.clone();
+                DomainKey { service, domain }
+            }),
             stats,
         })
     }
--- a/crates/gateway/src/fleet/tests.rs
+++ b/crates/gateway/src/fleet/tests.rs
@@ -6,7 +6,7 @@
 
 fn build(old: &Fleet, entries: Vec<InstanceEntry>) -> Fleet {
     let directory = directory(engine(vec![model("m", 2, 1.0, 1.0)]));
-    old.next(&directory, &view(entries))
+    old.next(&directory, &view(entries), &ToldReplicas::default())
 }
 
 fn open_heads(entries: Vec<InstanceEntry>) -> Vec<String> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 pub mod relay;
 pub mod settings;
 #[cfg(test)]
 mod testing;
+pub mod told;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
     control,
     feed::{self, World},
     metrics::{self, Metrics},
+    peers::{self, Peers},
     relay,
     settings::Settings,
 };
@@ -56,6 +57,8 @@
     pub http: HttpClient,
     /// Budget of all retries.
     pub retries: RetryBudget,
+    /// The other gateways.
+    pub peers: Arc<Peers>,
     /// Metrics.
     pub metrics: Metrics,
     pub(crate) stopping: AtomicBool,
@@ -92,8 +95,10 @@
 pub async fn spawn(settings: Settings, adapter: Adapter, ready_path: &str) -> Result<Node> {
     let clock = clock::open();
     let world = Arc::new(feed::open());
+    let node = NodeId(rand::random());
     let gateway = Arc::new(Gateway {
-        node: NodeId(rand::random()),
+        node,
+        peers: Arc::new(peers::open(node, clock)),
         settings,
         clock,
         adapter,
@@ -117,6 +122,10 @@
     let ready = bind(settings.ready_addr, relay::ready_router(&gateway, ready_path)).await?;
     let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
     let mut drivers = feed::spawn(&gateway.adapter, &gateway.world, clock);
+    let world = Arc::clone(&gateway.world);
+    let hear = move |message| world.hear(&message, clock.now());
+    let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
+    drivers.extend(peers::spawn(&gateway.peers, store, addr, hear));
     drivers.push(control::driver::spawn(&gateway));
     drivers.push(tokio::spawn(tick_budget(Arc::clone(&gateway))));
     tracing::info!(
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,320 @@
+//! The other gateways: who they are, and datagrams to them.
+//!
+//! Each gateway lists itself in the platform's key-value service under a lease,
+//! beside the keys that name the owners of domains; all read both together.
+
+pub mod message;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use citrongw_coordination::clock::Clock;
+use citrongw_protocol::store::{
+    Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
+};
+use citrongw_state::{
+    id::{Epoch, NodeId, ReplicaId},
+    time::Time,
+};
+use citrongw_transport::{
+    peer_auth,
+    peer_udp::{self, PeerUdp, Received},
+};
+use derive_more::Debug;
+use tokio::{
+    sync::{OnceCell, mpsc},
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use self::message::PeerMessage;
+use crate::control::plan::DomainKey;
+
+/// Prefix of all keys that end with the lease of a process.
+pub const LIVE_PREFIX: &str = "citrongw/live/";
+const NODE_PREFIX: &str = "citrongw/live/node/";
+/// Prefix of the keys that name the owners of domains.
+pub const OWNER_PREFIX: &str = "citrongw/live/owner/";
+/// Key of the secret that signs datagrams, drawn by the first gateway.
+const SECRET_KEY: &str = "citrongw/peer-secret";
+/// Characters of the secret.
+const SECRET_CHARS: usize = 32;
+/// Time after which a gateway that ended is no longer listed.
+const NODE_LEASE_TIME: Duration = Duration::from_secs(10);
+/// Pause between two renewals of that: a third of its time.
+const NODE_RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
+/// Pause between two reads of the list of gateways and owners.
+const LIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// Pause after a failed attempt to be listed.
+const LISTING_RETRY: Duration = Duration::from_millis(500);
+/// Pause between two doubts of one replica: its owner has asked its members by
+/// then.
+const DOUBT_INTERVAL: Duration = Duration::from_millis(400);
+/// Doubts that wait for the control of one domain; more say nothing new.
+const MAX_QUEUED_DOUBTS: usize = 16;
+
+/// Replica under one epoch.
+pub type ReplicaEpoch = (ReplicaId, Epoch);
+
+/// Gateways and owners as last read.
+#[derive(Debug, Clone, Default)]
+pub struct Live {
+    /// Address of each gateway.
+    pub nodes: BTreeMap<NodeId, SocketAddr>,
+    /// Owner of each domain, by the key that names it.
+    pub owners: HashMap<Key, NodeId>,
+    /// When the read was sent; none before the first.
+    pub read_at: Option<Time>,
+}
+
+/// Link to the other gateways.
+#[derive(Debug)]
+pub struct Peers {
+    node: NodeId,
+    clock: Clock,
+    live: ArcSwap<Live>,
+    #[debug(skip)]
+    endpoint: OnceCell<PeerUdp<PeerMessage>>,
+    doubted_at: Mutex<HashMap<ReplicaEpoch, Time>>,
+    /// Where doubts of the domains go that this gateway owns.
+    owned: Mutex<HashMap<DomainKey, mpsc::Sender<ReplicaEpoch>>>,
+}
+
+/// Opens the link of a gateway; nothing is sent until it is bound.
+pub fn open(node: NodeId, clock: Clock) -> Peers {
+    Peers {
+        node,
+        clock,
+        live: ArcSwap::default(),
+        endpoint: OnceCell::new(),
+        doubted_at: Mutex::default(),
+        owned: Mutex::default(),
+    }
+}
+
+impl Peers {
+    /// Gateways and owners as last read.
+    pub fn live(&self) -> Arc<Live> {
+        self.live.load_full()
+    }
+
+    /// Takes in a new owner of a domain before the next read tells of it.
+    pub fn own(&self, domain: &DomainKey) -> mpsc::Receiver<ReplicaEpoch> {
+        let (doubts_tx, doubts_rx) = mpsc::channel(MAX_QUEUED_DOUBTS);
+        lock(&self.owned).insert(domain.clone(), doubts_tx);
+        doubts_rx
+    }
+
+    /// Takes no more doubts of a domain.
+    pub fn disown(&self, domain: &DomainKey) {
+        lock(&self.owned).remove(domain);
+    }
+
+    /// Tells the owner of a domain that a replica does not answer.
+    pub fn doubt(self: &Arc<Self>, domain: &DomainKey, replica: ReplicaEpoch) {
+        let now = self.clock.now();
+        {
+            let mut doubted_at = lock(&self.doubted_at);
+            doubted_at.retain(|_, at| now.since(*at) < DOUBT_INTERVAL);
+            if doubted_at.contains_key(&replica) {
+                return;
+            }
+            doubted_at.insert(replica, now);
+        }
+        if self.hear_doubt(domain, replica) {
+            return;
+        }
+        let live = self.live.load();
+        let owner = live.owners.get(&domain.owner_key());
+        let Some((owner, addr)) = owner.and_then(|it| Some((*it, *live.nodes.get(it)?))) else {
+            tracing::debug!(%domain, "no owner of a domain to tell a doubt to");
+            return;
+        };
+        let (replica, epoch) = replica;
+        let (service, domain) = (domain.service.clone(), domain.domain.clone());
+        let message = PeerMessage::Doubt { service, domain, replica, epoch };
+        let peers = Arc::clone(self);
+        tokio::spawn(async move { peers.send(owner, addr, &message).await });
+    }
+
+    /// Hands a doubt to the control of a domain; false if it is not owned here.
+    fn hear_doubt(&self, domain: &DomainKey, replica: ReplicaEpoch) -> bool {
+        let owned = lock(&self.owned);
+        let Some(doubts_tx) = owned.get(domain) else { return false };
+        // A full queue holds doubts enough.
+        let _ = doubts_tx.try_send(replica);
+        true
+    }
+
+    /// Tells all other gateways.
+    pub async fn tell_all(&self, message: &PeerMessage) {
+        let live = self.live.load_full();
+        for (node, addr) in live.nodes.iter().filter(|(node, _)| **node != self.node) {
+            self.send(*node, *addr, message).await;
+        }
+    }
+
+    async fn send(&self, to: NodeId, addr: SocketAddr, message: &PeerMessage) {
+        if let Some(endpoint) = self.endpoint.get() {
+            endpoint.send(addr, to, message).await;
+        }
+    }
+}
+
+/// Spawns the drivers of the link. `hear` takes in what other gateways say of
+/// replicas.
+pub fn spawn(
+    peers: &Arc<Peers>,
+    store: &Arc<dyn Store>,
+    addr: SocketAddr,
+    hear: impl Fn(PeerMessage) + Send + 'static,
+) -> Vec<JoinHandle<()>> {
+    let listing = list_self(Arc::clone(peers), Arc::clone(store), addr);
+    let reading = read_live(Arc::clone(peers), Arc::clone(store));
+    let receiving = receive(Arc::clone(peers), Arc::clone(store), addr, hear);
+    vec![tokio::spawn(listing), tokio::spawn(reading), tokio::spawn(receiving)]
+}
+
+/// Keeps this gateway in the list.
+async fn list_self(peers: Arc<Peers>, store: Arc<dyn Store>, addr: SocketAddr) {
+    loop {
+        if let Err(error) = list_until_lapsed(&peers, &*store, addr).await {
+            tracing::info!(%error, "gateway is not listed among its peers");
+        }
+        sleep(LISTING_RETRY).await;
+    }
+}
+
+async fn list_until_lapsed(peers: &Peers, store: &dyn Store, addr: SocketAddr) -> StoreResult<()> {
+    let lease = store.grant_lease(NODE_LEASE_TIME).await?;
+    let write = Write {
+        key: format!("{NODE_PREFIX}{}", peers.node).into(),
+        expected: Expected::Absent,
+        change: Change::Put(Bytes::from(addr.to_string())),
+        lease: Some(lease),
+    };
+    // An entry of an earlier lease ends with it; then this is tried again.
+    if let WriteResult::Conflict(_) = store.compare_and_swap(write).await? {
+        store.end_lease(lease).await?;
+        return Ok(());
+    }
+    loop {
+        sleep(NODE_RENEW_INTERVAL).await;
+        match store.renew_lease(lease).await {
+            Ok(()) => {}
+            Err(StoreError::Refused { reason }) => {
+                return Err(StoreError::Refused { reason });
+            }
+            // The next renewal may still come in time.
+            Err(error) => tracing::debug!(%error, "listing among peers was not renewed"),
+        }
+    }
+}
+
+async fn read_live(peers: Arc<Peers>, store: Arc<dyn Store>) {
+    let mut ticks = interval(LIVE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let read_at = Some(peers.clock.now());
+        match store.list_stale(LIVE_PREFIX.into()).await {
+            Ok(snapshot) => {
+                peers.live.store(Arc::new(Live { read_at, ..decode(&snapshot.entries) }));
+            }
+            Err(error) => tracing::debug!(%error, "could not read the list of peers"),
+        }
+    }
+}
+
+fn decode(entries: &[Entry]) -> Live {
+    let mut live = Live::default();
+    for entry in entries {
+        let value = std::str::from_utf8(&entry.value).unwrap_or_default();
+        if let Some(node) = entry.key.as_str().strip_prefix(NODE_PREFIX) {
+            if let (Ok(node), Ok(addr)) = (node.parse(), value.parse()) {
+                live.nodes.insert(node, addr);
+            }
+        } else if entry.key.as_str().starts_with(OWNER_PREFIX)
+            && let Ok(node) = value.parse()
+        {
+            live.owners.insert(entry.key.clone(), node);
+        }
+    }
+    live
+}
+
+/// Binds the endpoint once the secret is known, and takes in what comes.
+async fn receive(
+    peers: Arc<Peers>,
+    store: Arc<dyn Store>,
+    addr: SocketAddr,
+    hear: impl Fn(PeerMessage) + Send + 'static,
+) {
+    let endpoint = loop {
+        match bind(&peers, &*store, addr).await {
+            Ok(endpoint) => break endpoint,
+            Err(error) => tracing::info!(%error, "link to other gateways is not up yet"),
+        }
+        sleep(LISTING_RETRY).await;
+    };
+    let endpoint = peers.endpoint.get_or_init(|| async { endpoint }).await;
+    loop {
+        let Received { message, .. } = endpoint.receive().await;
+        match message {
+            PeerMessage::Doubt { service, domain, replica, epoch } => {
+                let domain = DomainKey { service, domain };
+                peers.hear_doubt(&domain, (replica, epoch));
+            }
+            message @ (PeerMessage::Down { .. } | PeerMessage::Up(_)) => hear(message),
+        }
+    }
+}
+
+async fn bind(
+    peers: &Peers,
+    store: &dyn Store,
+    addr: SocketAddr,
+) -> StoreResult<PeerUdp<PeerMessage>> {
+    let refused = |reason: String| StoreError::Refused { reason };
+    let secret = read_secret(store).await?;
+    let keys = peer_auth::derive_keys(&[secret])
+        .ok_or_else(|| refused("secret of the peers is empty".to_owned()))?;
+    let bound = peer_udp::bind(addr, keys, peers.node, Arc::default()).await;
+    bound.map_err(|error| refused(format!("could not bind {addr}: {error}")))
+}
+
+/// Reads the secret that all gateways share; the first one draws it.
+async fn read_secret(store: &dyn Store) -> StoreResult<String> {
+    let text = |entry: Entry| String::from_utf8_lossy(&entry.value).into_owned();
+    if let Some(entry) = store.get(SECRET_KEY.into()).await?.into_entry() {
+        return Ok(text(entry));
+    }
+    let drawn: String =
+        (0..SECRET_CHARS).map(|_| char::from(rand::random_range(b'a'..=b'z'))).collect();
+    let write = Write {
+        key: SECRET_KEY.into(),
+        expected: Expected::Absent,
+        change: Change::Put(Bytes::from(drawn.clone())),
+        lease: None,
+    };
+    match store.compare_and_swap(write).await? {
+        WriteResult::Committed(_) => Ok(drawn),
+        WriteResult::Conflict(Some(entry)) => Ok(text(entry)),
+        WriteResult::Conflict(None) => {
+            Err(StoreError::Refused { reason: "secret of the peers is not to be read".to_owned() })
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,52 @@
+//! What gateways tell each other. All of it is a hint that saves time: the
+//! platform's list of instances says the same a little later.
+
+use citrongw_state::id::{Epoch, FabricDomainId, InstanceId, PlainServiceId, ReplicaId};
+use citrongw_transport::peer_udp::Datagram;
+use serde::{Deserialize, Serialize};
+
+/// Message between gateways.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// To the owner of a domain: a replica does not answer its requests.
+    Doubt {
+        /// The service.
+        service: PlainServiceId,
+        /// The domain.
+        domain: FabricDomainId,
+        /// The replica.
+        replica: ReplicaId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// From the owner of a domain: a replica takes no requests any more.
+    Down {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its epoch.
+        epoch: Epoch,
+    },
+    /// From the owner of a domain: a replica takes requests.
+    Up(OpenReplica),
+}
+
+/// Replica that takes requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenReplica {
+    /// The service.
+    pub service: PlainServiceId,
+    /// Model that it serves.
+    pub model: citrongw_state::id::ModelId,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// Member that takes the requests.
+    pub head: InstanceId,
+}
+
+impl Datagram for PeerMessage {
+    fn may_be_undirected(&self) -> bool {
+        false
+    }
+}
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -128,7 +128,9 @@
         Cause::NotReached => ResultCode::NotReached,
         Cause::ServerRefused => ResultCode::Overloaded,
         Cause::ReplicaBroken => ResultCode::NoReplica,
-        Cause::BrokeOff | Cause::ForeignAnswer | Cause::Stalled => ResultCode::BrokenOff,
+        Cause::BrokeOff | Cause::ForeignAnswer | Cause::Stalled | Cause::ReplicaDown => {
+            ResultCode::BrokenOff
+        }
         Cause::ServerError => ResultCode::EngineError,
         Cause::DeadlinePassed => ResultCode::DeadlinePassed,
     }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -36,6 +36,9 @@
     /// The replica lost a member.
     #[display("replica broken")]
     ReplicaBroken,
+    /// The owner of the replica told that it lost a member.
+    #[display("replica down")]
+    ReplicaDown,
     /// The exchange broke off.
     #[display("broke off")]
     BrokeOff,
@@ -101,7 +104,7 @@
     let now = gateway.clock.now();
     let (parts, body) = match sent {
         Ok(response) => response.into_parts(),
-        Err(error) => return Err(fail(backend, &error, now)),
+        Err(error) => return Err(fail(gateway, backend, &error, now)),
     };
     backend.stats.hear(now);
     let meta = gateway.adapter.codec.decode_answer(parts.status, &parts.headers);
@@ -112,7 +115,7 @@
         return Err(Failed::may_have_run(Cause::ForeignAnswer));
     }
     if meta.not_run {
-        return Err(refused(backend, &meta, now));
+        return Err(refused(gateway, backend, &meta));
     }
     backend.stats.breaker.add(now, true);
     Ok(Answer { parts, body, backend: Arc::clone(backend), in_flight })
@@ -142,11 +145,20 @@
     Some(request)
 }
 
-fn fail(backend: &Backend, error: &HttpError, now: Time) -> Failed {
+/// Keeps requests away from a server for a while and tells the owner of its
+/// domain, if it has one.
+pub(super) fn doubt(gateway: &Gateway, server: &Backend, pause: Duration) {
+    server.stats.suspect(gateway.clock.now() + pause);
+    if let (Some(domain), Some(key)) = (&server.domain, &server.replica) {
+        gateway.peers.doubt(domain, (key.replica, key.epoch));
+    }
+}
+
+fn fail(gateway: &Gateway, backend: &Backend, error: &HttpError, now: Time) -> Failed {
     backend.stats.breaker.add(now, false);
     match error {
         HttpError::NotReached | HttpError::ConnectionRefused => {
-            backend.stats.suspect(now + UNREACHED_PAUSE);
+            doubt(gateway, backend, UNREACHED_PAUSE);
             Failed::not_run(Cause::NotReached)
         }
         HttpError::BrokenOff | HttpError::BadAnswer | HttpError::Status { .. } => {
@@ -155,9 +167,9 @@
     }
 }
 
-fn refused(backend: &Backend, meta: &AnswerMeta, now: Time) -> Failed {
+fn refused(gateway: &Gateway, backend: &Backend, meta: &AnswerMeta) -> Failed {
     if meta.at_fault.is_some() {
-        backend.stats.suspect(now + BROKEN_PAUSE);
+        doubt(gateway, backend, BROKEN_PAUSE);
         return Failed::not_run(Cause::ReplicaBroken);
     }
     Failed::not_run(Cause::ServerRefused)
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -156,9 +156,10 @@
             Err(Failed::may_have_run(Cause::DeadlinePassed))
         }
         () = wait_for_silence(gateway, server, sent_at, patience) => {
-            server.stats.suspect(gateway.clock.now() + SILENT_PAUSE);
+            send::doubt(gateway, server, SILENT_PAUSE);
             Err(Failed::may_have_run(Cause::Stalled))
         }
+        () = server.stats.wait_until_down() => Err(Failed::may_have_run(Cause::ReplicaDown)),
     }
 }
 
@@ -238,9 +239,12 @@
                 res.unwrap_or(Err(Failed::may_have_run(Cause::DeadlinePassed)))
             }
             () = wait_for_silence(&gateway, &backend, since, patience) => {
-                backend.stats.suspect(gateway.clock.now() + SILENT_PAUSE);
+                send::doubt(&gateway, &backend, SILENT_PAUSE);
                 Err(Failed::may_have_run(Cause::Stalled))
             }
+            () = backend.stats.wait_until_down() => {
+                Err(Failed::may_have_run(Cause::ReplicaDown))
+            }
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub caller_addr: SocketAddr,
     /// Address at which the balancer asks whether this node is ready.
     pub ready_addr: SocketAddr,
+    /// Address for datagrams of other gateways.
+    pub peer_addr: SocketAddr,
     /// Address of the metrics.
     pub metrics_addr: SocketAddr,
     /// Address of the key-value service.
@@ -69,6 +71,7 @@
         zone: reader.name("node", "zone").into(),
         caller_addr: reader.addr("node", "caller-addr"),
         ready_addr: reader.addr("node", "ready-addr"),
+        peer_addr: reader.addr("node", "peer-addr"),
         metrics_addr: reader.addr("node", "metrics-addr"),
         store_addr: reader.addr("store", "addr"),
         store_timeout: reader.positive_duration("store", "timeout", Duration::from_secs(1)),
--- a/crates/gateway/src/settings/tests.rs
+++ b/crates/gateway/src/settings/tests.rs
@@ -7,6 +7,7 @@
 caller-addr = 127.0.0.1:1
 ready-addr = 127.0.0.1:2
 metrics-addr = 127.0.0.1:3
+peer-addr = 127.0.0.1:5
 grace = 8s
 
 [store]
