Keep spares warm in replicas of their own

Cause: a repair waited 1.1 s or more for its spare to join, though its weights were staged; a member whose last replica had the model joins in 0.2 s.

Change: a spare joins a replica with itself as the one member, which is never opened. The same order loads its weights, so the order to stage is gone.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -114,12 +114,6 @@
 /// What an order asks of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
 pub enum Order {
-    /// Loads weights onto the host.
-    #[display("stage {model}")]
-    Stage {
-        /// The model.
-        model: ModelId,
-    },
     /// Becomes a member of a replica.
     #[display("join {replica} epoch {epoch}")]
     Join {
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -40,6 +40,9 @@
 /// to end; the member goes after this anyway.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Marks replicas of one spare, whose ids are digests; others are drawn below.
+const STANDBY_BIT: u64 = 1 << 63;
+
 /// Whether an instance answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Liveness {
@@ -97,6 +100,27 @@
     closing_since: HashMap<(ReplicaId, Epoch), Time>,
     /// Since when a head is out of reach.
     lost_heads: HashMap<(ReplicaId, Epoch), Time>,
+    /// Replica of its own that each spare is kept warm in.
+    standbys: HashMap<(InstanceId, Incarnation), Standby>,
+}
+
+/// Replica with a spare as its one member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Standby {
+    replica: ReplicaId,
+    epoch: Epoch,
+    model: ModelId,
+}
+
+impl Standby {
+    fn join(&self, host: &Host) -> Order {
+        Order::Join {
+            replica: self.replica,
+            epoch: self.epoch,
+            model: self.model.clone(),
+            members: vec![host.id.clone()],
+        }
+    }
 }
 
 impl Memory {
@@ -110,6 +134,27 @@
         self.refused.insert((replica, epoch));
     }
 
+    fn standby(&self, host: &Host) -> Option<&Standby> {
+        self.standbys.get(&(host.id.clone(), host.incarnation))
+    }
+
+    /// Gives a spare a replica of its own.
+    fn begin_standby(&mut self, host: &Host, model: &ModelId, epoch: Epoch) -> Standby {
+        // An epoch below one that the spare has seen would be refused.
+        let seen = host.membership.map_or(epoch, |it| it.epoch.max(epoch));
+        let replica = standby_replica(host);
+        let standby = Standby { replica, epoch: seen.next(), model: model.clone() };
+        self.standbys.insert((host.id.clone(), host.incarnation), standby.clone());
+        standby
+    }
+
+    /// Whether the spare belongs to nothing, or only to a replica of its own.
+    fn is_free(&self, host: &Host) -> bool {
+        let Some(membership) = host.membership else { return true };
+        let own = standby_replica(host);
+        membership.replica == Some(own) && membership.state != MemberState::Open
+    }
+
     fn may_send(&mut self, instance: &InstanceId, order: &Order, now: Time) -> bool {
         let key = (instance.clone(), order.clone());
         if self.sent.get(&key).is_some_and(|at| now.since(*at) < ORDER_INTERVAL) {
@@ -124,6 +169,17 @@
     }
 }
 
+/// Replica that a spare is kept warm in: the same for every owner, so that a new
+/// one knows it.
+fn standby_replica(host: &Host) -> ReplicaId {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(host.id.as_str().as_bytes());
+    hasher.update(&host.incarnation.0.to_le_bytes());
+    let mut word = [0; 8];
+    word.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    ReplicaId(STANDBY_BIT | u64::from_le_bytes(word) >> 1)
+}
+
 /// What the steps of a domain go by.
 #[derive(Debug, Clone, Copy)]
 pub struct Rules<'a> {
@@ -187,7 +243,7 @@
         repair(&mut next, idx, hosts, rules, memory, now);
     }
     dissolve(&mut next, hosts, rules, memory, now);
-    form(&mut next, hosts, rules, &mut draw_replica);
+    form(&mut next, hosts, rules, memory, &mut draw_replica);
     (next != *plan).then_some(next)
 }
 
@@ -212,7 +268,8 @@
         return;
     }
     let places: Vec<usize> = ailment.lost.iter().chain(&ailment.leaving).copied().collect();
-    let Some(fillers) = pick_spares(next, hosts, &next.replicas[idx].model, places.len()) else {
+    let Some(fillers) = pick_spares(next, hosts, memory, &next.replicas[idx].model, places.len())
+    else {
         return;
     };
     let epoch = next_epoch(next, hosts);
@@ -279,15 +336,20 @@
 fn pick_spares(
     plan: &DomainPlan,
     hosts: &Hosts,
+    memory: &Memory,
     model: &ModelId,
     count: usize,
 ) -> Option<Vec<PlannedMember>> {
-    let mut spares: Vec<&Host> = free_hosts(plan, hosts).collect();
+    let mut spares: Vec<&Host> = free_hosts(plan, hosts, memory);
     if spares.len() < count {
         return None;
     }
+    let is_warm = |host: &Host| {
+        let ready = host.membership.is_some_and(|it| it.state == MemberState::Ready);
+        ready && memory.standby(host).is_some_and(|it| it.model == *model)
+    };
     // Weights of another model stay where they are if they can.
-    spares.sort_by_key(|it| (!it.staged.contains(model), !it.staged.is_empty()));
+    spares.sort_by_key(|it| (!is_warm(it), !it.staged.contains(model), !it.staged.is_empty()));
     Some(spares.into_iter().take(count).map(planned).collect())
 }
 
@@ -296,10 +358,11 @@
 }
 
 /// Instances that can be used and belong to no replica.
-fn free_hosts<'a>(plan: &'a DomainPlan, hosts: &'a Hosts) -> impl Iterator<Item = &'a Host> {
-    hosts
-        .values()
-        .filter(|it| it.is_alive() && !it.leaving && it.membership.is_none() && !plan.holds(&it.id))
+fn free_hosts<'a>(plan: &DomainPlan, hosts: &'a Hosts, memory: &Memory) -> Vec<&'a Host> {
+    let is_free = |host: &&Host| {
+        host.is_alive() && !host.leaving && memory.is_free(host) && !plan.holds(&host.id)
+    };
+    hosts.values().filter(is_free).collect()
 }
 
 /// Gives up replicas that have lacked members for long, so that their other
@@ -332,6 +395,7 @@
     next: &mut DomainPlan,
     hosts: &Hosts,
     rules: &Rules<'_>,
+    memory: &Memory,
     draw_replica: &mut impl FnMut() -> ReplicaId,
 ) {
     let grown = layout::layout(&rules.engine.models, hosts.len());
@@ -340,7 +404,7 @@
     }
     for model in next.missing_models() {
         let Some(spec) = rules.engine.model(&model) else { continue };
-        let Some(members) = pick_spares(next, hosts, &model, spec.size) else { continue };
+        let Some(members) = pick_spares(next, hosts, memory, &model, spec.size) else { continue };
         let epoch = next_epoch(next, hosts);
         next.epoch = epoch;
         next.replicas.push(PlannedReplica { id: draw_replica(), epoch, model, members });
@@ -382,8 +446,8 @@
             due.extend(parting_order(replica, &ailment, hosts, memory, now));
         }
     }
-    due.extend(stray_orders(plan, hosts));
-    due.extend(staging_orders(plan, hosts, rules));
+    due.extend(stray_orders(plan, hosts, memory));
+    due.extend(standby_orders(plan, hosts, rules, memory));
     due.retain(|(host, order)| {
         let affordable = !begins_load(host, order) || loads.has_one();
         let sent = affordable && memory.may_send(&host.id, order, now);
@@ -398,7 +462,6 @@
 /// Whether the order loads weights from the weight store.
 fn begins_load(host: &Host, order: &Order) -> bool {
     match order {
-        Order::Stage { .. } => true,
         Order::Join { model, .. } => !host.staged.contains(model),
         Order::Open { .. } | Order::Close { .. } | Order::Leave { .. } => false,
     }
@@ -458,8 +521,13 @@
 }
 
 /// Lets instances go that report a replica which the record does not give them.
-fn stray_orders<'a>(plan: &DomainPlan, hosts: &'a Hosts) -> Vec<(&'a Host, Order)> {
-    let strays = hosts.values().filter(|it| it.is_alive() && !plan.holds(&it.id));
+fn stray_orders<'a>(
+    plan: &DomainPlan,
+    hosts: &'a Hosts,
+    memory: &Memory,
+) -> Vec<(&'a Host, Order)> {
+    let strays =
+        hosts.values().filter(|it| it.is_alive() && !plan.holds(&it.id) && !memory.is_free(it));
     strays
         .filter_map(|host| {
             let membership = host.membership?;
@@ -469,11 +537,13 @@
         .collect()
 }
 
-/// Stages weights on spares once all replicas are formed.
-fn staging_orders<'a>(
-    plan: &'a DomainPlan,
+/// Keeps spares warm once all replicas are formed: each joins a replica of its
+/// own that is never opened, and so holds the weights as a member does.
+fn standby_orders<'a>(
+    plan: &DomainPlan,
     hosts: &'a Hosts,
     rules: &Rules<'_>,
+    memory: &mut Memory,
 ) -> Vec<(&'a Host, Order)> {
     let is_forming = |replica: &PlannedReplica| {
         let head = replica.head().and_then(|it| find(hosts, it));
@@ -481,24 +551,40 @@
             !it.is_of(replica.id, replica.epoch) || it.state == MemberState::Joining
         })
     };
-    if plan.replicas.iter().any(is_forming) {
-        return Vec::new();
-    }
+    // A spare that became a member begins anew when it is free again.
+    memory.standbys.retain(|(id, _), _| !plan.holds(id));
     let mut counts: BTreeMap<&ModelId, usize> =
         rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
-    let mut empty = Vec::new();
-    for host in free_hosts(plan, hosts) {
-        let staged = host.staged.iter().find(|it| counts.contains_key(it));
-        match staged.and_then(|it| counts.get_mut(it)) {
-            Some(count) => *count += 1,
-            None => empty.push(host),
+    let (mut cold, mut due) = (Vec::new(), Vec::new());
+    for host in free_hosts(plan, hosts, memory) {
+        if let Some(standby) = memory.standby(host) {
+            let standby = standby.clone();
+            if let Some(count) = counts.get_mut(&standby.model) {
+                *count += 1;
+            }
+            if !host.membership.is_some_and(|it| it.is_of(standby.replica, standby.epoch)) {
+                due.push((host, standby.join(host)));
+            }
+            continue;
+        }
+        let staged = counts.keys().find(|it| host.staged.contains(it)).copied();
+        match staged {
+            Some(model) => {
+                if let Some(count) = counts.get_mut(model) {
+                    *count += 1;
+                }
+                due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
+            }
+            None => cold.push(host),
         }
     }
+    if plan.replicas.iter().any(is_forming) {
+        return due;
+    }
     let members = |model: &ModelId| -> usize {
         plan.replicas.iter().filter(|it| it.model == *model).map(|it| it.members.len()).sum()
     };
-    let mut due = Vec::new();
-    for host in empty {
+    for host in cold {
         // The model with the most members for its spares is the likeliest to
         // need the next one.
         let neediest = counts.iter().max_by(|a, b| {
@@ -509,7 +595,7 @@
         });
         let Some((&model, _)) = neediest else { break };
         *counts.entry(model).or_default() += 1;
-        due.push((host, Order::Stage { model: model.clone() }));
+        due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
     }
     due
 }
