Go on with a replica whose head is silent under a new epoch at once

And a member whose entry lapsed while it was cut off from the store counted as lost, though it answered; eight such at 12.0 s took down five replicas.

Change: a replica that lost members goes on as itself under a new epoch, which fences the old one; only members that go to other replicas wait for the old head. A member that is not listed and answers counts as leaving: it is swapped for a warm spare once the head has closed, and stays until there is one; a leaving head without a spare gives way to another member. An owner says that a replica is open once its opening has had its time.

A third loss in a domain still waits for a cold load."

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -44,7 +44,7 @@
 /// Pause between two looks at which domains have no owner.
 const CAMPAIGN_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two steps of a domain without news.
-const STEP_INTERVAL: Duration = Duration::from_millis(200);
+const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two renewals of a lease: a third of its time.
 const RENEW_INTERVAL: Duration = Duration::from_millis(800);
 /// Longest time for one question to an instance. Answers take milliseconds.
@@ -252,6 +252,10 @@
                         Order::Leave { replica, epoch },
                         Ok(OrderReply::Begun | OrderReply::Done | OrderReply::Unfit),
                     ) => self.memory.add_released(replica, epoch),
+                    (Order::Open { replica, epoch }, Ok(OrderReply::Begun | OrderReply::Done)) => {
+                        let opens_at = self.gateway.clock.now() + self.open_time();
+                        self.memory.add_opening(replica, epoch, opens_at);
+                    }
                     (Order::Join { replica, epoch, .. }, Ok(OrderReply::OldEpoch)) => {
                         self.memory.add_refused(replica, epoch);
                     }
@@ -262,6 +266,14 @@
         }
     }
 
+    /// Time from the order to open until the head takes requests.
+    fn open_time(&self) -> Duration {
+        let directory = self.gateway.world.directory.load();
+        let service = directory.as_ref().and_then(|it| it.services.get(&self.domain.service));
+        let engine = service.and_then(|it| it.engine.as_ref());
+        engine.map_or(Duration::ZERO, |it| it.open_time)
+    }
+
     async fn step(&mut self) -> StoreResult<()> {
         let gateway = Arc::clone(&self.gateway);
         let Some(directory) = gateway.world.directory.load_full() else { return Ok(()) };
@@ -271,7 +283,8 @@
             self.plan = Some(self.read_plan().await?);
         }
         let now = gateway.clock.now();
-        let hosts = self.reports.hosts(&gateway.world.instances.load(), &self.domain);
+        let plan = self.plan.as_ref().map(|(plan, _)| plan);
+        let hosts = self.reports.hosts(&gateway.world.instances.load(), &self.domain, plan);
         self.ask(&hosts, now);
         let rules = Rules { engine, stall_time: gateway.settings.stall_time };
         let Some((plan, revision)) = &self.plan else { return Ok(()) };
@@ -309,7 +322,7 @@
     /// Tells the other gateways which replicas began or ceased to take requests.
     fn tell_peers(&mut self, hosts: &Hosts) {
         let Some((plan, _)) = &self.plan else { return };
-        let up = step::serving(plan, hosts, &self.memory);
+        let up = step::serving(plan, hosts, &self.memory, self.gateway.clock.now());
         let mut messages = Vec::new();
         for replica in plan.replicas.iter().filter(|it| up.contains(&(it.id, it.epoch))) {
             if self.told_up.contains(&(replica.id, replica.epoch)) {
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -17,7 +17,7 @@
 use crate::{
     adapter::CallError,
     instance::{InstanceReport, MemberState},
-    instance_book::InstancesView,
+    instance_book::{InstancesView, KnownInstance},
 };
 
 /// Pause between two questions to a member of a replica that serves.
@@ -44,6 +44,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Reports {
     heard: HashMap<(InstanceId, Incarnation), Heard>,
+    /// Members as last listed.
+    listed: HashMap<InstanceId, KnownInstance>,
 }
 
 impl Reports {
@@ -120,13 +122,35 @@
         due
     }
 
-    /// The domain's instances: as listed, and as they answered since.
-    pub(super) fn hosts(&mut self, view: &InstancesView, domain: &DomainKey) -> Hosts {
+    /// The domain's instances: as listed, and as they answered since. A member
+    /// that is no longer listed and still answers is leaving, or cut off from
+    /// the platform.
+    pub(super) fn hosts(
+        &mut self,
+        view: &InstancesView,
+        domain: &DomainKey,
+        plan: Option<&DomainPlan>,
+    ) -> Hosts {
         let listed = view.instances.values().filter(|it| {
             it.entry.service == domain.service && it.entry.domain.as_ref() == Some(&domain.domain)
         });
+        let listed: Vec<&KnownInstance> = listed.collect();
+        self.listed.retain(|id, _| plan.is_some_and(|it| it.holds(id)));
+        let unlisted: Vec<KnownInstance> = self
+            .listed
+            .values()
+            .filter(|it| !view.instances.contains_key(&it.entry.id))
+            .cloned()
+            .collect();
+        for known in &listed {
+            if plan.is_some_and(|it| it.holds(&known.entry.id)) {
+                self.listed.insert(known.entry.id.clone(), (*known).clone());
+            }
+        }
         let mut hosts = Hosts::new();
-        for known in listed {
+        for (known, is_listed) in
+            listed.into_iter().map(|it| (it, true)).chain(unlisted.iter().map(|it| (it, false)))
+        {
             let entry = &known.entry;
             let key = (entry.id.clone(), entry.incarnation);
             let heard = self.heard.entry(key).or_default();
@@ -135,7 +159,7 @@
                 incarnation: entry.incarnation,
                 addr: entry.addr,
                 liveness: heard.liveness(),
-                leaving: entry.leaving,
+                leaving: entry.leaving || !is_listed,
                 staged: entry.staged.clone(),
                 membership: entry.membership,
             };
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -2,11 +2,12 @@
 //! report, and the time.
 //!
 //! [`next_plan`] gives the record that is to follow; [`orders`] gives the orders
-//! that lead from what the instances report to the record. An instance may join
-//! another replica only once the head of the replica that it was in cannot run
-//! a request with it any more: the head said that it left, closed or broke, or
-//! its process is gone, or it has been out of reach for so long that it has
-//! broken by itself.
+//! that lead from what the instances report to the record. A replica that lost a
+//! member goes on under a new epoch, which each member takes up in place of the
+//! old one. An instance joins another replica only once the head of its old one
+//! cannot be open any more: the head said that it left, closed or broke, or its
+//! process is gone, or it has been out of reach for so long that it has broken
+//! by itself.
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -92,6 +93,8 @@
     sent: HashMap<(InstanceId, Order), Time>,
     /// Heads that confirmed that they left.
     released: HashSet<(ReplicaId, Epoch)>,
+    /// When the heads that began to open will take requests.
+    opens_at: HashMap<(ReplicaId, Epoch), Time>,
     /// Epochs that a member refused.
     refused: HashSet<(ReplicaId, Epoch)>,
     /// Since when each replica lacks a member.
@@ -129,6 +132,11 @@
         self.released.insert((replica, epoch));
     }
 
+    /// Takes in that a head has begun to open.
+    pub fn add_opening(&mut self, replica: ReplicaId, epoch: Epoch, opens_at: Time) {
+        self.opens_at.insert((replica, epoch), opens_at);
+    }
+
     /// Takes in that a member refused a join for its epoch.
     pub fn add_refused(&mut self, replica: ReplicaId, epoch: Epoch) {
         self.refused.insert((replica, epoch));
@@ -189,37 +197,50 @@
     pub stall_time: Duration,
 }
 
-/// What ails a replica.
-struct Ailment {
-    /// Places whose instance is gone or does not answer.
-    lost: Vec<usize>,
-    /// Places whose instance is leaving.
-    leaving: Vec<usize>,
-    /// Whether its head says that it is broken, or a member refused its epoch.
-    broken: bool,
-}
-
-impl Ailment {
-    fn is_none(&self) -> bool {
-        self.lost.is_empty() && self.leaving.is_empty() && !self.broken
-    }
+/// What is to be done about a replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Remedy {
+    /// Nothing.
+    None,
+    /// Members are lost, or the replica broke: it serves nobody, and these places
+    /// are to be filled.
+    Replace(Vec<usize>),
+    /// Members are leaving, and warm spares can take their places once its
+    /// requests have ended.
+    Swap(Vec<usize>),
+    /// Its head is leaving, and another member can lead once its requests have
+    /// ended.
+    NewHead,
 }
 
-fn ailment(replica: &PlannedReplica, hosts: &Hosts, memory: &Memory) -> Ailment {
-    let mut found = Ailment { lost: Vec::new(), leaving: Vec::new(), broken: false };
+fn remedy(plan: &DomainPlan, replica: &PlannedReplica, hosts: &Hosts, memory: &Memory) -> Remedy {
+    let (mut lost, mut leaving) = (Vec::new(), Vec::new());
     for (place, member) in replica.members.iter().enumerate() {
         match find(hosts, member) {
-            Some(host) if host.is_alive() && host.leaving => found.leaving.push(place),
+            Some(host) if host.is_alive() && host.leaving => leaving.push(place),
             Some(host) if host.is_alive() => {}
-            _ => found.lost.push(place),
+            _ => lost.push(place),
         }
     }
     let head = replica.head().and_then(|it| find(hosts, it));
     let says_broken = head
         .and_then(|it| it.membership)
         .is_some_and(|it| it.is_of(replica.id, replica.epoch) && it.state == MemberState::Broken);
-    found.broken = says_broken || memory.refused.contains(&(replica.id, replica.epoch));
-    found
+    let is_broken = says_broken || memory.refused.contains(&(replica.id, replica.epoch));
+    if !lost.is_empty() || is_broken {
+        lost.extend(leaving);
+        return Remedy::Replace(lost);
+    }
+    if leaving.is_empty() {
+        return Remedy::None;
+    }
+    let spares = ranked_spares(plan, hosts, memory, &replica.model);
+    let warm = spares.iter().filter(|it| is_warm(it, memory, &replica.model)).count();
+    if leaving.len() <= warm {
+        return Remedy::Swap(leaving);
+    }
+    let others_stay = leaving.len() < replica.members.len();
+    if leaving.contains(&0) && others_stay { Remedy::NewHead } else { Remedy::None }
 }
 
 fn find<'a>(hosts: &'a Hosts, member: &PlannedMember) -> Option<&'a Host> {
@@ -240,62 +261,77 @@
         next.layout = layout::layout(&rules.engine.models, hosts.len());
     }
     for idx in 0..next.replicas.len() {
-        repair(&mut next, idx, hosts, rules, memory, now);
+        repair(&mut next, idx, hosts, memory, now);
     }
     dissolve(&mut next, hosts, rules, memory, now);
     form(&mut next, hosts, rules, memory, &mut draw_replica);
     (next != *plan).then_some(next)
 }
 
-/// Fills the places of a replica that lost members from spares.
-fn repair(
-    next: &mut DomainPlan,
-    idx: usize,
-    hosts: &Hosts,
-    rules: &Rules<'_>,
-    memory: &mut Memory,
-    now: Time,
-) {
+/// Gives a replica the members that it is to have.
+fn repair(next: &mut DomainPlan, idx: usize, hosts: &Hosts, memory: &mut Memory, now: Time) {
     let replica = &next.replicas[idx];
     let key = (replica.id, replica.epoch);
-    let ailment = ailment(replica, hosts, memory);
-    if ailment.is_none() {
-        memory.lacking_since.remove(&key);
+    let places = match remedy(next, replica, hosts, memory) {
+        Remedy::None => {
+            memory.lacking_since.remove(&key);
+            return;
+        }
+        Remedy::Replace(places) => {
+            memory.lacking_since.entry(key).or_insert(now);
+            places
+        }
+        Remedy::Swap(places) => places,
+        Remedy::NewHead => Vec::new(),
+    };
+    if !may_regroup(replica, hosts, memory) {
         return;
     }
-    memory.lacking_since.entry(key).or_insert(now);
-    if !may_regroup(replica, hosts, rules, memory, now) {
+    let spares = ranked_spares(next, hosts, memory, &replica.model);
+    if spares.len() < places.len() {
         return;
     }
-    let places: Vec<usize> = ailment.lost.iter().chain(&ailment.leaving).copied().collect();
-    let Some(fillers) = pick_spares(next, hosts, memory, &next.replicas[idx].model, places.len())
-    else {
-        return;
-    };
+    let fillers: Vec<PlannedMember> = spares.into_iter().map(planned).collect();
     let epoch = next_epoch(next, hosts);
     let replica = &mut next.replicas[idx];
     for (place, filler) in places.iter().zip(fillers) {
         replica.members[*place] = filler;
     }
-    // A head that stays keeps its place; else a member with warm weights leads.
-    if places.contains(&0)
-        && let Some(kept) = (0..replica.members.len()).find(|it| !places.contains(it))
-    {
-        replica.members.swap(0, kept);
-    }
+    choose_head(replica, &places, hosts);
     replica.epoch = epoch;
     next.epoch = epoch;
 }
 
+/// Puts a member first that stays; the present head if it does.
+fn choose_head(replica: &mut PlannedReplica, filled: &[usize], hosts: &Hosts) {
+    let stays = |place: &usize| {
+        let host = find(hosts, &replica.members[*place]);
+        !filled.contains(place) && host.is_some_and(|it| it.is_alive() && !it.leaving)
+    };
+    if let Some(kept) = (0..replica.members.len()).find(stays) {
+        replica.members.swap(0, kept);
+    }
+}
+
 /// Epoch above all that the record gave and the instances report.
 fn next_epoch(plan: &DomainPlan, hosts: &Hosts) -> Epoch {
     let reported = hosts.values().filter_map(|it| Some(it.membership?.epoch)).max();
     plan.epoch.max(reported.unwrap_or_default()).next()
 }
 
-/// Whether the members of a replica may join under another list: its head can
-/// run no request with them any more.
-fn may_regroup(
+/// Whether the members of a replica may join it under another list. A head that
+/// answers has to leave first, or to finish its requests; one that does not
+/// answer has its epoch passed by: its members leave it by their next join, and
+/// it can run nothing without them.
+fn may_regroup(replica: &PlannedReplica, hosts: &Hosts, memory: &Memory) -> bool {
+    let answers = replica.head().and_then(|it| find(hosts, it)).is_some_and(Host::is_alive);
+    let is_released = memory.released.contains(&(replica.id, replica.epoch));
+    !answers || is_released || busy_head(replica, hosts).is_none()
+}
+
+/// Whether the members of a replica may join other ones: its head cannot be
+/// open any more.
+fn may_dissolve(
     replica: &PlannedReplica,
     hosts: &Hosts,
     rules: &Rules<'_>,
@@ -303,54 +339,52 @@
     now: Time,
 ) -> bool {
     let key = (replica.id, replica.epoch);
-    if memory.released.contains(&key) {
-        return true;
-    }
     let Some(head) = replica.head() else { return true };
-    let Some(host) = hosts.get(&head.instance) else {
-        // Its entry lapsed: it is gone, or cut off and still open for a while.
-        let since = *memory.lost_heads.entry(key).or_insert(now);
-        return rules.stall_time <= now.since(since);
-    };
-    if host.incarnation != head.incarnation {
+    let host = hosts.get(&head.instance);
+    if host
+        .is_some_and(|it| it.incarnation != head.incarnation || it.liveness == Liveness::Refusing)
+    {
         return true;
     }
-    match host.liveness {
-        Liveness::Refusing => true,
-        Liveness::Silent { since } => {
-            let since = *memory.lost_heads.entry(key).or_insert(since);
-            rules.stall_time <= now.since(since)
-        }
-        Liveness::Alive => match host.membership {
-            // A head that is not open would be opened by nobody but this owner.
-            Some(membership) if membership.is_of(replica.id, replica.epoch) => {
-                !matches!(membership.state, MemberState::Open | MemberState::Closing)
-            }
-            _ => true,
-        },
+    if host.is_some_and(Host::is_alive) {
+        return may_regroup(replica, hosts, memory);
     }
+    // It is gone, or cut off and open until it has noticed that its members
+    // are gone.
+    let silent_since = host.map(|it| it.liveness).and_then(|it| match it {
+        Liveness::Silent { since } => Some(since),
+        Liveness::Alive | Liveness::Refusing => None,
+    });
+    let since = *memory.lost_heads.entry(key).or_insert(silent_since.unwrap_or(now));
+    rules.stall_time <= now.since(since)
 }
 
-/// Spares for so many places, those with the model's weights first; none if
-/// there are too few.
-fn pick_spares(
+/// Spares that a model may use, in the order in which it takes them: those that
+/// are warm for it, those with its weights, those without any, and those that
+/// are kept for another model.
+fn ranked_spares<'a>(
     plan: &DomainPlan,
-    hosts: &Hosts,
+    hosts: &'a Hosts,
     memory: &Memory,
     model: &ModelId,
-    count: usize,
-) -> Option<Vec<PlannedMember>> {
-    let mut spares: Vec<&Host> = free_hosts(plan, hosts, memory);
-    if spares.len() < count {
-        return None;
-    }
-    let is_warm = |host: &Host| {
-        let ready = host.membership.is_some_and(|it| it.state == MemberState::Ready);
-        ready && memory.standby(host).is_some_and(|it| it.model == *model)
+) -> Vec<&'a Host> {
+    let kept_for = |host: &Host| {
+        let standby = memory.standby(host).map(|it| &it.model);
+        standby.or_else(|| host.staged.first()).cloned()
     };
-    // Weights of another model stay where they are if they can.
-    spares.sort_by_key(|it| (!is_warm(it), !it.staged.contains(model), !it.staged.is_empty()));
-    Some(spares.into_iter().take(count).map(planned).collect())
+    let mut spares: Vec<(Option<ModelId>, &Host)> =
+        free_hosts(plan, hosts, memory).into_iter().map(|it| (kept_for(it), it)).collect();
+    spares.sort_by_key(|(kept_for, host)| {
+        let is_of_model = kept_for.as_ref() == Some(model);
+        (!is_warm(host, memory, model), !is_of_model, kept_for.is_some())
+    });
+    spares.into_iter().map(|(_, host)| host).collect()
+}
+
+/// Whether a spare joins a replica of the model in a moment.
+fn is_warm(host: &Host, memory: &Memory, model: &ModelId) -> bool {
+    let ready = host.membership.is_some_and(|it| it.state == MemberState::Ready);
+    ready && memory.standby(host).is_some_and(|it| it.model == *model)
 }
 
 fn planned(host: &Host) -> PlannedMember {
@@ -383,8 +417,7 @@
             if now.since(*since) < KEEP_TOGETHER {
                 return true;
             }
-            let ailment = ailment(replica, hosts, memory);
-            ailment.lost.is_empty() || !may_regroup(replica, hosts, rules, memory, now)
+            !may_dissolve(replica, hosts, rules, memory, now)
         })
         .collect();
 }
@@ -404,24 +437,42 @@
     }
     for model in next.missing_models() {
         let Some(spec) = rules.engine.model(&model) else { continue };
-        let Some(members) = pick_spares(next, hosts, memory, &model, spec.size) else { continue };
+        let spares = ranked_spares(next, hosts, memory, &model);
+        if spares.len() < spec.size {
+            continue;
+        }
+        let members = spares.into_iter().take(spec.size).map(planned).collect();
         let epoch = next_epoch(next, hosts);
         next.epoch = epoch;
         next.replicas.push(PlannedReplica { id: draw_replica(), epoch, model, members });
     }
 }
 
-/// Replicas whose members all answer under the record's list and whose head is
-/// open.
-pub fn serving(plan: &DomainPlan, hosts: &Hosts, memory: &Memory) -> HashSet<(ReplicaId, Epoch)> {
+/// Replicas whose members all answer under the record's list and whose head has
+/// opened.
+pub fn serving(
+    plan: &DomainPlan,
+    hosts: &Hosts,
+    memory: &Memory,
+    now: Time,
+) -> HashSet<(ReplicaId, Epoch)> {
+    // A head whose opening has had its time is open before it reports so.
+    let is_open = |replica: &PlannedReplica, state: Option<MemberState>| match state {
+        Some(MemberState::Open) => true,
+        Some(MemberState::Ready) => {
+            memory.opens_at.get(&(replica.id, replica.epoch)).is_some_and(|at| *at <= now)
+        }
+        _ => false,
+    };
     let serves = |replica: &&PlannedReplica| {
         let state = |member| -> Option<MemberState> {
             let membership = find(hosts, member)?.membership?;
             membership.is_of(replica.id, replica.epoch).then_some(membership.state)
         };
-        ailment(replica, hosts, memory).is_none()
+        let remedy = remedy(plan, replica, hosts, memory);
+        !matches!(remedy, Remedy::Replace(_))
             && replica.members.iter().all(|it| state(it).is_some())
-            && replica.head().and_then(state) == Some(MemberState::Open)
+            && is_open(replica, replica.head().and_then(state))
     };
     plan.replicas.iter().filter(serves).map(|it| (it.id, it.epoch)).collect()
 }
@@ -438,12 +489,15 @@
     memory.forget_old(now);
     let mut due = Vec::new();
     for replica in &plan.replicas {
-        let ailment = ailment(replica, hosts, memory);
-        if ailment.is_none() {
-            memory.closing_since.remove(&(replica.id, replica.epoch));
-            due.extend(forming_orders(replica, hosts));
-        } else {
-            due.extend(parting_order(replica, &ailment, hosts, memory, now));
+        match remedy(plan, replica, hosts, memory) {
+            Remedy::None => {
+                memory.closing_since.remove(&(replica.id, replica.epoch));
+                due.extend(forming_orders(replica, hosts));
+            }
+            Remedy::Replace(_) => due.extend(leave_order(replica, hosts)),
+            Remedy::Swap(_) | Remedy::NewHead => {
+                due.extend(close_order(replica, hosts, memory, now));
+            }
         }
     }
     due.extend(stray_orders(plan, hosts, memory));
@@ -495,24 +549,28 @@
     due
 }
 
-/// Order that lets the members of an ailing replica go.
-fn parting_order<'a>(
+/// Head of a replica that takes requests or still has some.
+fn busy_head<'a>(replica: &PlannedReplica, hosts: &'a Hosts) -> Option<(&'a Host, MemberState)> {
+    let head = find(hosts, replica.head()?).filter(|it| it.is_alive())?;
+    let state = head.membership.filter(|it| it.is_of(replica.id, replica.epoch))?.state;
+    matches!(state, MemberState::Open | MemberState::Closing).then_some((head, state))
+}
+
+/// Order that frees the members of a replica that serves nobody.
+fn leave_order<'a>(replica: &PlannedReplica, hosts: &'a Hosts) -> Option<(&'a Host, Order)> {
+    let (head, _) = busy_head(replica, hosts)?;
+    Some((head, Order::Leave { replica: replica.id, epoch: replica.epoch }))
+}
+
+/// Order that frees the members of a replica once its requests have ended.
+fn close_order<'a>(
     replica: &PlannedReplica,
-    ailment: &Ailment,
     hosts: &'a Hosts,
     memory: &mut Memory,
     now: Time,
 ) -> Option<(&'a Host, Order)> {
     let (id, epoch) = (replica.id, replica.epoch);
-    let head = find(hosts, replica.head()?).filter(|it| it.is_alive())?;
-    let state = head.membership.filter(|it| it.is_of(id, epoch))?.state;
-    if !matches!(state, MemberState::Open | MemberState::Closing) {
-        return None;
-    }
-    if !ailment.lost.is_empty() {
-        return Some((head, Order::Leave { replica: id, epoch }));
-    }
-    // Members that leave stay while the head has work.
+    let (head, state) = busy_head(replica, hosts)?;
     let since = *memory.closing_since.entry((id, epoch)).or_insert(now);
     if CLOSE_TIMEOUT <= now.since(since) {
         return Some((head, Order::Leave { replica: id, epoch }));
@@ -581,18 +639,14 @@
     if plan.replicas.iter().any(is_forming) {
         return due;
     }
-    let members = |model: &ModelId| -> usize {
-        plan.replicas.iter().filter(|it| it.model == *model).map(|it| it.members.len()).sum()
+    let members = |model: &&ModelId| -> usize {
+        plan.replicas.iter().filter(|it| it.model == **model).map(|it| it.members.len()).sum()
     };
     for host in cold {
-        // The model with the most members for its spares is the likeliest to
-        // need the next one.
-        let neediest = counts.iter().max_by(|a, b| {
-            let need = |(model, count): &(&&ModelId, &usize)| {
-                members(model) as f64 / (**count as f64 + 1.0)
-            };
-            need(a).total_cmp(&need(b))
-        });
+        // Each model has one spare before any has more; then the one with the
+        // most members, for it is the likeliest to lose one.
+        let neediest =
+            counts.iter().min_by_key(|(model, count)| (**count, std::cmp::Reverse(members(model))));
         let Some((&model, _)) = neediest else { break };
         *counts.entry(model).or_default() += 1;
         due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -95,7 +95,6 @@
 
     /// Takes in a read of the instance list.
     pub fn set_instances(&self, view: InstancesView) {
-        lock(&self.told).forget_old(view.asked_at);
         self.instances.store(Arc::new(view));
         self.rebuild();
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -229,19 +229,25 @@
             let pool = next.pools.entry(service).or_default();
             pool.replicas.entry(model.clone()).or_default().push(backend);
         }
-        for open in told.open() {
-            next.add_told(self, view, open);
+        for (open, is_listed) in told.open(view.asked_at) {
+            next.add_told(self, view, open, is_listed);
         }
         next
     }
 
-    /// Adds a replica that its owner tells of before the list does.
-    fn add_told(&mut self, old: &Self, view: &InstancesView, open: &OpenReplica) {
+    /// Adds a replica that its owner tells of: before the list does, or while
+    /// the list lacks a member that still answers.
+    fn add_told(&mut self, old: &Self, view: &InstancesView, open: &OpenReplica, is_listed: bool) {
         let Some(head) = view.instances.get(&open.head) else { return };
-        if head.entry.leaving || head.entry.service != open.service {
+        let key = ReplicaKey { replica: open.replica, epoch: open.epoch };
+        let listed_open = head
+            .entry
+            .membership
+            .is_some_and(|it| it.is_of(key.replica, key.epoch) && it.state == MemberState::Open);
+        let is_of_service = head.entry.service == open.service;
+        if head.entry.leaving || !is_of_service || (is_listed && !listed_open) {
             return;
         }
-        let key = ReplicaKey { replica: open.replica, epoch: open.epoch };
         let pool = self.pools.entry(open.service.clone()).or_default();
         let listed = pool.replicas.entry(open.model.clone()).or_default();
         if listed.iter().any(|it| it.id == open.head && it.replica.as_ref() == Some(&key)) {
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -9,9 +9,9 @@
     peers::message::{OpenReplica, PeerMessage},
 };
 
-/// Time after which the list tells that a replica is open: its pause between
-/// two reads and the heartbeat of the instances.
-const OPEN_TIME: Duration = Duration::from_millis(3_000);
+/// Time after which the list tells of a replica what its owner told: the pause
+/// between two reads of it, with a margin.
+const LIST_TIME: Duration = Duration::from_millis(3_000);
 /// Time that a replica under one epoch stays known as down; its members have
 /// another epoch, or none, long before.
 const DOWN_TIME: Duration = Duration::from_secs(60);
@@ -26,7 +26,6 @@
 impl ToldReplicas {
     /// Takes in a message. True if it says something new.
     pub fn hear(&mut self, message: &PeerMessage, now: Time) -> bool {
-        self.open.retain(|_, (_, at)| now.since(*at) < OPEN_TIME);
         self.down.retain(|_, at| now.since(*at) < DOWN_TIME);
         match message {
             PeerMessage::Up(open) => {
@@ -34,6 +33,7 @@
                 // A replica that went down under an epoch and came back, as
                 // after a false alarm.
                 self.down.remove(&key);
+                self.open.retain(|other, _| other.replica != key.replica);
                 self.open.insert(key, (open.clone(), now));
                 true
             }
@@ -46,18 +46,14 @@
         }
     }
 
-    /// Forgets what the list tells by now.
-    pub fn forget_old(&mut self, now: Time) {
-        self.open.retain(|_, (_, at)| now.since(*at) < OPEN_TIME);
-    }
-
     /// Whether a replica is known to be down.
     pub fn is_down(&self, key: &ReplicaKey) -> bool {
         self.down.contains_key(key)
     }
 
-    /// Replicas known to be open.
-    pub fn open(&self) -> impl Iterator<Item = &OpenReplica> {
-        self.open.values().map(|(open, _)| open)
+    /// Replicas known to be open, each with whether the list must show its head
+    /// as open by now.
+    pub fn open(&self, now: Time) -> impl Iterator<Item = (&OpenReplica, bool)> {
+        self.open.values().map(move |(open, at)| (open, LIST_TIME <= now.since(*at)))
     }
 }
