Let one gateway read the list of instances and the configuration for all

Change: the owner of the first domain reads the list every 0.45 s and tells the others what changed, with a digest of the whole and the revision of its configuration, at once when that changes. A gateway whose copy differs, or that hears nothing for a second, reads by itself.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,36 +1,35 @@
-//! Reads the configuration and the list of instances from the platform's
-//! key-value service, and publishes what requests are routed by.
+//! What requests are routed by: the configuration and the list of instances, as
+//! read from the platform's key-value service or told by other gateways.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+mod config;
+mod instances;
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use citrongw_coordination::clock::Clock;
-use citrongw_protocol::store::{Entry, StoreError, WatchEvent};
 use citrongw_state::{id::Revision, time::Time};
-use futures::StreamExt;
 use tokio::{
-    sync::watch,
+    sync::{Notify, mpsc, watch},
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, sleep},
 };
 
 use crate::{
     adapter::Adapter,
     directory::Directory,
     fleet::{Fleet, ReplicaKey},
-    instance_book::{InstanceBook, InstancesView},
-    peers::message::PeerMessage,
+    instance_book::InstancesView,
+    listing::{ListChange, READER_SILENCE},
+    peers::{Peers, message::PeerMessage},
     told::ToldReplicas,
 };
 
-/// Pause between two reads of the instance list. A leaving instance has to be
-/// known within the shortest drain time of the platform, which is twice this.
-const LIST_INTERVAL: Duration = Duration::from_millis(900);
-/// Pause before the configuration is read again after a failure.
-const CONFIG_RETRY: Duration = Duration::from_millis(200);
+/// Changes of the list that wait to be applied; with more missing, the list is
+/// read.
+const MAX_QUEUED_CHANGES: usize = 32;
 
 /// What requests are routed by.
 #[derive(Debug)]
@@ -42,26 +41,33 @@
     /// Backend servers.
     pub fleet: ArcSwap<Fleet>,
     told: Mutex<ToldReplicas>,
-    changes_tx: watch::Sender<u64>,
+    list_tx: mpsc::Sender<ListChange>,
+    list_rx: Mutex<Option<mpsc::Receiver<ListChange>>>,
+    /// Revision of the configuration that the reader of the list holds.
+    config_hint_tx: watch::Sender<Revision>,
+    /// When the reader of the list was last heard, in milliseconds of this
+    /// node's clock.
+    reader_heard_ms: AtomicU64,
+    config_changed: Notify,
 }
 
 /// Opens an empty world.
 pub fn open() -> World {
+    let (list_tx, list_rx) = mpsc::channel(MAX_QUEUED_CHANGES);
     World {
         directory: ArcSwapOption::empty(),
         instances: ArcSwap::default(),
         fleet: ArcSwap::default(),
         told: Mutex::default(),
-        changes_tx: watch::channel(0).0,
+        list_tx,
+        list_rx: Mutex::new(Some(list_rx)),
+        config_hint_tx: watch::channel(Revision(0)).0,
+        reader_heard_ms: AtomicU64::new(u64::MAX),
+        config_changed: Notify::new(),
     }
 }
 
 impl World {
-    /// Tells of each change.
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
-        self.changes_tx.subscribe()
-    }
-
     /// Takes a configuration into force, unless it is older than the present.
     pub fn set_directory(&self, directory: Directory) {
         let current = self.directory.load();
@@ -78,10 +84,38 @@
         );
         self.directory.store(Some(Arc::new(directory)));
         self.rebuild();
+        self.config_changed.notify_one();
+    }
+
+    /// Revision of the configuration in force.
+    fn config_revision(&self) -> Revision {
+        self.directory.load().as_ref().map_or(Revision(0), |it| it.revision)
+    }
+
+    /// Whether the gateway that reads the list for all was heard lately.
+    fn hears_reader(&self, now: Time) -> bool {
+        let heard_ms = self.reader_heard_ms.load(Ordering::Relaxed);
+        heard_ms != u64::MAX && now.since(Time::from_millis(heard_ms)) < READER_SILENCE
     }
 
-    /// Takes in what the owner of a domain tells of a replica.
+    fn hear_list(&self, change: &ListChange, now: Time) {
+        let now_ms = u64::try_from(now.0.as_millis()).unwrap_or(u64::MAX);
+        self.reader_heard_ms.store(now_ms, Ordering::Relaxed);
+        self.config_hint_tx.send_if_modified(|hint| {
+            let is_newer = *hint < change.config;
+            *hint = change.config.max(*hint);
+            is_newer
+        });
+        // With a full queue the next change that is applied shows that one is
+        // missing.
+        let _ = self.list_tx.try_send(change.clone());
+    }
+
+    /// Takes in what another gateway tells.
     pub fn hear(&self, message: &PeerMessage, now: Time) {
+        if let PeerMessage::List(change) = message {
+            return self.hear_list(change, now);
+        }
         let is_new = lock(&self.told).hear(message, now);
         if !is_new {
             return;
@@ -105,7 +139,6 @@
             let fleet = self.fleet.load().next(directory, &self.instances.load(), &told);
             self.fleet.store(Arc::new(fleet));
         }
-        self.changes_tx.send_modify(|count| *count += 1);
     }
 }
 
@@ -114,79 +147,13 @@
 }
 
 /// Spawns the readers.
-pub fn spawn(adapter: &Adapter, world: &Arc<World>, clock: Clock) -> Vec<JoinHandle<()>> {
-    vec![
-        tokio::spawn(follow_config(adapter.clone(), Arc::clone(world))),
-        tokio::spawn(follow_instances(adapter.clone(), Arc::clone(world), clock)),
-    ]
-}
-
-async fn follow_config(adapter: Adapter, world: Arc<World>) {
-    loop {
-        if let Err(error) = read_and_watch_config(&adapter, &world).await {
-            tracing::warn!(%error, dependency = "store", "could not follow the configuration");
-        }
-        sleep(CONFIG_RETRY).await;
-    }
-}
-
-/// Reads the configuration, then follows its changes until the watch ends.
-async fn read_and_watch_config(adapter: &Adapter, world: &World) -> Result<(), StoreError> {
-    let snapshot = adapter.store.get(adapter.codec.config_key()).await?;
-    let from = Revision(snapshot.revision.0 + 1);
-    if let Some(entry) = snapshot.into_entry() {
-        apply_config(adapter, world, &entry);
-    }
-    let mut events = adapter.store.watch(adapter.codec.config_key(), from).await?;
-    while let Some(event) = events.next().await {
-        match event? {
-            WatchEvent::Put(entry) if entry.key == adapter.codec.config_key() => {
-                apply_config(adapter, world, &entry);
-            }
-            WatchEvent::Put(_) | WatchEvent::Deleted(..) | WatchEvent::Progress(_) => {}
-        }
-    }
-    Ok(())
-}
-
-fn apply_config(adapter: &Adapter, world: &World, entry: &Entry) {
-    match adapter.codec.decode_config(entry) {
-        Ok(directory) => world.set_directory(directory),
-        // The one in force stays; the service accepts only valid ones.
-        Err(error) => tracing::error!(%error, "could not read the configuration"),
-    }
-}
-
-async fn follow_instances(adapter: Adapter, world: Arc<World>, clock: Clock) {
-    let mut book = InstanceBook::default();
-    let mut is_reached = true;
-    let mut ticks = interval(LIST_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        let asked_at = clock.now();
-        match adapter.store.list(adapter.codec.instances_prefix()).await {
-            Ok(snapshot) => {
-                if !is_reached {
-                    tracing::info!(dependency = "store", "instance list is read again");
-                }
-                is_reached = true;
-                let entries = snapshot.entries.iter().filter_map(|entry| {
-                    // An entry that cannot be read names no instance to use.
-                    let decoded = adapter.codec.decode_instance(entry);
-                    let decoded = decoded.inspect_err(|error| {
-                        tracing::warn!(key = %entry.key, %error, "ignored an instance's entry");
-                    });
-                    Some((decoded.ok()?, entry.revision))
-                });
-                world.set_instances(book.apply(asked_at, entries.collect()).clone());
-            }
-            Err(error) => {
-                if is_reached {
-                    tracing::warn!(%error, dependency = "store", "could not read the instance list");
-                }
-                is_reached = false;
-            }
-        }
-    }
+pub fn spawn(
+    adapter: &Adapter,
+    world: &Arc<World>,
+    peers: &Arc<Peers>,
+    clock: Clock,
+) -> Vec<JoinHandle<()>> {
+    let config = config::follow(adapter.clone(), Arc::clone(world), Arc::clone(peers), clock);
+    let instances = instances::open(adapter, world, peers, clock);
+    vec![tokio::spawn(config), tokio::spawn(instances.follow())]
 }
--- /dev/null
+++ b/crates/gateway/src/feed/instances.rs
@@ -0,0 +1,164 @@
+//! Follows the platform's list of instances, for this gateway or for all.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use citrongw_coordination::clock::Clock;
+use citrongw_protocol::store::Snapshot;
+use citrongw_state::{id::Revision, time::Time};
+use tokio::{
+    sync::mpsc,
+    time::{MissedTickBehavior, interval},
+};
+
+use super::World;
+use crate::{
+    adapter::Adapter,
+    instance_book::{InstanceBook, InstancesView},
+    listing::{self, Applied, ListChange},
+    peers::{Peers, message::PeerMessage},
+};
+
+/// Pause between two reads for all.
+const READER_INTERVAL: Duration = Duration::from_millis(450);
+/// Pause between two reads of a gateway for itself. A leaving instance has to be
+/// known within the shortest drain time of the platform, which is twice this.
+const OWN_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Keeps the list up to date.
+pub(super) struct InstanceFeed {
+    adapter: Adapter,
+    world: Arc<World>,
+    peers: Arc<Peers>,
+    clock: Clock,
+    book: InstanceBook,
+    revision: Revision,
+    read_at: Option<Time>,
+    is_reached: bool,
+}
+
+/// Opens the feed.
+pub(super) fn open(
+    adapter: &Adapter,
+    world: &Arc<World>,
+    peers: &Arc<Peers>,
+    clock: Clock,
+) -> InstanceFeed {
+    InstanceFeed {
+        adapter: adapter.clone(),
+        world: Arc::clone(world),
+        peers: Arc::clone(peers),
+        clock,
+        book: InstanceBook::default(),
+        revision: Revision(0),
+        read_at: None,
+        is_reached: true,
+    }
+}
+
+impl InstanceFeed {
+    /// Follows the list for ever.
+    pub(super) async fn follow(mut self) {
+        let list_rx = self.world.list_rx.lock().unwrap_or_else(PoisonError::into_inner).take();
+        // A world has one feed.
+        let Some(mut list_rx) = list_rx else { return };
+        let mut ticks = interval(READER_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let world = Arc::clone(&self.world);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.read_if_due().await,
+                Some(change) = list_rx.recv() => self.hear(&change, &mut list_rx).await,
+                () = world.config_changed.notified() => self.tell_config().await,
+            }
+        }
+    }
+
+    async fn read_if_due(&mut self) {
+        let now = self.clock.now();
+        if self.peers.is_reader() {
+            let before = self.book.view().clone();
+            if self.read().await {
+                self.tell(&before).await;
+            }
+        } else if !self.world.hears_reader(now)
+            && self.read_at.is_none_or(|at| OWN_INTERVAL <= now.since(at))
+        {
+            self.read().await;
+        }
+    }
+
+    /// Reads the list. True if the service answered.
+    async fn read(&mut self) -> bool {
+        let asked_at = self.clock.now();
+        self.read_at = Some(asked_at);
+        match self.adapter.store.list(self.adapter.codec.instances_prefix()).await {
+            Ok(snapshot) => {
+                if !self.is_reached {
+                    tracing::info!(dependency = "store", "instance list is read again");
+                }
+                self.is_reached = true;
+                self.revision = snapshot.revision;
+                let view = self.apply_snapshot(asked_at, &snapshot);
+                self.world.set_instances(view);
+                true
+            }
+            Err(error) => {
+                if self.is_reached {
+                    tracing::warn!(%error, dependency = "store", "could not read the instance list");
+                }
+                self.is_reached = false;
+                false
+            }
+        }
+    }
+
+    fn apply_snapshot(&mut self, asked_at: Time, snapshot: &Snapshot) -> InstancesView {
+        let entries = snapshot.entries.iter().filter_map(|entry| {
+            // An entry that cannot be read names no instance to use.
+            let decoded = self.adapter.codec.decode_instance(entry);
+            let decoded = decoded.inspect_err(|error| {
+                tracing::warn!(key = %entry.key, %error, "ignored an instance's entry");
+            });
+            Some((decoded.ok()?, entry.revision))
+        });
+        self.book.apply(asked_at, entries.collect()).clone()
+    }
+
+    /// Applies what the reader tells, or reads the list if something is missing.
+    async fn hear(&mut self, change: &ListChange, list_rx: &mut mpsc::Receiver<ListChange>) {
+        if self.peers.is_reader() {
+            return;
+        }
+        let now = self.clock.now();
+        let (applied, view) = listing::apply(self.book.view(), self.revision, change, now);
+        match applied {
+            Applied::Old => {}
+            Applied::Current => {
+                self.revision = change.revision;
+                self.book.replace(view.clone());
+                self.world.set_instances(view);
+            }
+            Applied::Differs => {
+                self.read().await;
+                // The read holds what these tell.
+                while list_rx.try_recv().is_ok() {}
+            }
+        }
+    }
+
+    async fn tell(&self, before: &InstancesView) {
+        let config = self.world.config_revision();
+        let change = listing::change(before, self.book.view(), self.revision, config);
+        self.peers.tell_all(&PeerMessage::List(change)).await;
+    }
+
+    /// Tells the others at once that there is a new configuration.
+    async fn tell_config(&self) {
+        if self.peers.is_reader() {
+            self.tell(self.book.view()).await;
+        }
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -7,9 +7,10 @@
     ReplicaId,
 };
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// State of a member in its replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
 pub enum MemberState {
     /// It loads weights or connects to the others.
     #[display("joining")]
@@ -29,7 +30,7 @@
 }
 
 /// Place of an instance in a replica, as the instance reports it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Membership {
     /// The replica; none if its name was not given by this system.
     pub replica: Option<ReplicaId>,
@@ -49,7 +50,7 @@
 }
 
 /// Instance with all that it says of itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct InstanceEntry {
     /// The instance.
     pub id: InstanceId,
--- a/crates/gateway/src/instance_book.rs
+++ b/crates/gateway/src/instance_book.rs
@@ -53,6 +53,17 @@
 }
 
 impl InstanceBook {
+    /// The present view.
+    pub fn view(&self) -> &InstancesView {
+        &self.view
+    }
+
+    /// Takes over a view that another gateway read.
+    pub fn replace(&mut self, view: InstancesView) {
+        self.polled = true;
+        self.view = view;
+    }
+
     /// Takes in one poll that was sent at `asked_at`.
     pub fn apply(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod instance;
 pub mod instance_book;
+pub mod listing;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/crates/gateway/src/listing.rs
@@ -0,0 +1,120 @@
+//! How one gateway reads the platform's list of instances for all.
+//!
+//! Each read is a call that the platform charges for, so one gateway reads the
+//! list and tells the others what changed. A gateway that hears nothing for a
+//! while, or whose copy differs from what it hears of, reads the list itself.
+
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+    time::Duration,
+};
+
+use citrongw_state::{
+    id::{InstanceId, Revision},
+    time::Time,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    instance::InstanceEntry,
+    instance_book::{InstancesView, KnownInstance},
+};
+
+/// Silence of the reader after which a gateway reads the list itself: two of
+/// the reader's pauses. With its own read it stays within the shortest time in
+/// which a leaving instance has to be known.
+pub(crate) const READER_SILENCE: Duration = Duration::from_millis(1_000);
+/// Changes that one message carries, at most, so that it fits a datagram; with
+/// more the others read the list themselves.
+const MAX_CHANGES: usize = 5;
+
+/// What the reader tells after each read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListChange {
+    /// Revision of the store at the read.
+    pub revision: Revision,
+    /// Revision of the configuration in force at the reader.
+    pub config: Revision,
+    /// Digest of the list after the change.
+    pub digest: u64,
+    /// Entries that are new or say something new.
+    pub changed: Vec<InstanceEntry>,
+    /// Instances that are no longer listed.
+    pub removed: Vec<InstanceId>,
+}
+
+/// What came of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The copy is as the reader's.
+    Current,
+    /// The change is older than the copy.
+    Old,
+    /// The copy differs from the reader's.
+    Differs,
+}
+
+/// Change from one view to the next, as the reader tells it.
+pub fn change(
+    old: &InstancesView,
+    new: &InstancesView,
+    revision: Revision,
+    config: Revision,
+) -> ListChange {
+    let is_new = |known: &&KnownInstance| {
+        old.instances.get(&known.entry.id).is_none_or(|it| it.entry != known.entry)
+    };
+    let mut changed: Vec<InstanceEntry> =
+        new.instances.values().filter(is_new).map(|it| InstanceEntry::clone(&it.entry)).collect();
+    let removed = old.instances.keys().filter(|it| !new.instances.contains_key(*it));
+    let mut removed: Vec<InstanceId> = removed.cloned().collect();
+    if MAX_CHANGES < changed.len() + removed.len() {
+        changed.clear();
+        removed.clear();
+    }
+    ListChange { revision, config, digest: digest(new), changed, removed }
+}
+
+/// Applies a change to a copy of the list that was read at `revision`.
+pub fn apply(
+    view: &InstancesView,
+    revision: Revision,
+    change: &ListChange,
+    heard_at: Time,
+) -> (Applied, InstancesView) {
+    if change.revision < revision {
+        return (Applied::Old, view.clone());
+    }
+    let mut instances: BTreeMap<InstanceId, KnownInstance> = view.instances.clone();
+    for entry in &change.changed {
+        let is_known = instances.get(&entry.id).is_some_and(|it| *it.entry == *entry);
+        if !is_known {
+            let known = KnownInstance {
+                entry: Arc::new(entry.clone()),
+                revision: change.revision,
+                changed_at: heard_at,
+            };
+            instances.insert(entry.id.clone(), known);
+        }
+    }
+    for id in &change.removed {
+        instances.remove(id);
+    }
+    let next = InstancesView { asked_at: heard_at, instances };
+    let applied = if digest(&next) == change.digest { Applied::Current } else { Applied::Differs };
+    (applied, next)
+}
+
+/// Digest of a list, alike on all gateways of one build.
+fn digest(view: &InstancesView) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for known in view.instances.values() {
+        known.entry.hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -152,6 +152,13 @@
         true
     }
 
+    /// Whether this gateway reads the list of instances for all: the owner of
+    /// the first domain does.
+    pub fn is_reader(&self) -> bool {
+        let live = self.live.load();
+        live.owners.iter().min_by_key(|(key, _)| *key).is_some_and(|(_, it)| *it == self.node)
+    }
+
     /// Tells all other gateways.
     pub async fn tell_all(&self, message: &PeerMessage) {
         let live = self.live.load_full();
@@ -271,7 +278,9 @@
                 let domain = DomainKey { service, domain };
                 peers.hear_doubt(&domain, (replica, epoch));
             }
-            message @ (PeerMessage::Down { .. } | PeerMessage::Up(_)) => hear(message),
+            message @ (PeerMessage::Down { .. } | PeerMessage::Up(_) | PeerMessage::List(_)) => {
+                hear(message);
+            }
         }
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,6 +5,8 @@
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
 
+use crate::listing::ListChange;
+
 /// Message between gateways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -28,6 +30,8 @@
     },
     /// From the owner of a domain: a replica takes requests.
     Up(OpenReplica),
+    /// From the reader of the list of instances: what changed.
+    List(ListChange),
 }
 
 /// Replica that takes requests.
