Keep the weights of a domain that returns, and of the model most at risk

Cause: the hosts of a domain that was dark come back one by one; the first six formed the large model with a host that had the small one's weights, and the domain stood still for 24 s instead of 10. After the large model had used its spare, the one left was the small model's, so the next loss waited 16 s.

Change: weights of one model are given up for another only once no instance was added for 1.5 s. The last spare takes up the weights of the model with the most members.

--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -10,7 +10,7 @@
 //! by itself.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -37,6 +37,9 @@
 /// Time that a replica without enough spares is kept together before its
 /// members become spares.
 const KEEP_TOGETHER: Duration = Duration::from_secs(3);
+/// Time without a new instance after which weights of one model are given up for
+/// another. The instances of a domain that was dark come back one by one.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Longest time that the requests of a replica with a leaving member may take
 /// to end; the member goes after this anyway.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(8);
@@ -103,6 +106,9 @@
     closing_since: HashMap<(ReplicaId, Epoch), Time>,
     /// Since when a head is out of reach.
     lost_heads: HashMap<(ReplicaId, Epoch), Time>,
+    /// Instances known at the last step, and when one was last added.
+    known: BTreeSet<(InstanceId, Incarnation)>,
+    grown_at: Option<Time>,
     /// Replica of its own that each spare is kept warm in.
     standbys: HashMap<(InstanceId, Incarnation), Standby>,
 }
@@ -142,6 +148,20 @@
         self.refused.insert((replica, epoch));
     }
 
+    /// Takes in which instances there are.
+    fn note_hosts(&mut self, hosts: &Hosts, now: Time) {
+        let known: BTreeSet<_> = hosts.values().map(|it| (it.id.clone(), it.incarnation)).collect();
+        if !known.is_subset(&self.known) {
+            self.grown_at = Some(now);
+        }
+        self.known = known;
+    }
+
+    /// Whether no instance was added lately.
+    fn is_settled(&self, now: Time) -> bool {
+        self.grown_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
+    }
+
     fn standby(&self, host: &Host) -> Option<&Standby> {
         self.standbys.get(&(host.id.clone(), host.incarnation))
     }
@@ -256,6 +276,7 @@
     now: Time,
     mut draw_replica: impl FnMut() -> ReplicaId,
 ) -> Option<DomainPlan> {
+    memory.note_hosts(hosts, now);
     let mut next = plan.clone();
     if next.layout.is_empty() {
         next.layout = layout::layout(&rules.engine.models, hosts.len());
@@ -264,7 +285,7 @@
         repair(&mut next, idx, hosts, memory, now);
     }
     dissolve(&mut next, hosts, rules, memory, now);
-    form(&mut next, hosts, rules, memory, &mut draw_replica);
+    form(&mut next, hosts, rules, memory, now, &mut draw_replica);
     (next != *plan).then_some(next)
 }
 
@@ -429,6 +450,7 @@
     hosts: &Hosts,
     rules: &Rules<'_>,
     memory: &Memory,
+    now: Time,
     draw_replica: &mut impl FnMut() -> ReplicaId,
 ) {
     let grown = layout::layout(&rules.engine.models, hosts.len());
@@ -437,7 +459,10 @@
     }
     for model in next.missing_models() {
         let Some(spec) = rules.engine.model(&model) else { continue };
-        let spares = ranked_spares(next, hosts, memory, &model);
+        let mut spares = ranked_spares(next, hosts, memory, &model);
+        if !memory.is_settled(now) {
+            spares.retain(|it| it.staged.is_empty() || it.staged.contains(&model));
+        }
         if spares.len() < spec.size {
             continue;
         }
@@ -501,7 +526,7 @@
         }
     }
     due.extend(stray_orders(plan, hosts, memory));
-    due.extend(standby_orders(plan, hosts, rules, memory));
+    due.extend(standby_orders(plan, hosts, rules, memory, now));
     due.retain(|(host, order)| {
         let affordable = !begins_load(host, order) || loads.has_one();
         let sent = affordable && memory.may_send(&host.id, order, now);
@@ -602,6 +627,7 @@
     hosts: &'a Hosts,
     rules: &Rules<'_>,
     memory: &mut Memory,
+    now: Time,
 ) -> Vec<(&'a Host, Order)> {
     let is_forming = |replica: &PlannedReplica| {
         let head = replica.head().and_then(|it| find(hosts, it));
@@ -614,7 +640,8 @@
     let mut counts: BTreeMap<&ModelId, usize> =
         rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
     let (mut cold, mut due) = (Vec::new(), Vec::new());
-    for host in free_hosts(plan, hosts, memory) {
+    let free = free_hosts(plan, hosts, memory);
+    for host in free.iter().copied() {
         if let Some(standby) = memory.standby(host) {
             let standby = standby.clone();
             if let Some(count) = counts.get_mut(&standby.model) {
@@ -636,23 +663,57 @@
             None => cold.push(host),
         }
     }
-    if plan.replicas.iter().any(is_forming) {
+    if plan.replicas.iter().any(is_forming) || !memory.is_settled(now) {
         return due;
     }
-    let members = |model: &&ModelId| -> usize {
-        plan.replicas.iter().filter(|it| it.model == **model).map(|it| it.members.len()).sum()
+    let targets = spare_targets(plan, rules, free.len());
+    let surplus = |counts: &BTreeMap<&ModelId, usize>, model: &ModelId| {
+        targets.get(model).copied().unwrap_or_default()
+            < counts.get(model).copied().unwrap_or_default()
     };
+    // A spare too many of one model takes up the weights of another.
+    let spare = free
+        .iter()
+        .find(|it| memory.standby(it).is_some_and(|standby| surplus(&counts, &standby.model)));
+    if let (true, Some(host)) = (cold.is_empty(), spare)
+        && let Some(count) = memory.standby(host).and_then(|it| counts.get_mut(&it.model))
+    {
+        *count -= 1;
+        cold.push(host);
+    }
     for host in cold {
-        // Each model has one spare before any has more; then the one with the
-        // most members, for it is the likeliest to lose one.
-        let neediest =
-            counts.iter().min_by_key(|(model, count)| (**count, std::cmp::Reverse(members(model))));
-        let Some((&model, _)) = neediest else { break };
+        let lacking = targets
+            .iter()
+            .find(|(model, target)| counts.get(*model).copied().unwrap_or_default() < **target);
+        let Some((&model, _)) = lacking else { break };
         *counts.entry(model).or_default() += 1;
         due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
     }
     due
 }
 
+/// Spares that each model is to have of so many. Each model has one before any
+/// has more; then the one with the most members comes first, for it is the
+/// likeliest to lose one.
+fn spare_targets<'a>(
+    plan: &DomainPlan,
+    rules: &'a Rules<'_>,
+    spares: usize,
+) -> BTreeMap<&'a ModelId, usize> {
+    let members = |model: &ModelId| -> usize {
+        plan.replicas.iter().filter(|it| it.model == *model).map(|it| it.members.len()).sum()
+    };
+    let mut targets: BTreeMap<&ModelId, usize> =
+        rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
+    for _ in 0..spares {
+        let neediest = targets
+            .iter_mut()
+            .min_by_key(|(model, count)| (**count, std::cmp::Reverse(members(model))));
+        let Some((_, count)) = neediest else { break };
+        *count += 1;
+    }
+    targets
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -280,7 +280,7 @@
     models.sort();
     assert_eq!(models, ["l", "s"]);
     world.add_host("new", 1);
-    world.run(2);
+    world.run(4);
     let mut models: Vec<String> =
         world.spares().iter().map(|it| it.staged[0].to_string()).collect();
     models.sort();
@@ -367,3 +367,40 @@
     let due = orders(&plan, &world.hosts, &rules, &mut world.memory, &mut loads, later);
     assert_eq!(due.len(), 1, "one a second");
 }
+
+#[test]
+fn domain_that_comes_back_one_by_one_keeps_its_weights() {
+    let mut world = open(7);
+    world.run(4);
+    let staged: Vec<(String, Vec<ModelId>)> =
+        world.hosts.values().map(|it| (it.id.to_string(), it.staged.clone())).collect();
+    for id in staged.iter().map(|(id, _)| id) {
+        world.host(id).liveness = Liveness::Refusing;
+    }
+    world.run(4);
+    world.hosts.clear();
+    for (id, staged) in staged.iter().rev() {
+        world.add_host(id, 2);
+        world.host(id).staged.clone_from(staged);
+        world.step();
+    }
+    world.run(4);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    for (id, staged) in &staged {
+        assert_eq!(world.host(id).staged, *staged, "{id}");
+    }
+}
+
+#[test]
+fn last_spare_takes_up_the_weights_of_the_model_with_the_most_members() {
+    let mut world = open(7);
+    world.run(4);
+    let lost = world.members("l")[1].clone();
+    world.host(&lost).liveness = Liveness::Refusing;
+    world.run(6);
+    let spares = world.spares();
+    let alive: Vec<_> = spares.iter().filter(|it| it.is_alive()).collect();
+    assert_eq!(alive.len(), 1);
+    assert_eq!(alive[0].staged, ["l".into()]);
+    assert_eq!(world.open_models(), ["l", "s"]);
+}
