Give orders again sooner, and let leases lapse sooner

An owner that the store refused held its domain for 2.5 s.

Change: an order without effect is given again after 0.4 s, it waits 0.35 s for its answer, and a lease lasts 1.6 s.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -46,11 +46,11 @@
 /// Pause between two steps of a domain without news.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two renewals of a lease: a third of its time.
-const RENEW_INTERVAL: Duration = Duration::from_millis(800);
+const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for one question to an instance. Answers take milliseconds.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest time for the answer to an order.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Delay of a step, or step of the time of day, from which on this process is
 /// taken to have slept.
 const SLEPT: Duration = Duration::from_millis(600);
--- a/crates/gateway/src/control/ownership.rs
+++ b/crates/gateway/src/control/ownership.rs
@@ -12,7 +12,7 @@
 use super::plan::DomainKey;
 
 /// Time that an owner keeps its domain after its last renewal.
-pub(super) const LEASE_TIME: Duration = Duration::from_millis(2_500);
+pub(super) const LEASE_TIME: Duration = Duration::from_millis(1_600);
 /// Wait of a node that is not the one suggested as owner.
 const OTHERS_WAIT: Duration = Duration::from_millis(500);
 /// Longest random wait after that, so that seldom two reach for one domain.
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -31,9 +31,9 @@
     instance::{MemberState, Membership},
 };
 
-/// Pause before an order without effect is given again; an answer to the first
-/// has come by then.
-const ORDER_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Pause before an order without effect is given again. Orders are answered in
+/// milliseconds, and one given twice does no harm.
+const ORDER_INTERVAL: Duration = Duration::from_millis(400);
 /// Time that a replica without enough spares is kept together before its
 /// members become spares.
 const KEEP_TOGETHER: Duration = Duration::from_secs(3);
