Let gateways tell each other their requests in flight at each replica

Change: each gateway sends the others its requests in flight at each replica when they change, every 100 ms among 20, at most 200 messages a second received however many there are; a choice goes by the sum.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,7 +12,7 @@
     time::Time,
 };
 
-use crate::fleet::Backend;
+use crate::{fleet::Backend, load_board::LoadBoard};
 
 /// Load, as a share of its slots, up to which two servers count as alike.
 const RANDOM_SHARE: f64 = 0.08;
@@ -27,6 +27,8 @@
     pub zone: &'a AvailabilityZone,
     /// Servers that the request was sent to.
     pub tried: &'a [InstanceId],
+    /// Requests of the other nodes.
+    pub board: &'a LoadBoard,
     /// Now.
     pub now: Time,
 }
@@ -39,7 +41,8 @@
 ) -> Option<Arc<Backend>> {
     let usable = servers.iter().filter(|it| is_usable(it, wish));
     let scored = usable.map(|it| {
-        let load = f64::from(it.stats.estimated_load(wish.now));
+        let others = it.replica.as_ref().map_or(0, |key| wish.board.others_at(key, wish.now));
+        let load = f64::from(it.stats.estimated_load(wish.now, others));
         let other_zone = if it.zone == *wish.zone { 0.0 } else { ZONE_SHARE };
         (load / f64::from(it.slots.max(1)) + other_zone + random() * RANDOM_SHARE, it)
     });
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -24,7 +24,8 @@
 
 fn chosen(servers: &[Arc<Backend>], tried: &[InstanceId]) -> Option<String> {
     let zone = "a".into();
-    let wish = Wish { zone: &zone, tried, now: Time::START };
+    let board = LoadBoard::default();
+    let wish = Wish { zone: &zone, tried, board: &board, now: Time::START };
     choose(servers, &wish, || 0.0).map(|it| it.id.to_string())
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -32,9 +32,9 @@
     told::ToldReplicas,
 };
 
-/// Age at which a load that a server told no longer counts: a long answer has
-/// ended by then.
-const LOAD_AGE: Duration = Duration::from_secs(3);
+/// Age at which a load that a server told no longer counts beside what the nodes
+/// tell each other: some of its requests have ended by then.
+const LOAD_AGE: Duration = Duration::from_millis(400);
 
 /// What this node knows of a backend server from its own requests.
 #[derive(Debug, Default)]
@@ -109,9 +109,10 @@
         }
     }
 
-    /// Requests that it has now, as far as this node can tell.
-    pub fn estimated_load(&self, now: Time) -> u32 {
-        let own = self.in_flight();
+    /// Requests that it has now, as far as this node can tell, with those that
+    /// the other nodes told of.
+    pub fn estimated_load(&self, now: Time, others: u32) -> u32 {
+        let own = self.in_flight() + others;
         let told_at = Time::from_millis(self.told_at_ms.load(Ordering::Relaxed));
         if LOAD_AGE < now.since(told_at) {
             return own;
@@ -191,6 +192,11 @@
         self.pools.get(service)
     }
 
+    /// Open replicas of all services.
+    pub fn replicas(&self) -> impl Iterator<Item = &Arc<Backend>> {
+        self.pools.values().flat_map(|it| it.replicas.values().flatten())
+    }
+
     /// Builds the fleet that follows this one.
     pub fn next(&self, directory: &Directory, view: &InstancesView, told: &ToldReplicas) -> Self {
         let mut next = Self::default();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance;
 pub mod instance_book;
 pub mod listing;
+pub mod load_board;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/crates/gateway/src/load_board/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+const KEY: ReplicaKey = ReplicaKey { replica: ReplicaId(7), epoch: Epoch(1) };
+
+fn at(requests: u32) -> Vec<InFlightAt> {
+    vec![InFlightAt { replica: KEY.replica, epoch: KEY.epoch, requests }]
+}
+
+#[test]
+fn requests_of_all_gateways_add_up_and_the_last_word_of_each_counts() {
+    let board = LoadBoard::default();
+    board.hear(NodeId(1), &at(3), Time::START);
+    board.hear(NodeId(2), &at(4), Time::START);
+    assert_eq!(board.others_at(&KEY, Time::START), 7);
+    board.hear(NodeId(1), &[], Time::START);
+    assert_eq!(board.others_at(&KEY, Time::START), 4);
+    let other = ReplicaKey { epoch: Epoch(2), ..KEY };
+    assert_eq!(board.others_at(&other, Time::START), 0);
+}
+
+#[test]
+fn requests_of_a_gateway_that_fell_silent_are_forgotten() {
+    let board = LoadBoard::default();
+    board.hear(NodeId(1), &at(3), Time::START);
+    assert_eq!(board.others_at(&KEY, Time::START + EXPIRY), 0);
+}
+
+#[test]
+fn messages_are_bounded_however_many_gateways_there_are() {
+    assert_eq!(interval(1), MIN_INTERVAL);
+    assert_eq!(interval(100), Duration::from_millis(500));
+    assert_eq!(interval(10_000), MAX_INTERVAL);
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -26,8 +26,9 @@
     adapter::Adapter,
     control,
     feed::{self, World},
+    load_board::{self, LoadBoard},
     metrics::{self, Metrics},
-    peers::{self, Peers},
+    peers::{self, Peers, message::PeerMessage},
     relay,
     settings::Settings,
 };
@@ -57,6 +58,8 @@
     pub http: HttpClient,
     /// Budget of all retries.
     pub retries: RetryBudget,
+    /// Requests of the other gateways.
+    pub board: Arc<LoadBoard>,
     /// The other gateways.
     pub peers: Arc<Peers>,
     /// Metrics.
@@ -98,6 +101,7 @@
     let node = NodeId(rand::random());
     let gateway = Arc::new(Gateway {
         node,
+        board: Arc::default(),
         peers: Arc::new(peers::open(node, clock)),
         settings,
         clock,
@@ -123,10 +127,15 @@
     let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
     let mut drivers = feed::spawn(&gateway.adapter, &gateway.world, &gateway.peers, clock);
     let world = Arc::clone(&gateway.world);
-    let hear = move |message| world.hear(&message, clock.now());
+    let board = Arc::clone(&gateway.board);
+    let hear = move |from, message| match message {
+        PeerMessage::Load(in_flight) => board.hear(from, &in_flight, clock.now()),
+        message => world.hear(&message, clock.now()),
+    };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     drivers.extend(peers::spawn(&gateway.peers, store, addr, hear));
     drivers.push(control::driver::spawn(&gateway));
+    drivers.push(tokio::spawn(load_board::tell(Arc::clone(&gateway))));
     drivers.push(tokio::spawn(tick_budget(Arc::clone(&gateway))));
     tracing::info!(
         node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -180,7 +180,7 @@
     peers: &Arc<Peers>,
     store: &Arc<dyn Store>,
     addr: SocketAddr,
-    hear: impl Fn(PeerMessage) + Send + 'static,
+    hear: impl Fn(NodeId, PeerMessage) + Send + 'static,
 ) -> Vec<JoinHandle<()>> {
     let listing = list_self(Arc::clone(peers), Arc::clone(store), addr);
     let reading = read_live(Arc::clone(peers), Arc::clone(store));
@@ -261,7 +261,7 @@
     peers: Arc<Peers>,
     store: Arc<dyn Store>,
     addr: SocketAddr,
-    hear: impl Fn(PeerMessage) + Send + 'static,
+    hear: impl Fn(NodeId, PeerMessage) + Send + 'static,
 ) {
     let endpoint = loop {
         match bind(&peers, &*store, addr).await {
@@ -272,15 +272,13 @@
     };
     let endpoint = peers.endpoint.get_or_init(|| async { endpoint }).await;
     loop {
-        let Received { message, .. } = endpoint.receive().await;
+        let Received { from, message, .. } = endpoint.receive().await;
         match message {
             PeerMessage::Doubt { service, domain, replica, epoch } => {
                 let domain = DomainKey { service, domain };
                 peers.hear_doubt(&domain, (replica, epoch));
             }
-            message @ (PeerMessage::Down { .. } | PeerMessage::Up(_) | PeerMessage::List(_)) => {
-                hear(message);
-            }
+            message => hear(from, message),
         }
     }
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -5,7 +5,7 @@
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
 
-use crate::listing::ListChange;
+use crate::{listing::ListChange, load_board::InFlightAt};
 
 /// Message between gateways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,8 @@
     },
     /// From the owner of a domain: a replica takes requests.
     Up(OpenReplica),
+    /// From any gateway: its requests in flight.
+    Load(Vec<InFlightAt>),
     /// From the reader of the list of instances: what changed.
     List(ListChange),
 }
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -54,8 +54,12 @@
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
         let fleet = gateway.world.fleet.load();
-        let wish =
-            Wish { zone: &gateway.settings.zone, tried: &self.tried, now: gateway.clock.now() };
+        let wish = Wish {
+            zone: &gateway.settings.zone,
+            tried: &self.tried,
+            board: &gateway.board,
+            now: gateway.clock.now(),
+        };
         let chosen = choose(call.servers(&fleet), &wish, rand::random);
         let server = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
         self.tried.push(server.id.clone());
