Take a replica that came back up for up again

Cause: right after a replica opened its owner told that it was down and up again within 50 ms: the list of instances, older and heard later, went before the instance's own report. The mark of being down was never taken off, so each request to that replica failed at once and went elsewhere.

Change: a report goes before a list entry that may be older; word that a replica is up takes the mark off.

--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -26,6 +26,10 @@
 const AWAITED_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause between two questions to a spare.
 const SPARE_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Time until a change of an instance's entry is known here: the pause between
+/// two reads of the list, with a margin. A report from less long before says
+/// something newer.
+const LIST_DELAY: Duration = Duration::from_millis(700);
 /// Questions without an answer after which an instance counts as silent.
 const SILENT_AFTER: u32 = 2;
 
@@ -163,7 +167,7 @@
                 staged: entry.staged.clone(),
                 membership: entry.membership,
             };
-            let newer = heard.answered_at.is_some_and(|at| known.changed_at <= at);
+            let newer = heard.answered_at.is_some_and(|at| known.changed_at <= at + LIST_DELAY);
             if let (true, Some(report)) = (newer, &heard.report) {
                 host.staged.clone_from(&report.staged);
                 host.membership = report.membership;
--- a/crates/gateway/src/control/reports/tests.rs
+++ b/crates/gateway/src/control/reports/tests.rs
@@ -48,7 +48,9 @@
     let old = view(vec![member("a", 7, 1, 0)]);
     assert_eq!(reports.hosts(&old, &domain(), None)[&id].membership, None);
     let mut new = old;
-    new.instances.get_mut(&id).unwrap().changed_at = at + Duration::from_millis(1);
+    new.instances.get_mut(&id).unwrap().changed_at = at + LIST_DELAY;
+    assert_eq!(reports.hosts(&new, &domain(), None)[&id].membership, None, "it may be older");
+    new.instances.get_mut(&id).unwrap().changed_at = at + LIST_DELAY * 2;
     assert!(reports.hosts(&new, &domain(), None)[&id].membership.is_some());
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -120,9 +120,16 @@
         if !is_new {
             return;
         }
-        if let PeerMessage::Down { replica, epoch } = message {
-            let key = ReplicaKey { replica: *replica, epoch: *epoch };
-            self.fleet.load().replica_stats(&key).for_each(|it| it.take_down());
+        match message {
+            PeerMessage::Down { replica, epoch } => {
+                let key = ReplicaKey { replica: *replica, epoch: *epoch };
+                self.fleet.load().replica_stats(&key).for_each(|it| it.take_down());
+            }
+            PeerMessage::Up(open) => {
+                let key = ReplicaKey { replica: open.replica, epoch: open.epoch };
+                self.fleet.load().replica_stats(&key).for_each(|it| it.bring_up());
+            }
+            PeerMessage::Doubt { .. } | PeerMessage::List(_) | PeerMessage::Load(_) => {}
         }
         self.rebuild();
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -98,6 +98,12 @@
         self.went_down.notify_waiters();
     }
 
+    /// Takes in that it takes requests again.
+    pub fn bring_up(&self) {
+        self.is_down.store(false, Ordering::Relaxed);
+        self.suspect_until_ms.store(0, Ordering::Relaxed);
+    }
+
     /// Ends once it takes no requests any more.
     pub async fn wait_until_down(&self) {
         let notified = self.went_down.notified();
--- a/crates/gateway/src/fleet/tests.rs
+++ b/crates/gateway/src/fleet/tests.rs
@@ -74,3 +74,14 @@
     drop(request);
     assert_eq!(stats.estimated_load(now + LOAD_AGE * 2, 0), 0);
 }
+
+#[tokio::test(start_paused = true)]
+async fn server_that_came_back_up_is_not_taken_for_down() {
+    let stats = BackendStats::default();
+    let wait = || tokio::time::timeout(Duration::from_secs(1), stats.wait_until_down());
+    assert!(wait().await.is_err());
+    stats.take_down();
+    assert!(wait().await.is_ok());
+    stats.bring_up();
+    assert!(wait().await.is_err());
+}
