--- /dev/null
+++ b/crates/gateway/src/control/step/orders.rs
@@ -0,0 +1,136 @@
+//! Orders that lead from what the instances report to the record.
+
+use std::{net::SocketAddr, time::Duration};
+
+use citrongw_state::{id::InstanceId, time::Time};
+
+use super::{
+    Rules,
+    host::{Host, Hosts},
+    memory::Memory,
+    remedy::{Remedy, busy_head, find, remedy},
+    spares,
+};
+use crate::{
+    adapter::Order,
+    control::{
+        loads::LoadBudget,
+        plan::{DomainPlan, PlannedReplica},
+    },
+    instance::MemberState,
+};
+
+/// Longest time that the requests of a replica with a leaving member may take
+/// to end; the member goes after this anyway.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// Orders that are due.
+pub fn orders(
+    plan: &DomainPlan,
+    hosts: &Hosts,
+    rules: &Rules<'_>,
+    memory: &mut Memory,
+    loads: &mut LoadBudget,
+    now: Time,
+) -> Vec<(InstanceId, SocketAddr, Order)> {
+    memory.forget_old(now);
+    let mut due = Vec::new();
+    for replica in &plan.replicas {
+        match remedy(plan, replica, hosts, memory) {
+            Remedy::None => {
+                memory.closing_since.remove(&(replica.id, replica.epoch));
+                due.extend(forming_orders(replica, hosts));
+            }
+            Remedy::Replace(_) => due.extend(leave_order(replica, hosts)),
+            Remedy::Swap(_) | Remedy::NewHead => {
+                due.extend(close_order(replica, hosts, memory, now));
+            }
+        }
+    }
+    due.extend(stray_orders(plan, hosts, memory));
+    due.extend(spares::standby_orders(plan, hosts, rules, memory, now));
+    due.retain(|(host, order)| {
+        let affordable = !begins_load(host, order) || loads.has_one();
+        let sent = affordable && memory.may_send(&host.id, order, now);
+        if sent && begins_load(host, order) {
+            loads.take();
+        }
+        sent
+    });
+    due.into_iter().map(|(host, order)| (host.id.clone(), host.addr, order)).collect()
+}
+
+/// Whether the order loads weights from the weight store.
+fn begins_load(host: &Host, order: &Order) -> bool {
+    match order {
+        Order::Join { model, .. } => !host.staged.contains(model),
+        Order::Open { .. } | Order::Close { .. } | Order::Leave { .. } => false,
+    }
+}
+
+/// Orders that bring a whole replica to serve.
+fn forming_orders<'a>(replica: &PlannedReplica, hosts: &'a Hosts) -> Vec<(&'a Host, Order)> {
+    let (id, epoch) = (replica.id, replica.epoch);
+    let mut due = Vec::new();
+    let mut ready = 0;
+    for (rank, member) in replica.members.iter().enumerate() {
+        let Some(host) = find(hosts, member) else { continue };
+        match host.membership {
+            Some(it) if it.is_of(id, epoch) => {
+                let is_ready = matches!(it.state, MemberState::Ready | MemberState::Open);
+                ready += usize::from(it.rank == rank && is_ready);
+            }
+            _ => {
+                let (model, members) = (replica.model.clone(), replica.member_ids());
+                due.push((host, Order::Join { replica: id, epoch, model, members }));
+            }
+        }
+    }
+    let head = replica.head().and_then(|it| find(hosts, it));
+    if ready == replica.members.len()
+        && let Some(head) = head
+        && head.membership.is_some_and(|it| it.state == MemberState::Ready)
+    {
+        due.push((head, Order::Open { replica: id, epoch }));
+    }
+    due
+}
+
+/// Order that frees the members of a replica that serves nobody.
+fn leave_order<'a>(replica: &PlannedReplica, hosts: &'a Hosts) -> Option<(&'a Host, Order)> {
+    let (head, _) = busy_head(replica, hosts)?;
+    Some((head, Order::Leave { replica: replica.id, epoch: replica.epoch }))
+}
+
+/// Order that frees the members of a replica once its requests have ended.
+fn close_order<'a>(
+    replica: &PlannedReplica,
+    hosts: &'a Hosts,
+    memory: &mut Memory,
+    now: Time,
+) -> Option<(&'a Host, Order)> {
+    let (id, epoch) = (replica.id, replica.epoch);
+    let (head, state) = busy_head(replica, hosts)?;
+    let since = *memory.closing_since.entry((id, epoch)).or_insert(now);
+    if CLOSE_TIMEOUT <= now.since(since) {
+        return Some((head, Order::Leave { replica: id, epoch }));
+    }
+    (state == MemberState::Open).then_some((head, Order::Close { replica: id, epoch }))
+}
+
+/// Lets instances go that report a replica which the record does not give them.
+fn stray_orders<'a>(
+    plan: &DomainPlan,
+    hosts: &'a Hosts,
+    memory: &Memory,
+) -> Vec<(&'a Host, Order)> {
+    let strays =
+        hosts.values().filter(|it| it.is_alive() && !plan.holds(&it.id) && !memory.is_free(it));
+    strays
+        .filter_map(|host| {
+            let membership = host.membership?;
+            let (replica, epoch) = (membership.replica?, membership.epoch);
+            Some((host, Order::Leave { replica, epoch }))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/control/step/spares.rs
@@ -0,0 +1,151 @@
+//! Spares: which of them a replica takes, and the weights that they keep warm.
+//!
+//! Answers the load of replicas that lose a member every few seconds: a spare
+//! that holds the weights as a member does joins in a fraction of a second.
+
+use std::collections::BTreeMap;
+
+use citrongw_state::{id::ModelId, time::Time};
+
+use super::{
+    Rules,
+    host::{Host, Hosts},
+    memory::Memory,
+    remedy::find,
+};
+use crate::{
+    adapter::Order,
+    control::plan::{DomainPlan, PlannedReplica},
+    instance::MemberState,
+};
+
+/// Spares that a model may use, in the order in which it takes them: those that
+/// are warm for it, those with its weights, those without any, and those that
+/// are kept for another model.
+pub(super) fn ranked_spares<'a>(
+    plan: &DomainPlan,
+    hosts: &'a Hosts,
+    memory: &Memory,
+    model: &ModelId,
+) -> Vec<&'a Host> {
+    let kept_for = |host: &Host| {
+        let standby = memory.standby(host).map(|it| &it.model);
+        standby.or_else(|| host.staged.first()).cloned()
+    };
+    let mut spares: Vec<(Option<ModelId>, &Host)> =
+        free_hosts(plan, hosts, memory).into_iter().map(|it| (kept_for(it), it)).collect();
+    spares.sort_by_key(|(kept_for, host)| {
+        let is_of_model = kept_for.as_ref() == Some(model);
+        (!is_warm(host, memory, model), !is_of_model, kept_for.is_some())
+    });
+    spares.into_iter().map(|(_, host)| host).collect()
+}
+
+/// Whether a spare joins a replica of the model in a moment.
+pub(super) fn is_warm(host: &Host, memory: &Memory, model: &ModelId) -> bool {
+    let ready = host.membership.is_some_and(|it| it.state == MemberState::Ready);
+    ready && memory.standby(host).is_some_and(|it| it.model == *model)
+}
+
+/// Instances that can be used and belong to no replica.
+fn free_hosts<'a>(plan: &DomainPlan, hosts: &'a Hosts, memory: &Memory) -> Vec<&'a Host> {
+    let is_free = |host: &&Host| {
+        host.is_alive() && !host.leaving && memory.is_free(host) && !plan.holds(&host.id)
+    };
+    hosts.values().filter(is_free).collect()
+}
+
+/// Keeps spares warm once all replicas are formed: each joins a replica of its
+/// own that is never opened, and so holds the weights as a member does.
+pub(super) fn standby_orders<'a>(
+    plan: &DomainPlan,
+    hosts: &'a Hosts,
+    rules: &Rules<'_>,
+    memory: &mut Memory,
+    now: Time,
+) -> Vec<(&'a Host, Order)> {
+    let is_forming = |replica: &PlannedReplica| {
+        let head = replica.head().and_then(|it| find(hosts, it));
+        head.and_then(|it| it.membership).is_none_or(|it| {
+            !it.is_of(replica.id, replica.epoch) || it.state == MemberState::Joining
+        })
+    };
+    // A spare that became a member begins anew when it is free again.
+    memory.standbys.retain(|(id, _), _| !plan.holds(id));
+    let mut counts: BTreeMap<&ModelId, usize> =
+        rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
+    let (mut cold, mut due) = (Vec::new(), Vec::new());
+    let free = free_hosts(plan, hosts, memory);
+    for host in free.iter().copied() {
+        if let Some(standby) = memory.standby(host) {
+            let standby = standby.clone();
+            if let Some(count) = counts.get_mut(&standby.model) {
+                *count += 1;
+            }
+            if !host.membership.is_some_and(|it| it.is_of(standby.replica, standby.epoch)) {
+                due.push((host, standby.join(host)));
+            }
+            continue;
+        }
+        let staged = counts.keys().find(|it| host.staged.contains(it)).copied();
+        match staged {
+            Some(model) => {
+                if let Some(count) = counts.get_mut(model) {
+                    *count += 1;
+                }
+                due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
+            }
+            None => cold.push(host),
+        }
+    }
+    if plan.replicas.iter().any(is_forming) || !memory.is_settled(now) {
+        return due;
+    }
+    let targets = spare_targets(plan, rules, free.len());
+    let surplus = |counts: &BTreeMap<&ModelId, usize>, model: &ModelId| {
+        targets.get(model).copied().unwrap_or_default()
+            < counts.get(model).copied().unwrap_or_default()
+    };
+    // A spare too many of one model takes up the weights of another.
+    let spare = free
+        .iter()
+        .find(|it| memory.standby(it).is_some_and(|standby| surplus(&counts, &standby.model)));
+    if let (true, Some(host)) = (cold.is_empty(), spare)
+        && let Some(count) = memory.standby(host).and_then(|it| counts.get_mut(&it.model))
+    {
+        *count -= 1;
+        cold.push(host);
+    }
+    for host in cold {
+        let lacking = targets
+            .iter()
+            .find(|(model, target)| counts.get(*model).copied().unwrap_or_default() < **target);
+        let Some((&model, _)) = lacking else { break };
+        *counts.entry(model).or_default() += 1;
+        due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
+    }
+    due
+}
+
+/// Spares that each model is to have of so many. Each model has one before any
+/// has more; then the one with the most members comes first, for it is the
+/// likeliest to lose one.
+fn spare_targets<'a>(
+    plan: &DomainPlan,
+    rules: &'a Rules<'_>,
+    spares: usize,
+) -> BTreeMap<&'a ModelId, usize> {
+    let members = |model: &ModelId| -> usize {
+        plan.replicas.iter().filter(|it| it.model == *model).map(|it| it.members.len()).sum()
+    };
+    let mut targets: BTreeMap<&ModelId, usize> =
+        rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
+    for _ in 0..spares {
+        let neediest = targets
+            .iter_mut()
+            .min_by_key(|(model, count)| (**count, std::cmp::Reverse(members(model))));
+        let Some((_, count)) = neediest else { break };
+        *count += 1;
+    }
+    targets
+}
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -1,5 +1,14 @@
+use std::net::SocketAddr;
+
+use citrongw_state::id::{Incarnation, InstanceId, ModelId};
+
 use super::*;
-use crate::testing::{engine, model};
+use crate::{
+    adapter::Order,
+    control::loads::LoadBudget,
+    instance::Membership,
+    testing::{engine, model},
+};
 
 /// A domain whose instances carry out orders at once.
 struct World {
