Let a head told twice to open open once, and move a stream that is stuck alone

A stream at a server that answered others waited 6 s.

Change: the first answer to the order to open counts. A stream without an event for five times the expected pause goes on elsewhere.

--- a/crates/gateway/src/control/step/memory.rs
+++ b/crates/gateway/src/control/step/memory.rs
@@ -75,7 +75,8 @@
 
     /// Takes in that a head has begun to open.
     pub fn add_opening(&mut self, replica: ReplicaId, epoch: Epoch, opens_at: Time) {
-        self.opens_at.insert((replica, epoch), opens_at);
+        // The order may have been given again meanwhile.
+        self.opens_at.entry((replica, epoch)).or_insert(opens_at);
     }
 
     /// Takes in that a member refused a join for its epoch.
--- a/crates/gateway/src/control/step/orders.rs
+++ b/crates/gateway/src/control/step/orders.rs
@@ -111,6 +111,7 @@
 ) -> Option<(&'a Host, Order)> {
     let (id, epoch) = (replica.id, replica.epoch);
     let (head, state) = busy_head(replica, hosts)?;
+    memory.opens_at.remove(&(id, epoch));
     let since = *memory.closing_since.entry((id, epoch)).or_insert(now);
     if CLOSE_TIMEOUT <= now.since(since) {
         return Some((head, Order::Leave { replica: id, epoch }));
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -413,3 +413,17 @@
     assert_eq!(alive[0].staged, ["l".into()]);
     assert_eq!(world.open_models(), ["l", "s"]);
 }
+
+#[test]
+fn replica_whose_head_is_told_twice_to_open_opens_once() {
+    let mut world = open(7);
+    world.step();
+    let replica = world.plan.replicas[0].clone();
+    let key = (replica.id, replica.epoch);
+    let opens_at = world.now + Duration::from_millis(300);
+    world.memory.add_opening(key.0, key.1, opens_at);
+    world.memory.add_opening(key.0, key.1, opens_at + Duration::from_millis(400));
+    let serves = |now| serving(&world.plan, &world.hosts, &world.memory, now).contains(&key);
+    assert!(!serves(world.now));
+    assert!(serves(opens_at));
+}
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -32,6 +32,10 @@
 /// Silence before the first event, as a multiple of the expected latency, after
 /// which a request goes elsewhere if its server is silent to all.
 const SILENT_LATENCIES: u32 = 3;
+/// Silence of one stream, as a multiple of the expected pause, after which it goes
+/// on elsewhere though its server answers others. It is below the shortest time
+/// after which callers give up on a silent stream.
+const STUCK_GAPS: u32 = 5;
 /// Time that a server that fell silent gets no requests.
 const SILENT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -233,11 +237,15 @@
         let backend = Arc::clone(&self.source.backend);
         let since = gateway.clock.now();
         let patience = self.call.route.target_gap * SILENT_GAPS;
+        let stuck = self.call.route.target_gap * STUCK_GAPS;
         let deadline = gateway.clock.instant(self.call.deadline());
         tokio::select! {
             res = timeout_at(deadline, self.source.read(&gateway)) => {
                 res.unwrap_or(Err(Failed::may_have_run(Cause::DeadlinePassed)))
             }
+            () = sleep_until(gateway.clock.instant(since + stuck)) => {
+                Err(Failed::may_have_run(Cause::Stalled))
+            }
             () = wait_for_silence(&gateway, &backend, since, patience) => {
                 send::doubt(&gateway, &backend, SILENT_PAUSE);
                 Err(Failed::may_have_run(Cause::Stalled))
