--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 mod refuse;
 mod send;
 mod stream;
+mod urgency;
 
 use std::sync::{Arc, atomic::Ordering};
 
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -13,7 +13,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use viz::Request;
 
-use super::refuse::Refusal;
+use super::{
+    refuse::Refusal,
+    urgency::{self, Standing},
+};
 use crate::{
     adapter::RequestMeta,
     directory::{CallKind, Directory, KeyHolder, Route},
@@ -67,10 +70,15 @@
         if self.route.kind.may_rerun() { CallClass::Idempotent } else { CallClass::AtMostOnce }
     }
 
-    /// Urgency at an engine: the rank of the key's holder before the route's.
-    pub(super) fn urgency(&self) -> u8 {
+    /// Urgency at an engine: by the rank of the key's holder, or of the route.
+    pub(super) fn urgency(&self, is_resumed: bool) -> u8 {
         let of_holder = self.holder.as_ref().and_then(|it| it.priority);
-        of_holder.unwrap_or(self.route.priority).min(9)
+        let standing = match self.meta.remaining {
+            _ if is_resumed => Standing::Resumed,
+            Some(left) if left + self.route.target_latency < self.route.timeout => Standing::Late,
+            _ => Standing::InTime,
+        };
+        urgency::of(of_holder.unwrap_or(self.route.priority), standing)
     }
 
     /// Servers that may take it.
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -138,7 +138,7 @@
         remaining: call.remaining(now),
         instance: &backend.id,
         organisation: call.holder.as_ref().map(|it| &it.organisation),
-        urgency: backend.replica.is_some().then(|| call.urgency()),
+        urgency: backend.replica.is_some().then(|| call.urgency(resume_after.is_some())),
         resume_after,
     };
     gateway.adapter.codec.set_forward(request.headers_mut(), &forward);
