Bound retries by windows of requests, and share the slack

Change: a gateway makes no more retries for a service in a window than a ratio of the requests that it got in the last one, and its part of the slack among the gateways listed; nothing is saved up. Ratio, slack and window are settings.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,14 +11,17 @@
 
 use citrongw::error::{Result, could_not};
 use citrongw_coordination::clock::{self, Clock};
-use citrongw_state::{id::NodeId, retry::RetryBudget};
+use citrongw_state::{
+    id::NodeId,
+    retry::window::{self, RetryWindows},
+};
 use citrongw_transport::{
     http_client::{self, HttpClient},
     http_server::{self, HttpServer, ServerOptions},
 };
 use tokio::{
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    time::{sleep, timeout},
 };
 use viz::{Request, Response, ResponseExt, Router};
 
@@ -33,8 +36,6 @@
     settings::Settings,
 };
 
-/// Pause between two ticks of the retry budget.
-const BUDGET_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a stop leaves between its last answers and the end of the grace.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// Longest time that a caller's connection may stay idle: above what the
@@ -56,8 +57,8 @@
     pub world: Arc<World>,
     /// Client of the backend servers.
     pub http: HttpClient,
-    /// Budget of all retries.
-    pub retries: RetryBudget,
+    /// Budgets of retries.
+    pub retries: RetryWindows,
     /// Requests of the other gateways.
     pub board: Arc<LoadBoard>,
     /// The other gateways.
@@ -99,6 +100,7 @@
     let clock = clock::open();
     let world = Arc::new(feed::open());
     let node = NodeId(rand::random());
+    let retries = window::open(settings.retries);
     let gateway = Arc::new(Gateway {
         node,
         board: Arc::default(),
@@ -108,7 +110,7 @@
         adapter,
         world,
         http: http_client::open(),
-        retries: RetryBudget::default(),
+        retries,
         metrics: metrics::open(),
         stopping: AtomicBool::new(false),
         traffic: AtomicBool::new(false),
@@ -136,7 +138,6 @@
     drivers.extend(peers::spawn(&gateway.peers, store, addr, hear));
     drivers.push(control::driver::spawn(&gateway));
     drivers.push(tokio::spawn(load_board::tell(Arc::clone(&gateway))));
-    drivers.push(tokio::spawn(tick_budget(Arc::clone(&gateway))));
     tracing::info!(
         node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
         callers = %addr, "started"
@@ -157,15 +158,6 @@
     })
 }
 
-async fn tick_budget(gateway: Arc<Gateway>) {
-    let mut ticks = interval(BUDGET_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        gateway.retries.tick(BUDGET_INTERVAL);
-    }
-}
-
 impl Node {
     /// What its parts share.
     pub fn gateway(&self) -> &Arc<Gateway> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -56,6 +56,8 @@
 /// Pause between two doubts of one replica: its owner has asked its members by
 /// then.
 const DOUBT_INTERVAL: Duration = Duration::from_millis(400);
+/// Gateways assumed until the list tells: about the largest installation so far.
+const UNKNOWN_COUNT: usize = 128;
 /// Doubts that wait for the control of one domain; more say nothing new.
 const MAX_QUEUED_DOUBTS: usize = 16;
 
@@ -152,6 +154,13 @@
         true
     }
 
+    /// Gateways that share what is bounded for all together. Until this one finds
+    /// itself in the list, it does not know and assumes many.
+    pub fn count(&self) -> usize {
+        let live = self.live.load();
+        if live.nodes.contains_key(&self.node) { live.nodes.len() } else { UNKNOWN_COUNT }
+    }
+
     /// Whether this gateway reads the list of instances for all: the owner of
     /// the first domain does.
     pub fn is_reader(&self) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -64,6 +64,7 @@
             return Ok(refusal.into_response(request));
         }
     };
+    gateway.retries.add_request(&call.service, gateway.clock.now());
     let version = gateway.world.directory.load().as_ref().map(|it| it.version);
     let mut log = RequestLog::open(&call, gateway.clock, version, &gateway.metrics);
     let mut attempts = Attempts::default();
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -85,15 +85,16 @@
             expected: Duration::ZERO,
             deadline: call.deadline(),
         };
-        let decision =
-            retry::decide(&attempt, &gateway.retries, gateway.clock.now(), rand::random());
+        let now = gateway.clock.now();
+        let budget = gateway.retries.of(&call.service, gateway.peers.count(), now);
+        let decision = retry::decide(&attempt, &budget, now, rand::random());
         let server = self.tried.last();
         match decision {
             Ok(pause) => {
                 tracing::info!(
                     request = %call.request, attempt = call.meta.attempt, server = server.map(InstanceId::as_str),
                     cause = %failed.cause, attempts = self.tried.len(),
-                    budget = gateway.retries.attempts_left(), "request is sent again"
+                    budget = budget.left(), "request is sent again"
                 );
                 sleep(pause).await;
                 Ok(())
@@ -102,7 +103,7 @@
                 tracing::info!(
                     request = %call.request, attempt = call.meta.attempt, server = server.map(InstanceId::as_str),
                     cause = %failed.cause, attempts = self.tried.len(), %reason,
-                    budget = gateway.retries.attempts_left(), "request is not sent again"
+                    budget = budget.left(), "request is not sent again"
                 );
                 Err(self.refusal(code_of(failed.cause)))
             }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -64,7 +64,6 @@
                 continue;
             }
             Ok(whole) => {
-                gateway.retries.add_success();
                 return Ok(respond(call, whole));
             }
             Err(failed) => failed,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -75,7 +75,6 @@
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => {
-                relay.gateway.retries.add_success();
                 relay.log.end_with_status(200, &relay.attempts);
                 None
             }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,10 +6,10 @@
     error::{NodeError, Result, could_not},
     settings::reader::{self, Fault, Reader},
 };
-use citrongw_state::id::AvailabilityZone;
+use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
 
 /// Settings of one gateway.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Name, for logs.
     pub name: String,
@@ -35,6 +35,8 @@
     pub balancer_lag: Duration,
     /// Time after the request to stop by which the process has to end.
     pub grace: Duration,
+    /// Limits of retries, for all gateways together.
+    pub retries: RetryLimits,
     /// Connections of callers at once, at most.
     pub max_connections: usize,
     /// What is logged.
@@ -78,10 +80,29 @@
         stall_time: stall + STALL_MARGIN,
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_millis(2_500)),
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
+        retries: read_retries(reader),
         max_connections: reader.count("callers", "max-connections", 1_024),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
 
+/// Retries for each request, unless the platform names a figure: one in ten, as
+/// the node's own budget has it.
+const DEFAULT_RATIO: f64 = 0.1;
+/// Retries beside that in a window, unless the platform names a figure.
+const DEFAULT_SLACK: f64 = 10.0;
+/// Window, unless the platform names one.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
+
+fn read_retries(reader: &mut Reader<'_>) -> RetryLimits {
+    let mut number = |key, default| {
+        let parse = |it: &str| it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it);
+        reader.optional("retries", key, "a number from 0", parse).unwrap_or(default)
+    };
+    let (ratio, slack) = (number("ratio", DEFAULT_RATIO), number("slack", DEFAULT_SLACK));
+    let window = reader.positive_duration("retries", "window", DEFAULT_WINDOW);
+    RetryLimits { ratio, slack, window }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/retry.rs
+++ b/crates/state/src/retry.rs
@@ -8,6 +8,8 @@
 //! marked with its number; a layer that receives a marked attempt answers its
 //! failure back and leaves the retry to the first one.
 
+pub mod window;
+
 use std::{
     sync::atomic::{AtomicI64, Ordering},
     time::Duration,
@@ -84,6 +86,18 @@
     }
 }
 
+/// Budget that retries are paid from.
+pub trait PayRetry {
+    /// Pays for one attempt, if there is enough.
+    fn pay(&self) -> bool;
+}
+
+impl PayRetry for RetryBudget {
+    fn pay(&self) -> bool {
+        self.take()
+    }
+}
+
 /// How far a failed attempt came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reached {
@@ -141,7 +155,7 @@
 /// to make first. `random` spreads the pauses.
 pub fn decide(
     failed: &FailedAttempt,
-    budget: &RetryBudget,
+    budget: &impl PayRetry,
     now: Time,
     random: u64,
 ) -> Result<Duration, NoRetry> {
@@ -160,7 +174,7 @@
     if failed.deadline <= now + pause + failed.expected {
         return Err(NoRetry::DeadlineTooNear);
     }
-    if !budget.take() {
+    if !budget.pay() {
         return Err(NoRetry::BudgetSpent);
     }
     Ok(pause)
