Part the driver of a domain, and drop what nothing reads

The lease of an owner, the look for domains without one and the check for sleep have files of their own. Bounds, times and counts that were decoded and never used are gone; the log lines that were dropped are on the metrics page.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -14,15 +14,6 @@
     instance::{InstanceEntry, InstanceReport},
 };
 
-/// Tokens that a request announces.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct TokenCounts {
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Tokens of the answer, at most.
-    pub max_output: u32,
-}
-
 /// What a caller's request says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct RequestMeta {
@@ -34,8 +25,6 @@
     pub api_key: Option<String>,
     /// Model asked for.
     pub model: Option<ModelId>,
-    /// Size of the request.
-    pub tokens: TokenCounts,
     /// Last event that the caller has of a stream that it resumes.
     pub last_event: Option<u64>,
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -7,10 +7,13 @@
 //! of an earlier owner, or one that is carried out late, does no harm.
 //! [`step`] decides, [`driver`] feeds it.
 
-pub mod driver;
+pub(crate) mod campaign;
+mod driver;
 pub mod layout;
+mod lease;
 pub mod loads;
 mod ownership;
 pub mod plan;
 mod reports;
 pub mod step;
+mod wakefulness;
--- /dev/null
+++ b/crates/gateway/src/control/campaign.rs
@@ -0,0 +1,76 @@
+//! How domains without an owner come to this node.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use citrongw_state::id::NodeId;
+use tokio::{task::JoinHandle, time::sleep};
+
+use super::{
+    driver::Control,
+    ownership::{self, Vacancies},
+    plan::DomainKey,
+};
+use crate::node::Gateway;
+
+/// Pause between two looks at which domains have no owner.
+const CAMPAIGN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Spawns the control of all domains that come to this node.
+pub(crate) fn spawn(gateway: &Arc<Gateway>) -> JoinHandle<()> {
+    tokio::spawn(campaign(Arc::clone(gateway)))
+}
+
+/// Reaches for domains without an owner.
+async fn campaign(gateway: Arc<Gateway>) {
+    let mut domains: BTreeMap<DomainKey, JoinHandle<()>> = BTreeMap::new();
+    let mut vacancies = Vacancies::default();
+    loop {
+        sleep(CAMPAIGN_INTERVAL).await;
+        domains.retain(|_, task| !task.is_finished());
+        let listed = listed_domains(&gateway);
+        if listed.is_empty() || gateway.is_stopping() {
+            continue;
+        }
+        let live = gateway.peers.live();
+        // Before that, its picture of the others is as unfinished.
+        if !live.nodes.contains_key(&gateway.node) {
+            continue;
+        }
+        let nodes: Vec<NodeId> = live.nodes.keys().copied().collect();
+        let free: BTreeSet<DomainKey> = listed
+            .into_iter()
+            .filter(|it| !live.owners.contains_key(&it.owner_key()) && !domains.contains_key(it))
+            .collect();
+        for domain in vacancies.due(&free, gateway.node, &nodes, gateway.clock.now()) {
+            let asked_at = gateway.clock.now();
+            match ownership::acquire(&*gateway.adapter.store, &domain, gateway.node).await {
+                Ok(Some(lease)) => {
+                    tracing::info!(%domain, node = %gateway.node, "owns a domain");
+                    let control = Control::new(&gateway, domain.clone(), lease, asked_at);
+                    domains.insert(domain, tokio::spawn(control.run()));
+                }
+                Ok(None) => {}
+                Err(error) => tracing::info!(%domain, %error, "could not take hold of a domain"),
+            }
+        }
+    }
+}
+
+/// Domains of all engines that the platform lists instances of.
+pub(super) fn listed_domains(gateway: &Gateway) -> BTreeSet<DomainKey> {
+    let Some(directory) = gateway.world.directory.load_full() else { return BTreeSet::new() };
+    let instances = gateway.world.instances.load();
+    let of_engine = instances.instances.values().filter(|it| {
+        directory.services.get(&it.entry.service).is_some_and(|it| it.engine.is_some())
+    });
+    of_engine
+        .filter_map(|it| {
+            let (service, domain) = (it.entry.service.clone(), it.entry.domain.clone()?);
+            Some(DomainKey { service, domain })
+        })
+        .collect()
+}
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -1,34 +1,29 @@
-//! Feeds the control of the domains that this node owns.
+//! Feeds the control of one domain while this node owns it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashSet},
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::{Duration, SystemTime},
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use citrongw_protocol::store::{
     Change, Expected, LeaseId, StoreError, StoreResult, Write, WriteResult,
 };
 use citrongw_state::{
-    id::{AttemptId, Epoch, Incarnation, InstanceId, NodeId, ReplicaId, Revision},
+    id::{AttemptId, Epoch, Incarnation, InstanceId, ReplicaId, Revision},
     time::Time,
 };
 use tokio::{
     sync::mpsc,
-    task::{JoinHandle, JoinSet},
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, timeout},
 };
 
 use super::{
+    campaign::listed_domains,
+    lease::{self, HeldLease},
     loads::LoadBudget,
-    ownership::{self, LEASE_TIME, Vacancies},
     plan::{DomainKey, DomainPlan},
     reports::Reports,
     step::{self, Hosts, Memory, Rules},
+    wakefulness::Wakefulness,
 };
 use crate::{
     adapter::{CallError, Order, OrderReply},
@@ -41,77 +36,12 @@
     },
 };
 
-/// Pause between two looks at which domains have no owner.
-const CAMPAIGN_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two steps of a domain without news.
 const STEP_INTERVAL: Duration = Duration::from_millis(50);
-/// Pause between two renewals of a lease: a third of its time.
-const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for one question to an instance. Answers take milliseconds.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest time for the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
-/// Delay of a step, or step of the time of day, from which on this process is
-/// taken to have slept.
-const SLEPT: Duration = Duration::from_millis(600);
-/// Part of a lease that is kept as margin for differing clocks.
-const LEASE_MARGIN: Duration = Duration::from_millis(200);
-
-/// Spawns the control of all domains that come to this node.
-pub(crate) fn spawn(gateway: &Arc<Gateway>) -> JoinHandle<()> {
-    tokio::spawn(campaign(Arc::clone(gateway)))
-}
-
-/// Reaches for domains without an owner.
-async fn campaign(gateway: Arc<Gateway>) {
-    let mut domains: BTreeMap<DomainKey, JoinHandle<()>> = BTreeMap::new();
-    let mut vacancies = Vacancies::default();
-    loop {
-        sleep(CAMPAIGN_INTERVAL).await;
-        domains.retain(|_, task| !task.is_finished());
-        let listed = listed_domains(&gateway);
-        if listed.is_empty() || gateway.is_stopping() {
-            continue;
-        }
-        let live = gateway.peers.live();
-        // Before that, its picture of the others is as unfinished.
-        if !live.nodes.contains_key(&gateway.node) {
-            continue;
-        }
-        let nodes: Vec<NodeId> = live.nodes.keys().copied().collect();
-        let free: BTreeSet<DomainKey> = listed
-            .into_iter()
-            .filter(|it| !live.owners.contains_key(&it.owner_key()) && !domains.contains_key(it))
-            .collect();
-        for domain in vacancies.due(&free, gateway.node, &nodes, gateway.clock.now()) {
-            let asked_at = gateway.clock.now();
-            match ownership::acquire(&*gateway.adapter.store, &domain, gateway.node).await {
-                Ok(Some(lease)) => {
-                    tracing::info!(%domain, node = %gateway.node, "owns a domain");
-                    let control = Control::new(&gateway, domain.clone(), lease, asked_at);
-                    domains.insert(domain, tokio::spawn(control.run()));
-                }
-                Ok(None) => {}
-                Err(error) => tracing::info!(%domain, %error, "could not take hold of a domain"),
-            }
-        }
-    }
-}
-
-/// Domains of all engines that the platform lists instances of.
-fn listed_domains(gateway: &Gateway) -> BTreeSet<DomainKey> {
-    let Some(directory) = gateway.world.directory.load_full() else { return BTreeSet::new() };
-    let instances = gateway.world.instances.load();
-    let of_engine = instances.instances.values().filter(|it| {
-        directory.services.get(&it.entry.service).is_some_and(|it| it.engine.is_some())
-    });
-    of_engine
-        .filter_map(|it| {
-            let (service, domain) = (it.entry.service.clone(), it.entry.domain.clone()?);
-            Some(DomainKey { service, domain })
-        })
-        .collect()
-}
 
 /// What a task of the domain came back with.
 enum Outcome {
@@ -129,12 +59,10 @@
 }
 
 /// Control of one domain while this node owns it.
-struct Control {
+pub(super) struct Control {
     gateway: Arc<Gateway>,
     domain: DomainKey,
-    lease: LeaseId,
-    /// Until when the lease holds, in milliseconds of this node's clock.
-    held_until_ms: Arc<AtomicU64>,
+    lease: HeldLease,
     plan: Option<(DomainPlan, Revision)>,
     /// Whether no record stood when this node took the domain over.
     is_first: bool,
@@ -149,14 +77,18 @@
 }
 
 impl Control {
-    fn new(gateway: &Arc<Gateway>, domain: DomainKey, lease: LeaseId, asked_at: Time) -> Self {
-        let held_until_ms = Arc::new(AtomicU64::new(millis(held_until(asked_at))));
+    pub(super) fn new(
+        gateway: &Arc<Gateway>,
+        domain: DomainKey,
+        lease: LeaseId,
+        asked_at: Time,
+    ) -> Self {
+        let lease = lease::hold(lease, &gateway.adapter.store, gateway.clock, asked_at);
         let doubts_rx = gateway.peers.own(&domain);
         Self {
             gateway: Arc::clone(gateway),
             domain,
             lease,
-            held_until_ms,
             plan: None,
             is_first: false,
             memory: Memory::default(),
@@ -169,12 +101,7 @@
     }
 
     /// Controls the domain until its lease is lost.
-    async fn run(mut self) {
-        let renewal = tokio::spawn(renew(
-            Arc::clone(&self.gateway),
-            self.lease,
-            Arc::clone(&self.held_until_ms),
-        ));
+    pub(super) async fn run(mut self) {
         let mut ticks = interval(STEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut wakefulness = Wakefulness::new(self.gateway.clock.now());
@@ -191,14 +118,14 @@
                 },
             };
             let now = self.gateway.clock.now();
-            if wakefulness.has_slept(now) {
+            if wakefulness.has_slept(now, STEP_INTERVAL) {
                 tracing::warn!(domain = %self.domain, "process slept; silence of instances is forgiven");
                 self.reports.forgive();
-                if self.confirm_lease().await.is_err() {
+                if self.lease.confirm().await.is_err() {
                     break;
                 }
             }
-            if self.held_until() <= self.gateway.clock.now() || self.gateway.is_stopping() {
+            if !self.lease.holds() || self.gateway.is_stopping() {
                 break;
             }
             if changed && let Err(error) = self.step().await {
@@ -206,29 +133,20 @@
                 self.plan = None;
             }
         }
-        renewal.abort();
         self.gateway.peers.disown(&self.domain);
         tracing::info!(domain = %self.domain, node = %self.gateway.node, "no longer owns a domain");
         if self.gateway.is_stopping() {
             // Ends sooner than by itself, so that another node takes over.
-            let end = self.gateway.adapter.store.end_lease(self.lease);
-            if let Ok(Err(error)) = timeout(ORDER_TIMEOUT, end).await {
-                tracing::info!(domain = %self.domain, %error, "could not end a lease");
+            match timeout(ORDER_TIMEOUT, self.lease.end()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => {
+                    tracing::info!(domain = %self.domain, %error, "could not end a lease");
+                }
+                Err(_) => tracing::info!(domain = %self.domain, "end of a lease was not answered"),
             }
         }
     }
 
-    fn held_until(&self) -> Time {
-        Time::from_millis(self.held_until_ms.load(Ordering::Relaxed))
-    }
-
-    async fn confirm_lease(&self) -> StoreResult<()> {
-        let asked_at = self.gateway.clock.now();
-        self.gateway.adapter.store.renew_lease(self.lease).await?;
-        self.held_until_ms.store(millis(held_until(asked_at)), Ordering::Relaxed);
-        Ok(())
-    }
-
     /// Takes in what a task brought. True if a step is due.
     fn take_in(&mut self, outcome: Outcome) -> bool {
         match outcome {
@@ -296,7 +214,7 @@
         }
         let now = gateway.clock.now();
         // The write may have taken long.
-        if self.held_until() <= now {
+        if !self.lease.holds() {
             return Ok(());
         }
         self.tell_peers(&hosts);
@@ -433,48 +351,3 @@
         }
     }
 }
-
-/// Renews a lease until it is lost.
-async fn renew(gateway: Arc<Gateway>, lease: LeaseId, held_until_ms: Arc<AtomicU64>) {
-    loop {
-        sleep(RENEW_INTERVAL).await;
-        let asked_at = gateway.clock.now();
-        match timeout(RENEW_INTERVAL, gateway.adapter.store.renew_lease(lease)).await {
-            Ok(Ok(())) => {
-                held_until_ms.fetch_max(millis(held_until(asked_at)), Ordering::Relaxed);
-            }
-            Ok(Err(error)) => tracing::info!(%error, %lease, "could not renew a lease"),
-            Err(_) => tracing::info!(%lease, "renewal of a lease was not answered"),
-        }
-    }
-}
-
-fn held_until(asked_at: Time) -> Time {
-    asked_at + LEASE_TIME - LEASE_MARGIN
-}
-
-fn millis(time: Time) -> u64 {
-    u64::try_from(time.0.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Tells whether this process did not run for a while: its steps come late, or
-/// the time of day went on without its clock.
-struct Wakefulness {
-    stepped_at: Time,
-    time_of_day: SystemTime,
-}
-
-impl Wakefulness {
-    fn new(now: Time) -> Self {
-        Self { stepped_at: now, time_of_day: SystemTime::now() }
-    }
-
-    fn has_slept(&mut self, now: Time) -> bool {
-        let passed = now.since(self.stepped_at);
-        let time_of_day = SystemTime::now();
-        // A time of day that was set back says nothing of sleep.
-        let passed_of_day = time_of_day.duration_since(self.time_of_day).unwrap_or(passed);
-        (self.stepped_at, self.time_of_day) = (now, time_of_day);
-        STEP_INTERVAL + SLEPT <= passed || passed + SLEPT <= passed_of_day
-    }
-}
--- a/crates/gateway/src/control/reports/tests.rs
+++ b/crates/gateway/src/control/reports/tests.rs
@@ -18,9 +18,6 @@
         incarnation: Some(Incarnation(incarnation)),
         staged: vec!["m".into()],
         membership,
-        busy: false,
-        running: 0,
-        waiting: 0,
     }
 }
 
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -139,23 +139,15 @@
     pub pace: f64,
     /// Share of the service's work.
     pub share: f64,
-    /// Time to load the weights from the weight store.
-    pub load_time: Duration,
-    /// Time to join with weights staged on the host.
-    pub warm_time: Duration,
 }
 
 /// Engine of a service whose replicas span several instances.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
-    /// Requests in the batch of a replica, at most.
-    pub batch_slots: u32,
     /// Models.
     pub models: Vec<ModelSpec>,
     /// Weight loads that may begin in a second, over all instances.
     pub loads_per_s: f64,
-    /// Weight loads that run at full speed at once.
-    pub loads_at_once: usize,
     /// Time from the order to open until a replica serves.
     pub open_time: Duration,
 }
@@ -185,19 +177,6 @@
     pub priority: Option<u8>,
 }
 
-/// Bounds of what callers may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limits {
-    /// Largest headers of a request.
-    pub max_header_bytes: usize,
-    /// Largest body of a request.
-    pub max_body_bytes: usize,
-    /// Longest time that headers may take.
-    pub header_timeout: Duration,
-    /// Longest time that a connection may stay idle.
-    pub idle_timeout: Duration,
-}
-
 /// One version of the configuration.
 #[derive(Debug, Clone)]
 pub struct Directory {
@@ -211,8 +190,8 @@
     pub services: HashMap<PlainServiceId, Arc<ServiceSpec>>,
     /// Holders of API keys; none if requests need no key.
     pub keys: Option<HashMap<String, Arc<KeyHolder>>>,
-    /// Bounds of requests.
-    pub limits: Limits,
+    /// Largest body of a request.
+    pub max_body_bytes: usize,
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -85,10 +85,4 @@
     pub staged: Vec<ModelId>,
     /// Its place in a replica.
     pub membership: Option<Membership>,
-    /// Whether an order is in progress.
-    pub busy: bool,
-    /// Requests in the batch.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
 }
--- a/crates/gateway/src/log.rs
+++ b/crates/gateway/src/log.rs
@@ -12,19 +12,17 @@
 const MAX_QUEUED_LINES: usize = 4_096;
 
 static FILTER: OnceLock<reload::Handle<EnvFilter, Registry>> = OnceLock::new();
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
 /// Running writer. Dropped, it writes what is queued and ends.
 #[derive(Debug)]
 pub struct Log {
     _guard: WorkerGuard,
-    dropped: ErrorCounter,
 }
 
-impl Log {
-    /// Lines that found the queue full so far.
-    pub fn dropped_lines(&self) -> usize {
-        self.dropped.dropped_lines()
-    }
+/// Lines that found the queue full so far.
+pub fn dropped_lines() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
 }
 
 /// Starts logging at a level such as `info`.
@@ -38,8 +36,9 @@
     // A second start in one process, as tests make it, keeps the first.
     if opened.is_ok() {
         let _ = FILTER.set(handle);
+        let _ = DROPPED.set(dropped);
     }
-    Log { _guard: guard, dropped }
+    Log { _guard: guard }
 }
 
 /// Changes the level of the running process.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,10 +5,12 @@
 use citrongw_protocol::code::ResultCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
-    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
 
+use crate::log;
+
 /// Upper bounds of request times, in seconds.
 const BUCKETS_S: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0];
 
@@ -38,6 +40,7 @@
     refusals: Family<CodeLabels, Counter>,
     request_time: Times,
     first_event_time: Times,
+    log_lines_dropped: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -65,7 +68,20 @@
         Unit::Seconds,
         first_event_time.clone(),
     );
-    Metrics { registry: Arc::new(registry), requests, refusals, request_time, first_event_time }
+    let log_lines_dropped = Gauge::default();
+    registry.register(
+        "log_lines_dropped",
+        "Log lines that found the queue to the writer full",
+        log_lines_dropped.clone(),
+    );
+    Metrics {
+        registry: Arc::new(registry),
+        requests,
+        refusals,
+        request_time,
+        first_event_time,
+        log_lines_dropped,
+    }
 }
 
 impl Metrics {
@@ -93,6 +109,8 @@
 
     /// The page.
     pub fn page(&self) -> String {
+        let dropped = i64::try_from(log::dropped_lines()).unwrap_or(i64::MAX);
+        self.log_lines_dropped.set(dropped);
         let mut page = String::new();
         if let Err(error) = text::encode(&mut page, &self.registry) {
             tracing::error!(%error, "could not write the metrics");
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -136,7 +136,7 @@
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     drivers.extend(peers::spawn(&gateway.peers, store, addr, hear));
-    drivers.push(control::driver::spawn(&gateway));
+    drivers.push(control::campaign::spawn(&gateway));
     drivers.push(tokio::spawn(load_board::tell(Arc::clone(&gateway))));
     tracing::info!(
         node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,7 +1,7 @@
 //! What gateways tell each other. All of it is a hint that saves time: the
 //! platform's list of instances says the same a little later.
 
-use citrongw_state::id::{Epoch, FabricDomainId, InstanceId, PlainServiceId, ReplicaId};
+use citrongw_state::id::{Epoch, FabricDomainId, InstanceId, ModelId, PlainServiceId, ReplicaId};
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
 
@@ -42,7 +42,7 @@
     /// The service.
     pub service: PlainServiceId,
     /// Model that it serves.
-    pub model: citrongw_state::id::ModelId,
+    pub model: ModelId,
     /// The replica.
     pub replica: ReplicaId,
     /// Its epoch.
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -113,7 +113,7 @@
     meta.api_key = None;
     let target = route.pick_target(rand::random()).ok_or(ResultCode::NoReplica)?;
     let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
-    let read = Limited::new(body, directory.limits.max_body_bytes).collect();
+    let read = Limited::new(body, directory.max_body_bytes).collect();
     let body = match tokio::time::timeout(timeout, read).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::time::Time;
+use citrongw_transport::http_client::PooledBody;
 use futures::stream;
 use http_body_util::BodyExt;
 use tokio::time::{sleep_until, timeout_at};
@@ -24,7 +25,10 @@
     refuse::Refusal,
     send::{self, Answer, Cause, Failed},
 };
-use crate::{fleet::Backend, node::Gateway};
+use crate::{
+    fleet::{Backend, InFlight},
+    node::Gateway,
+};
 
 /// Silence of a server, as a multiple of the expected pause between events,
 /// after which a stream goes on elsewhere.
@@ -95,12 +99,12 @@
 
 /// Where events come from.
 struct Source {
-    body: citrongw_transport::http_client::PooledBody,
+    body: PooledBody,
     splitter: EventSplitter,
     /// Event that was read before the answer was passed on.
     first: Option<Event>,
     backend: Arc<Backend>,
-    _in_flight: crate::fleet::InFlight,
+    _in_flight: InFlight,
 }
 
 /// Sends the request until a server has brought its first event.
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -8,30 +8,17 @@
 };
 
 use crate::{
-    directory::{Directory, EngineSpec, Limits, ModelSpec, RouteTable, ServiceSpec},
+    directory::{Directory, EngineSpec, ModelSpec, RouteTable, ServiceSpec},
     instance::{InstanceEntry, MemberState, Membership},
     instance_book::{InstancesView, KnownInstance},
 };
 
 pub(crate) fn model(name: &str, size: usize, pace: f64, share: f64) -> ModelSpec {
-    ModelSpec {
-        model: name.into(),
-        size,
-        pace,
-        share,
-        load_time: Duration::from_secs(16),
-        warm_time: Duration::from_secs(2),
-    }
+    ModelSpec { model: name.into(), size, pace, share }
 }
 
 pub(crate) fn engine(models: Vec<ModelSpec>) -> EngineSpec {
-    EngineSpec {
-        batch_slots: 8,
-        models,
-        loads_per_s: 10.0,
-        loads_at_once: 8,
-        open_time: Duration::from_millis(300),
-    }
+    EngineSpec { models, loads_per_s: 10.0, open_time: Duration::from_millis(300) }
 }
 
 pub(crate) fn directory(engine: EngineSpec) -> Directory {
@@ -44,12 +31,7 @@
         routes: RouteTable::default(),
         services: HashMap::from(services),
         keys: None,
-        limits: Limits {
-            max_header_bytes: 1024,
-            max_body_bytes: 1024,
-            header_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(1),
-        },
+        max_body_bytes: 1024,
     }
 }
 
