--- a/crates/gateway/src/control/ownership.rs
+++ b/crates/gateway/src/control/ownership.rs
@@ -79,3 +79,6 @@
         WriteResult::Conflict(_) => Ok(None),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/control/ownership/tests.rs
@@ -0,0 +1,47 @@
+use citrongw_fakes::kv::mem;
+
+use super::*;
+
+fn domain(name: &str) -> DomainKey {
+    DomainKey { service: "engine".into(), domain: name.into() }
+}
+
+#[test]
+fn suggested_node_reaches_first_and_the_others_after_a_wait() {
+    let free = BTreeSet::from([domain("d")]);
+    let nodes = [NodeId(1), NodeId(2), NodeId(3)];
+    let reaches = |node: NodeId, at: Time| {
+        let mut vacancies = Vacancies::default();
+        vacancies.due(&free, node, &nodes, Time::START);
+        !vacancies.due(&free, node, &nodes, at).is_empty()
+            || suggested(&domain("d"), &nodes) == Some(node)
+    };
+    let now = Time::START + Duration::from_millis(1);
+    assert_eq!(nodes.iter().filter(|it| reaches(**it, now)).count(), 1);
+    let later = Time::START + OTHERS_WAIT + Duration::from_millis(MAX_JITTER_MS);
+    assert_eq!(nodes.iter().filter(|it| reaches(**it, later)).count(), 3);
+}
+
+#[test]
+fn domain_is_reached_for_once_until_the_list_can_tell() {
+    let free = BTreeSet::from([domain("d")]);
+    let mut vacancies = Vacancies::default();
+    let mut due = |at| vacancies.due(&free, NodeId(1), &[NodeId(1)], at).len();
+    assert_eq!(due(Time::START), 1);
+    assert_eq!(due(Time::from_millis(100)), 0);
+    assert_eq!(due(Time::START + NEXT_WAIT), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_node_owns_a_domain_until_its_lease_lapses() {
+    let store = mem::open();
+    let acquire = |node| acquire_at(&store, node);
+    assert!(acquire(1).await.is_some());
+    assert!(acquire(2).await.is_none());
+    tokio::time::sleep(LEASE_TIME).await;
+    assert!(acquire(2).await.is_some());
+}
+
+async fn acquire_at(store: &mem::MemStore, node: u64) -> Option<LeaseId> {
+    acquire(store, &domain("d"), NodeId(node)).await.unwrap()
+}
--- a/crates/gateway/src/control/wakefulness.rs
+++ b/crates/gateway/src/control/wakefulness.rs
@@ -30,3 +30,6 @@
         expected + SLEPT <= passed || passed + SLEPT <= passed_of_day
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,1 +1,101 @@
+use std::net::Ipv4Addr;
 
+use citrongw_coordination::clock;
+use citrongw_fakes::kv::mem::{self, Fault};
+use citrongw_state::id::InstanceId;
+
+use super::*;
+
+fn domain() -> DomainKey {
+    DomainKey { service: "engine".into(), domain: "d".into() }
+}
+
+fn entry(key: &str, value: &str) -> Entry {
+    Entry {
+        key: key.into(),
+        value: Bytes::from(value.to_owned()),
+        revision: citrongw_state::id::Revision(1),
+    }
+}
+
+#[test]
+fn list_names_gateways_and_owners_and_skips_what_it_cannot_read() {
+    let live = decode(&[
+        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9"),
+        entry("citrongw/live/node/0000000000000002", "nowhere"),
+        entry("citrongw/live/owner/engine/d", "0000000000000001"),
+        entry("citrongw/live/owner/engine/e", ""),
+        entry("citrongw/live/else", "x"),
+    ]);
+    assert_eq!(live.nodes.keys().copied().collect::<Vec<_>>(), [NodeId(1)]);
+    assert_eq!(live.owners.get(&domain().owner_key()), Some(&NodeId(1)));
+    assert_eq!(live.owners.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn first_gateway_draws_the_secret_and_all_read_the_same() {
+    let store = mem::open();
+    let first = read_secret(&store).await.unwrap();
+    assert_eq!(first.len(), SECRET_CHARS);
+    assert_eq!(read_secret(&store).await.unwrap(), first);
+    store.set_fault(Fault::Down);
+    assert!(read_secret(&store).await.is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn gateway_that_ended_is_no_longer_listed_after_its_lease() {
+    let store = mem::open();
+    let peers = Arc::new(open(NodeId(1), clock::open()));
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    let shared: Arc<dyn Store> = Arc::new(store.clone());
+    let task = tokio::spawn(list_self(Arc::clone(&peers), shared, addr));
+    let listed = || store.inspect(|core| core.list(&NODE_PREFIX.into()).entries.len());
+    tokio::time::sleep(NODE_LEASE_TIME * 3).await;
+    assert_eq!(listed(), 1, "renewed all the while");
+    task.abort();
+    tokio::time::sleep(NODE_LEASE_TIME * 2).await;
+    assert_eq!(listed(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn doubts_of_an_owned_domain_stay_here_and_are_not_repeated() {
+    let peers = Arc::new(open(NodeId(1), clock::open()));
+    let mut doubts_rx = peers.own(&domain());
+    let replica = (ReplicaId(7), Epoch(1));
+    peers.doubt(&domain(), replica);
+    peers.doubt(&domain(), replica);
+    assert_eq!(doubts_rx.try_recv(), Ok(replica));
+    assert!(doubts_rx.try_recv().is_err());
+    tokio::time::sleep(DOUBT_INTERVAL).await;
+    peers.doubt(&domain(), replica);
+    assert_eq!(doubts_rx.try_recv(), Ok(replica));
+    peers.disown(&domain());
+    assert!(!peers.hear_doubt(&domain(), replica));
+}
+
+#[tokio::test]
+async fn word_of_one_gateway_reaches_the_others() {
+    let store: Arc<dyn Store> = Arc::new(mem::open());
+    let bind = async |node| {
+        let peers = Arc::new(open(NodeId(node), clock::open()));
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let endpoint = super::bind(&peers, &*store, any).await.unwrap();
+        let addr = endpoint.local_addr().unwrap();
+        (peers, endpoint, addr)
+    };
+    let (from, sending, own_addr) = bind(1).await;
+    let (_to, receiving, addr) = bind(2).await;
+    let nodes = BTreeMap::from([(NodeId(1), own_addr), (NodeId(2), addr)]);
+    from.live.store(Arc::new(Live { nodes, ..Live::default() }));
+    from.endpoint.set(sending).unwrap();
+    let message = PeerMessage::Up(message::OpenReplica {
+        service: "engine".into(),
+        model: "m".into(),
+        replica: ReplicaId(7),
+        epoch: Epoch(1),
+        head: InstanceId::from("a"),
+    });
+    from.tell_all(&message).await;
+    let received = receiving.receive().await;
+    assert_eq!((received.from, received.message), (NodeId(1), message));
+}
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -57,3 +57,6 @@
         self.open.values().map(move |(open, at)| (open, LIST_TIME <= now.since(*at)))
     }
 }
+
+#[cfg(test)]
+mod tests;
