Wait for a silent server if there is no other to go to

A server's silence is no reason to end an answer.

Change: a stream that is only silent is left once another replica has begun, and waited for if none can. A request without its first event is waited for likewise.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -53,6 +53,22 @@
         gateway: &Gateway,
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
+        let chosen = self.choose(gateway, call);
+        let server = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
+        self.tried.push(server.id.clone());
+        Ok(server)
+    }
+
+    /// Whether a request that is being tried could go to another server.
+    pub(super) fn has_another(&self, gateway: &Gateway, call: &Call) -> bool {
+        let now = gateway.clock.now();
+        call.route.kind.may_rerun()
+            && self.sent + 1 < call.route.max_attempts
+            && 0 < gateway.retries.of(&call.service, gateway.peers.count(), now).left()
+            && self.choose(gateway, call).is_some()
+    }
+
+    fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Arc<Backend>> {
         let fleet = gateway.world.fleet.load();
         let wish = Wish {
             zone: &gateway.settings.zone,
@@ -60,10 +76,7 @@
             board: &gateway.board,
             now: gateway.clock.now(),
         };
-        let chosen = choose(call.servers(&fleet), &wish, rand::random);
-        let server = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
-        self.tried.push(server.id.clone());
-        Ok(server)
+        choose(call.servers(&fleet), &wish, rand::random)
     }
 
     /// Decides on another attempt after one failed; waits before it.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -72,6 +72,7 @@
         call,
         attempts,
         source,
+        must_wait: false,
         log,
     };
     let events = stream::unfold(Some(relay), |relay| async move {
@@ -116,7 +117,7 @@
 ) -> Result<Opened, Refusal> {
     loop {
         let server = attempts.next_server(gateway, call)?;
-        let failed = match open_at(gateway, call, &server, resume_after).await {
+        let failed = match open_at(gateway, call, &server, attempts, resume_after).await {
             Ok(Ok((parts, source))) => return Ok(Opened::Stream(parts, source)),
             Ok(Err(answer)) => {
                 let failed = Failed::may_have_run(Cause::ServerError);
@@ -137,11 +138,13 @@
 }
 
 /// Sends the request to one server and reads the first event. An answer that is
-/// not a stream is given back.
+/// not a stream is given back. A silent server is waited for if there is no other
+/// to go to.
 async fn open_at(
     gateway: &Gateway,
     call: &Call,
     server: &Arc<Backend>,
+    attempts: &Attempts,
     resume_after: Option<u64>,
 ) -> Result<Result<(http::response::Parts, Source), Answer>, Failed> {
     let sent_at = gateway.clock.now();
@@ -156,18 +159,23 @@
         source.first = source.read(gateway).await?;
         Ok(Ok((parts, source)))
     };
+    tokio::pin!(exchange);
+    let deadline = gateway.clock.instant(call.deadline());
     let patience = call.route.target_latency * SILENT_LATENCIES;
-    tokio::select! {
-        res = exchange => res,
-        () = sleep_until(gateway.clock.instant(call.deadline())) => {
-            Err(Failed::may_have_run(Cause::DeadlinePassed))
-        }
+    let cause = tokio::select! {
+        res = &mut exchange => return res,
+        () = sleep_until(deadline) => return Err(Failed::may_have_run(Cause::DeadlinePassed)),
         () = wait_for_silence(gateway, server, sent_at, patience) => {
             send::doubt(gateway, server, SILENT_PAUSE);
-            Err(Failed::may_have_run(Cause::Stalled))
+            Cause::Stalled
         }
-        () = server.stats.wait_until_down() => Err(Failed::may_have_run(Cause::ReplicaDown)),
+        () = server.stats.wait_until_down() => Cause::ReplicaDown,
+    };
+    if attempts.has_another(gateway, call) {
+        return Err(Failed::may_have_run(cause));
     }
+    let late = Err(Failed::may_have_run(Cause::DeadlinePassed));
+    timeout_at(deadline, exchange).await.unwrap_or(late)
 }
 
 /// Ends once a server has been silent to all of this node's requests for
@@ -211,6 +219,9 @@
     call: Arc<Call>,
     attempts: Attempts,
     source: Source,
+    /// Whether the source is waited for however silent it is, for there is no
+    /// other to go to.
+    must_wait: bool,
     last_event: Option<u64>,
     log: RequestLog,
 }
@@ -246,33 +257,45 @@
             res = timeout_at(deadline, self.source.read(&gateway)) => {
                 res.unwrap_or(Err(Failed::may_have_run(Cause::DeadlinePassed)))
             }
-            () = sleep_until(gateway.clock.instant(since + stuck)) => {
+            () = sleep_until(gateway.clock.instant(since + stuck)), if !self.must_wait => {
                 Err(Failed::may_have_run(Cause::Stalled))
             }
-            () = wait_for_silence(&gateway, &backend, since, patience) => {
+            () = wait_for_silence(&gateway, &backend, since, patience), if !self.must_wait => {
                 send::doubt(&gateway, &backend, SILENT_PAUSE);
                 Err(Failed::may_have_run(Cause::Stalled))
             }
-            () = backend.stats.wait_until_down() => {
+            () = backend.stats.wait_until_down(), if !self.must_wait => {
                 Err(Failed::may_have_run(Cause::ReplicaDown))
             }
         }
     }
 
-    /// Goes on at another replica after the last event that the caller has.
+    /// Goes on at another replica after the last event that the caller has. A
+    /// source that is only silent is kept until the other has begun, and waited for
+    /// if none does: silence alone is no reason to end an answer.
     async fn resume(&mut self, failed: Failed) -> Result<(), Cause> {
         if failed.cause == Cause::DeadlinePassed {
             return Err(failed.cause);
         }
         let (gateway, call) = (Arc::clone(&self.gateway), Arc::clone(&self.call));
+        let may_recover = matches!(failed.cause, Cause::Stalled | Cause::ReplicaDown);
+        if may_recover && !self.attempts.has_another(&gateway, &call) {
+            self.must_wait = true;
+            return Ok(());
+        }
         if self.attempts.retry(&gateway, &call, failed).await.is_err() {
-            return Err(failed.cause);
+            self.must_wait = true;
+            return if may_recover { Ok(()) } else { Err(failed.cause) };
         }
         match open(&gateway, &call, &mut self.attempts, self.last_event).await {
             Ok(Opened::Stream(_, source)) => {
                 self.source = source;
                 Ok(())
             }
+            Ok(Opened::Failure(_)) | Err(_) if may_recover => {
+                self.must_wait = true;
+                Ok(())
+            }
             Ok(Opened::Failure(_)) | Err(_) => Err(failed.cause),
         }
     }
