Read settings files in one place, and part the tests of a domain

The node and the gateway had a copy each of what reads a settings file and names its faults. The world that the tests of a domain play in has a file of its own.

--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -16,7 +16,7 @@
 use citrongw_coordination::control::context::ControlSettings;
 use citrongw_transport::{http_server::DEFAULT_MAX_CONNECTIONS, tls::TlsFiles};
 
-use crate::error::{NodeError, Result, could_not};
+use crate::error::Result;
 
 /// Settings of one node.
 #[derive(Debug, Clone)]
@@ -64,13 +64,7 @@
 
 /// Reads a settings file.
 pub fn open(path: &Path) -> Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| could_not("read settings", path.display(), error))?;
-    parse(&text).map_err(|faults| {
-        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        let message = format!("settings have faults: {}\n{}", path.display(), faults.join("\n"));
-        error_stack::Report::new(NodeError { message })
-    })
+    reader::load(path, parse)
 }
 
 /// Reads settings from text.
--- a/crates/citrongw/src/settings/reader.rs
+++ b/crates/citrongw/src/settings/reader.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     time::Duration,
 };
 
@@ -12,6 +12,7 @@
 use ini::Ini;
 
 use super::lines::{self, Entry, Line};
+use crate::error;
 
 const ADDR_ALLOWED: &str = "IP address and port";
 const DIGEST_ALLOWED: &str = "64 hexadecimal digits, from citrongwctl digest";
@@ -129,6 +130,17 @@
     pub key: &'a str,
 }
 
+/// Reads a settings file; an error names every fault.
+pub fn load<T>(path: &Path, parse: impl FnOnce(&str) -> Result<T, Vec<Fault>>) -> error::Result<T> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| error::could_not("read settings", path.display(), error))?;
+    parse(&text).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        let message = format!("settings have faults: {}\n{}", path.display(), faults.join("\n"));
+        error_stack::Report::new(error::NodeError { message })
+    })
+}
+
 /// Opens a reader.
 pub fn open<'a>(text: &str) -> Result<Reader<'a>, Vec<Fault>> {
     let ini = Ini::load_from_str(text).map_err(|error| {
--- /dev/null
+++ b/crates/gateway/src/control/step/tests/world.rs
@@ -0,0 +1,148 @@
+//! A domain whose instances carry out orders at once.
+
+use std::net::SocketAddr;
+
+use citrongw_state::id::{Incarnation, InstanceId};
+
+use super::*;
+use crate::testing::{engine, model};
+
+/// A domain whose instances carry out orders at once.
+pub(super) struct World {
+    pub(super) hosts: Hosts,
+    pub(super) plan: DomainPlan,
+    pub(super) memory: Memory,
+    pub(super) loads: LoadBudget,
+    pub(super) engine: EngineSpec,
+    pub(super) now: Time,
+    pub(super) next_replica: u64,
+    /// Orders given, in order.
+    pub(super) given: Vec<(String, Order)>,
+}
+
+pub(super) const STALL: Duration = Duration::from_secs(6);
+
+pub(super) fn open(hosts: usize) -> World {
+    let mut world = World {
+        hosts: Hosts::new(),
+        plan: DomainPlan::default(),
+        memory: Memory::default(),
+        loads: LoadBudget::open(Time::START, 100.0),
+        engine: engine(vec![model("l", 3, 1.0, 0.7), model("s", 2, 1.0, 0.3)]),
+        now: Time::START,
+        next_replica: 1,
+        given: Vec::new(),
+    };
+    for idx in 0..hosts {
+        world.add_host(&format!("h{idx}"), 1);
+    }
+    world
+}
+
+impl World {
+    pub(super) fn add_host(&mut self, id: &str, incarnation: u64) {
+        let host = Host {
+            id: id.into(),
+            incarnation: Incarnation(incarnation),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            liveness: Liveness::Alive,
+            leaving: false,
+            staged: Vec::new(),
+            membership: None,
+        };
+        self.hosts.insert(host.id.clone(), host);
+    }
+
+    pub(super) fn host(&mut self, id: &str) -> &mut Host {
+        self.hosts.get_mut(&InstanceId::from(id)).unwrap()
+    }
+
+    pub(super) fn step(&mut self) {
+        let rules = Rules { engine: &self.engine, stall_time: STALL };
+        let next_replica = &mut self.next_replica;
+        let draw = || {
+            *next_replica += 1;
+            ReplicaId(*next_replica)
+        };
+        let (memory, now) = (&mut self.memory, self.now);
+        if let Some(next) = next_plan(&self.plan, &self.hosts, &rules, memory, now, draw) {
+            self.plan = next;
+        }
+        self.loads.fill(self.now, 100.0, true);
+        let due = orders(&self.plan, &self.hosts, &rules, memory, &mut self.loads, now);
+        for (id, _, order) in due {
+            self.carry_out(id.as_str(), &order);
+            self.given.push((id.to_string(), order));
+        }
+        self.now = self.now + Duration::from_millis(1_300);
+    }
+
+    pub(super) fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.step();
+        }
+    }
+
+    fn carry_out(&mut self, id: &str, order: &Order) {
+        let host = self.host(id);
+        if host.liveness != Liveness::Alive {
+            return;
+        }
+        match order.clone() {
+            Order::Join { replica, epoch, model, members } => {
+                let rank = members.iter().position(|it| *it == host.id).unwrap();
+                let state = MemberState::Ready;
+                host.staged = vec![model];
+                host.membership = Some(Membership { replica: Some(replica), epoch, rank, state });
+            }
+            Order::Open { replica, epoch } => host.set_state(replica, epoch, MemberState::Open),
+            Order::Close { replica, epoch } => host.set_state(replica, epoch, MemberState::Closing),
+            Order::Leave { replica, epoch } => {
+                if host.membership.is_some_and(|it| it.is_of(replica, epoch)) {
+                    host.membership = None;
+                }
+                self.memory.add_released(replica, epoch);
+            }
+        }
+    }
+
+    /// Models of the replicas whose head is open and whose members all hold the
+    /// same list.
+    pub(super) fn open_models(&self) -> Vec<String> {
+        let is_whole = |replica: &&PlannedReplica| {
+            replica.members.iter().enumerate().all(|(rank, member)| {
+                find(&self.hosts, member).is_some_and(|host| {
+                    host.is_alive()
+                        && host.membership.is_some_and(|it| {
+                            it.is_of(replica.id, replica.epoch)
+                                && it.rank == rank
+                                && (rank != 0 || it.state == MemberState::Open)
+                        })
+                })
+            })
+        };
+        let mut models: Vec<String> =
+            self.plan.replicas.iter().filter(is_whole).map(|it| it.model.to_string()).collect();
+        models.sort();
+        models
+    }
+
+    pub(super) fn spares(&self) -> Vec<&Host> {
+        self.hosts.values().filter(|it| !self.plan.holds(&it.id)).collect()
+    }
+
+    pub(super) fn members(&self, model: &str) -> Vec<String> {
+        let replica = self.plan.replicas.iter().find(|it| it.model.as_str() == model).unwrap();
+        replica.members.iter().map(|it| it.instance.to_string()).collect()
+    }
+}
+
+impl Host {
+    fn set_state(&mut self, replica: ReplicaId, epoch: Epoch, state: MemberState) {
+        if let Some(membership) = &mut self.membership
+            && membership.is_of(replica, epoch)
+        {
+            membership.state = state;
+        }
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use citrongw::{
-    error::{NodeError, Result, could_not},
+    error::Result,
     settings::reader::{self, Fault, Reader},
 };
 use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
@@ -45,13 +45,7 @@
 
 /// Reads a settings file.
 pub fn open(path: &Path) -> Result<Settings> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| could_not("read settings", path.display(), error))?;
-    parse(&text).map_err(|faults| {
-        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-        let message = format!("settings have faults: {}\n{}", path.display(), faults.join("\n"));
-        error_stack::Report::new(NodeError { message })
-    })
+    reader::load(path, parse)
 }
 
 /// Reads settings from text.
