--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -260,7 +260,7 @@
         }
         self.told_up = up;
         for message in messages {
-            tracing::info!(domain = %self.domain, ?message, "replica changed");
+            tracing::info!(domain = %self.domain, change = ?message, "replica changed");
             self.gateway.world.hear(&message, self.gateway.clock.now());
             let peers = Arc::clone(&self.gateway.peers);
             tokio::spawn(async move { peers.tell_all(&message).await });
