Pass large bodies on as they arrive, count store calls, and log what a choice went by

Bodies were held whole, up to the operators' bound in and 8 MB out. Store calls were reckoned by cause, not counted. A request's line did not tell the load that its server was chosen by, nor that load's age. The settings of a gateway were checked by the adapter's program.

Change: 64 KB of a body are held both ways; what is longer is passed on as it comes, and a request whose body has left is not sent again. A client of the store counts calls by subject, call and outcome, as a metric and as a line every 20 s. The line of a request names server, load, age of the load and the runner up.

--- a/crates/citrongw/src/cmd/args.rs
+++ b/crates/citrongw/src/cmd/args.rs
@@ -16,6 +16,8 @@
         cmd check {
             /// Settings, an INI file.
             required --config path: PathBuf
+            /// The file is of a gateway instead of a node.
+            optional --gateway
         }
 
         /// Runs a node beside stand-ins of all that it needs, in one process.
--- a/crates/citrongw/src/cmd/check.rs
+++ b/crates/citrongw/src/cmd/check.rs
@@ -4,7 +4,11 @@
 
 /// Reads the settings and says whether they hold.
 pub(super) fn run(args: &args::Check) -> Result<()> {
-    settings::open(&args.config)?;
+    if args.gateway {
+        settings::gateway::open(&args.config)?;
+    } else {
+        settings::open(&args.config)?;
+    }
     println!("{}: no faults", args.config.display());
     Ok(())
 }
--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -3,6 +3,7 @@
 //! A file is read whole: every fault is named with its section, key, line, the
 //! value and what is allowed. Unknown keys are faults.
 
+pub mod gateway;
 mod lines;
 pub mod reader;
 
--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use citrongw::{
-    error::Result,
-    settings::reader::{self, Fault, Reader},
-};
 use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
 
+use super::reader::{self, Fault, Reader};
+use crate::error::Result;
+
 /// Settings of one gateway.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -35,3 +35,9 @@
         assert!(faults.contains(part), "{part} is not in:\n{faults}");
     }
 }
+
+#[test]
+fn sample_file_has_no_fault() {
+    let sample = include_str!("../../../../../contrib/gateway.ini");
+    assert_eq!(parse(sample).map(|_| ()), Ok(()));
+}
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -12,7 +12,10 @@
     time::Time,
 };
 
-use crate::{fleet::Backend, load_board::LoadBoard};
+use crate::{
+    fleet::{Backend, LoadEstimate},
+    load_board::LoadBoard,
+};
 
 /// Load, as a share of its slots, up to which two servers count as alike.
 const RANDOM_SHARE: f64 = 0.08;
@@ -33,21 +36,57 @@
     pub now: Time,
 }
 
+/// Server as a choice saw it.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The server.
+    pub server: Arc<Backend>,
+    /// Its load.
+    pub load: LoadEstimate,
+}
+
+/// Server that was chosen, and the next best.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The chosen one.
+    pub best: Candidate,
+    /// The next best, if there were two.
+    pub runner_up: Option<Candidate>,
+}
+
 /// Chooses among the servers; `random` gives numbers from 0 to 1.
 pub fn choose(
     servers: &[Arc<Backend>],
     wish: &Wish<'_>,
     mut random: impl FnMut() -> f64,
-) -> Option<Arc<Backend>> {
+) -> Option<Choice> {
     let usable = servers.iter().filter(|it| is_usable(it, wish));
-    let scored = usable.map(|it| {
-        let others = it.replica.as_ref().map_or(0, |key| wish.board.others_at(key, wish.now));
-        let load = f64::from(it.stats.estimated_load(wish.now, others));
-        let other_zone = if it.zone == *wish.zone { 0.0 } else { ZONE_SHARE };
-        (load / f64::from(it.slots.max(1)) + other_zone + random() * RANDOM_SHARE, it)
-    });
-    let least = scored.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
-    Some(Arc::clone(least.1))
+    let (mut best, mut runner_up): (Option<Scored>, Option<Scored>) = (None, None);
+    for server in usable {
+        let others = server.replica.as_ref().map_or(0, |key| wish.board.others_at(key, wish.now));
+        let load = server.stats.estimate_load(wish.now, others);
+        let other_zone = if server.zone == *wish.zone { 0.0 } else { ZONE_SHARE };
+        let share = f64::from(load.requests) / f64::from(server.slots.max(1));
+        let scored = Scored { score: share + other_zone + random() * RANDOM_SHARE, load, server };
+        if best.as_ref().is_none_or(|it| scored.score < it.score) {
+            runner_up = best.replace(scored);
+        } else if runner_up.as_ref().is_none_or(|it| scored.score < it.score) {
+            runner_up = Some(scored);
+        }
+    }
+    Some(Choice { best: best?.into_candidate(), runner_up: runner_up.map(Scored::into_candidate) })
+}
+
+struct Scored<'a> {
+    score: f64,
+    load: LoadEstimate,
+    server: &'a Arc<Backend>,
+}
+
+impl Scored<'_> {
+    fn into_candidate(self) -> Candidate {
+        Candidate { server: Arc::clone(self.server), load: self.load }
+    }
 }
 
 fn is_usable(server: &Backend, wish: &Wish<'_>) -> bool {
--- a/crates/gateway/src/control/plan.rs
+++ b/crates/gateway/src/control/plan.rs
@@ -10,8 +10,8 @@
 
 use crate::peers::OWNER_PREFIX;
 
-/// Prefix of the records.
-const PLAN_PREFIX: &str = "citrongw/plan/";
+/// Prefix of the records of domains.
+pub const PREFIX: &str = "citrongw/plan/";
 
 /// Fabric domain of one service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -26,7 +26,7 @@
 impl DomainKey {
     /// Key of the domain's record.
     pub fn plan_key(&self) -> Key {
-        format!("{PLAN_PREFIX}{self}").into()
+        format!("{PREFIX}{self}").into()
     }
 
     /// Key that names its owner and ends with the owner's lease.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -36,6 +36,15 @@
 /// tell each other: some of its requests have ended by then.
 const LOAD_AGE: Duration = Duration::from_millis(400);
 
+/// Load of a backend server, as far as a node can tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadEstimate {
+    /// Requests that it has.
+    pub requests: u32,
+    /// Age of what it told itself; none if that was too old to count.
+    pub told_age: Option<Duration>,
+}
+
 /// What this node knows of a backend server from its own requests.
 #[derive(Debug, Default)]
 pub struct BackendStats {
@@ -117,14 +126,15 @@
 
     /// Requests that it has now, as far as this node can tell, with those that
     /// the other nodes told of.
-    pub fn estimated_load(&self, now: Time, others: u32) -> u32 {
+    pub fn estimate_load(&self, now: Time, others: u32) -> LoadEstimate {
         let own = self.in_flight() + others;
         let told_at = Time::from_millis(self.told_at_ms.load(Ordering::Relaxed));
         if LOAD_AGE < now.since(told_at) {
-            return own;
+            return LoadEstimate { requests: own, told_age: None };
         }
         let told = self.told_load.load(Ordering::Relaxed);
-        own.max(told + self.sent_since_told.load(Ordering::Relaxed))
+        let requests = own.max(told + self.sent_since_told.load(Ordering::Relaxed));
+        LoadEstimate { requests, told_age: Some(now.since(told_at)) }
     }
 }
 
--- a/crates/gateway/src/fleet/tests.rs
+++ b/crates/gateway/src/fleet/tests.rs
@@ -68,11 +68,11 @@
     let now = Time::from_millis(1_000);
     stats.hear_load(now, ServerLoad { running: 5, waiting: 2, slots: 8 });
     let request = stats.enter();
-    assert_eq!(stats.estimated_load(now, 0), 8);
-    assert_eq!(stats.estimated_load(now + LOAD_AGE * 2, 0), 1);
-    assert_eq!(stats.estimated_load(now + LOAD_AGE * 2, 3), 4, "with those of other nodes");
+    assert_eq!(stats.estimate_load(now, 0).requests, 8);
+    assert_eq!(stats.estimate_load(now + LOAD_AGE * 2, 0).requests, 1);
+    assert_eq!(stats.estimate_load(now + LOAD_AGE * 2, 3).requests, 4, "with those of other nodes");
     drop(request);
-    assert_eq!(stats.estimated_load(now + LOAD_AGE * 2, 0), 0);
+    assert_eq!(stats.estimate_load(now + LOAD_AGE * 2, 0).requests, 0);
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,11 +17,11 @@
 pub mod listing;
 pub mod load_board;
 pub mod log;
+pub mod metered_store;
 pub mod metrics;
 pub mod node;
 pub mod peers;
 pub mod relay;
-pub mod settings;
 #[cfg(test)]
 mod testing;
 pub mod told;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::log;
+use crate::{log, metered_store::StoreCalls};
 
 /// Upper bounds of request times, in seconds.
 const BUCKETS_S: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -41,6 +41,7 @@
     request_time: Times,
     first_event_time: Times,
     log_lines_dropped: Gauge,
+    store_calls: StoreCalls,
 }
 
 fn histogram() -> Histogram {
@@ -74,6 +75,12 @@
         "Log lines that found the queue to the writer full",
         log_lines_dropped.clone(),
     );
+    let store_calls = StoreCalls::default();
+    registry.register(
+        "store_calls",
+        "Calls to the key-value service by subject, call and outcome",
+        store_calls.family(),
+    );
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -81,6 +88,7 @@
         request_time,
         first_event_time,
         log_lines_dropped,
+        store_calls,
     }
 }
 
@@ -107,6 +115,11 @@
         self.refusals.get_or_create(&CodeLabels { code: code.number() }).inc();
     }
 
+    /// Counts of calls to the key-value service.
+    pub fn store_calls(&self) -> StoreCalls {
+        self.store_calls.clone()
+    }
+
     /// The page.
     pub fn page(&self) -> String {
         let dropped = i64::try_from(log::dropped_lines()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use citrongw::error::{Result, could_not};
+use citrongw::{
+    error::{Result, could_not},
+    settings::gateway::Settings,
+};
 use citrongw_coordination::clock::{self, Clock};
 use citrongw_state::{
     id::NodeId,
@@ -26,21 +29,18 @@
 use viz::{Request, Response, ResponseExt, Router};
 
 use crate::{
-    adapter::Adapter,
-    control,
+    adapter::{Adapter, Codec},
+    control::{self, plan},
     feed::{self, World},
     load_board::{self, LoadBoard},
+    metered_store::{self, Subjects},
     metrics::{self, Metrics},
     peers::{self, Peers, message::PeerMessage},
     relay,
-    settings::Settings,
 };
 
 /// Time that a stop leaves between its last answers and the end of the grace.
 const END_MARGIN: Duration = Duration::from_millis(400);
-/// Longest time that a caller's connection may stay idle: above what the
-/// operators' configuration may tell callers, who close first.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// What the parts of a gateway share.
 #[derive(Debug)]
@@ -101,6 +101,10 @@
     let world = Arc::new(feed::open());
     let node = NodeId(rand::random());
     let retries = window::open(settings.retries);
+    let metrics = metrics::open();
+    let store_calls = metrics.store_calls();
+    let store = metered_store::open(adapter.store, subjects(&*adapter.codec), store_calls.clone());
+    let adapter = Adapter { store, ..adapter };
     let gateway = Arc::new(Gateway {
         node,
         board: Arc::default(),
@@ -111,14 +115,14 @@
         world,
         http: http_client::open(),
         retries,
-        metrics: metrics::open(),
+        metrics,
         stopping: AtomicBool::new(false),
         traffic: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
     let options = ServerOptions {
         max_connections: settings.max_connections,
-        header_timeout: IDLE_TIMEOUT,
+        limits: Arc::clone(&gateway.world.caller_limits),
         ..ServerOptions::default()
     };
     let addr = settings.caller_addr;
@@ -136,6 +140,7 @@
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     drivers.extend(peers::spawn(&gateway.peers, store, addr, hear));
+    drivers.push(metered_store::spawn_report(store_calls));
     drivers.push(control::campaign::spawn(&gateway));
     drivers.push(tokio::spawn(load_board::tell(Arc::clone(&gateway))));
     tracing::info!(
@@ -145,6 +150,17 @@
     Ok(Node { gateway, callers, ready, metrics, drivers })
 }
 
+/// What the keys of the store are for.
+fn subjects(codec: &dyn Codec) -> Subjects {
+    vec![
+        (codec.config_key(), "configuration"),
+        (codec.instances_prefix(), "instances"),
+        (peers::OWNER_PREFIX.into(), "owners"),
+        (peers::LIVE_PREFIX.into(), "gateways"),
+        (plan::PREFIX.into(), "replicas"),
+    ]
+}
+
 async fn bind(addr: SocketAddr, router: Router) -> Result<HttpServer> {
     let bound = http_server::bind(addr, router).await;
     bound.map_err(|error| could_not("listen", addr, error))
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! The path of a caller's request to a backend server and back.
 
 mod attempts;
+mod body;
 mod call;
 mod events;
 mod log;
@@ -66,19 +67,10 @@
     };
     gateway.retries.add_request(&call.service, gateway.clock.now());
     let version = gateway.world.directory.load().as_ref().map(|it| it.version);
-    let mut log = RequestLog::open(&call, gateway.clock, version, &gateway.metrics);
-    let mut attempts = Attempts::default();
+    let log = RequestLog::open(&call, gateway.clock, version, &gateway.metrics);
+    let attempts = Attempts::default();
     if call::is_stream(&call) {
         return Ok(stream::serve(&gateway, call, attempts, log).await);
     }
-    match plain::serve(&gateway, &call, &mut attempts).await {
-        Ok(response) => {
-            log.end_with_status(response.status().as_u16(), &attempts);
-            Ok(response)
-        }
-        Err(refusal) => {
-            log.refuse(refusal.code, &attempts);
-            Ok(refusal.into_response(request))
-        }
-    }
+    Ok(plain::serve(&gateway, call, attempts, log).await)
 }
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -15,7 +15,7 @@
     send::{Cause, Failed},
 };
 use crate::{
-    choose::{Wish, choose},
+    choose::{Choice, Wish, choose},
     fleet::Backend,
     node::Gateway,
 };
@@ -34,6 +34,7 @@
     sent: u32,
     may_have_run: bool,
     last: Option<Cause>,
+    last_choice: Option<Choice>,
 }
 
 impl Attempts {
@@ -47,6 +48,11 @@
         self.last
     }
 
+    /// How the server of the last one was chosen.
+    pub(super) fn last_choice(&self) -> Option<&Choice> {
+        self.last_choice.as_ref()
+    }
+
     /// Picks the server of the next attempt.
     pub(super) fn next_server(
         &mut self,
@@ -54,8 +60,10 @@
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
         let chosen = self.choose(gateway, call);
-        let server = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
+        let choice = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
+        let server = Arc::clone(&choice.best.server);
         self.tried.push(server.id.clone());
+        self.last_choice = Some(choice);
         Ok(server)
     }
 
@@ -63,12 +71,13 @@
     pub(super) fn has_another(&self, gateway: &Gateway, call: &Call) -> bool {
         let now = gateway.clock.now();
         call.route.kind.may_rerun()
+            && call.body.can_be_sent()
             && self.sent + 1 < call.route.max_attempts
             && 0 < gateway.retries.of(&call.service, gateway.peers.count(), now).left()
             && self.choose(gateway, call).is_some()
     }
 
-    fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Arc<Backend>> {
+    fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         let fleet = gateway.world.fleet.load();
         let wish = Wish {
             zone: &gateway.settings.zone,
@@ -89,11 +98,15 @@
         self.last = Some(failed.cause);
         self.may_have_run |= failed.reached != Reached::NotRun;
         self.sent += u32::from(failed.cause != Cause::NotReached);
+        let max_retries = match call.body.can_be_sent() {
+            true => call.route.max_attempts.saturating_sub(1),
+            false => 0,
+        };
         let attempt = FailedAttempt {
             class: call.class(),
             reached: failed.reached,
             attempts: self.sent,
-            max_retries: call.route.max_attempts.saturating_sub(1),
+            max_retries,
             from_node: false,
             expected: Duration::ZERO,
             deadline: call.deadline(),
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::{
     config::CallClass,
@@ -10,10 +9,10 @@
     time::Time,
 };
 use http::{HeaderMap, Method, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use viz::Request;
 
 use super::{
+    body::{self, CallBody},
     refuse::Refusal,
     urgency::{self, Standing},
 };
@@ -47,7 +46,7 @@
     /// Headers that are passed on.
     pub(super) headers: HeaderMap,
     /// Body.
-    pub(super) body: Bytes,
+    pub(super) body: CallBody,
     /// When it arrived.
     pub(super) arrived_at: Time,
 }
@@ -113,15 +112,8 @@
     meta.api_key = None;
     let target = route.pick_target(rand::random()).ok_or(ResultCode::NoReplica)?;
     let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
-    let read = Limited::new(body, directory.max_body_bytes).collect();
-    let body = match tokio::time::timeout(timeout, read).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return Err(ResultCode::TooLarge.into());
-        }
-        Ok(Err(_)) => return Err(ResultCode::Malformed.into()),
-        Err(_) => return Err(ResultCode::TooSlow.into()),
-    };
+    let read = body::read(body, directory.limits.body_bytes);
+    let body = tokio::time::timeout(timeout, read).await.map_err(|_| ResultCode::TooSlow)??;
     Ok(Call {
         request,
         meta,
--- a/crates/gateway/src/relay/log.rs
+++ b/crates/gateway/src/relay/log.rs
@@ -48,30 +48,35 @@
 
     /// Ends with a backend server's answer.
     pub(super) fn end_with_status(&mut self, status: u16, attempts: &Attempts) {
-        self.write("answered", Some(status), attempts.last_cause(), attempts.count());
+        self.write("answered", Some(status), attempts.last_cause(), Some(attempts));
     }
 
     /// Ends with a refusal or failure of the gateway's own.
     pub(super) fn refuse(&mut self, code: ResultCode, attempts: &Attempts) {
-        self.write(
-            &code.to_string(),
-            Some(code.http_status()),
-            attempts.last_cause(),
-            attempts.count(),
-        );
+        let status = Some(code.http_status());
+        self.write(&code.to_string(), status, attempts.last_cause(), Some(attempts));
     }
 
     /// Ends in the middle of a stream.
     pub(super) fn break_off(&mut self, cause: Cause, attempts: &Attempts) {
-        self.write("stream broken off", None, Some(cause), attempts.count());
+        self.write("stream broken off", None, Some(cause), Some(attempts));
     }
 
     fn age(&self) -> Duration {
         self.clock.now().since(self.arrived_at)
     }
 
-    fn write(&mut self, outcome: &str, status: Option<u16>, cause: Option<Cause>, attempts: usize) {
+    fn write(
+        &mut self,
+        outcome: &str,
+        status: Option<u16>,
+        cause: Option<Cause>,
+        attempts: Option<&Attempts>,
+    ) {
         self.ended = true;
+        let choice = attempts.and_then(Attempts::last_choice);
+        let best = choice.map(|it| &it.best);
+        let runner_up = choice.and_then(|it| it.runner_up.as_ref());
         let age = self.age();
         self.metrics.count_request(&self.service, status, age, self.first_event_after);
         tracing::info!(
@@ -83,7 +88,12 @@
             outcome,
             status,
             cause = cause.map(|it| it.to_string()),
-            attempts,
+            attempts = attempts.map_or(0, Attempts::count),
+            server = best.map(|it| it.server.id.as_str()),
+            load = best.map(|it| it.load.requests),
+            load_age_ms = best.and_then(|it| it.load.told_age).map(|it| it.as_millis()),
+            runner_up = runner_up.map(|it| it.server.id.as_str()),
+            runner_up_load = runner_up.map(|it| it.load.requests),
             took_ms = age.as_millis(),
             first_event_ms = self.first_event_after.map(|it| it.as_millis()),
             "request ended"
@@ -94,7 +104,7 @@
 impl Drop for RequestLog {
     fn drop(&mut self) {
         if !self.ended {
-            self.write("caller left", None, None, 0);
+            self.write("caller left", None, None, None);
         }
     }
 }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -2,12 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use citrongw_state::{retry::Reached, time::Time};
-use citrongw_transport::http_client::{HttpError, PooledBody};
+use citrongw_transport::http_client::{HttpError, PooledBody, RequestBody};
 use derive_more::Display;
 use http::{Request, Uri, response};
-use http_body_util::Full;
 
 use super::call::Call;
 use crate::{
@@ -127,10 +125,10 @@
     backend: &Backend,
     resume_after: Option<u64>,
     now: Time,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<RequestBody>> {
     let path = call.uri.path_and_query().map_or("/", |it| it.as_str());
     let uri: Uri = format!("http://{}{path}", backend.addr).parse().ok()?;
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_request_body());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = uri;
     request.headers_mut().clone_from(&call.headers);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -94,7 +94,7 @@
 }
 
 enum Opened {
-    Stream(http::response::Parts, Source),
+    Stream(http::response::Parts, Box<Source>),
     Failure(Response),
 }
 
@@ -118,7 +118,7 @@
     loop {
         let server = attempts.next_server(gateway, call)?;
         let failed = match open_at(gateway, call, &server, attempts, resume_after).await {
-            Ok(Ok((parts, source))) => return Ok(Opened::Stream(parts, source)),
+            Ok(Ok((parts, source))) => return Ok(Opened::Stream(parts, Box::new(source))),
             Ok(Err(answer)) => {
                 let failed = Failed::may_have_run(Cause::ServerError);
                 let fails = answer.parts.status.is_server_error();
@@ -218,7 +218,7 @@
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     attempts: Attempts,
-    source: Source,
+    source: Box<Source>,
     /// Whether the source is waited for however silent it is, for there is no
     /// other to go to.
     must_wait: bool,
