Load weights apart from joins

A spare that took up another model's weights also left its own model without one meanwhile.

Change: a new order loads weights onto a host beside whatever else it does. Spares and members get it before their join, which then waits for the weights. A spare stays warm for its model until the other weights are there. A host that refuses the order loads with its join, as all do before the first request.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -115,6 +115,13 @@
         /// All members, the one that takes requests first.
         members: Vec<InstanceId>,
     },
+    /// Loads a model's weights onto its host, beside whatever else it does. A
+    /// join meanwhile waits for the weights and does not begin again.
+    #[display("stage {model}")]
+    Stage {
+        /// The model.
+        model: ModelId,
+    },
     /// Takes requests; for the first member.
     #[display("open {replica} epoch {epoch}")]
     Open {
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -177,6 +177,14 @@
                     (Order::Join { replica, epoch, .. }, Ok(OrderReply::OldEpoch)) => {
                         self.memory.add_refused(replica, epoch);
                     }
+                    (Order::Stage { .. }, Ok(OrderReply::Begun | OrderReply::Done)) => {
+                        return false;
+                    }
+                    (Order::Stage { .. }, reply) => {
+                        let refuses =
+                            matches!(reply, Ok(OrderReply::Unfit) | Err(CallError::BadAnswer));
+                        self.memory.end_staging(&instance, refuses);
+                    }
                     _ => return false,
                 }
                 true
--- a/crates/gateway/src/control/loads.rs
+++ b/crates/gateway/src/control/loads.rs
@@ -35,6 +35,11 @@
         self.unlimited = unlimited;
     }
 
+    /// Whether loads are few and short, as nobody has sent a request yet.
+    pub fn is_unlimited(&self) -> bool {
+        self.unlimited
+    }
+
     /// Whether a load may begin.
     pub fn has_one(&self) -> bool {
         self.unlimited || 1.0 <= self.left
--- a/crates/gateway/src/control/step/memory.rs
+++ b/crates/gateway/src/control/step/memory.rs
@@ -20,6 +20,10 @@
 /// milliseconds, and one given twice does no harm.
 const ORDER_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time after which weights that did not arrive are ordered again: far more than
+/// a load takes when many share the weight store.
+const STAGING_LIMIT: Duration = Duration::from_secs(90);
+
 /// Time without a new instance after which weights of one model are given up for
 /// another. The instances of a domain that was dark come back one by one.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -44,10 +48,21 @@
     /// Instances known at the last step, and when one was last added.
     pub(super) known: BTreeSet<(InstanceId, Incarnation)>,
     pub(super) grown_at: Option<Time>,
+    /// Weights that are on their way to each host.
+    pub(super) staging: HashMap<(InstanceId, Incarnation), Staging>,
+    /// Instances that load weights only with a join.
+    pub(super) stage_refused: HashSet<InstanceId>,
     /// Replica of its own that each spare is kept warm in.
     pub(super) standbys: HashMap<(InstanceId, Incarnation), Standby>,
 }
 
+/// Weights on their way to a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Staging {
+    pub(super) model: ModelId,
+    pub(super) since: Time,
+}
+
 /// Replica with a spare as its one member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Standby {
@@ -84,8 +99,30 @@
         self.refused.insert((replica, epoch));
     }
 
+    /// Takes in that an instance did not begin to load weights. One that refuses
+    /// gets them with a join.
+    pub fn end_staging(&mut self, instance: &InstanceId, refuses: bool) {
+        self.staging.retain(|(id, _), _| id != instance);
+        if refuses {
+            self.stage_refused.insert(instance.clone());
+        }
+    }
+
+    /// Whether weights for a host are to be ordered before it joins.
+    pub(super) fn needs_staging(&self, host: &Host, model: &ModelId) -> bool {
+        !host.staged.contains(model)
+            && self.staging(host) != Some(model)
+            && !self.stage_refused.contains(&host.id)
+    }
+
     /// Takes in which instances there are.
     pub(super) fn note_hosts(&mut self, hosts: &Hosts, now: Time) {
+        self.stage_refused.retain(|id| hosts.contains_key(id));
+        self.staging.retain(|(id, incarnation), staging| {
+            let host = hosts.get(id).filter(|it| it.incarnation == *incarnation);
+            let is_done = host.is_none_or(|it| it.staged.contains(&staging.model));
+            !is_done && now.since(staging.since) < STAGING_LIMIT
+        });
         let known: BTreeSet<_> = hosts.values().map(|it| (it.id.clone(), it.incarnation)).collect();
         if !known.is_subset(&self.known) {
             self.grown_at = Some(now);
@@ -98,6 +135,16 @@
         self.grown_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
     }
 
+    /// Model whose weights are on their way to a host.
+    pub(super) fn staging(&self, host: &Host) -> Option<&ModelId> {
+        self.staging.get(&(host.id.clone(), host.incarnation)).map(|it| &it.model)
+    }
+
+    pub(super) fn begin_staging(&mut self, host: &Host, model: &ModelId, now: Time) {
+        let staging = Staging { model: model.clone(), since: now };
+        self.staging.insert((host.id.clone(), host.incarnation), staging);
+    }
+
     pub(super) fn standby(&self, host: &Host) -> Option<&Standby> {
         self.standbys.get(&(host.id.clone(), host.incarnation))
     }
--- a/crates/gateway/src/control/step/orders.rs
+++ b/crates/gateway/src/control/step/orders.rs
@@ -39,7 +39,7 @@
         match remedy(plan, replica, hosts, memory) {
             Remedy::None => {
                 memory.closing_since.remove(&(replica.id, replica.epoch));
-                due.extend(forming_orders(replica, hosts));
+                due.extend(forming_orders(replica, hosts, memory, loads));
             }
             Remedy::Replace(_) => due.extend(leave_order(replica, hosts)),
             Remedy::Swap(_) | Remedy::NewHead => {
@@ -48,28 +48,42 @@
         }
     }
     due.extend(stray_orders(plan, hosts, memory));
-    due.extend(spares::standby_orders(plan, hosts, rules, memory, now));
+    due.extend(spares::standby_orders(plan, hosts, rules, memory, loads.is_unlimited(), now));
     due.retain(|(host, order)| {
-        let affordable = !begins_load(host, order) || loads.has_one();
+        let begins_load = begins_load(host, order, memory);
+        let affordable = !begins_load || loads.has_one();
         let sent = affordable && memory.may_send(&host.id, order, now);
-        if sent && begins_load(host, order) {
+        if sent && begins_load {
             loads.take();
         }
+        if let (true, Order::Stage { model }) = (sent, order) {
+            memory.begin_staging(host, model, now);
+        }
         sent
     });
     due.into_iter().map(|(host, order)| (host.id.clone(), host.addr, order)).collect()
 }
 
 /// Whether the order loads weights from the weight store.
-fn begins_load(host: &Host, order: &Order) -> bool {
+fn begins_load(host: &Host, order: &Order, memory: &Memory) -> bool {
     match order {
-        Order::Join { model, .. } => !host.staged.contains(model),
+        Order::Stage { model } => !host.staged.contains(model),
+        Order::Join { model, .. } => {
+            !host.staged.contains(model) && memory.staging(host) != Some(model)
+        }
         Order::Open { .. } | Order::Close { .. } | Order::Leave { .. } => false,
     }
 }
 
-/// Orders that bring a whole replica to serve.
-fn forming_orders<'a>(replica: &PlannedReplica, hosts: &'a Hosts) -> Vec<(&'a Host, Order)> {
+/// Orders that bring a whole replica to serve. Weights that a member lacks are
+/// ordered apart from its join: a load that belongs to a join begins anew with the
+/// next join, and another member may be lost meanwhile.
+fn forming_orders<'a>(
+    replica: &PlannedReplica,
+    hosts: &'a Hosts,
+    memory: &Memory,
+    loads: &LoadBudget,
+) -> Vec<(&'a Host, Order)> {
     let (id, epoch) = (replica.id, replica.epoch);
     let mut due = Vec::new();
     let mut ready = 0;
@@ -80,6 +94,9 @@
                 let is_ready = matches!(it.state, MemberState::Ready | MemberState::Open);
                 ready += usize::from(it.rank == rank && is_ready);
             }
+            _ if !loads.is_unlimited() && memory.needs_staging(host, &replica.model) => {
+                due.push((host, Order::Stage { model: replica.model.clone() }));
+            }
             _ => {
                 let (model, members) = (replica.model.clone(), replica.member_ids());
                 due.push((host, Order::Join { replica: id, epoch, model, members }));
--- a/crates/gateway/src/control/step/spares.rs
+++ b/crates/gateway/src/control/step/spares.rs
@@ -20,8 +20,8 @@
 };
 
 /// Spares that a model may use, in the order in which it takes them: those that
-/// are warm for it, those with its weights, those without any, and those that
-/// are kept for another model.
+/// are warm for it, those with its weights, those that load them, those without
+/// any, and those that are kept for another model.
 pub(super) fn ranked_spares<'a>(
     plan: &DomainPlan,
     hosts: &'a Hosts,
@@ -29,14 +29,16 @@
     model: &ModelId,
 ) -> Vec<&'a Host> {
     let kept_for = |host: &Host| {
+        let staging = memory.staging(host);
         let standby = memory.standby(host).map(|it| &it.model);
-        standby.or_else(|| host.staged.first()).cloned()
+        staging.or(standby).or_else(|| host.staged.first()).cloned()
     };
     let mut spares: Vec<(Option<ModelId>, &Host)> =
         free_hosts(plan, hosts, memory).into_iter().map(|it| (kept_for(it), it)).collect();
     spares.sort_by_key(|(kept_for, host)| {
         let is_of_model = kept_for.as_ref() == Some(model);
-        (!is_warm(host, memory, model), !is_of_model, kept_for.is_some())
+        let is_staged = host.staged.contains(model);
+        (!is_warm(host, memory, model), !is_staged, !is_of_model, kept_for.is_some())
     });
     spares.into_iter().map(|(_, host)| host).collect()
 }
@@ -62,6 +64,7 @@
     hosts: &'a Hosts,
     rules: &Rules<'_>,
     memory: &mut Memory,
+    is_unlimited: bool,
     now: Time,
 ) -> Vec<(&'a Host, Order)> {
     let is_forming = |replica: &PlannedReplica| {
@@ -70,32 +73,37 @@
             !it.is_of(replica.id, replica.epoch) || it.state == MemberState::Joining
         })
     };
-    // A spare that became a member begins anew when it is free again.
-    memory.standbys.retain(|(id, _), _| !plan.holds(id));
+    // A spare that became a member begins anew when it is free again, and so does
+    // one whose weights gave way to others.
+    memory.standbys.retain(|(id, incarnation), standby| {
+        let host = hosts.get(id).filter(|it| it.incarnation == *incarnation);
+        let gave_way =
+            host.is_some_and(|it| !it.staged.is_empty() && !it.staged.contains(&standby.model));
+        !plan.holds(id) && !gave_way
+    });
     let mut counts: BTreeMap<&ModelId, usize> =
         rules.engine.models.iter().map(|it| (&it.model, 0)).collect();
     let (mut cold, mut due) = (Vec::new(), Vec::new());
     let free = free_hosts(plan, hosts, memory);
     for host in free.iter().copied() {
-        if let Some(standby) = memory.standby(host) {
-            let standby = standby.clone();
-            if let Some(count) = counts.get_mut(&standby.model) {
-                *count += 1;
-            }
-            if !host.membership.is_some_and(|it| it.is_of(standby.replica, standby.epoch)) {
-                due.push((host, standby.join(host)));
-            }
-            continue;
+        let standby = memory.standby(host).cloned();
+        let staged = || counts.keys().find(|it| host.staged.contains(it)).copied().cloned();
+        let kept = standby.as_ref().map(|it| it.model.clone()).or_else(staged);
+        // It counts for the model that it will have.
+        match memory.staging(host).or(kept.as_ref()).and_then(|it| counts.get_mut(it)) {
+            Some(count) => *count += 1,
+            None => cold.push(host),
         }
-        let staged = counts.keys().find(|it| host.staged.contains(it)).copied();
-        match staged {
-            Some(model) => {
-                if let Some(count) = counts.get_mut(model) {
-                    *count += 1;
+        match (standby, kept) {
+            (Some(standby), _) => {
+                if !host.membership.is_some_and(|it| it.is_of(standby.replica, standby.epoch)) {
+                    due.push((host, standby.join(host)));
                 }
-                due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
             }
-            None => cold.push(host),
+            (None, Some(model)) => {
+                due.push((host, memory.begin_standby(host, &model, plan.epoch).join(host)));
+            }
+            (None, None) => {}
         }
     }
     if plan.replicas.iter().any(is_forming) || !memory.is_settled(now) {
@@ -106,10 +114,12 @@
         targets.get(model).copied().unwrap_or_default()
             < counts.get(model).copied().unwrap_or_default()
     };
-    // A spare too many of one model takes up the weights of another.
-    let spare = free
-        .iter()
-        .find(|it| memory.standby(it).is_some_and(|standby| surplus(&counts, &standby.model)));
+    // A spare too many of one model takes up the weights of another, and stays
+    // warm for its own until they are there.
+    let spare = free.iter().find(|it| {
+        let standby = memory.standby(it).filter(|_| memory.staging(it).is_none());
+        standby.is_some_and(|standby| surplus(&counts, &standby.model))
+    });
     if let (true, Some(host)) = (cold.is_empty(), spare)
         && let Some(count) = memory.standby(host).and_then(|it| counts.get_mut(&it.model))
     {
@@ -122,7 +132,13 @@
             .find(|(model, target)| counts.get(*model).copied().unwrap_or_default() < **target);
         let Some((&model, _)) = lacking else { break };
         *counts.entry(model).or_default() += 1;
-        due.push((host, memory.begin_standby(host, model, plan.epoch).join(host)));
+        due.push((
+            host,
+            match !is_unlimited && memory.needs_staging(host, model) {
+                true => Order::Stage { model: model.clone() },
+                false => memory.begin_standby(host, model, plan.epoch).join(host),
+            },
+        ));
     }
     due
 }
