Keep members that are cut off from the platform

Change: an instance that is not listed and answers stays a member. Only as the head it gives way, to a listed member and without a spare, since requests must not go to a server that the store calls gone. One that leaves without a word is found silent when it ends.

--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -126,9 +126,8 @@
         due
     }
 
-    /// The domain's instances: as listed, and as they answered since. A member
-    /// that is no longer listed and still answers is leaving, or cut off from
-    /// the platform.
+    /// The domain's instances: as listed, and as they answered since. Members that
+    /// are no longer listed are among them.
     pub(super) fn hosts(
         &mut self,
         view: &InstancesView,
@@ -163,7 +162,8 @@
                 incarnation: entry.incarnation,
                 addr: entry.addr,
                 liveness: heard.liveness(),
-                leaving: entry.leaving || !is_listed,
+                leaving: entry.leaving,
+                is_listed,
                 staged: entry.staged.clone(),
                 membership: entry.membership,
             };
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -110,7 +110,7 @@
 fn choose_head(replica: &mut PlannedReplica, filled: &[usize], hosts: &Hosts) {
     let stays = |place: &usize| {
         let host = find(hosts, &replica.members[*place]);
-        !filled.contains(place) && host.is_some_and(|it| it.is_alive() && !it.leaving)
+        !filled.contains(place) && host.is_some_and(Host::can_lead)
     };
     if let Some(kept) = (0..replica.members.len()).find(stays) {
         replica.members.swap(0, kept);
--- a/crates/gateway/src/control/step/host.rs
+++ b/crates/gateway/src/control/step/host.rs
@@ -36,6 +36,9 @@
     pub liveness: Liveness,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether the platform lists it. One that it does not list and that answers is
+    /// cut off from the platform, or leaving without a word.
+    pub is_listed: bool,
     /// Models whose weights are on its host.
     pub staged: Vec<ModelId>,
     /// Its place in a replica.
@@ -43,6 +46,11 @@
 }
 
 impl Host {
+    /// Whether it may take a replica's requests from now on.
+    pub(super) fn can_lead(&self) -> bool {
+        self.is_alive() && !self.leaving && self.is_listed
+    }
+
     pub(super) fn is_alive(&self) -> bool {
         self.liveness == Liveness::Alive
     }
--- a/crates/gateway/src/control/step/remedy.rs
+++ b/crates/gateway/src/control/step/remedy.rs
@@ -24,8 +24,8 @@
     /// Members are leaving, and warm spares can take their places once its
     /// requests have ended.
     Swap(Vec<usize>),
-    /// Its head is leaving, and another member can lead once its requests have
-    /// ended.
+    /// Its head is leaving or no longer listed, and another member can lead once
+    /// its requests have ended.
     NewHead,
 }
 
@@ -44,6 +44,7 @@
         }
     }
     let head = replica.head().and_then(|it| find(hosts, it));
+    let needs_head = head.is_some_and(|it| it.is_alive() && !it.can_lead());
     let says_broken = head
         .and_then(|it| it.membership)
         .is_some_and(|it| it.is_of(replica.id, replica.epoch) && it.state == MemberState::Broken);
@@ -52,16 +53,16 @@
         lost.extend(leaving);
         return Remedy::Replace(lost);
     }
-    if leaving.is_empty() {
+    if leaving.is_empty() && !needs_head {
         return Remedy::None;
     }
     let spares = ranked_spares(plan, hosts, memory, &replica.model);
     let warm = spares.iter().filter(|it| is_warm(it, memory, &replica.model)).count();
-    if leaving.len() <= warm {
+    if !leaving.is_empty() && leaving.len() <= warm {
         return Remedy::Swap(leaving);
     }
-    let others_stay = leaving.len() < replica.members.len();
-    if leaving.contains(&0) && others_stay { Remedy::NewHead } else { Remedy::None }
+    let mut members = replica.members.iter().filter_map(|it| find(hosts, it));
+    if needs_head && members.any(Host::can_lead) { Remedy::NewHead } else { Remedy::None }
 }
 
 pub(super) fn find<'a>(hosts: &'a Hosts, member: &PlannedMember) -> Option<&'a Host> {
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -357,3 +357,35 @@
     let joined = |it: &&(String, Order)| it.0 == "new" && matches!(it.1, Order::Join { .. });
     assert!(world.given.iter().any(|it| joined(&it)), "{:?}", world.given);
 }
+
+#[test]
+fn members_that_are_cut_off_from_the_platform_serve_on() {
+    let mut world = open(7);
+    world.run(4);
+    let (plan, members) = (world.plan.clone(), world.members("l"));
+    for id in &members[1..] {
+        world.host(id).is_listed = false;
+    }
+    world.given.clear();
+    world.run(4);
+    assert_eq!((world.open_models().len(), &world.plan), (2, &plan));
+    assert_eq!(world.given, []);
+}
+
+#[test]
+fn head_that_is_cut_off_from_the_platform_gives_way_to_a_listed_member() {
+    let mut world = open(7);
+    world.run(4);
+    let before = world.members("l");
+    for id in &before[..2] {
+        world.host(id).is_listed = false;
+    }
+    world.run(2);
+    world.host(&before[0]).membership.as_mut().unwrap().state = MemberState::Ready;
+    world.run(3);
+    assert_eq!(world.open_models(), ["l", "s"]);
+    let mut after = world.members("l");
+    assert_eq!(after[0], before[2]);
+    after.sort();
+    assert_eq!(after, before, "they are members as before");
+}
--- a/crates/gateway/src/control/step/tests/world.rs
+++ b/crates/gateway/src/control/step/tests/world.rs
@@ -55,6 +55,7 @@
             addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             liveness: Liveness::Alive,
             leaving: false,
+            is_listed: true,
             staged: Vec::new(),
             membership: None,
         };
