Let the reader tell of gateways and owners, and of the list in parts

Change: what changed in the list is told in up to 12 messages, each with the digest after it. The reader tells the digest of the list of gateways and owners too, and the others read that only if theirs differs. An owner tells of itself, which counts for 2.5 s though a read lacks it.

--- a/crates/gateway/src/control/campaign.rs
+++ b/crates/gateway/src/control/campaign.rs
@@ -50,6 +50,7 @@
             match ownership::acquire(&*gateway.adapter.store, &domain, gateway.node).await {
                 Ok(Some(lease)) => {
                     tracing::info!(%domain, node = %gateway.node, "owns a domain");
+                    gateway.peers.tell_owner(&domain).await;
                     let control = Control::new(&gateway, domain.clone(), lease, asked_at);
                     domains.insert(domain, tokio::spawn(control.run()));
                 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -135,7 +135,10 @@
                 let key = ReplicaKey { replica: open.replica, epoch: open.epoch };
                 self.fleet.load().replica_stats(&key).for_each(|it| it.bring_up());
             }
-            PeerMessage::Doubt { .. } | PeerMessage::List(_) | PeerMessage::Load(_) => {}
+            PeerMessage::Doubt { .. }
+            | PeerMessage::Owner { .. }
+            | PeerMessage::List(_)
+            | PeerMessage::Load(_) => {}
         }
         self.rebuild();
     }
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -17,7 +17,7 @@
 use crate::{
     adapter::Adapter,
     instance_book::{InstanceBook, InstancesView},
-    listing::{self, Applied, ListChange},
+    listing::{self, Applied, ListChange, ReaderState},
     peers::{Peers, message::PeerMessage},
 };
 
@@ -150,9 +150,14 @@
     }
 
     async fn tell(&self, before: &InstancesView) {
-        let config = self.world.config_revision();
-        let change = listing::change(before, self.book.view(), self.revision, config);
-        self.peers.tell_all(&PeerMessage::List(change)).await;
+        let state = ReaderState {
+            revision: self.revision,
+            config: self.world.config_revision(),
+            gateways: self.peers.live().digest(),
+        };
+        for change in listing::changes(before, self.book.view(), state) {
+            self.peers.tell_all(&PeerMessage::List(change)).await;
+        }
     }
 
     /// Tells the others at once that there is a new configuration.
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -26,9 +26,13 @@
 /// the reader's pauses. With its own read it stays within the shortest time in
 /// which a leaving instance has to be known.
 pub(crate) const READER_SILENCE: Duration = Duration::from_millis(1_000);
-/// Changes that one message carries, at most, so that it fits a datagram; with
-/// more the others read the list themselves.
-const MAX_CHANGES: usize = 5;
+/// Entries that one message carries, at most, so that it fits a datagram.
+const MAX_ENTRIES: usize = 5;
+/// Ids of removed instances that one message carries, at most, for the same.
+const MAX_REMOVED: usize = 30;
+/// Messages that one read is told in, at most; with more to tell the others read
+/// the list themselves.
+const MAX_MESSAGES: usize = 12;
 
 /// What the reader tells after each read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +41,8 @@
     pub revision: Revision,
     /// Revision of the configuration in force at the reader.
     pub config: Revision,
+    /// Digest of the list of gateways at the reader.
+    pub gateways: u64,
     /// Digest of the list after the change.
     pub digest: u64,
     /// Entries that are new or say something new.
@@ -56,25 +62,52 @@
     Differs,
 }
 
-/// Change from one view to the next, as the reader tells it.
-pub fn change(
-    old: &InstancesView,
-    new: &InstancesView,
-    revision: Revision,
-    config: Revision,
-) -> ListChange {
+/// What the reader holds at a read, beside the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReaderState {
+    /// Revision of the store at the read.
+    pub revision: Revision,
+    /// Revision of the configuration in force.
+    pub config: Revision,
+    /// Digest of the list of gateways.
+    pub gateways: u64,
+}
+
+/// Changes that lead from one view to the next, as the reader tells them: each
+/// with the digest of what the list is after it.
+pub fn changes(old: &InstancesView, new: &InstancesView, state: ReaderState) -> Vec<ListChange> {
+    let message = |view: &InstancesView| ListChange {
+        revision: state.revision,
+        config: state.config,
+        gateways: state.gateways,
+        digest: digest(view),
+        changed: Vec::new(),
+        removed: Vec::new(),
+    };
     let is_new = |known: &&KnownInstance| {
         old.instances.get(&known.entry.id).is_none_or(|it| it.entry != known.entry)
     };
-    let mut changed: Vec<InstanceEntry> =
-        new.instances.values().filter(is_new).map(|it| InstanceEntry::clone(&it.entry)).collect();
-    let removed = old.instances.keys().filter(|it| !new.instances.contains_key(*it));
-    let mut removed: Vec<InstanceId> = removed.cloned().collect();
-    if MAX_CHANGES < changed.len() + removed.len() {
-        changed.clear();
-        removed.clear();
+    let changed: Vec<&KnownInstance> = new.instances.values().filter(is_new).collect();
+    let removed: Vec<&InstanceId> =
+        old.instances.keys().filter(|it| !new.instances.contains_key(*it)).collect();
+    let count = changed.len().div_ceil(MAX_ENTRIES) + removed.len().div_ceil(MAX_REMOVED);
+    if count == 0 || MAX_MESSAGES < count {
+        return vec![message(new)];
+    }
+    let mut view = old.clone();
+    let mut changes = Vec::with_capacity(count);
+    for ids in removed.chunks(MAX_REMOVED) {
+        view.instances.retain(|id, _| !ids.contains(&id));
+        let removed = ids.iter().copied().cloned().collect();
+        changes.push(ListChange { removed, ..message(&view) });
+    }
+    for known in changed.chunks(MAX_ENTRIES) {
+        let entries = known.iter().map(|it| (it.entry.id.clone(), KnownInstance::clone(it)));
+        view.instances.extend(entries);
+        let changed = known.iter().map(|it| InstanceEntry::clone(&it.entry)).collect();
+        changes.push(ListChange { changed, ..message(&view) });
     }
-    ListChange { revision, config, digest: digest(new), changed, removed }
+    changes
 }
 
 /// Applies a change to a copy of the list that was read at `revision`.
--- a/crates/gateway/src/listing/tests.rs
+++ b/crates/gateway/src/listing/tests.rs
@@ -1,16 +1,35 @@
 use super::*;
 use crate::testing::{entry, view};
 
-const CONFIG: Revision = Revision(1);
+fn at(revision: u64) -> ReaderState {
+    ReaderState { revision: Revision(revision), config: Revision(1), gateways: 0 }
+}
+
+/// Applies all changes in turn; the outcome of the last.
+fn apply_all(
+    view: &InstancesView,
+    revision: u64,
+    changes: &[ListChange],
+) -> (Applied, InstancesView) {
+    let mut last = (Applied::Differs, view.clone());
+    for change in changes {
+        last = apply(&last.1, Revision(revision), change, Time::from_millis(5));
+        if last.0 != Applied::Current {
+            break;
+        }
+    }
+    last
+}
 
 #[test]
 fn copy_follows_the_reader() {
     let before = view(vec![entry("a", "plain"), entry("b", "plain")]);
     let leaving = InstanceEntry { leaving: true, ..entry("a", "plain") };
     let after = view(vec![leaving, entry("c", "plain")]);
-    let change = change(&before, &after, Revision(9), CONFIG);
-    assert_eq!((change.changed.len(), change.removed.len()), (2, 1));
-    let (applied, copy) = apply(&before, Revision(8), &change, Time::from_millis(5));
+    let changes = changes(&before, &after, at(9));
+    let counts: Vec<_> = changes.iter().map(|it| (it.changed.len(), it.removed.len())).collect();
+    assert_eq!(counts, [(0, 1), (2, 0)]);
+    let (applied, copy) = apply_all(&before, 8, &changes);
     assert_eq!(applied, Applied::Current);
     assert!(copy.instances[&"a".into()].entry.leaving);
     assert!(!copy.instances.contains_key(&"b".into()));
@@ -20,8 +39,7 @@
 fn copy_that_missed_a_change_is_told_so() {
     let before = view(vec![entry("a", "plain")]);
     let missed = view(vec![entry("a", "plain"), entry("b", "plain")]);
-    let change = change(&missed, &missed, Revision(9), CONFIG);
-    let (applied, _) = apply(&before, Revision(8), &change, Time::START);
+    let (applied, _) = apply_all(&before, 8, &changes(&missed, &missed, at(9)));
     assert_eq!(applied, Applied::Differs);
 }
 
@@ -29,17 +47,33 @@
 fn late_change_does_not_bring_the_past_back() {
     let now = view(vec![]);
     let past = view(vec![entry("a", "plain")]);
-    let change = change(&now, &past, Revision(7), CONFIG);
-    let (applied, copy) = apply(&now, Revision(8), &change, Time::START);
+    let (applied, copy) = apply_all(&now, 8, &changes(&now, &past, at(7)));
     assert_eq!(applied, Applied::Old);
     assert!(copy.instances.is_empty());
 }
 
 #[test]
-fn many_changes_are_left_to_each_gateway_to_read() {
-    let after = view((0..50).map(|idx| entry(&format!("i{idx}"), "plain")).collect());
-    let change = change(&view(vec![]), &after, Revision(9), CONFIG);
-    assert!(change.changed.is_empty());
-    let (applied, _) = apply(&view(vec![]), Revision(8), &change, Time::START);
+fn domain_that_goes_dark_and_comes_back_is_told_in_parts() {
+    let many = |ids: std::ops::Range<usize>| {
+        view(ids.map(|idx| entry(&format!("i{idx:03}"), "plain")).collect())
+    };
+    for (before, after) in [(many(0..60), many(40..60)), (many(40..60), many(0..60))] {
+        let changes = changes(&before, &after, at(9));
+        assert!(1 < changes.len());
+        let largest = postcard::to_allocvec(&changes[0]).unwrap().len();
+        assert!(largest < 1_200, "{largest} bytes do not fit a datagram");
+        let (applied, copy) = apply_all(&before, 8, &changes);
+        assert_eq!((applied, copy.instances.len()), (Applied::Current, after.instances.len()));
+        let (applied, _) = apply_all(&before, 8, &changes[1..]);
+        assert_eq!(applied, Applied::Differs, "one that misses a part reads the list");
+    }
+}
+
+#[test]
+fn very_many_changes_are_left_to_each_gateway_to_read() {
+    let after = view((0..100).map(|idx| entry(&format!("i{idx}"), "plain")).collect());
+    let changes = changes(&view(vec![]), &after, at(9));
+    assert_eq!((changes.len(), changes[0].changed.len()), (1, 0));
+    let (applied, _) = apply_all(&view(vec![]), 8, &changes);
     assert_eq!(applied, Applied::Differs);
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -28,7 +29,7 @@
 };
 use derive_more::Debug;
 use tokio::{
-    sync::{OnceCell, mpsc},
+    sync::{Notify, OnceCell, mpsc},
     task::JoinHandle,
     time::{MissedTickBehavior, interval, sleep},
 };
@@ -51,6 +52,8 @@
 const NODE_RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
 /// Pause between two reads of the list of gateways and owners.
 const LIVE_INTERVAL: Duration = Duration::from_millis(700);
+/// Longest random wait before a read of that list which all make at once.
+const MAX_JITTER_MS: u64 = 200;
 /// Pause after a failed attempt to be listed.
 const LISTING_RETRY: Duration = Duration::from_millis(500);
 /// Pause between two doubts of one replica: its owner has asked its members by
@@ -64,15 +67,28 @@
 /// Replica under one epoch.
 pub type ReplicaEpoch = (ReplicaId, Epoch);
 
+/// Time for which an owner that told of itself counts though a read lacks it: a
+/// read may be that old.
+const TOLD_OWNER_TIME: Duration = Duration::from_millis(2_500);
+/// Silence of the reader after which a gateway reads the list of gateways itself.
+const READER_SILENCE: Duration = Duration::from_millis(1_400);
+
 /// Gateways and owners as last read.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Live {
     /// Address of each gateway.
     pub nodes: BTreeMap<NodeId, SocketAddr>,
     /// Owner of each domain, by the key that names it.
-    pub owners: HashMap<Key, NodeId>,
-    /// When the read was sent; none before the first.
-    pub read_at: Option<Time>,
+    pub owners: BTreeMap<Key, NodeId>,
+}
+
+impl Live {
+    /// Digest, alike on all gateways of one build.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.hash(&mut hasher);
+        hasher.finish()
+    }
 }
 
 /// Link to the other gateways.
@@ -84,6 +100,11 @@
     #[debug(skip)]
     endpoint: OnceCell<PeerUdp<PeerMessage>>,
     doubted_at: Mutex<HashMap<ReplicaEpoch, Time>>,
+    /// Owners that told of themselves, and when.
+    told_owners: Mutex<HashMap<Key, (NodeId, Time)>>,
+    /// Digest of the reader's list of gateways, and when it was told.
+    told_digest: Mutex<Option<(u64, Time)>>,
+    told_other: Notify,
     /// Where doubts of the domains go that this gateway owns.
     owned: Mutex<HashMap<DomainKey, mpsc::Sender<ReplicaEpoch>>>,
 }
@@ -96,6 +117,9 @@
         live: ArcSwap::default(),
         endpoint: OnceCell::new(),
         doubted_at: Mutex::default(),
+        told_owners: Mutex::default(),
+        told_digest: Mutex::default(),
+        told_other: Notify::new(),
         owned: Mutex::default(),
     }
 }
@@ -106,13 +130,56 @@
         self.live.load_full()
     }
 
-    /// Takes in a new owner of a domain before the next read tells of it.
+    /// Makes this gateway the one that doubts of a domain are told to.
     pub fn own(&self, domain: &DomainKey) -> mpsc::Receiver<ReplicaEpoch> {
         let (doubts_tx, doubts_rx) = mpsc::channel(MAX_QUEUED_DOUBTS);
         lock(&self.owned).insert(domain.clone(), doubts_tx);
         doubts_rx
     }
 
+    /// Tells the other gateways that this one owns a domain, before their next
+    /// read does.
+    pub async fn tell_owner(&self, domain: &DomainKey) {
+        self.hear_owner(domain.owner_key(), self.node);
+        let (service, domain) = (domain.service.clone(), domain.domain.clone());
+        self.tell_all(&PeerMessage::Owner { service, domain }).await;
+    }
+
+    fn hear_owner(&self, key: Key, owner: NodeId) {
+        lock(&self.told_owners).insert(key.clone(), (owner, self.clock.now()));
+        self.live.rcu(|live| {
+            let mut live = Live::clone(live);
+            live.owners.insert(key.clone(), owner);
+            live
+        });
+    }
+
+    /// Takes in the digest of the reader's list of gateways.
+    fn hear_digest(&self, digest: u64) {
+        *lock(&self.told_digest) = Some((digest, self.clock.now()));
+        if digest != self.live.load().digest() {
+            self.told_other.notify_one();
+        }
+    }
+
+    /// Whether the reader's list was told lately and is as this gateway's.
+    fn is_current(&self) -> bool {
+        let told = *lock(&self.told_digest);
+        let fresh = told.filter(|(_, at)| self.clock.now().since(*at) < READER_SILENCE);
+        fresh.is_some_and(|(digest, _)| digest == self.live.load().digest())
+    }
+
+    /// Takes in a read of the list, and the owners that it may be too old to name.
+    fn set_live(&self, mut live: Live) {
+        let now = self.clock.now();
+        let mut told = lock(&self.told_owners);
+        told.retain(|_, (_, at)| now.since(*at) < TOLD_OWNER_TIME);
+        for (key, (owner, _)) in told.iter() {
+            live.owners.entry(key.clone()).or_insert(*owner);
+        }
+        self.live.store(Arc::new(live));
+    }
+
     /// Takes no more doubts of a domain.
     pub fn disown(&self, domain: &DomainKey) {
         lock(&self.owned).remove(domain);
@@ -237,12 +304,18 @@
     let mut ticks = interval(LIVE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
-        let read_at = Some(peers.clock.now());
-        match store.list_stale(LIVE_PREFIX.into()).await {
-            Ok(snapshot) => {
-                peers.live.store(Arc::new(Live { read_at, ..decode(&snapshot.entries) }));
+        tokio::select! {
+            _ = ticks.tick() => {}
+            // The other gateways are told at the same time; they spread out.
+            () = peers.told_other.notified() => {
+                sleep(Duration::from_millis(rand::random_range(0..MAX_JITTER_MS))).await;
             }
+        }
+        if !peers.is_reader() && peers.is_current() {
+            continue;
+        }
+        match store.list_stale(LIVE_PREFIX.into()).await {
+            Ok(snapshot) => peers.set_live(decode(&snapshot.entries)),
             Err(error) => tracing::debug!(%error, "could not read the list of peers"),
         }
     }
@@ -287,6 +360,13 @@
                 let domain = DomainKey { service, domain };
                 peers.hear_doubt(&domain, (replica, epoch));
             }
+            PeerMessage::Owner { service, domain } => {
+                peers.hear_owner(DomainKey { service, domain }.owner_key(), from);
+            }
+            PeerMessage::List(change) => {
+                peers.hear_digest(change.gateways);
+                hear(from, PeerMessage::List(change));
+            }
             message => hear(from, message),
         }
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -30,6 +30,13 @@
     },
     /// From the owner of a domain: a replica takes requests.
     Up(OpenReplica),
+    /// From a gateway that begins to own a domain.
+    Owner {
+        /// The service.
+        service: PlainServiceId,
+        /// The domain.
+        domain: FabricDomainId,
+    },
     /// From any gateway: its requests in flight.
     Load(Vec<InFlightAt>),
     /// From the reader of the list of instances: what changed.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -99,3 +99,40 @@
     let received = receiving.receive().await;
     assert_eq!((received.from, received.message), (NodeId(1), message));
 }
+
+/// Gateway whose list of gateways and owners was read, and where the reader is
+/// another one.
+fn gateway_with_a_reader() -> Peers {
+    let peers = open(NodeId(2), clock::open());
+    peers.set_live(decode(&[
+        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9"),
+        entry("citrongw/live/node/0000000000000002", "127.0.0.1:8"),
+        entry("citrongw/live/owner/engine/a", "0000000000000001"),
+    ]));
+    peers
+}
+
+#[tokio::test(start_paused = true)]
+async fn list_of_gateways_is_not_read_while_the_reader_has_the_same() {
+    let peers = gateway_with_a_reader();
+    assert!(!peers.is_current(), "not told yet");
+    peers.hear_digest(peers.live().digest());
+    assert!(peers.is_current());
+    tokio::time::sleep(READER_SILENCE).await;
+    assert!(!peers.is_current(), "told too long ago");
+    peers.hear_digest(7);
+    assert!(!peers.is_current());
+}
+
+#[tokio::test(start_paused = true)]
+async fn owner_that_told_of_itself_outlives_a_read_from_before() {
+    let peers = gateway_with_a_reader();
+    let before = Live::clone(&peers.live());
+    peers.hear_owner(domain().owner_key(), NodeId(1));
+    assert_eq!(peers.live().owners.get(&domain().owner_key()), Some(&NodeId(1)));
+    peers.set_live(before.clone());
+    assert_eq!(peers.live().owners.get(&domain().owner_key()), Some(&NodeId(1)));
+    tokio::time::sleep(TOLD_OWNER_TIME).await;
+    peers.set_live(before);
+    assert_eq!(peers.live().owners.get(&domain().owner_key()), None);
+}
--- a/crates/gateway/src/told.rs
+++ b/crates/gateway/src/told.rs
@@ -42,7 +42,10 @@
                 self.open.remove(&key);
                 self.down.insert(key, now).is_none()
             }
-            PeerMessage::Doubt { .. } | PeerMessage::List(_) | PeerMessage::Load(_) => false,
+            PeerMessage::Doubt { .. }
+            | PeerMessage::Owner { .. }
+            | PeerMessage::List(_)
+            | PeerMessage::Load(_) => false,
         }
     }
 
