--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -175,7 +175,7 @@
                         self.memory.add_opening(replica, epoch, opens_at);
                     }
                     (Order::Join { replica, epoch, .. }, Ok(OrderReply::OldEpoch)) => {
-                        self.memory.add_refused(replica, epoch);
+                        self.memory.add_refused(&instance, replica, epoch);
                     }
                     (Order::Stage { .. }, Ok(OrderReply::Begun | OrderReply::Done)) => {
                         return false;
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -96,7 +96,7 @@
         return;
     }
     let fillers: Vec<PlannedMember> = spares.into_iter().map(planned).collect();
-    let epoch = next_epoch(next, hosts);
+    let epoch = next_epoch(next, hosts, memory);
     let replica = &mut next.replicas[idx];
     for (place, filler) in places.iter().zip(fillers) {
         replica.members[*place] = filler;
@@ -117,10 +117,10 @@
     }
 }
 
-/// Epoch above all that the record gave and the instances report.
-fn next_epoch(plan: &DomainPlan, hosts: &Hosts) -> Epoch {
+/// Epoch above all that the record gave and the instances report or refused.
+fn next_epoch(plan: &DomainPlan, hosts: &Hosts, memory: &Memory) -> Epoch {
     let reported = hosts.values().filter_map(|it| Some(it.membership?.epoch)).max();
-    plan.epoch.max(reported.unwrap_or_default()).next()
+    plan.epoch.max(reported.unwrap_or_default()).max(memory.epoch_floor).next()
 }
 
 fn planned(host: &Host) -> PlannedMember {
@@ -174,7 +174,7 @@
             continue;
         }
         let members = spares.into_iter().take(spec.size).map(planned).collect();
-        let epoch = next_epoch(next, hosts);
+        let epoch = next_epoch(next, hosts, memory);
         next.epoch = epoch;
         next.replicas.push(PlannedReplica { id: draw_replica(), epoch, model, members });
     }
--- a/crates/gateway/src/control/step/memory.rs
+++ b/crates/gateway/src/control/step/memory.rs
@@ -39,6 +39,8 @@
     pub(super) opens_at: HashMap<(ReplicaId, Epoch), Time>,
     /// Epochs that a member refused.
     pub(super) refused: HashSet<(ReplicaId, Epoch)>,
+    /// Epoch that joins are to pass, as a spare had seen later ones.
+    pub(super) epoch_floor: Epoch,
     /// Since when each replica lacks a member.
     pub(super) lacking_since: HashMap<(ReplicaId, Epoch), Time>,
     /// Since when each replica is being closed.
@@ -94,9 +96,15 @@
         self.opens_at.entry((replica, epoch)).or_insert(opens_at);
     }
 
-    /// Takes in that a member refused a join for its epoch.
-    pub fn add_refused(&mut self, replica: ReplicaId, epoch: Epoch) {
-        self.refused.insert((replica, epoch));
+    /// Takes in that an instance refused a join for its epoch. A spare is to get a
+    /// much higher one with its next join: what it has seen is not known.
+    pub fn add_refused(&mut self, instance: &InstanceId, replica: ReplicaId, epoch: Epoch) {
+        if replica.0 & STANDBY_BIT == 0 {
+            self.refused.insert((replica, epoch));
+            return;
+        }
+        self.standbys.retain(|(id, _), _| id != instance);
+        self.epoch_floor = self.epoch_floor.max(Epoch(epoch.0.saturating_mul(2)));
     }
 
     /// Takes in that an instance did not begin to load weights. One that refuses
@@ -152,6 +160,7 @@
     /// Gives a spare a replica of its own.
     pub(super) fn begin_standby(&mut self, host: &Host, model: &ModelId, epoch: Epoch) -> Standby {
         // An epoch below one that the spare has seen would be refused.
+        let epoch = self.epoch_floor.max(epoch);
         let seen = host.membership.map_or(epoch, |it| it.epoch.max(epoch));
         let replica = standby_replica(host);
         let standby = Standby { replica, epoch: seen.next(), model: model.clone() };
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -389,3 +389,25 @@
     after.sort();
     assert_eq!(after, before, "they are members as before");
 }
+
+#[test]
+fn spare_that_refuses_an_epoch_gets_a_higher_one() {
+    let mut world = open(7);
+    world.run(4);
+    let spare = world.spares()[0].clone();
+    let (id, membership) = (spare.id.clone(), spare.membership.unwrap());
+    world.memory.add_refused(&id, membership.replica.unwrap(), membership.epoch);
+    world.host(id.as_str()).membership = None;
+    world.given.clear();
+    world.step();
+    let joined = world.given.iter().find_map(|(to, order)| match order {
+        Order::Join { epoch, .. } if *to == id.to_string() => Some(*epoch),
+        _ => None,
+    });
+    assert!(Epoch(membership.epoch.0 * 2) < joined.unwrap());
+    // A replica that takes it must not be refused for the same reason.
+    let lost = world.members("l")[1].clone();
+    world.host(&lost).liveness = Liveness::Refusing;
+    world.run(2);
+    assert!(joined.unwrap() < world.plan.epoch);
+}
