Look again for another server while one is silent

Change: it looks every 50 ms whether there is another now, and whether the budget allows it; an event from the silent server ends that.

Measured: the test of such a stream does not end within a minute on the code before, and passes.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -26,6 +26,10 @@
 /// Pause that a caller is asked for when all servers are full.
 const FULL_PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause between two looks for another server while one is silent: well below
+/// the pause that callers of a stream expect.
+const ANOTHER_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Attempts made so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -77,6 +81,13 @@
             && self.choose(gateway, call).is_some()
     }
 
+    /// Ends once a request that is being tried could go to another server.
+    pub(super) async fn wait_for_another(&self, gateway: &Gateway, call: &Call) {
+        while !self.has_another(gateway, call) {
+            sleep(ANOTHER_INTERVAL).await;
+        }
+    }
+
     fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         let fleet = gateway.world.fleet.load();
         let wish = Wish {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -171,11 +171,12 @@
         }
         () = server.stats.wait_until_down() => Cause::ReplicaDown,
     };
-    if attempts.has_another(gateway, call) {
-        return Err(Failed::may_have_run(cause));
+    tokio::select! {
+        biased;
+        () = attempts.wait_for_another(gateway, call) => Err(Failed::may_have_run(cause)),
+        res = exchange => res,
+        () = sleep_until(deadline) => Err(Failed::may_have_run(Cause::DeadlinePassed)),
     }
-    let late = Err(Failed::may_have_run(Cause::DeadlinePassed));
-    timeout_at(deadline, exchange).await.unwrap_or(late)
 }
 
 /// Ends once a server has been silent to all of this node's requests for
@@ -219,8 +220,7 @@
     call: Arc<Call>,
     attempts: Attempts,
     source: Box<Source>,
-    /// Whether the source is waited for however silent it is, for there is no
-    /// other to go to.
+    /// Whether the silent source is waited for until there is another to go to.
     must_wait: bool,
     last_event: Option<u64>,
     log: RequestLog,
@@ -232,11 +232,14 @@
         loop {
             let failed = match self.read().await {
                 Ok(None) => return Ok(None),
-                Ok(Some(event)) => match self.check(&event) {
-                    Place::Next => return Ok(Some(event.bytes)),
-                    Place::Repeated => continue,
-                    Place::AfterGap => Failed::may_have_run(Cause::BrokeOff),
-                },
+                Ok(Some(event)) => {
+                    self.must_wait = false;
+                    match self.check(&event) {
+                        Place::Next => return Ok(Some(event.bytes)),
+                        Place::Repeated => continue,
+                        Place::AfterGap => Failed::may_have_run(Cause::BrokeOff),
+                    }
+                }
                 Err(failed) => failed,
             };
             self.resume(failed).await?;
@@ -267,6 +270,9 @@
             () = backend.stats.wait_until_down(), if !self.must_wait => {
                 Err(Failed::may_have_run(Cause::ReplicaDown))
             }
+            () = self.attempts.wait_for_another(&gateway, &self.call), if self.must_wait => {
+                Err(Failed::may_have_run(Cause::Stalled))
+            }
         }
     }
 
