Keep one instance in nine as a spare

Change: three of 27 are spares, so that the second replica of 6 is formed. Domains of 11 keep their two. The test of the spares' models takes sizes of which no further replica fits the instance that is added.

--- a/crates/gateway/src/control/layout.rs
+++ b/crates/gateway/src/control/layout.rs
@@ -10,8 +10,10 @@
 
 use crate::directory::ModelSpec;
 
-/// Share of a domain's instances that stay free as spares.
-const SPARE_SHARE: f64 = 0.15;
+/// Share of a domain's instances that stay free as spares: one in nine, so that a
+/// small domain has one for each of two models, and a large one does not leave a
+/// replica's worth of instances idle.
+const SPARE_SHARE: f64 = 0.11;
 
 /// Spares that a domain of so many instances keeps.
 pub fn spares(instances: usize) -> usize {
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -4,7 +4,12 @@
 
 use self::world::{STALL, World, open};
 use super::*;
-use crate::{adapter::Order, control::loads::LoadBudget, instance::Membership};
+use crate::{
+    adapter::Order,
+    control::loads::LoadBudget,
+    instance::Membership,
+    testing::{engine, model},
+};
 
 #[test]
 fn empty_domain_forms_its_layout_and_keeps_its_spares_warm() {
@@ -138,7 +143,9 @@
 
 #[test]
 fn each_model_has_a_spare_before_any_has_more() {
-    let mut world = open(7);
+    let mut world = open(9);
+    // Sizes of which no further replica fits the one instance that is added.
+    world.engine = engine(vec![model("l", 4, 1.0, 0.7), model("s", 3, 1.0, 0.3)]);
     world.run(4);
     let mut models: Vec<String> =
         world.spares().iter().map(|it| it.staged[0].to_string()).collect();
