--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -140,12 +140,12 @@
     /// Tells the other gateways that this one owns a domain, before their next
     /// read does.
     pub async fn tell_owner(&self, domain: &DomainKey) {
-        self.hear_owner(domain.owner_key(), self.node);
+        self.hear_owner(&domain.owner_key(), self.node);
         let (service, domain) = (domain.service.clone(), domain.domain.clone());
         self.tell_all(&PeerMessage::Owner { service, domain }).await;
     }
 
-    fn hear_owner(&self, key: Key, owner: NodeId) {
+    fn hear_owner(&self, key: &Key, owner: NodeId) {
         lock(&self.told_owners).insert(key.clone(), (owner, self.clock.now()));
         self.live.rcu(|live| {
             let mut live = Live::clone(live);
@@ -361,7 +361,7 @@
                 peers.hear_doubt(&domain, (replica, epoch));
             }
             PeerMessage::Owner { service, domain } => {
-                peers.hear_owner(DomainKey { service, domain }.owner_key(), from);
+                peers.hear_owner(&DomainKey { service, domain }.owner_key(), from);
             }
             PeerMessage::List(change) => {
                 peers.hear_digest(change.gateways);
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -128,7 +128,7 @@
 async fn owner_that_told_of_itself_outlives_a_read_from_before() {
     let peers = gateway_with_a_reader();
     let before = Live::clone(&peers.live());
-    peers.hear_owner(domain().owner_key(), NodeId(1));
+    peers.hear_owner(&domain().owner_key(), NodeId(1));
     assert_eq!(peers.live().owners.get(&domain().owner_key()), Some(&NodeId(1)));
     peers.set_live(before.clone());
     assert_eq!(peers.live().owners.get(&domain().owner_key()), Some(&NodeId(1)));
--- a/crates/transport/src/http_server/guarded.rs
+++ b/crates/transport/src/http_server/guarded.rs
@@ -185,6 +185,8 @@
         };
         res?;
         let max_head_bytes = self.options.limits.max_head_bytes();
+        // Whatever came, a connection that is idle after it is so anew.
+        self.awaited.take_if(|it| it.0 == Awaited::Request);
         if buf.filled().len() == before {
             self.at_end = true;
         } else if let Err(code) = self.framing.read(&buf.filled()[before..], max_head_bytes) {
--- a/crates/transport/src/http_server/tests.rs
+++ b/crates/transport/src/http_server/tests.rs
@@ -127,6 +127,20 @@
     assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn connection_is_idle_anew_after_each_answer() {
+    let server = open(ServerOptions::default()).await;
+    let mut stream = TcpStream::connect(server.local_addr()).await.unwrap();
+    let mut buf = [0; 1024];
+    for _ in 0..10 {
+        stream.write_all(b"POST /echo HTTP/1.1\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+        let count = stream.read(&mut buf).await.unwrap();
+        assert!(buf[..count].starts_with(b"HTTP/1.1 200 "));
+        // Within the bound of ten seconds each time.
+        tokio::time::sleep(Duration::from_secs(8)).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn connection_with_an_open_exchange_is_not_idle() {
     let router = Router::new().get("/", |_: Request| async {
