--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -145,7 +145,7 @@
     drivers.push(tokio::spawn(load_board::tell(Arc::clone(&gateway))));
     tracing::info!(
         node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
-        callers = %addr, "started"
+        callers = %callers.local_addr(), "started"
     );
     Ok(Node { gateway, callers, ready, metrics, drivers })
 }
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether it is held whole.
+    pub(super) fn is_held(&self) -> bool {
+        matches!(self, Self::Held(_))
+    }
+
     /// Whether it can be sent, as it was not passed on yet or is held.
     pub(super) fn can_be_sent(&self) -> bool {
         match self {
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -89,7 +89,7 @@
             read_held(answer).await
         };
         let may_go_on = call.route.kind.may_rerun()
-            && matches!(call.body, super::body::CallBody::Held(_))
+            && call.body.is_held()
             && attempts.count() < call.route.max_attempts as usize;
         let outcome = if may_go_on {
             let patience = call.route.target_latency * GIVE_UP_FACTOR;
