Log and count a record that cannot be read once a change

Cause: an instance's entry that cannot be read was logged at each read of the list, twice a second, and not counted.

Change: logged and counted once for each revision of the record; what was known holds, as before.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod instances;
+mod unreadable;
 
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
@@ -18,12 +19,14 @@
     task::JoinHandle,
 };
 
+use self::unreadable::UnreadableRecords;
 use crate::{
     adapter::Adapter,
     directory::Directory,
     fleet::{Fleet, ReplicaKey},
     instance_book::InstancesView,
     listing::{ListChange, READER_SILENCE},
+    metrics::Metrics,
     peers::{Peers, message::PeerMessage},
     told::ToldReplicas,
 };
@@ -167,9 +170,12 @@
     adapter: &Adapter,
     world: &Arc<World>,
     peers: &Arc<Peers>,
+    metrics: &Metrics,
     clock: Clock,
 ) -> Vec<JoinHandle<()>> {
-    let config = config::follow(adapter.clone(), Arc::clone(world), Arc::clone(peers), clock);
-    let instances = instances::open(adapter, world, peers, clock);
+    let unreadable = UnreadableRecords::new(metrics);
+    let (feed, link) = (Arc::clone(world), Arc::clone(peers));
+    let config = config::follow(adapter.clone(), feed, link, unreadable.clone(), clock);
+    let instances = instances::open(adapter, world, peers, unreadable, clock);
     vec![tokio::spawn(config), tokio::spawn(instances.follow())]
 }
--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -12,7 +12,7 @@
 use futures::StreamExt;
 use tokio::time::{sleep, timeout};
 
-use super::World;
+use super::{World, unreadable::UnreadableRecords};
 use crate::{adapter::Adapter, peers::Peers};
 
 /// Pause before the configuration is read again after a failure.
@@ -21,8 +21,14 @@
 const READER_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Follows the configuration for ever.
-pub(super) async fn follow(adapter: Adapter, world: Arc<World>, peers: Arc<Peers>, clock: Clock) {
-    let follower = Follower { adapter, world, peers, clock };
+pub(super) async fn follow(
+    adapter: Adapter,
+    world: Arc<World>,
+    peers: Arc<Peers>,
+    unreadable: UnreadableRecords,
+    clock: Clock,
+) {
+    let follower = Follower { adapter, world, peers, unreadable, clock };
     loop {
         let followed = if follower.is_told() {
             follower.wait_for_news().await
@@ -40,6 +46,7 @@
     adapter: Adapter,
     world: Arc<World>,
     peers: Arc<Peers>,
+    unreadable: UnreadableRecords,
     clock: Clock,
 }
 
@@ -94,7 +101,7 @@
         match self.adapter.codec.decode_config(entry) {
             Ok(directory) => self.world.set_directory(directory),
             // The one in force stays; the service accepts only valid ones.
-            Err(error) => tracing::error!(%error, "could not read the configuration"),
+            Err(error) => self.unreadable.add(entry, &error),
         }
     }
 }
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -13,7 +13,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::World;
+use super::{World, unreadable::UnreadableRecords};
 use crate::{
     adapter::Adapter,
     instance_book::{InstanceBook, InstancesView},
@@ -37,6 +37,7 @@
     revision: Revision,
     read_at: Option<Time>,
     is_reached: bool,
+    unreadable: UnreadableRecords,
 }
 
 /// Opens the feed.
@@ -44,6 +45,7 @@
     adapter: &Adapter,
     world: &Arc<World>,
     peers: &Arc<Peers>,
+    unreadable: UnreadableRecords,
     clock: Clock,
 ) -> InstanceFeed {
     InstanceFeed {
@@ -55,6 +57,7 @@
         revision: Revision(0),
         read_at: None,
         is_reached: true,
+        unreadable,
     }
 }
 
@@ -119,12 +122,14 @@
         let entries = snapshot.entries.iter().filter_map(|entry| {
             // An entry that cannot be read names no instance to use.
             let decoded = self.adapter.codec.decode_instance(entry);
-            let decoded = decoded.inspect_err(|error| {
-                tracing::warn!(key = %entry.key, %error, "ignored an instance's entry");
-            });
+            let decoded = decoded.inspect_err(|error| self.unreadable.add(entry, error));
             Some((decoded.ok()?, entry.revision))
         });
-        self.book.apply(asked_at, entries.collect()).clone()
+        let entries: Vec<_> = entries.collect();
+        let prefix = self.adapter.codec.instances_prefix();
+        self.unreadable
+            .retain(&prefix, |key| snapshot.entries.iter().any(|entry| entry.key == *key));
+        self.book.apply(asked_at, entries).clone()
     }
 
     /// Applies what the reader tells, or reads the list if something is missing.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,7 @@
     first_event_time: Times,
     log_lines_dropped: Gauge,
     store_calls: StoreCalls,
+    unreadable_records: Counter,
 }
 
 fn histogram() -> Histogram {
@@ -81,6 +82,12 @@
         "Calls to the key-value service by subject, call and outcome",
         store_calls.family(),
     );
+    let unreadable_records = Counter::default();
+    registry.register(
+        "unreadable_records",
+        "Records of the platform that could not be read, once a change",
+        unreadable_records.clone(),
+    );
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -89,6 +96,7 @@
         first_event_time,
         log_lines_dropped,
         store_calls,
+        unreadable_records,
     }
 }
 
@@ -120,6 +128,11 @@
         self.store_calls.clone()
     }
 
+    /// Count of records that could not be read.
+    pub fn unreadable_records(&self) -> Counter {
+        self.unreadable_records.clone()
+    }
+
     /// The page.
     pub fn page(&self) -> String {
         let dropped = i64::try_from(log::dropped_lines()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -131,7 +131,8 @@
         .map_err(|error| could_not("listen for callers", addr, error))?;
     let ready = bind(settings.ready_addr, relay::ready_router(&gateway, ready_path)).await?;
     let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
-    let mut drivers = feed::spawn(&gateway.adapter, &gateway.world, &gateway.peers, clock);
+    let mut drivers =
+        feed::spawn(&gateway.adapter, &gateway.world, &gateway.peers, &gateway.metrics, clock);
     let world = Arc::clone(&gateway.world);
     let board = Arc::clone(&gateway.board);
     let hear = move |from, message| match message {
