--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,13 +1,10 @@
 //! The other gateways: who they are, and datagrams to them.
-//!
-//! Each gateway lists itself in the platform's key-value service under a lease,
-//! beside the keys that name the owners of domains; all read both together.
 
+mod live;
 pub mod message;
 
 use std::{
-    collections::{BTreeMap, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -31,29 +28,24 @@
 use tokio::{
     sync::{Notify, OnceCell, mpsc},
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, sleep},
+    time::sleep,
 };
 
-use self::message::PeerMessage;
+pub use self::live::Live;
+use self::{
+    live::{list_self, read_live},
+    message::PeerMessage,
+};
 use crate::control::plan::DomainKey;
 
 /// Prefix of all keys that end with the lease of a process.
 pub const LIVE_PREFIX: &str = "citrongw/live/";
-const NODE_PREFIX: &str = "citrongw/live/node/";
 /// Prefix of the keys that name the owners of domains.
 pub const OWNER_PREFIX: &str = "citrongw/live/owner/";
 /// Key of the secret that signs datagrams, drawn by the first gateway.
 const SECRET_KEY: &str = "citrongw/peer-secret";
 /// Characters of the secret.
 const SECRET_CHARS: usize = 32;
-/// Time after which a gateway that ended is no longer listed.
-const NODE_LEASE_TIME: Duration = Duration::from_secs(10);
-/// Pause between two renewals of that: a third of its time.
-const NODE_RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
-/// Pause between two reads of the list of gateways and owners.
-const LIVE_INTERVAL: Duration = Duration::from_millis(700);
-/// Longest random wait before a read of that list which all make at once.
-const MAX_JITTER_MS: u64 = 200;
 /// Pause after a failed attempt to be listed.
 const LISTING_RETRY: Duration = Duration::from_millis(500);
 /// Pause between two doubts of one replica: its owner has asked its members by
@@ -73,24 +65,6 @@
 /// Silence of the reader after which a gateway reads the list of gateways itself.
 const READER_SILENCE: Duration = Duration::from_millis(1_400);
 
-/// Gateways and owners as last read.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-pub struct Live {
-    /// Address of each gateway.
-    pub nodes: BTreeMap<NodeId, SocketAddr>,
-    /// Owner of each domain, by the key that names it.
-    pub owners: BTreeMap<Key, NodeId>,
-}
-
-impl Live {
-    /// Digest, alike on all gateways of one build.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
 /// Link to the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -264,80 +238,6 @@
     vec![tokio::spawn(listing), tokio::spawn(reading), tokio::spawn(receiving)]
 }
 
-/// Keeps this gateway in the list.
-async fn list_self(peers: Arc<Peers>, store: Arc<dyn Store>, addr: SocketAddr) {
-    loop {
-        if let Err(error) = list_until_lapsed(&peers, &*store, addr).await {
-            tracing::info!(%error, "gateway is not listed among its peers");
-        }
-        sleep(LISTING_RETRY).await;
-    }
-}
-
-async fn list_until_lapsed(peers: &Peers, store: &dyn Store, addr: SocketAddr) -> StoreResult<()> {
-    let lease = store.grant_lease(NODE_LEASE_TIME).await?;
-    let write = Write {
-        key: format!("{NODE_PREFIX}{}", peers.node).into(),
-        expected: Expected::Absent,
-        change: Change::Put(Bytes::from(addr.to_string())),
-        lease: Some(lease),
-    };
-    // An entry of an earlier lease ends with it; then this is tried again.
-    if let WriteResult::Conflict(_) = store.compare_and_swap(write).await? {
-        store.end_lease(lease).await?;
-        return Ok(());
-    }
-    loop {
-        sleep(NODE_RENEW_INTERVAL).await;
-        match store.renew_lease(lease).await {
-            Ok(()) => {}
-            Err(StoreError::Refused { reason }) => {
-                return Err(StoreError::Refused { reason });
-            }
-            // The next renewal may still come in time.
-            Err(error) => tracing::debug!(%error, "listing among peers was not renewed"),
-        }
-    }
-}
-
-async fn read_live(peers: Arc<Peers>, store: Arc<dyn Store>) {
-    let mut ticks = interval(LIVE_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            // The other gateways are told at the same time; they spread out.
-            () = peers.told_other.notified() => {
-                sleep(Duration::from_millis(rand::random_range(0..MAX_JITTER_MS))).await;
-            }
-        }
-        if !peers.is_reader() && peers.is_current() {
-            continue;
-        }
-        match store.list_stale(LIVE_PREFIX.into()).await {
-            Ok(snapshot) => peers.set_live(decode(&snapshot.entries)),
-            Err(error) => tracing::debug!(%error, "could not read the list of peers"),
-        }
-    }
-}
-
-fn decode(entries: &[Entry]) -> Live {
-    let mut live = Live::default();
-    for entry in entries {
-        let value = std::str::from_utf8(&entry.value).unwrap_or_default();
-        if let Some(node) = entry.key.as_str().strip_prefix(NODE_PREFIX) {
-            if let (Ok(node), Ok(addr)) = (node.parse(), value.parse()) {
-                live.nodes.insert(node, addr);
-            }
-        } else if entry.key.as_str().starts_with(OWNER_PREFIX)
-            && let Ok(node) = value.parse()
-        {
-            live.owners.insert(entry.key.clone(), node);
-        }
-    }
-    live
-}
-
 /// Binds the endpoint once the secret is known, and takes in what comes.
 async fn receive(
     peers: Arc<Peers>,
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,10 +1,13 @@
-use std::net::Ipv4Addr;
+use std::{collections::BTreeMap, net::Ipv4Addr};
 
 use citrongw_coordination::clock;
 use citrongw_fakes::kv::mem::{self, Fault};
 use citrongw_state::id::InstanceId;
 
-use super::*;
+use super::{
+    live::{NODE_LEASE_TIME, NODE_PREFIX, decode},
+    *,
+};
 
 fn domain() -> DomainKey {
     DomainKey { service: "engine".into(), domain: "d".into() }
