Spread requests by load interpretation, with fresh loads within a zone

Cause: each gateway chose the replica that looked least loaded by reports up to 475 ms old, so that all sent to the same few until the next reports: the choice was worse than chance. 95 gateways reported to each other, and each choice summed every gateway's map for every replica under one lock. A report left out all replicas beyond the 60th without a log line.

Change: a gateway estimates what the others of its zone have begun since their reports, levels the load with it, and chooses at random in proportion (basic load interpretation). Reports go to the own zone only, with the requests begun; one gateway of each zone sends the zone's sums to the others; servers of another zone count as level with each other. Sums are kept for each replica. Long reports are split. The entry of a gateway in the list has its zone, so gateways of earlier builds and of this one do not list each other.

One assertion of the choice's unit test is replaced: a server of the own zone with one request more of ten is now preferred to one of another zone, and a difference of three is still not.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod http;
 pub mod kv;
 pub mod middlebox;
+pub mod pass_engine;
 pub mod plain_service;
 pub mod platform;
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -46,7 +46,8 @@
             PeerMessage::Suspect { .. }
             | PeerMessage::Owner { .. }
             | PeerMessage::List(_)
-            | PeerMessage::Load(_) => false,
+            | PeerMessage::Load(_)
+            | PeerMessage::ZoneLoad { .. } => false,
         }
     }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -1,10 +1,17 @@
 //! Choice of a backend server for one attempt of a request.
 //!
-//! Each node sees only part of a server's load. The server with the lowest
-//! estimated load relative to its slots is chosen. A small random term keeps nodes
-//! with the same view from all choosing the same server.
+//! Designed for many nodes that each send a small part of the load, and that learn
+//! of each other's requests late. If each node chose the server that looked least
+//! loaded, all would send to the same few until the next reports. So a node
+//! estimates how many requests the other nodes have begun since they reported,
+//! assumes that those levelled the load, and chooses at random in proportion to
+//! what each server got of them (basic load interpretation: Dahlin, "Interpreting
+//! Stale Load Information", 1999). With fresh reports this is the least loaded
+//! server; with old ones it approaches a random server.
 
-use std::sync::Arc;
+mod leveling;
+
+use std::{collections::HashMap, sync::Arc};
 
 use citrongw_state::{
     breaker::BreakerState,
@@ -12,17 +19,15 @@
     time::Time,
 };
 
+use self::leveling::Level;
 use crate::{
     fleet::{Backend, LoadEstimate},
-    peer_loads::PeerLoads,
+    peer_loads::{PeerLoads, PeerLoadsView},
 };
 
-/// Largest random term of a score, as a share of the server's slots. Servers
-/// whose loads differ by less count as equal.
-const SCORE_JITTER: f64 = 0.08;
 /// Term that is added to the score of a server in another zone, as a share of its
-/// slots. Traffic between zones is charged for.
-const ZONE_PENALTY: f64 = 0.04;
+/// slots. Traffic between zones is charged for and its load is known later.
+const ZONE_PENALTY: f64 = 0.2;
 
 /// Inputs of a choice besides the servers.
 #[derive(Debug, Clone, Copy)]
@@ -49,46 +54,94 @@
 /// Chosen server and the runner-up.
 #[derive(Debug, Clone)]
 pub struct Choice {
-    /// Server with the lowest score.
+    /// Chosen server.
     pub best: Candidate,
-    /// Server with the second lowest score, if at least two were usable.
+    /// Least loaded of the other servers, if at least two were usable.
     pub runner_up: Option<Candidate>,
 }
 
-/// Chooses one of the usable servers. `random` returns numbers from 0 to 1.
+/// Chooses one of the usable servers. `random` returns a number from 0 to 1.
 pub fn choose(
     servers: &[Arc<Backend>],
     criteria: &ChoiceCriteria<'_>,
-    mut random: impl FnMut() -> f64,
+    random: impl FnOnce() -> f64,
 ) -> Option<Choice> {
+    let peer_loads = criteria.peer_loads.view(criteria.now);
     let usable = servers.iter().filter(|it| is_usable(it, criteria));
-    let (mut best, mut runner_up): (Option<Scored>, Option<Scored>) = (None, None);
-    for server in usable {
-        let peer_requests = server
-            .replica
-            .as_ref()
-            .map_or(0, |key| criteria.peer_loads.requests_at(key, criteria.now));
-        let load = server.stats.estimate_load(criteria.now, peer_requests);
-        let zone_penalty = if server.zone == *criteria.zone { 0.0 } else { ZONE_PENALTY };
-        let share = f64::from(load.requests) / f64::from(server.slots.max(1));
-        let scored = Scored { score: share + zone_penalty + random() * SCORE_JITTER, load, server };
-        if best.as_ref().is_none_or(|it| scored.score < it.score) {
-            runner_up = best.replace(scored);
-        } else if runner_up.as_ref().is_none_or(|it| scored.score < it.score) {
-            runner_up = Some(scored);
+    let usable: Vec<&Arc<Backend>> = usable.collect();
+    let remote_loads = RemoteLoads::new(&usable, criteria, &peer_loads);
+    let scored: Vec<Scored<'_>> = usable
+        .into_iter()
+        .map(|server| {
+            let remote_requests = remote_loads.requests_at(server, criteria, &peer_loads);
+            let peer_requests = f64::from(peer_loads.zone_requests(server)) + remote_requests;
+            let load = server.stats.estimate_load(criteria.now, peer_requests);
+            let slots = f64::from(server.slots.max(1));
+            let zone_penalty = if server.zone == *criteria.zone { 0.0 } else { ZONE_PENALTY };
+            let level = Level { height: load.requests / slots + zone_penalty, slots };
+            Scored { level, load, server }
+        })
+        .collect();
+    let arrivals = peer_loads.expected_arrivals(scored.iter().map(|it| &**it.server));
+    drop(peer_loads);
+    let levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
+    let best = leveling::pick(&levels, arrivals, random())?;
+    let others = scored.iter().enumerate().filter(|(idx, _)| *idx != best).map(|(_, it)| it);
+    let runner_up = others.min_by(|a, b| a.level.height.total_cmp(&b.level.height));
+    Some(Choice {
+        best: scored[best].to_candidate(),
+        runner_up: runner_up.map(Scored::to_candidate),
+    })
+}
+
+/// Mean load of the servers in each other zone by requests from outside this zone,
+/// as a share of the slots.
+///
+/// The gateways of a zone level its servers faster than they report to the other
+/// zones. By then a server that had fewer requests than the rest has as many.
+struct RemoteLoads<'a> {
+    shares: HashMap<&'a AvailabilityZone, f64>,
+}
+
+impl<'a> RemoteLoads<'a> {
+    fn new(
+        servers: &[&'a Arc<Backend>],
+        criteria: &ChoiceCriteria<'_>,
+        peer_loads: &PeerLoadsView<'_>,
+    ) -> Self {
+        let mut sums: HashMap<&AvailabilityZone, (f64, f64)> = HashMap::new();
+        for server in servers.iter().filter(|it| it.zone != *criteria.zone) {
+            let (requests, slots) = sums.entry(&server.zone).or_default();
+            *requests += f64::from(peer_loads.remote_requests(server));
+            *slots += f64::from(server.slots.max(1));
+        }
+        let shares = sums.into_iter().map(|(zone, (requests, slots))| (zone, requests / slots));
+        Self { shares: shares.collect() }
+    }
+
+    /// Expected requests of the other zones at a server.
+    fn requests_at(
+        &self,
+        server: &Backend,
+        criteria: &ChoiceCriteria<'_>,
+        peer_loads: &PeerLoadsView<'_>,
+    ) -> f64 {
+        if server.zone == *criteria.zone {
+            return f64::from(peer_loads.remote_requests(server));
         }
+        let share = self.shares.get(&server.zone).copied().unwrap_or_default();
+        share * f64::from(server.slots.max(1))
     }
-    Some(Choice { best: best?.into_candidate(), runner_up: runner_up.map(Scored::into_candidate) })
 }
 
 struct Scored<'a> {
-    score: f64,
+    level: Level,
     load: LoadEstimate,
     server: &'a Arc<Backend>,
 }
 
 impl Scored<'_> {
-    fn into_candidate(self) -> Candidate {
+    fn to_candidate(&self) -> Candidate {
         Candidate { server: Arc::clone(self.server), load: self.load }
     }
 }
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -6,6 +6,7 @@
 use crate::{
     adapter::ServerLoad,
     fleet::{BackendStats, ReplicaKey},
+    peer_loads::{LoadReport, ReplicaRequests, ReportSource},
 };
 
 fn server(id: &str, zone: &str, load: u32) -> Arc<Backend> {
@@ -30,13 +31,46 @@
 }
 
 #[test]
-fn least_loaded_server_wins_and_the_zone_of_the_node_breaks_ties() {
+fn least_loaded_server_of_the_zone_wins_unless_another_zone_has_far_more_free_slots() {
     let servers = [server("x", "b", 3), server("y", "a", 3), server("z", "a", 6)];
     assert_eq!(chosen(&servers, &[]).as_deref(), Some("y"));
     let servers = [server("x", "b", 2), server("y", "a", 3)];
+    assert_eq!(chosen(&servers, &[]).as_deref(), Some("y"));
+    let servers = [server("x", "b", 0), server("y", "a", 3)];
     assert_eq!(chosen(&servers, &[]).as_deref(), Some("x"));
 }
 
+#[test]
+fn servers_of_another_zone_count_as_level() {
+    let remote = |id: &str, replica| {
+        let key = ReplicaKey { replica: ReplicaId(replica), epoch: Epoch(1) };
+        let remote = Backend::clone(&server(id, "b", 0));
+        let stats = Arc::new(BackendStats::default());
+        Arc::new(Backend { replica: Some(key), stats, ..remote })
+    };
+    let servers = [remote("x", 1), remote("y", 2)];
+    let reported = |replica, requests| ReplicaRequests {
+        replica: ReplicaId(replica),
+        epoch: Epoch(1),
+        requests,
+        begun: 0,
+    };
+    let report = LoadReport {
+        part: 0,
+        parts: 1,
+        covers_ms: 500,
+        replicas: vec![reported(1, 8), reported(2, 2)],
+    };
+    let peer_loads = PeerLoads::default();
+    peer_loads.record(ReportSource::Zone("b".into()), report, Time::START);
+    let zone = "a".into();
+    let criteria =
+        ChoiceCriteria { zone: &zone, tried: &[], peer_loads: &peer_loads, now: Time::START };
+    let choice = choose(&servers, &criteria, || 0.0).unwrap();
+    let loads = [choice.best.load.requests, choice.runner_up.unwrap().load.requests];
+    assert_eq!(loads, [5.0, 5.0]);
+}
+
 #[test]
 fn choice_reports_its_load_estimates() {
     let servers = [server("x", "a", 6), server("y", "a", 3), server("z", "a", 5)];
@@ -50,14 +84,14 @@
     };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
     let age = Some(Duration::from_millis(150));
-    assert_eq!(choice.best.load, LoadEstimate { requests: 3, reported_age: age });
+    assert_eq!(choice.best.load, LoadEstimate { requests: 3.0, reported_age: age });
     let runner_up = choice.runner_up.unwrap();
-    assert_eq!((runner_up.server.id.as_str(), runner_up.load.requests), ("z", 5));
+    assert_eq!((runner_up.server.id.as_str(), runner_up.load.requests), ("z", 5.0));
     let late = ChoiceCriteria { now: Time::from_millis(5_000), ..criteria };
     let load = choose(&servers, &late, || 0.0).unwrap().best.load;
     assert_eq!(
         load,
-        LoadEstimate { requests: 0, reported_age: None },
+        LoadEstimate { requests: 0.0, reported_age: None },
         "an expired load report does not count"
     );
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -143,7 +143,8 @@
             PeerMessage::Suspect { .. }
             | PeerMessage::Owner { .. }
             | PeerMessage::List(_)
-            | PeerMessage::Load(_) => {}
+            | PeerMessage::Load(_)
+            | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -39,10 +39,10 @@
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
 
 /// Load of a backend server as this node estimates it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadEstimate {
-    /// Requests running or waiting at the server.
-    pub requests: u32,
+    /// Expected number of requests running or waiting at the server.
+    pub requests: f64,
     /// Age of the load that the server reported. None if the report was too old
     /// to be used.
     pub reported_age: Option<Duration>,
@@ -54,6 +54,7 @@
     /// Circuit breaker of this node's requests to the server.
     pub breaker: Breaker,
     in_flight: AtomicU32,
+    begun: AtomicU32,
     reported_load: AtomicU32,
     reported_at_ms: AtomicU64,
     sent_since_report: AtomicU32,
@@ -69,8 +70,14 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests of this node begun at the server so far. The count wraps.
+    pub fn begun(&self) -> u32 {
+        self.begun.load(Ordering::Relaxed)
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.begun.fetch_add(1, Ordering::Relaxed);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent_since_report.fetch_add(1, Ordering::Relaxed);
         InFlight { stats: Arc::clone(self) }
@@ -128,16 +135,17 @@
         }
     }
 
-    /// Estimates the requests at the server now. `peer_requests` is the number
-    /// that the other nodes reported.
-    pub fn estimate_load(&self, now: Time, peer_requests: u32) -> LoadEstimate {
-        let own = self.in_flight() + peer_requests;
+    /// Estimates the requests at the server now. `peer_requests` is the expected
+    /// number of the other nodes' requests.
+    pub fn estimate_load(&self, now: Time, peer_requests: f64) -> LoadEstimate {
+        let own = f64::from(self.in_flight()) + peer_requests;
         let reported_at = Time::from_millis(self.reported_at_ms.load(Ordering::Relaxed));
         if MAX_LOAD_AGE < now.since(reported_at) {
             return LoadEstimate { requests: own, reported_age: None };
         }
         let reported = self.reported_load.load(Ordering::Relaxed);
-        let requests = own.max(reported + self.sent_since_report.load(Ordering::Relaxed));
+        let reported = reported + self.sent_since_report.load(Ordering::Relaxed);
+        let requests = own.max(f64::from(reported));
         LoadEstimate { requests, reported_age: Some(now.since(reported_at)) }
     }
 }
--- a/crates/gateway/src/fleet/tests.rs
+++ b/crates/gateway/src/fleet/tests.rs
@@ -68,15 +68,15 @@
     let now = Time::from_millis(1_000);
     stats.record_load(now, ServerLoad { running: 5, waiting: 2, slots: 8 });
     let request = stats.begin_request();
-    assert_eq!(stats.estimate_load(now, 0).requests, 8);
-    assert_eq!(stats.estimate_load(now + MAX_LOAD_AGE * 2, 0).requests, 1);
+    assert_eq!(stats.estimate_load(now, 0.0).requests, 8.0);
+    assert_eq!(stats.estimate_load(now + MAX_LOAD_AGE * 2, 0.0).requests, 1.0);
     assert_eq!(
-        stats.estimate_load(now + MAX_LOAD_AGE * 2, 3).requests,
-        4,
+        stats.estimate_load(now + MAX_LOAD_AGE * 2, 3.0).requests,
+        4.0,
         "with those of other nodes"
     );
     drop(request);
-    assert_eq!(stats.estimate_load(now + MAX_LOAD_AGE * 2, 0).requests, 0);
+    assert_eq!(stats.estimate_load(now + MAX_LOAD_AGE * 2, 0.0).requests, 0.0);
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,7 +34,7 @@
     feed::{self, RoutingState},
     metered_store::{self, Subjects},
     metrics::{self, Metrics},
-    peer_loads::{self, PeerLoads},
+    peer_loads::{self, PeerLoads, ReportSource},
     peers::{self, Peers, message::PeerMessage},
     relay,
 };
@@ -108,7 +108,7 @@
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
-        peers: Arc::new(peers::open(node, clock)),
+        peers: Arc::new(peers::open(node, settings.zone.clone(), clock)),
         settings,
         clock,
         adapter,
@@ -136,7 +136,12 @@
     let routing = Arc::clone(&gateway.routing);
     let peer_loads = Arc::clone(&gateway.peer_loads);
     let on_message = move |from, message| match message {
-        PeerMessage::Load(in_flight) => peer_loads.record(from, &in_flight, clock.now()),
+        PeerMessage::Load(report) => {
+            peer_loads.record(ReportSource::Gateway(from), report, clock.now());
+        }
+        PeerMessage::ZoneLoad { zone, report } => {
+            peer_loads.record(ReportSource::Zone(zone), report, clock.now());
+        }
         message => routing.apply_message(&message, clock.now()),
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -2,131 +2,261 @@
 //!
 //! With many gateways and few replicas, each gateway sees only part of a
 //! replica's requests, and a load reported in a response is outdated by the next
-//! request. So the gateways publish to each other how many requests they have at
-//! each replica.
+//! request. So the gateways of a zone report to each other how many requests they
+//! have at each replica and how many they have begun. One gateway of each zone,
+//! its reporter, sends the sums of the zone to the gateways of the other zones.
+//! A gateway therefore receives messages in proportion to its own zone and the
+//! number of zones, not to all gateways.
+
+pub mod publisher;
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use citrongw_state::{
-    id::{Epoch, NodeId, ReplicaId},
+    id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     time::Time,
 };
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
 
-use crate::{
-    fleet::{Fleet, ReplicaKey},
-    node::Gateway,
-    peers::message::PeerMessage,
-};
+pub(crate) use self::publisher::publish;
+use crate::fleet::{Backend, ReplicaKey};
 
-/// Shortest interval between messages of a gateway.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest interval between messages of a gateway.
-const MAX_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Part of the interval that is added for each gateway. It bounds the messages
-/// that one gateway receives to 200 a second.
-const INTERVAL_PER_NODE: Duration = Duration::from_millis(5);
-/// Time after which a gateway's report of its requests no longer counts.
+/// Time after which a report no longer counts.
 const REPORT_EXPIRY: Duration = Duration::from_millis(2_500);
-/// Longest time without a message while requests are in flight: less than half of
-/// the expiry, so that one message may be lost.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_100);
-/// Limit on the replicas of one message, so that it fits into a datagram.
-const MAX_REPLICAS: usize = 60;
 
-/// Requests of one gateway in flight at a replica.
+/// Requests of one gateway, or of all gateways of a zone, at a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRequests {
     /// Id of the replica.
     pub replica: ReplicaId,
     /// Epoch of the replica.
     pub epoch: Epoch,
-    /// Number of requests.
+    /// Requests in flight.
     pub requests: u32,
+    /// Requests begun during the time that the report covers.
+    pub begun: u32,
+}
+
+impl ReplicaRequests {
+    fn key(&self) -> ReplicaKey {
+        ReplicaKey { replica: self.replica, epoch: self.epoch }
+    }
+}
+
+/// Part of a report. A report with many replicas takes several datagrams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Index of this part.
+    pub part: u8,
+    /// Number of parts.
+    pub parts: u8,
+    /// Time since the previous report, in milliseconds.
+    pub covers_ms: u32,
+    /// Replicas with requests.
+    pub replicas: Vec<ReplicaRequests>,
+}
+
+impl LoadReport {
+    fn covers(&self) -> Duration {
+        Duration::from_millis(self.covers_ms.max(1).into())
+    }
+}
+
+/// Whose requests a report counts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum ReportSource {
+    /// One gateway of the receiver's zone.
+    Gateway(NodeId),
+    /// All gateways of another zone.
+    Zone(AvailabilityZone),
 }
 
 #[derive(Debug)]
-struct Report {
+struct ReceivedReport {
     received_at: Time,
-    requests: HashMap<ReplicaKey, u32>,
+    report: LoadReport,
+}
+
+impl ReceivedReport {
+    /// Requests per second that the report's gateway begins at a replica.
+    fn begun_per_s(&self, requests: &ReplicaRequests) -> f64 {
+        f64::from(requests.begun) / self.report.covers().as_secs_f64()
+    }
+}
+
+/// Sums over the reports for one replica.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReplicaTotals {
+    /// Requests of the other gateways of the zone.
+    zone_requests: u32,
+    /// Requests per second that the other gateways of the zone begin.
+    zone_begun_per_s: f64,
+    /// Requests of the other zones.
+    remote_requests: u32,
 }
 
-/// Latest report of each other gateway.
+/// Latest report of each source, with sums for each replica that are updated when
+/// a report arrives, so that a choice of a server costs one look-up a replica.
 #[derive(Debug, Default)]
 pub struct PeerLoads {
-    reports: Mutex<HashMap<NodeId, Report>>,
+    reports: Mutex<Reports>,
+}
+
+#[derive(Debug, Default)]
+struct Reports {
+    received: HashMap<(ReportSource, u8), ReceivedReport>,
+    totals: HashMap<ReplicaKey, ReplicaTotals>,
 }
 
 impl PeerLoads {
-    /// Records the report of a gateway, which replaces its previous one.
-    pub fn record(&self, from: NodeId, in_flight: &[ReplicaRequests], now: Time) {
-        let requests = in_flight.iter().map(|it| {
-            let key = ReplicaKey { replica: it.replica, epoch: it.epoch };
-            (key, it.requests)
-        });
-        let report = Report { received_at: now, requests: requests.collect() };
+    /// Records a part of a report, which replaces the same part of the previous
+    /// one.
+    pub fn record(&self, source: ReportSource, report: LoadReport, now: Time) {
+        let mut reports = self.lock();
+        reports.remove_expired(now);
+        let previous_parts: Vec<_> = reports
+            .received
+            .keys()
+            .filter(|(from, part)| {
+                *from == source && (*part == report.part || report.parts <= *part)
+            })
+            .cloned()
+            .collect();
+        for key in previous_parts {
+            reports.remove(&key);
+        }
+        reports.add((source, report.part), ReceivedReport { received_at: now, report });
+    }
+
+    /// Loads for one choice. Other users wait until the value is dropped.
+    pub fn view(&self, now: Time) -> PeerLoadsView<'_> {
+        let mut reports = self.lock();
+        reports.remove_expired(now);
+        PeerLoadsView { reports, now }
+    }
+
+    /// Sums of the zone for the other zones: the requests that the other gateways
+    /// of this zone reported.
+    fn zone_requests(&self, now: Time) -> HashMap<ReplicaKey, u32> {
         let mut reports = self.lock();
-        reports.retain(|_, it| now.since(it.received_at) < REPORT_EXPIRY);
-        reports.insert(from, report);
+        reports.remove_expired(now);
+        let mut sums: HashMap<ReplicaKey, u32> = HashMap::new();
+        let of_zone = reports.received.iter().filter(|((from, _), _)| is_gateway(from));
+        for requests in of_zone.flat_map(|(_, it)| &it.report.replicas) {
+            *sums.entry(requests.key()).or_default() += requests.requests;
+        }
+        sums
     }
 
-    /// Requests of the other gateways at a replica, without expired reports.
-    pub fn requests_at(&self, key: &ReplicaKey, now: Time) -> u32 {
-        let reports = self.lock();
-        let fresh = reports.values().filter(|it| now.since(it.received_at) < REPORT_EXPIRY);
-        fresh.filter_map(|it| it.requests.get(key)).sum()
+    /// Whether `node` has the lowest id of the gateways of its zone that report
+    /// requests, and so sends the sums of the zone.
+    fn is_reporter(&self, node: NodeId, now: Time) -> bool {
+        let mut reports = self.lock();
+        reports.remove_expired(now);
+        !reports
+            .received
+            .keys()
+            .any(|(from, _)| matches!(from, ReportSource::Gateway(other) if *other < node))
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<NodeId, Report>> {
+    fn lock(&self) -> MutexGuard<'_, Reports> {
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Interval between messages when there are `nodes` gateways.
-fn interval(nodes: usize) -> Duration {
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-    INTERVAL_PER_NODE.saturating_mul(nodes).clamp(MIN_INTERVAL, MAX_INTERVAL)
+fn is_gateway(source: &ReportSource) -> bool {
+    matches!(source, ReportSource::Gateway(_))
 }
 
-/// Requests of this gateway at each replica that has any.
-fn own_requests(fleet: &Fleet) -> Vec<ReplicaRequests> {
-    let mut own: Vec<ReplicaRequests> = fleet
-        .replicas()
-        .filter_map(|it| {
-            let key = it.replica.as_ref()?;
-            let requests = it.stats.in_flight();
-            (requests != 0).then_some(ReplicaRequests {
-                replica: key.replica,
-                epoch: key.epoch,
-                requests,
-            })
-        })
-        .collect();
-    own.truncate(MAX_REPLICAS);
-    own
-}
+impl Reports {
+    fn add(&mut self, key: (ReportSource, u8), received: ReceivedReport) {
+        let in_zone = is_gateway(&key.0);
+        for requests in &received.report.replicas {
+            let totals = self.totals.entry(requests.key()).or_default();
+            if in_zone {
+                totals.zone_requests += requests.requests;
+                totals.zone_begun_per_s += received.begun_per_s(requests);
+            } else {
+                totals.remote_requests += requests.requests;
+            }
+        }
+        self.received.insert(key, received);
+    }
+
+    fn remove(&mut self, key: &(ReportSource, u8)) {
+        let Some(removed) = self.received.remove(key) else { return };
+        for requests in &removed.report.replicas {
+            let Some(totals) = self.totals.get_mut(&requests.key()) else { continue };
+            if is_gateway(&key.0) {
+                totals.zone_requests -= requests.requests;
+                totals.zone_begun_per_s -= removed.begun_per_s(requests);
+            } else {
+                totals.remote_requests -= requests.requests;
+            }
+        }
+    }
 
-/// Publishes this gateway's requests to the other gateways; never returns.
-pub(crate) async fn publish(gateway: Arc<Gateway>) {
-    let mut last: Option<(Time, Vec<ReplicaRequests>)> = None;
-    loop {
-        sleep(interval(gateway.peers.cluster().nodes.len())).await;
-        let now = gateway.clock.now();
-        let own = own_requests(&gateway.routing.fleet.load());
-        let is_due = last.as_ref().is_none_or(|(at, sent)| {
-            *sent != own || (!own.is_empty() && KEEPALIVE_INTERVAL <= now.since(*at))
-        });
-        if is_due {
-            gateway.peers.broadcast(&PeerMessage::Load(own.clone())).await;
-            last = Some((now, own));
+    fn remove_expired(&mut self, now: Time) {
+        let is_expired = |it: &ReceivedReport| REPORT_EXPIRY <= now.since(it.received_at);
+        if !self.received.values().any(is_expired) {
+            return;
+        }
+        self.received.retain(|_, it| !is_expired(it));
+        // Summed anew, so that replicas without reports are forgotten and rounding
+        // errors do not add up.
+        self.totals.clear();
+        for (key, received) in std::mem::take(&mut self.received) {
+            self.add(key, received);
         }
     }
 }
 
+/// Loads of the other gateways at one time.
+#[derive(Debug)]
+pub struct PeerLoadsView<'a> {
+    reports: MutexGuard<'a, Reports>,
+    now: Time,
+}
+
+impl PeerLoadsView<'_> {
+    /// Requests of the other gateways of the zone in flight at a server when they
+    /// last reported.
+    pub fn zone_requests(&self, server: &Backend) -> u32 {
+        self.totals_at(server).zone_requests
+    }
+
+    /// Requests of the other zones in flight at a server when they last reported,
+    /// which is longer ago.
+    pub fn remote_requests(&self, server: &Backend) -> u32 {
+        self.totals_at(server).remote_requests
+    }
+
+    /// Requests that the other gateways of the zone are expected to have begun at
+    /// any of `servers` since they last reported.
+    pub fn expected_arrivals<'s>(&self, servers: impl Iterator<Item = &'s Backend>) -> f64 {
+        let begun_per_s: f64 = servers.map(|it| self.totals_at(it).zone_begun_per_s.max(0.0)).sum();
+        begun_per_s * self.mean_age_s()
+    }
+
+    fn totals_at(&self, server: &Backend) -> ReplicaTotals {
+        let key = server.replica.as_ref();
+        key.and_then(|it| self.reports.totals.get(it)).copied().unwrap_or_default()
+    }
+
+    /// Mean age of the reports of the zone. A gateway that begins no requests does
+    /// not report, so an age counts up to the time that the report covers.
+    fn mean_age_s(&self) -> f64 {
+        let of_zone = self.reports.received.iter().filter(|((from, _), _)| is_gateway(from));
+        let ages = of_zone.map(|(_, it)| self.now.since(it.received_at).min(it.report.covers()));
+        let (count, sum) =
+            ages.fold((0_u32, Duration::ZERO), |(count, sum), it| (count + 1, sum + it));
+        sum.as_secs_f64() / f64::from(count.max(1))
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,7 @@
     Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
 };
 use citrongw_state::{
-    id::{Epoch, NodeId, ReplicaId},
+    id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     time::Time,
 };
 use citrongw_transport::{
@@ -31,7 +31,7 @@
     time::sleep,
 };
 
-pub use self::cluster_view::ClusterView;
+pub use self::cluster_view::{ClusterView, ListedGateway};
 use self::{
     cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
@@ -72,6 +72,7 @@
 #[derive(Debug)]
 pub struct Peers {
     node: NodeId,
+    zone: AvailabilityZone,
     clock: Clock,
     cluster: ArcSwap<ClusterView>,
     #[debug(skip)]
@@ -87,9 +88,10 @@
 }
 
 /// Creates the link of a gateway. Nothing is sent until its endpoint is bound.
-pub fn open(node: NodeId, clock: Clock) -> Peers {
+pub fn open(node: NodeId, zone: AvailabilityZone, clock: Clock) -> Peers {
     Peers {
         node,
+        zone,
         clock,
         cluster: ArcSwap::default(),
         endpoint: OnceCell::new(),
@@ -181,7 +183,8 @@
         }
         let cluster = self.cluster.load();
         let owner = cluster.owners.get(&domain.owner_key());
-        let Some((owner, addr)) = owner.and_then(|it| Some((*it, *cluster.nodes.get(it)?))) else {
+        let Some((owner, addr)) = owner.and_then(|it| Some((*it, cluster.nodes.get(it)?.addr)))
+        else {
             tracing::debug!(%domain, "domain of a suspected replica has no known owner");
             return;
         };
@@ -219,9 +222,24 @@
 
     /// Sends a message to all other gateways.
     pub async fn broadcast(&self, message: &PeerMessage) {
+        self.send_to(message, |_| true).await;
+    }
+
+    /// Sends a message to the other gateways of a zone.
+    pub async fn send_to_zone(&self, zone: &AvailabilityZone, message: &PeerMessage) {
+        self.send_to(message, |it| it.zone == *zone).await;
+    }
+
+    /// Sends a message to the gateways of all zones but one.
+    pub async fn send_to_other_zones(&self, zone: &AvailabilityZone, message: &PeerMessage) {
+        self.send_to(message, |it| it.zone != *zone).await;
+    }
+
+    async fn send_to(&self, message: &PeerMessage, is_receiver: impl Fn(&ListedGateway) -> bool) {
         let cluster = self.cluster.load_full();
-        for (node, addr) in cluster.nodes.iter().filter(|(node, _)| **node != self.node) {
-            self.send(*node, *addr, message).await;
+        let others = cluster.nodes.iter().filter(|(node, _)| **node != self.node);
+        for (node, listed) in others.filter(|(_, it)| is_receiver(it)) {
+            self.send(*node, listed.addr, message).await;
         }
     }
 
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -8,6 +8,7 @@
     collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
+    str::FromStr,
     sync::Arc,
     time::Duration,
 };
@@ -16,7 +17,8 @@
 use citrongw_protocol::store::{
     Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
 };
-use citrongw_state::id::NodeId;
+use citrongw_state::id::{AvailabilityZone, NodeId};
+use derive_more::Display;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::{LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
@@ -33,16 +35,45 @@
 /// the same time.
 const MAX_JITTER_MS: u64 = 200;
 
+/// Gateway in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
+#[display("{addr} {zone}")]
+pub struct ListedGateway {
+    /// Address for datagrams.
+    pub addr: SocketAddr,
+    /// Zone of the gateway.
+    pub zone: AvailabilityZone,
+}
+
+/// Error of reading a gateway's entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display("entry is not an address and a zone")]
+pub struct InvalidEntry;
+
+impl FromStr for ListedGateway {
+    type Err = InvalidEntry;
+
+    fn from_str(text: &str) -> Result<Self, InvalidEntry> {
+        let (addr, zone) = text.split_once(' ').ok_or(InvalidEntry)?;
+        Ok(Self { addr: addr.parse().map_err(|_| InvalidEntry)?, zone: zone.into() })
+    }
+}
+
 /// Gateways and owners as last read.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ClusterView {
-    /// Address of each gateway for datagrams.
-    pub nodes: BTreeMap<NodeId, SocketAddr>,
+    /// Gateways by id.
+    pub nodes: BTreeMap<NodeId, ListedGateway>,
     /// Owner of each domain, by the owner key of the domain.
     pub owners: BTreeMap<Key, NodeId>,
 }
 
 impl ClusterView {
+    /// Gateways of a zone.
+    pub fn gateways_of(&self, zone: &AvailabilityZone) -> impl Iterator<Item = NodeId> {
+        self.nodes.iter().filter(move |(_, it)| it.zone == *zone).map(|(node, _)| *node)
+    }
+
     /// Digest of the list, equal on all gateways of one build.
     pub fn digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
@@ -67,10 +98,11 @@
     addr: SocketAddr,
 ) -> StoreResult<()> {
     let lease = store.grant_lease(NODE_LEASE_TIME).await?;
+    let listed = ListedGateway { addr, zone: peers.zone.clone() };
     let write = Write {
         key: format!("{NODE_PREFIX}{}", peers.node).into(),
         expected: Expected::Absent,
-        change: Change::Put(Bytes::from(addr.to_string())),
+        change: Change::Put(Bytes::from(listed.to_string())),
         lease: Some(lease),
     };
     // The entry of an earlier lease is deleted when that lease expires. The
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,11 +1,13 @@
-//! Messages between gateways. Except for `Load`, they are hints that save time: the
+//! Messages between gateways. Except for the loads, they are hints that save time: the
 //! platform's lists or polls of the instances show the same a little later.
 
-use citrongw_state::id::{Epoch, FabricDomainId, InstanceId, ModelId, PlainServiceId, ReplicaId};
+use citrongw_state::id::{
+    AvailabilityZone, Epoch, FabricDomainId, InstanceId, ModelId, PlainServiceId, ReplicaId,
+};
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
 
-use crate::{listing::ListChange, peer_loads::ReplicaRequests};
+use crate::{listing::ListChange, peer_loads::LoadReport};
 
 /// Message between gateways.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,10 +39,17 @@
         /// Fabric domain within the service.
         domain: FabricDomainId,
     },
-    /// From any gateway: its requests in flight at each replica.
-    Load(Vec<ReplicaRequests>),
+    /// From a gateway of the same zone: its requests at each replica.
+    Load(LoadReport),
     /// From the list reader: changes of the instance list.
     List(ListChange),
+    /// From the reporter of another zone: the requests of that zone.
+    ZoneLoad {
+        /// Zone of the requests' gateways.
+        zone: AvailabilityZone,
+        /// Sums of the zone for each replica.
+        report: LoadReport,
+    },
 }
 
 /// Replica that takes requests.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -9,6 +9,8 @@
     *,
 };
 
+const ZONE: &str = "a";
+
 fn domain() -> DomainKey {
     DomainKey { service: "engine".into(), domain: "d".into() }
 }
@@ -24,7 +26,7 @@
 #[test]
 fn decode_returns_gateways_and_owners_and_skips_unreadable_entries() {
     let cluster = decode(&[
-        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9"),
+        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9 a"),
         entry("citrongw/live/node/0000000000000002", "nowhere"),
         entry("citrongw/live/owner/engine/d", "0000000000000001"),
         entry("citrongw/live/owner/engine/e", ""),
@@ -48,7 +50,7 @@
 #[tokio::test(start_paused = true)]
 async fn gateway_that_ended_is_not_listed_after_its_lease_expired() {
     let store = mem::open();
-    let peers = Arc::new(open(NodeId(1), clock::open()));
+    let peers = Arc::new(open(NodeId(1), ZONE.into(), clock::open()));
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
     let shared: Arc<dyn Store> = Arc::new(store.clone());
     let task = tokio::spawn(register_self(Arc::clone(&peers), shared, addr));
@@ -62,7 +64,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn suspects_of_an_owned_domain_are_queued_locally_and_not_repeated() {
-    let peers = Arc::new(open(NodeId(1), clock::open()));
+    let peers = Arc::new(open(NodeId(1), ZONE.into(), clock::open()));
     let mut suspects_rx = peers.register_domain(&domain());
     let replica = (ReplicaId(7), Epoch(1));
     peers.report_suspect(&domain(), replica);
@@ -80,7 +82,7 @@
 async fn message_of_one_gateway_reaches_the_others() {
     let store: Arc<dyn Store> = Arc::new(mem::open());
     let bind = async |node| {
-        let peers = Arc::new(open(NodeId(node), clock::open()));
+        let peers = Arc::new(open(NodeId(node), ZONE.into(), clock::open()));
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let endpoint = super::bind(&peers, &*store, any).await.unwrap();
         let addr = endpoint.local_addr().unwrap();
@@ -88,7 +90,8 @@
     };
     let (from, sending, own_addr) = bind(1).await;
     let (_to, receiving, addr) = bind(2).await;
-    let nodes = BTreeMap::from([(NodeId(1), own_addr), (NodeId(2), addr)]);
+    let listed = |addr| ListedGateway { addr, zone: ZONE.into() };
+    let nodes = BTreeMap::from([(NodeId(1), listed(own_addr)), (NodeId(2), listed(addr))]);
     from.cluster.store(Arc::new(ClusterView { nodes, ..ClusterView::default() }));
     from.endpoint.set(sending).unwrap();
     let message = PeerMessage::Up(message::OpenReplica {
@@ -106,10 +109,10 @@
 /// Gateway that has read the list of gateways and owners, in which another
 /// gateway is the reader.
 fn gateway_with_a_reader() -> Peers {
-    let peers = open(NodeId(2), clock::open());
+    let peers = open(NodeId(2), ZONE.into(), clock::open());
     peers.set_cluster(decode(&[
-        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9"),
-        entry("citrongw/live/node/0000000000000002", "127.0.0.1:8"),
+        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9 a"),
+        entry("citrongw/live/node/0000000000000002", "127.0.0.1:8 b"),
         entry("citrongw/live/owner/engine/a", "0000000000000001"),
     ]));
     peers
--- a/crates/gateway/src/relay/log.rs
+++ b/crates/gateway/src/relay/log.rs
@@ -90,10 +90,10 @@
             cause = cause.map(|it| it.to_string()),
             attempts = attempts.map_or(0, Attempts::count),
             server = best.map(|it| it.server.id.as_str()),
-            load = best.map(|it| it.load.requests),
+            load = best.map(|it| it.load.requests.round()),
             load_age_ms = best.and_then(|it| it.load.reported_age).map(|it| it.as_millis()),
             runner_up = runner_up.map(|it| it.server.id.as_str()),
-            runner_up_load = runner_up.map(|it| it.load.requests),
+            runner_up_load = runner_up.map(|it| it.load.requests.round()),
             took_ms = age.as_millis(),
             first_event_ms = self.first_event_after.map(|it| it.as_millis()),
             "request ended"
