Publish list changes through the zones and resend lost ones

Before a reader was known, and for 2 s after its loss, all gateways read. A change was applied alone, and the backend servers derived anew for each.

Change: the reader sends one message to each other zone, which the zone's reporter forwards. A gateway whose copy differs asks the sender for the changes after its digest, and reads only if they do not come in 300 ms. While the reader is silent for 600 ms, the gateway with the lowest id of each zone reads for it. Until the first request a read may be old, and so may one of a published configuration or of the peers' secret if it shows what is wanted. Queued changes are applied together; up to 240 changes of a read are sent.

Tests: the history resends what a copy lacks; a feed in paused time, with the calls counted: no current reads before the first request, one reader a zone while the reader is silent, no read when lost changes come.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -292,7 +292,7 @@
     ) {
         let Some((plan, _)) = &self.plan else { return };
         let domains = listed_domains(&self.gateway).len().max(1);
-        let unlimited = self.is_new_domain && !self.gateway.has_traffic();
+        let unlimited = self.is_new_domain && !self.gateway.routing.has_traffic();
         self.load_budget.refill(now, engine.loads_per_s / domains as f64, unlimited);
         let due =
             step::orders(plan, hosts, config, &mut self.control_state, &mut self.load_budget, now);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -6,14 +6,20 @@
 mod instances;
 mod unreadable;
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use citrongw_coordination::clock::Clock;
-use citrongw_state::{id::Revision, time::Time};
+use citrongw_state::{
+    id::{NodeId, Revision},
+    time::Time,
+};
 use citrongw_transport::http_server::ConnectionLimits;
 use tokio::{
     sync::{Notify, mpsc, watch},
@@ -32,9 +38,18 @@
     peers::{Peers, message::PeerMessage},
 };
 
-/// Queue length of list changes that wait to be applied. Further changes are
-/// dropped, and the list is read instead.
-const MAX_QUEUED_CHANGES: usize = 32;
+/// Queue length of list messages that wait to be handled: more than one read of
+/// the reader gives. Further ones are dropped and requested again.
+const MAX_QUEUED_MESSAGES: usize = 64;
+
+/// Message about the instance list from another gateway.
+#[derive(Debug)]
+enum ListMessage {
+    /// The list changed.
+    Change(ListChange),
+    /// The sender's copy has this digest and lacks the changes after it.
+    Missing(u64),
+}
 
 /// Configuration, instances and backend servers that requests are routed by.
 #[derive(Debug)]
@@ -48,19 +63,21 @@
     /// Limits of callers' connections according to the configuration.
     pub caller_limits: Arc<ConnectionLimits>,
     announced: Mutex<AnnouncedReplicas>,
-    list_tx: mpsc::Sender<ListChange>,
-    list_rx: Mutex<Option<mpsc::Receiver<ListChange>>>,
+    list_tx: mpsc::Sender<(NodeId, ListMessage)>,
+    list_rx: Mutex<Option<mpsc::Receiver<(NodeId, ListMessage)>>>,
     /// Highest revision of the configuration that the list reader reported.
     reader_config_tx: watch::Sender<Revision>,
     /// When a message of the list reader last arrived, in milliseconds of this
     /// node's clock.
     reader_last_seen_ms: AtomicU64,
+    /// Whether a caller's request has arrived yet.
+    has_traffic: AtomicBool,
     config_changed: Notify,
 }
 
 /// Creates an empty state.
 pub fn open() -> RoutingState {
-    let (list_tx, list_rx) = mpsc::channel(MAX_QUEUED_CHANGES);
+    let (list_tx, list_rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
     RoutingState {
         active_config: ArcSwapOption::empty(),
         instances: ArcSwap::default(),
@@ -71,6 +88,7 @@
         list_rx: Mutex::new(Some(list_rx)),
         reader_config_tx: watch::channel(Revision(0)).0,
         reader_last_seen_ms: AtomicU64::new(u64::MAX),
+        has_traffic: AtomicBool::new(false),
         config_changed: Notify::new(),
     }
 }
@@ -102,14 +120,29 @@
         self.active_config.load().as_ref().map_or(Revision(0), |it| it.revision)
     }
 
+    /// Whether any request of a caller has arrived yet.
+    pub fn has_traffic(&self) -> bool {
+        self.has_traffic.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn record_traffic(&self) {
+        self.has_traffic.store(true, Ordering::Relaxed);
+    }
+
     /// Whether a message of the list reader, which reads the list for all
     /// gateways, arrived recently.
     fn is_reader_active(&self, now: Time) -> bool {
+        self.is_reader_heard(now, READER_SILENCE)
+    }
+
+    /// Whether a message of the list reader arrived within `silence`.
+    fn is_reader_heard(&self, now: Time, silence: Duration) -> bool {
         let last_seen_ms = self.reader_last_seen_ms.load(Ordering::Relaxed);
-        last_seen_ms != u64::MAX && now.since(Time::from_millis(last_seen_ms)) < READER_SILENCE
+        last_seen_ms != u64::MAX && now.since(Time::from_millis(last_seen_ms)) < silence
     }
 
-    fn apply_list(&self, change: &ListChange, now: Time) {
+    /// Queues a change of the instance list that another gateway sent.
+    pub(crate) fn queue_change(&self, from: NodeId, change: ListChange, now: Time) {
         let now_ms = u64::try_from(now.0.as_millis()).unwrap_or(u64::MAX);
         self.reader_last_seen_ms.store(now_ms, Ordering::Relaxed);
         self.reader_config_tx.send_if_modified(|known_revision| {
@@ -119,14 +152,17 @@
         });
         // If the queue is full, the digest of the next applied change shows that
         // one is missing.
-        let _ = self.list_tx.try_send(change.clone());
+        let _ = self.list_tx.try_send((from, ListMessage::Change(change)));
+    }
+
+    /// Queues the request of a gateway that lost changes.
+    pub(crate) fn queue_missing(&self, from: NodeId, digest: u64) {
+        // The gateway reads the list if it gets no response.
+        let _ = self.list_tx.try_send((from, ListMessage::Missing(digest)));
     }
 
     /// Applies a message of another gateway.
     pub fn apply_message(&self, message: &PeerMessage, now: Time) {
-        if let PeerMessage::List(change) = message {
-            return self.apply_list(change, now);
-        }
         let may_have_changed = lock(&self.announced).apply(message, now);
         if !may_have_changed {
             return;
@@ -143,6 +179,8 @@
             PeerMessage::Suspect { .. }
             | PeerMessage::Owner { .. }
             | PeerMessage::List(_)
+            | PeerMessage::ListForZone(_)
+            | PeerMessage::ListMissing { .. }
             | PeerMessage::Load(_)
             | PeerMessage::ZoneLoad { .. } => {}
         }
--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -18,6 +18,10 @@
 
 /// Delay before the configuration is read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Largest random delay before all gateways read a configuration that the list
+/// reader published. It spreads their reads, and is a small part of the time in
+/// which a configuration must be in force.
+const MAX_READ_DELAY_MS: u64 = 300;
 /// Interval between checks of whether the list reader is still active.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -63,8 +67,9 @@
     /// check interval at the latest.
     async fn wait_for_update(&self) -> Result<(), StoreError> {
         let mut reader_config_rx = self.routing.reader_config_tx.subscribe();
-        if self.routing.config_revision() < *reader_config_rx.borrow_and_update() {
-            self.read().await?;
+        let published = *reader_config_rx.borrow_and_update();
+        if self.routing.config_revision() < published {
+            self.read_published(published).await?;
         }
         // After a timeout the caller checks whether the reader is still active.
         let _ = timeout(READER_CHECK_INTERVAL, reader_config_rx.changed()).await;
@@ -90,6 +95,21 @@
         Ok(())
     }
 
+    /// Reads the configuration that the reader has at `published`. All gateways
+    /// read it at about the same time, so a cheap read that may be old is tried
+    /// first, and its revision shows whether it was.
+    async fn read_published(&self, published: Revision) -> Result<(), StoreError> {
+        sleep(Duration::from_millis(rand::random_range(0..MAX_READ_DELAY_MS))).await;
+        let key = self.adapter.codec.config_key();
+        let snapshot = self.adapter.store.list_stale(key.clone()).await?;
+        let found = snapshot.entries.into_iter().find(|it| it.key == key);
+        match found.filter(|it| published <= it.revision) {
+            Some(entry) => self.apply(&entry),
+            None => drop(self.read().await?),
+        }
+        Ok(())
+    }
+
     /// Reads the configuration once and returns the revision of the store.
     async fn read(&self) -> Result<Revision, StoreError> {
         let snapshot = self.adapter.store.get(self.adapter.codec.config_key()).await?;
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -7,17 +7,20 @@
 
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::Snapshot;
-use citrongw_state::{id::Revision, time::Time};
+use citrongw_state::{
+    id::{NodeId, Revision},
+    time::Time,
+};
 use tokio::{
     sync::mpsc,
     time::{MissedTickBehavior, interval},
 };
 
-use super::{RoutingState, unreadable::UnreadableRecords};
+use super::{ListMessage, RoutingState, unreadable::UnreadableRecords};
 use crate::{
     adapter::Adapter,
     instance_table::{InstanceTable, InstancesView},
-    listing::{self, ApplyOutcome, ListChange, ReaderState},
+    listing::{self, ApplyOutcome, ChangeHistory, ListChange, ReaderState},
     peers::{Peers, message::PeerMessage},
 };
 
@@ -28,6 +31,15 @@
 /// interval.
 const OWN_READ_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Interval between checks of whether a read is due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Silence of the list reader after which the substitute of a zone reads the list
+/// for its zone: less than that after which each gateway reads it for itself, by
+/// more than a read takes.
+const SUBSTITUTE_SILENCE: Duration = Duration::from_millis(600);
+/// Time without the requested changes after which a gateway reads the list.
+const MISSING_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Keeps this gateway's instance list up to date.
 pub(super) struct InstanceFeed {
     adapter: Adapter,
@@ -37,6 +49,10 @@
     table: InstanceTable,
     revision: Revision,
     read_at: Option<Time>,
+    /// Changes for gateways that lost some.
+    history: ChangeHistory,
+    /// When this gateway requested the changes that it lost.
+    requested_missing_at: Option<Time>,
     is_store_reachable: bool,
     unreadable: UnreadableRecords,
 }
@@ -57,6 +73,8 @@
         table: InstanceTable::default(),
         revision: Revision(0),
         read_at: None,
+        history: ChangeHistory::default(),
+        requested_missing_at: None,
         is_store_reachable: true,
         unreadable,
     }
@@ -68,13 +86,13 @@
         let list_rx = self.routing.list_rx.lock().unwrap_or_else(PoisonError::into_inner).take();
         // Each routing state has only one feed.
         let Some(mut list_rx) = list_rx else { return };
-        let mut ticks = interval(READER_READ_INTERVAL);
+        let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let routing = Arc::clone(&self.routing);
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.read_if_due().await,
-                Some(change) = list_rx.recv() => self.handle_change(&change, &mut list_rx).await,
+                Some(message) = list_rx.recv() => self.handle(message, &mut list_rx).await,
                 () = routing.config_changed.notified() => self.publish_config_revision().await,
             }
         }
@@ -82,14 +100,24 @@
 
     async fn read_if_due(&mut self) {
         let now = self.clock.now();
-        if self.peers.is_reader() {
+        let is_due = |interval| self.read_at.is_none_or(|at| interval <= now.since(at));
+        let is_substitute = self.peers.is_substitute_reader()
+            && !self.routing.is_reader_heard(now, SUBSTITUTE_SILENCE);
+        if self.peers.is_reader() || is_substitute {
+            // A check may come slightly before the interval has passed.
+            if !is_due(READER_READ_INTERVAL - CHECK_INTERVAL / 2) {
+                return;
+            }
             let before = self.table.view().clone();
             if self.read().await {
                 self.publish_changes(&before).await;
             }
-        } else if !self.routing.is_reader_active(now)
-            && self.read_at.is_none_or(|at| OWN_READ_INTERVAL <= now.since(at))
-        {
+            return;
+        }
+        let lacks_changes =
+            self.requested_missing_at.is_some_and(|at| MISSING_TIMEOUT <= now.since(at));
+        let is_alone = !self.routing.is_reader_active(now) && is_due(OWN_READ_INTERVAL);
+        if lacks_changes || is_alone {
             self.read().await;
         }
     }
@@ -98,7 +126,14 @@
     async fn read(&mut self) -> bool {
         let read_at = self.clock.now();
         self.read_at = Some(read_at);
-        match self.adapter.store.list(self.adapter.codec.instances_prefix()).await {
+        self.requested_missing_at = None;
+        let prefix = self.adapter.codec.instances_prefix();
+        // Before the first request an older list does no harm.
+        let listed = match self.routing.has_traffic() {
+            true => self.adapter.store.list(prefix).await,
+            false => self.adapter.store.list_stale(prefix).await,
+        };
+        match listed {
             Ok(snapshot) => {
                 if !self.is_store_reachable {
                     tracing::info!(dependency = "store", "instance list is readable again");
@@ -133,48 +168,90 @@
         self.table.apply(read_at, entries).clone()
     }
 
-    /// Applies a change from the reader, or reads the list if a change is
-    /// missing.
-    async fn handle_change(
+    /// Handles a message and those that are queued behind it. The backend servers
+    /// are derived from the list only once for all of them.
+    async fn handle(
         &mut self,
-        change: &ListChange,
-        list_rx: &mut mpsc::Receiver<ListChange>,
+        first: (NodeId, ListMessage),
+        list_rx: &mut mpsc::Receiver<(NodeId, ListMessage)>,
     ) {
+        let before = self.revision;
+        let mut has_changed = false;
+        let mut next = Some(first);
+        while let Some((from, message)) = next {
+            match message {
+                ListMessage::Change(change) => {
+                    has_changed |= self.apply_change(from, &change).await;
+                }
+                ListMessage::Missing(digest) => self.send_missing(from, digest).await,
+            }
+            next = list_rx.try_recv().ok();
+        }
+        if has_changed || before != self.revision {
+            self.routing.set_instances(self.table.view().clone());
+        }
+    }
+
+    /// Applies a change from the reader, or requests the changes that were lost
+    /// before it. True if the list is another one.
+    async fn apply_change(&mut self, from: NodeId, change: &ListChange) -> bool {
         if self.peers.is_reader() {
-            return;
+            return false;
         }
         let now = self.clock.now();
         let (applied, view) = listing::apply(self.table.view(), self.revision, change, now);
         match applied {
-            ApplyOutcome::Stale => {}
+            ApplyOutcome::Stale => false,
             ApplyOutcome::Current => {
+                self.history.add(listing::digest(self.table.view()), change);
+                self.requested_missing_at = None;
                 self.revision = change.revision;
-                self.table.replace(view.clone());
-                self.routing.set_instances(view);
+                self.table.replace(view);
+                true
             }
             ApplyOutcome::Diverged => {
-                self.read().await;
-                // The read includes the queued changes.
-                while list_rx.try_recv().is_ok() {}
+                if self.requested_missing_at.is_none() {
+                    self.requested_missing_at = Some(now);
+                    let digest = listing::digest(self.table.view());
+                    self.peers.send_to_gateway(from, &PeerMessage::ListMissing { digest }).await;
+                }
+                false
             }
         }
     }
 
-    async fn publish_changes(&self, before: &InstancesView) {
+    /// Sends a gateway the changes after its copy of the list, if they are kept.
+    async fn send_missing(&self, to: NodeId, digest: u64) {
+        for change in self.history.since(digest) {
+            self.peers.send_to_gateway(to, &PeerMessage::List(change.clone())).await;
+        }
+    }
+
+    async fn publish_changes(&mut self, before: &InstancesView) {
         let state = ReaderState {
             revision: self.revision,
             config_revision: self.routing.config_revision(),
             cluster_digest: self.peers.cluster().digest(),
         };
+        let mut digest = listing::digest(before);
         for change in listing::changes(before, self.table.view(), state) {
-            self.peers.broadcast(&PeerMessage::List(change)).await;
+            self.history.add(digest, &change);
+            digest = change.digest;
+            match self.peers.is_reader() {
+                true => self.peers.publish_change(&change).await,
+                false => self.peers.publish_change_to_zone(&change).await,
+            }
         }
     }
 
     /// Sends the revision of a new configuration to the others at once.
-    async fn publish_config_revision(&self) {
+    async fn publish_config_revision(&mut self) {
         if self.peers.is_reader() {
-            self.publish_changes(self.table.view()).await;
+            let view = self.table.view().clone();
+            self.publish_changes(&view).await;
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -5,7 +5,7 @@
 //! a while, or whose copy differs from the reader's, reads the list itself.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
     time::Duration,
@@ -32,7 +32,10 @@
 const MAX_REMOVED: usize = 30;
 /// Limit on the messages for one read. If a read has more changes, the other
 /// gateways read the list themselves.
-const MAX_MESSAGES: usize = 12;
+const MAX_MESSAGES: usize = 48;
+/// Limit on the changes that are kept for gateways that lost some: those of two
+/// reads at least.
+const MAX_KEPT_CHANGES: usize = 2 * MAX_MESSAGES;
 
 /// Message that the reader sends for each read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,8 +145,40 @@
     (applied, next)
 }
 
+/// Last changes that a gateway published or applied, each of which leads from the
+/// digest of the one before to its own.
+#[derive(Debug, Default)]
+pub struct ChangeHistory {
+    changes: VecDeque<ListChange>,
+}
+
+impl ChangeHistory {
+    /// Adds a change of the list that had the digest `before`.
+    pub fn add(&mut self, before: u64, change: &ListChange) {
+        if self.changes.back().is_none_or(|it| it.digest != before) {
+            // Changes before a read of the store lead elsewhere.
+            self.changes.clear();
+            let (changed, removed) = (Vec::new(), Vec::new());
+            self.changes.push_back(ListChange { digest: before, changed, removed, ..*change });
+        }
+        if change.digest != before {
+            self.changes.push_back(change.clone());
+        }
+        while MAX_KEPT_CHANGES < self.changes.len() {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Changes that lead from the list with `digest` to the current one. Empty if
+    /// they are not kept.
+    pub fn since(&self, digest: u64) -> impl Iterator<Item = &ListChange> {
+        let known = self.changes.iter().rposition(|it| it.digest == digest);
+        self.changes.iter().skip(known.map_or(self.changes.len(), |idx| idx + 1))
+    }
+}
+
 /// Digest of a list, equal on all gateways of one build.
-fn digest(view: &InstancesView) -> u64 {
+pub fn digest(view: &InstancesView) -> u64 {
     let mut hasher = DefaultHasher::new();
     for known in view.instances.values() {
         known.entry.hash(&mut hasher);
--- a/crates/gateway/src/listing/tests.rs
+++ b/crates/gateway/src/listing/tests.rs
@@ -75,9 +75,49 @@
 
 #[test]
 fn too_many_changes_make_each_gateway_read_the_list() {
-    let after = view((0..100).map(|idx| entry(&format!("i{idx}"), "plain")).collect());
+    let after = view((0..400).map(|idx| entry(&format!("i{idx}"), "plain")).collect());
     let changes = changes(&view(vec![]), &after, at(9));
     assert_eq!((changes.len(), changes[0].changed.len()), (1, 0));
     let (applied, _) = apply_all(&view(vec![]), 8, &changes);
     assert_eq!(applied, ApplyOutcome::Diverged);
 }
+
+#[test]
+fn lost_changes_are_sent_again_from_the_history() {
+    let steps = [1, 2, 3, 4].map(|count| {
+        view((0..count).map(|idx| entry(&format!("i{idx}"), "plain")).collect::<Vec<_>>())
+    });
+    let mut history = ChangeHistory::default();
+    for (revision, pair) in steps.windows(2).enumerate() {
+        for change in changes(&pair[0], &pair[1], at(revision as u64 + 9)) {
+            history.add(digest(&pair[0]), &change);
+        }
+    }
+    let missing: Vec<ListChange> = history.since(digest(&steps[1])).cloned().collect();
+    assert_eq!(missing.len(), 2);
+    let (applied, copy) = apply_all(&steps[1], 9, &missing);
+    assert_eq!((applied, copy.instances.len()), (ApplyOutcome::Current, 4));
+    assert_eq!(history.since(digest(&steps[0])).count(), 3, "also from the first list on");
+    assert_eq!(history.since(digest(&steps[3])).count(), 0, "nothing is missing");
+    assert_eq!(history.since(7).count(), 0, "of an unknown list");
+}
+
+#[test]
+fn history_starts_over_after_a_read_and_is_bounded() {
+    let list = |count: usize| {
+        view((0..count).map(|idx| entry(&format!("i{idx}"), "plain")).collect::<Vec<_>>())
+    };
+    let mut history = ChangeHistory::default();
+    let mut add = |before: &InstancesView, after: &InstancesView| {
+        for change in changes(before, after, at(9)) {
+            history.add(digest(before), &change);
+        }
+        history.changes.len()
+    };
+    assert_eq!(add(&list(1), &list(2)), 2);
+    assert_eq!(add(&list(5), &list(6)), 2, "the list was read between");
+    for count in 6..500 {
+        add(&list(count), &list(count + 1));
+    }
+    assert_eq!(history.changes.len(), MAX_KEPT_CHANGES);
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -66,7 +66,6 @@
     /// Metrics of the gateway.
     pub metrics: Metrics,
     pub(crate) stopping: AtomicBool,
-    traffic: AtomicBool,
 }
 
 impl Gateway {
@@ -74,15 +73,6 @@
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
-
-    /// Whether any request has arrived yet.
-    pub fn has_traffic(&self) -> bool {
-        self.traffic.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn record_traffic(&self) {
-        self.traffic.store(true, Ordering::Relaxed);
-    }
 }
 
 /// Running gateway.
@@ -117,7 +107,6 @@
         retries,
         metrics,
         stopping: AtomicBool::new(false),
-        traffic: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
     let options = ServerOptions {
@@ -142,6 +131,8 @@
         PeerMessage::ZoneLoad { zone, report } => {
             peer_loads.record(ReportSource::Zone(zone), report, clock.now());
         }
+        PeerMessage::List(change) => routing.queue_change(from, change, clock.now()),
+        PeerMessage::ListMissing { digest } => routing.queue_missing(from, digest),
         message => routing.apply_message(&message, clock.now()),
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,7 +36,7 @@
     cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
 };
-use crate::control::plan::DomainKey;
+use crate::{control::plan::DomainKey, listing::ListChange};
 
 /// Prefix of all keys that are attached to the lease of a process.
 pub const LIVE_PREFIX: &str = "citrongw/live/";
@@ -68,6 +68,10 @@
 /// gateways itself.
 const READER_DIGEST_EXPIRY: Duration = Duration::from_millis(1_400);
 
+/// Time after which the reporter of a zone counts as gone: two of its intervals,
+/// with a margin.
+const REPORTER_EXPIRY: Duration = Duration::from_millis(1_200);
+
 /// Link to the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -83,6 +87,8 @@
     /// Digest of the reader's list of gateways, and when it was received.
     reader_digest: Mutex<Option<(u64, Time)>>,
     digest_differs: Notify,
+    /// Reporter of each other zone, and when it last sent the zone's load.
+    zone_reporters: Mutex<HashMap<AvailabilityZone, (NodeId, Time)>>,
     /// Senders to the controllers of the domains that this gateway owns.
     suspect_txs: Mutex<HashMap<DomainKey, mpsc::Sender<ReplicaEpoch>>>,
 }
@@ -99,6 +105,7 @@
         announced_owners: Mutex::default(),
         reader_digest: Mutex::default(),
         digest_differs: Notify::new(),
+        zone_reporters: Mutex::default(),
         suspect_txs: Mutex::default(),
     }
 }
@@ -152,7 +159,7 @@
 
     /// Replaces the list by a newly read one and adds announced owners for which
     /// the read may be too old.
-    fn set_cluster(&self, mut cluster: ClusterView) {
+    pub(crate) fn set_cluster(&self, mut cluster: ClusterView) {
         let now = self.clock.now();
         let mut announced = lock(&self.announced_owners);
         announced.retain(|_, (_, at)| now.since(*at) < ANNOUNCED_OWNER_TIME);
@@ -220,6 +227,12 @@
         cluster.owners.iter().min_by_key(|(key, _)| *key).is_some_and(|(_, it)| *it == self.node)
     }
 
+    /// Whether this gateway has the lowest id of its zone, and so reads the
+    /// instance list for the zone while the list reader is silent.
+    pub fn is_substitute_reader(&self) -> bool {
+        self.cluster.load().gateways_of(&self.zone).next() == Some(self.node)
+    }
+
     /// Sends a message to all other gateways.
     pub async fn broadcast(&self, message: &PeerMessage) {
         self.send_to(message, |_| true).await;
@@ -235,6 +248,38 @@
         self.send_to(message, |it| it.zone != *zone).await;
     }
 
+    /// Sends a message to one gateway, if it is listed.
+    pub async fn send_to_gateway(&self, to: NodeId, message: &PeerMessage) {
+        let listed = self.cluster.load().nodes.get(&to).map(|it| it.addr);
+        if let Some(addr) = listed {
+            self.send(to, addr, message).await;
+        }
+    }
+
+    /// Sends a change of the instance list to the gateways of this zone, and to
+    /// the others through the reporters of their zones, so that the messages that
+    /// the reader sends do not grow with the gateways of other zones. A zone
+    /// without a known reporter gets the change directly.
+    pub async fn publish_change(&self, change: &ListChange) {
+        let now = self.clock.now();
+        let reporters: HashMap<AvailabilityZone, NodeId> = lock(&self.zone_reporters)
+            .iter()
+            .filter(|(_, (_, at))| now.since(*at) < REPORTER_EXPIRY)
+            .map(|(zone, (node, _))| (zone.clone(), *node))
+            .collect();
+        let message = PeerMessage::List(change.clone());
+        self.send_to(&message, |it| !reporters.contains_key(&it.zone)).await;
+        let forwarded = PeerMessage::ListForZone(change.clone());
+        for reporter in reporters.into_values() {
+            self.send_to_gateway(reporter, &forwarded).await;
+        }
+    }
+
+    /// Sends a change of the instance list to the gateways of this zone only.
+    pub async fn publish_change_to_zone(&self, change: &ListChange) {
+        self.send_to_zone(&self.zone, &PeerMessage::List(change.clone())).await;
+    }
+
     async fn send_to(&self, message: &PeerMessage, is_receiver: impl Fn(&ListedGateway) -> bool) {
         let cluster = self.cluster.load_full();
         let others = cluster.nodes.iter().filter(|(node, _)| **node != self.node);
@@ -294,6 +339,16 @@
                 peers.record_digest(change.cluster_digest);
                 on_message(from, PeerMessage::List(change));
             }
+            PeerMessage::ListForZone(change) => {
+                peers.record_digest(change.cluster_digest);
+                let message = PeerMessage::List(change);
+                peers.send_to_zone(&peers.zone, &message).await;
+                on_message(from, message);
+            }
+            PeerMessage::ZoneLoad { zone, report } => {
+                lock(&peers.zone_reporters).insert(zone.clone(), (from, peers.clock.now()));
+                on_message(from, PeerMessage::ZoneLoad { zone, report });
+            }
             message => on_message(from, message),
         }
     }
@@ -315,7 +370,10 @@
 /// Reads the secret that all gateways share. The first gateway generates it.
 async fn read_secret(store: &dyn Store) -> StoreResult<String> {
     let text = |entry: Entry| String::from_utf8_lossy(&entry.value).into_owned();
-    if let Some(entry) = store.get(SECRET_KEY.into()).await?.into_entry() {
+    // The secret never changes, so an old read is as good. If it lacks the secret,
+    // the write below returns it.
+    let listed = store.list_stale(SECRET_KEY.into()).await?;
+    if let Some(entry) = listed.entries.into_iter().find(|it| it.key.as_str() == SECRET_KEY) {
         return Ok(text(entry));
     }
     let generated: String =
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -43,6 +43,15 @@
     Load(LoadReport),
     /// From the list reader: changes of the instance list.
     List(ListChange),
+    /// From the list reader to the reporter of another zone, which forwards it to
+    /// its zone as `List`.
+    ListForZone(ListChange),
+    /// To the sender of a change of the instance list: the receiver's copy has this
+    /// digest, so changes after it were lost.
+    ListMissing {
+        /// Digest of the copy.
+        digest: u64,
+    },
     /// From the reporter of another zone: the requests of that zone.
     ZoneLoad {
         /// Zone of the requests' gateways.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,7 +55,7 @@
 
 async fn serve(gateway: Arc<Gateway>, req: Request) -> viz::Result<Response> {
     let request = new_request_id();
-    gateway.record_traffic();
+    gateway.routing.record_traffic();
     let call = match call::read(&gateway, request, req).await {
         Ok(call) => call,
         Err(refusal) => {
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -7,9 +7,17 @@
     time::Time,
 };
 
+use citrongw_protocol::store::{Entry, Key};
+use futures::{FutureExt, future::BoxFuture};
+use http::{HeaderMap, StatusCode};
+
 use crate::{
+    adapter::{
+        Codec, CodecError, ForwardMeta, InstanceClient, InstanceError, Order, OrderReply,
+        RequestMeta, ResponseMeta,
+    },
     gateway_config::{CallerLimits, EngineSpec, GatewayConfig, ModelSpec, RouteTable, ServiceSpec},
-    instance::{InstanceEntry, MemberState, Membership},
+    instance::{InstanceEntry, InstanceReport, MemberState, Membership},
     instance_table::{InstancesView, KnownInstance},
 };
 
@@ -69,3 +77,54 @@
     });
     InstancesView { read_at: Time::START, instances: known.collect() }
 }
+
+/// Codec of instance entries whose value is the instance's id.
+#[derive(Debug)]
+pub(crate) struct StubCodec;
+
+impl StubCodec {
+    /// Prefix of the keys of instances.
+    pub(crate) const INSTANCES: &str = "instances/";
+}
+
+impl Codec for StubCodec {
+    fn config_key(&self) -> Key {
+        "config".into()
+    }
+
+    fn instances_prefix(&self) -> Key {
+        Self::INSTANCES.into()
+    }
+
+    fn decode_config(&self, _: &Entry) -> Result<GatewayConfig, CodecError> {
+        Ok(gateway_config(engine(Vec::new())))
+    }
+
+    fn decode_instance(&self, read: &Entry) -> Result<InstanceEntry, CodecError> {
+        Ok(entry(&String::from_utf8_lossy(&read.value), "engine"))
+    }
+
+    fn decode_request(&self, _: &HeaderMap) -> RequestMeta {
+        RequestMeta::default()
+    }
+
+    fn set_forward(&self, _: &mut HeaderMap, _: &ForwardMeta<'_>) {}
+
+    fn decode_response(&self, _: StatusCode, _: &HeaderMap) -> ResponseMeta {
+        ResponseMeta::default()
+    }
+}
+
+/// Client of instances that never respond.
+#[derive(Debug)]
+pub(crate) struct StubInstances;
+
+impl InstanceClient for StubInstances {
+    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Result<InstanceReport, InstanceError>> {
+        std::future::ready(Err(InstanceError::NoResponse)).boxed()
+    }
+
+    fn order(&self, _: SocketAddr, _: Order) -> BoxFuture<'_, Result<OrderReply, InstanceError>> {
+        std::future::ready(Err(InstanceError::NoResponse)).boxed()
+    }
+}
