Form a replica where spares would hold the instances of one

Cause: a domain of 35 kept 4 spares and filled the rest with whole replicas, 16 and 3 x 4, which left 3 more idle: 7 of 35 instances served nobody.

Change: the number of spares is the one nearest to their share that whole replicas leave, and at least one. A domain of 35 forms 16 + 4 x 4 with 3 spares. Domains of 11, 18 and 27 as before.

Test: the layout of 35; it had 3 small replicas before.

--- a/crates/gateway/src/control/layout.rs
+++ b/crates/gateway/src/control/layout.rs
@@ -14,17 +14,19 @@
 /// leave enough instances idle for another replica.
 const SPARE_SHARE: f64 = 0.11;
 
-/// Number of spares of a domain with `instances` instances.
-pub fn spare_count(instances: usize) -> usize {
-    (instances as f64 * SPARE_SHARE).ceil() as usize
-}
-
-/// Models of the replicas that a domain with `instances` instances forms.
+/// Models of the replicas that a domain with `instances` instances forms. The
+/// number of spares is the nearest to their share that whole replicas leave, and
+/// at least one.
 pub fn layout(models: &[ModelSpec], instances: usize) -> Vec<ModelId> {
-    let mut free = instances.saturating_sub(spare_count(instances));
+    let spares = instances as f64 * SPARE_SHARE;
+    let mut free = instances;
     let mut counts = vec![0_usize; models.len()];
     loop {
-        let fitting = (0..models.len()).filter(|idx| (1..=free).contains(&models[*idx].size));
+        let distance = |free: usize| (free as f64 - spares).abs();
+        let fitting = (0..models.len()).filter(|idx| {
+            let size = models[*idx].size;
+            (1..free).contains(&size) && distance(free - size) < distance(free)
+        });
         // Every model has one replica before any has more.
         let neediest = fitting.min_by(|a, b| {
             let has_one = |idx: usize| counts[idx] != 0;
--- a/crates/gateway/src/control/layout/tests.rs
+++ b/crates/gateway/src/control/layout/tests.rs
@@ -29,3 +29,11 @@
 fn model_of_size_zero_is_not_placed() {
     assert_eq!(counts(&[model("empty", 0, 1.0, 1.0)], 10), [0]);
 }
+
+#[test]
+fn large_domain_does_not_leave_a_whole_replica_idle_beside_its_spares() {
+    let models = [model("large", 16, 1.0, 0.5), model("small", 4, 0.6, 0.5)];
+    assert_eq!(counts(&models, 35), [1, 4], "three spares");
+    let models = [model("large", 8, 1.0, 0.5), model("small", 2, 0.6, 0.5)];
+    assert_eq!(counts(&models, 18), [1, 4], "two spares");
+}
