Test servers that send bytes without end

Cause: a server in trouble may send bytes that are no response, without end, in a head or a body, until the client closes.

Change: tests against servers that do so: in a head, in place of a response, as interim responses, in a body, and after a complete response.

The client takes less than 16 MiB, closes the connection, and no other request gets the bytes.

--- a/crates/transport/src/http_client/tests.rs
+++ b/crates/transport/src/http_client/tests.rs
@@ -184,3 +184,86 @@
         assert_eq!(http.counters().opened(), opened, "{keep_alive}");
     }
 }
+
+/// Sends `start` and then `filler` without end, until the client closes. Returns
+/// the number of bytes that were taken.
+async fn send_without_end(listener: TcpListener, start: &'static [u8], filler: &[u8]) -> usize {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read_head(&mut stream).await;
+    stream.write_all(start).await.unwrap();
+    let chunk = filler.repeat(4_096 / filler.len());
+    let mut taken = 0;
+    while stream.write_all(&chunk).await.is_ok() {
+        taken += chunk.len();
+    }
+    taken
+}
+
+/// Limit on what a client reads of an invalid response, with what the sockets
+/// buffer.
+const MAX_INVALID_BYTES: usize = 16 * 1024 * 1024;
+
+#[tokio::test]
+async fn response_head_without_end_closes_the_connection() {
+    for filler in ["x-a: b\r\n", "noise", "\r\n"] {
+        let (listener, addr) = listen().await;
+        let server =
+            tokio::spawn(send_without_end(listener, b"HTTP/1.1 200 OK\r\nx: ", filler.as_bytes()));
+        let response = open().send(get(addr)).await;
+        // An empty line ends the head; what follows is the body.
+        match response {
+            Ok(response) => drop(read_bytes(response.into_body()).await),
+            Err(error) => assert_eq!(error, HttpError::Interrupted),
+        }
+        assert!(server.await.unwrap() < MAX_INVALID_BYTES, "{filler:?}");
+    }
+}
+
+#[tokio::test]
+async fn noise_without_end_in_place_of_a_response_closes_the_connection() {
+    let (listener, addr) = listen().await;
+    let server = tokio::spawn(send_without_end(listener, b"", b"noise"));
+    assert_eq!(open().send(get(addr)).await.unwrap_err(), HttpError::Interrupted);
+    assert!(server.await.unwrap() < MAX_INVALID_BYTES);
+}
+
+#[tokio::test]
+async fn interim_responses_without_end_last_until_the_request_is_dropped() {
+    let (listener, addr) = listen().await;
+    let server = tokio::spawn(send_without_end(listener, b"", b"HTTP/1.1 100 Continue\r\n\r\n"));
+    let http = open();
+    let sent = tokio::time::timeout(Duration::from_millis(200), http.send(get(addr))).await;
+    assert!(sent.is_err(), "no response");
+    server.await.unwrap();
+}
+
+#[tokio::test]
+async fn body_without_end_is_read_up_to_the_limit_and_closes_the_connection() {
+    let (listener, addr) = listen().await;
+    let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n";
+    let server = tokio::spawn(send_without_end(listener, head, b"noise"));
+    let response = open().send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(response.into_body()).await.unwrap_err(), HttpError::Interrupted);
+    assert!(server.await.unwrap() < MAX_INVALID_BYTES);
+}
+
+#[tokio::test]
+async fn bytes_without_end_after_a_response_reach_no_other_request() {
+    let (listener, addr) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(RESPONSE).await.unwrap();
+        while stream.write_all(&RESPONSE.repeat(8)).await.is_ok() {}
+        let (mut next, _) = listener.accept().await.unwrap();
+        read_head(&mut next).await;
+        next.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown").await.unwrap();
+    });
+    let http = open();
+    let first = http.send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(first.into_body()).await.unwrap(), "ok");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let second = http.send(get(addr)).await.unwrap();
+    assert_eq!(read_bytes(second.into_body()).await.unwrap(), "own");
+    server.await.unwrap();
+}
