--- a/crates/gateway/tests/choice_at_size.rs
+++ b/crates/gateway/tests/choice_at_size.rs
@@ -18,6 +18,7 @@
     gateways_per_zone: 19,
     replicas_per_zone: 20,
     down_in_first_zone: 0,
+    slow_every: 0,
     length: Duration::from_secs(8),
     seed: 1,
 };
@@ -28,6 +29,9 @@
 /// The same with most of the first zone's replicas down.
 const ZONE_DOWN: Load = Load { down_in_first_zone: 16, ..FULL_DAY };
 
+/// The same with one replica in six slow.
+const SLOW_REPLICAS: Load = Load { slow_every: 6, ..FULL_DAY };
+
 #[test]
 fn replicas_of_many_gateways_fill_evenly() {
     check(&FULL_DAY);
@@ -43,6 +47,11 @@
     check(&ZONE_DOWN);
 }
 
+#[test]
+fn slow_replicas_do_not_delay_callers_while_others_have_free_slots() {
+    check(&SLOW_REPLICAS);
+}
+
 fn check(load: &Load) {
     let choosing = fleet::play(load, Placement::Gateways);
     let best = fleet::play(load, Placement::AllKnowing);
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -49,12 +49,20 @@
     pub(crate) replicas_per_zone: usize,
     /// Replicas of the first zone that are down.
     pub(crate) down_in_first_zone: usize,
+    /// Every so many replicas one is slow; none if 0.
+    pub(crate) slow_every: usize,
     /// Simulated time.
     pub(crate) length: Duration,
     /// Seed of arrivals and sizes.
     pub(crate) seed: u64,
 }
 
+impl Load {
+    fn is_slow(&self, replica: usize) -> bool {
+        self.slow_every != 0 && replica % self.slow_every == 0
+    }
+}
+
 /// Who places the requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Placement {
@@ -105,12 +113,20 @@
     _in_flight: InFlight,
 }
 
+/// Factor on the times of slow replicas.
+const SLOW_FACTOR: f64 = 5.0;
+
 /// Plays a load and returns what callers got after the warm-up.
 pub(crate) fn play(load: &Load, placement: Placement) -> Waits {
     let zones = load.zone_requests_per_s.len();
     let mut rng = SmallRng::seed_from_u64(load.seed);
     let replicas = zones * load.replicas_per_zone;
-    let mut engines: Vec<PassEngine> = (0..replicas).map(|_| pass_engine::open(SPEED)).collect();
+    let speed = |replica| match load.is_slow(replica) {
+        true => EngineSpeed { pace: SPEED.pace * SLOW_FACTOR, ..SPEED },
+        false => SPEED,
+    };
+    let mut engines: Vec<PassEngine> =
+        (0..replicas).map(|it| pass_engine::open(speed(it))).collect();
     let mut gateways: Vec<Gateway> =
         (0..zones * load.gateways_per_zone).map(|idx| gateway(load, idx)).collect();
     let interval = publisher::interval(load.gateways_per_zone);
