Keep a spare for each model in small domains

Change: a domain keeps at least one spare for each model if its share is as large.

Test: domains of 10, 11, 13 and 14; 10 formed a replica too many before.

--- a/crates/gateway/src/control/layout.rs
+++ b/crates/gateway/src/control/layout.rs
@@ -16,16 +16,17 @@
 
 /// Models of the replicas that a domain with `instances` instances forms. The
 /// number of spares is the nearest to their share that whole replicas leave, and
-/// at least one.
+/// at least one for each model if the share is as large.
 pub fn layout(models: &[ModelSpec], instances: usize) -> Vec<ModelId> {
     let spares = instances as f64 * SPARE_SHARE;
+    let min_spares = (spares.ceil() as usize).min(models.len());
     let mut free = instances;
     let mut counts = vec![0_usize; models.len()];
     loop {
         let distance = |free: usize| (free as f64 - spares).abs();
         let fitting = (0..models.len()).filter(|idx| {
             let size = models[*idx].size;
-            (1..free).contains(&size) && distance(free - size) < distance(free)
+            0 < size && min_spares + size <= free && distance(free - size) < distance(free)
         });
         // Every model has one replica before any has more.
         let neediest = fitting.min_by(|a, b| {
--- a/crates/gateway/src/control/layout/tests.rs
+++ b/crates/gateway/src/control/layout/tests.rs
@@ -37,3 +37,11 @@
     let models = [model("large", 8, 1.0, 0.5), model("small", 2, 0.6, 0.5)];
     assert_eq!(counts(&models, 18), [1, 4], "two spares");
 }
+
+#[test]
+fn small_domain_keeps_a_spare_for_each_model_as_it_shrinks_and_grows() {
+    let models = [model("large", 6, 1.0, 0.67), model("small", 3, 0.6, 0.33)];
+    for (instances, expected) in [(10, [1, 0]), (11, [1, 1]), (13, [1, 1]), (14, [1, 2])] {
+        assert_eq!(counts(&models, instances), expected, "{instances} instances");
+    }
+}
