Call a store that is down less often, and read the first list currently

A refusal with 503 or 429 ended the registration of a gateway as if its lease had expired. A restarted gateway began with a list that may have been old.

Change: those attempts back off to 1.6, 4 and 3.6 s, except for the gateways that read for others; a published configuration ends the wait. 429 and 503 of the store count as calls without effect. The first read of the list is current.

Tests: calls of ten seconds of outage counted in paused time; the feed's test of old reads has one current read, the first, and none where it had any before.

--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -14,10 +14,13 @@
 use tokio::time::{sleep, timeout};
 
 use super::{RoutingState, unreadable::UnreadableRecords};
-use crate::{adapter::Adapter, peers::Peers};
+use crate::{adapter::Adapter, backoff, peers::Peers};
 
-/// Delay before the configuration is read again after a failure.
+/// First delay before the configuration is read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Longest delay before the configuration is read again after failures. A gateway
+/// that reads for others tries again after the first delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 /// Largest random delay before all gateways read a configuration that the list
 /// reader published. It spreads their reads, and is a small part of the time in
 /// which a configuration must be in force.
@@ -34,16 +37,22 @@
     clock: Clock,
 ) {
     let follower = Follower { adapter, routing, peers, unreadable, clock };
+    let mut backoff = backoff::open(RETRY_DELAY, MAX_RETRY_DELAY);
     loop {
         let followed = if follower.has_reader() {
             follower.wait_for_update().await
         } else {
             follower.watch().await
         };
-        if let Err(error) = followed {
-            tracing::warn!(%error, dependency = "store", "could not watch the configuration");
-            sleep(RETRY_DELAY).await;
+        let Err(error) = followed else {
+            backoff.reset();
+            continue;
+        };
+        tracing::warn!(%error, dependency = "store", "could not watch the configuration");
+        if follower.reads_for_others() {
+            backoff.reset();
         }
+        follower.wait_before_retry(backoff.next_delay()).await;
     }
 }
 
@@ -63,6 +72,18 @@
         has_config && !self.peers.is_reader() && self.routing.is_reader_active(self.clock.now())
     }
 
+    /// Whether other gateways rely on what this one reads.
+    fn reads_for_others(&self) -> bool {
+        self.peers.is_reader() || self.peers.is_substitute_reader()
+    }
+
+    /// Waits for `delay`, or until the reader publishes a configuration.
+    async fn wait_before_retry(&self, delay: Duration) {
+        let mut reader_config_rx = self.routing.reader_config_tx.subscribe();
+        // After a timeout the configuration is read again too.
+        let _ = timeout(delay, reader_config_rx.changed()).await;
+    }
+
     /// Reads the configuration once the reader has a newer one. Returns after the
     /// check interval at the latest.
     async fn wait_for_update(&self) -> Result<(), StoreError> {
@@ -129,3 +150,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -31,6 +31,9 @@
 /// interval.
 const OWN_READ_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Interval between reads by a gateway for itself while the store is unreachable.
+/// The gateways that read for others notice the end of an outage sooner.
+const OUTAGE_READ_INTERVAL: Duration = Duration::from_millis(3_600);
 /// Interval between checks of whether a read is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(150);
 /// Silence of the list reader after which the substitute of a zone reads the list
@@ -116,7 +119,11 @@
         }
         let lacks_changes =
             self.requested_missing_at.is_some_and(|at| MISSING_TIMEOUT <= now.since(at));
-        let is_alone = !self.routing.is_reader_active(now) && is_due(OWN_READ_INTERVAL);
+        let own_interval = match self.is_store_reachable {
+            true => OWN_READ_INTERVAL,
+            false => OUTAGE_READ_INTERVAL,
+        };
+        let is_alone = !self.routing.is_reader_active(now) && is_due(own_interval);
         if lacks_changes || is_alone {
             self.read().await;
         }
@@ -125,11 +132,12 @@
     /// Reads the list. True if the key-value service responded.
     async fn read(&mut self) -> bool {
         let read_at = self.clock.now();
-        self.read_at = Some(read_at);
+        let is_first = self.read_at.replace(read_at).is_none();
         self.requested_missing_at = None;
         let prefix = self.adapter.codec.instances_prefix();
-        // Before the first request an older list does no harm.
-        let listed = match self.routing.has_traffic() {
+        // Until the first request an older list does no harm, but a gateway that
+        // restarts gets its first request at once.
+        let listed = match is_first || self.routing.has_traffic() {
             true => self.adapter.store.list(prefix).await,
             false => self.adapter.store.list_stale(prefix).await,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod adapter;
 pub mod announced_replicas;
+mod backoff;
 pub mod choose;
 pub mod control;
 pub mod feed;
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -21,6 +21,8 @@
 use derive_more::Display;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use crate::backoff;
+
 use super::{LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
 
 pub(super) const NODE_PREFIX: &str = "citrongw/live/node/";
@@ -29,6 +31,9 @@
 pub(super) const NODE_LEASE_TIME: Duration = Duration::from_secs(10);
 /// Interval between renewals of the lease: a third of its time to live.
 const NODE_RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
+/// Longest delay between attempts to register: a fraction of the time after which
+/// the other gateways lose one that is not registered.
+const MAX_REGISTER_RETRY_DELAY: Duration = Duration::from_secs(4);
 /// Interval between reads of the list of gateways and owners.
 const CLUSTER_POLL_INTERVAL: Duration = Duration::from_millis(700);
 /// Largest random delay before a read that all gateways would otherwise make at
@@ -84,11 +89,15 @@
 
 /// Keeps this gateway registered in the list.
 pub(super) async fn register_self(peers: Arc<Peers>, store: Arc<dyn Store>, addr: SocketAddr) {
+    let mut backoff = backoff::open(REGISTER_RETRY_DELAY, MAX_REGISTER_RETRY_DELAY);
     loop {
-        if let Err(error) = register_until_expired(&peers, &*store, addr).await {
-            tracing::info!(%error, "could not keep the gateway registered among its peers");
+        match register_until_expired(&peers, &*store, addr).await {
+            Ok(()) => backoff.reset(),
+            Err(error) => {
+                tracing::info!(%error, "could not keep the gateway registered among its peers");
+            }
         }
-        sleep(REGISTER_RETRY_DELAY).await;
+        sleep(backoff.next_delay()).await;
     }
 }
 
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -113,7 +113,8 @@
 /// Error of a call to the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum StoreError {
-    /// No byte of the call can have reached the key-value service.
+    /// The call had no effect: no byte of it can have reached the key-value
+    /// service, or the service was not available.
     #[display("key-value service was not reached")]
     NotReached,
     /// The call may have taken effect.
