Let only a gateway that controls the first domain be the list reader

A gateway that the store turned away kept an old list of owners; if the new owner's one announcement was lost, it took itself for the reader and ignored the changes that the new reader published. It also tried to read the configuration each 200 ms, as the substitute of its zone, although the reader was active.

Change: the reader must control the domain; a substitute reads for others only while the reader is silent.

Test: a former owner with an old list, which took itself for the reader before.

--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -74,7 +74,8 @@
 
     /// Whether other gateways rely on what this one reads.
     fn reads_for_others(&self) -> bool {
-        self.peers.is_reader() || self.peers.is_substitute_reader()
+        let is_silent = !self.routing.is_reader_active(self.clock.now());
+        self.peers.is_reader() || (is_silent && self.peers.is_substitute_reader())
     }
 
     /// Waits for `delay`, or until the reader publishes a configuration.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -221,10 +221,12 @@
     }
 
     /// Whether this gateway is the list reader, which reads the instance list for
-    /// all: the owner of the first domain by key.
+    /// all: the owner of the first domain by key. The list of owners may be old, so
+    /// this gateway must also control that domain.
     pub fn is_reader(&self) -> bool {
         let cluster = self.cluster.load();
-        cluster.owners.iter().min_by_key(|(key, _)| *key).is_some_and(|(_, it)| *it == self.node)
+        let Some((key, owner)) = cluster.owners.first_key_value() else { return false };
+        *owner == self.node && lock(&self.suspect_txs).keys().any(|it| it.owner_key() == *key)
     }
 
     /// Whether this gateway has the lowest id of its zone, and so reads the
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -142,3 +142,21 @@
     peers.set_cluster(before);
     assert_eq!(peers.cluster().owners.get(&domain().owner_key()), None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn former_owner_of_the_first_domain_is_not_the_reader_although_its_list_is_old() {
+    let peers = open(NodeId(1), ZONE.into(), clock::open());
+    let listed = [
+        entry("citrongw/live/node/0000000000000001", "127.0.0.1:9 a"),
+        entry("citrongw/live/owner/engine/d", "0000000000000001"),
+        entry("citrongw/live/owner/engine/e", "0000000000000002"),
+    ];
+    peers.set_cluster(decode(&listed));
+    assert!(!peers.is_reader(), "the domain is not controlled yet");
+    let suspects_rx = peers.register_domain(&domain());
+    assert!(peers.is_reader());
+    // The lease ended, and the list of owners cannot be read.
+    peers.unregister_domain(&domain());
+    drop(suspects_rx);
+    assert!(!peers.is_reader());
+}
