Split the played load into steps and test the path of list changes

Cause: the played load was one function of 90 lines; no test showed that a list change goes to another zone once.

Change: a run with a step for engines, reports and requests; a test with four gateways on loopback.

--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -160,3 +160,53 @@
     drop(suspects_rx);
     assert!(!peers.is_reader());
 }
+
+fn change() -> ListChange {
+    ListChange {
+        revision: citrongw_state::id::Revision(5),
+        config_revision: citrongw_state::id::Revision(1),
+        cluster_digest: 0,
+        digest: 7,
+        changed: Vec::new(),
+        removed: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn change_of_the_list_goes_to_the_reporter_of_another_zone_or_else_to_all_of_it() {
+    let store: Arc<dyn Store> = Arc::new(mem::open());
+    let bind = async |node| {
+        let peers = open(NodeId(node), ZONE.into(), clock::open());
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let endpoint = super::bind(&peers, &*store, any).await.unwrap();
+        let addr = endpoint.local_addr().unwrap();
+        (peers, endpoint, addr)
+    };
+    let (reader, sending, own_addr) = bind(1).await;
+    let (_near, near_endpoint, near_addr) = bind(2).await;
+    let (_reporter, reporter_endpoint, reporter_addr) = bind(3).await;
+    let (_other, other_endpoint, other_addr) = bind(4).await;
+    let listed = |node, addr, zone: &str| (NodeId(node), ListedGateway { addr, zone: zone.into() });
+    let nodes = BTreeMap::from([
+        listed(1, own_addr, ZONE),
+        listed(2, near_addr, ZONE),
+        listed(3, reporter_addr, "b"),
+        listed(4, other_addr, "b"),
+    ]);
+    reader.cluster.store(Arc::new(ClusterView { nodes, ..ClusterView::default() }));
+    reader.endpoint.set(sending).unwrap();
+
+    reader.publish_change(&change()).await;
+    for endpoint in [&near_endpoint, &reporter_endpoint, &other_endpoint] {
+        assert_eq!(endpoint.receive().await.message, PeerMessage::List(change()));
+    }
+
+    lock(&reader.zone_reporters).insert("b".into(), (NodeId(3), reader.clock.now()));
+    reader.publish_change(&change()).await;
+    assert_eq!(near_endpoint.receive().await.message, PeerMessage::List(change()));
+    assert_eq!(reporter_endpoint.receive().await.message, PeerMessage::ListForZone(change()));
+    // The next message to the other gateway is this one: it got no second change.
+    let last = PeerMessage::ListMissing { digest: 9 };
+    reader.send_to_gateway(NodeId(4), &last).await;
+    assert_eq!(other_endpoint.receive().await.message, last);
+}
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -31,6 +31,8 @@
 };
 /// Mean tokens of a prompt and of an output.
 const MEAN_TOKENS: (f64, f64) = (714.0, 216.0);
+/// Factor on the times of slow replicas.
+const SLOW_FACTOR: f64 = 5.0;
 /// Interval of the simulation.
 const TICK: Duration = Duration::from_millis(1);
 /// Latest arrival of a message at another gateway.
@@ -58,8 +60,14 @@
 }
 
 impl Load {
-    fn is_slow(&self, replica: usize) -> bool {
-        self.slow_every != 0 && replica % self.slow_every == 0
+    fn replicas(&self) -> usize {
+        self.zone_requests_per_s.len() * self.replicas_per_zone
+    }
+
+    fn speed(&self, replica: usize) -> EngineSpeed {
+        let is_slow = self.slow_every != 0 && replica % self.slow_every == 0;
+        let factor = if is_slow { SLOW_FACTOR } else { 1.0 };
+        EngineSpeed { pace: SPEED.pace * factor, ..SPEED }
     }
 }
 
@@ -113,95 +121,151 @@
     _in_flight: InFlight,
 }
 
-/// Factor on the times of slow replicas.
-const SLOW_FACTOR: f64 = 5.0;
+/// Run of a load.
+struct Run<'a> {
+    load: &'a Load,
+    placement: Placement,
+    rng: SmallRng,
+    engines: Vec<PassEngine>,
+    gateways: Vec<Gateway>,
+    /// When each gateway reports next.
+    next_report_at: Vec<Time>,
+    /// Reports with the time of their arrival.
+    on_way: Vec<(Time, Message)>,
+    sent: HashMap<u64, Sent>,
+    /// Times to the first event.
+    waits: Vec<Duration>,
+    requests: u32,
+    requests_away: u32,
+}
 
 /// Plays a load and returns what callers got after the warm-up.
 pub(crate) fn play(load: &Load, placement: Placement) -> Waits {
-    let zones = load.zone_requests_per_s.len();
-    let mut rng = SmallRng::seed_from_u64(load.seed);
-    let replicas = zones * load.replicas_per_zone;
-    let speed = |replica| match load.is_slow(replica) {
-        true => EngineSpeed { pace: SPEED.pace * SLOW_FACTOR, ..SPEED },
-        false => SPEED,
-    };
-    let mut engines: Vec<PassEngine> =
-        (0..replicas).map(|it| pass_engine::open(speed(it))).collect();
-    let mut gateways: Vec<Gateway> =
-        (0..zones * load.gateways_per_zone).map(|idx| gateway(load, idx)).collect();
-    let interval = publisher::interval(load.gateways_per_zone);
-    let mut next_report: Vec<Time> =
-        gateways.iter().map(|_| Time::START + interval.mul_f64(rng.random::<f64>())).collect();
-    let mut on_way: Vec<(Time, Message)> = Vec::new();
-    let mut sent: HashMap<u64, Sent> = HashMap::new();
-    let (mut waits, mut away, mut total) = (Vec::new(), 0, 0);
-    let mut events = Vec::new();
-    let mut next_id = 0;
+    let mut run = Run::new(load, placement);
     let mut now = Time::START;
     while now < Time::START + load.length {
         now = now + TICK;
-        for engine in &mut engines {
+        run.advance_engines(now);
+        run.publish_reports(now);
+        run.deliver_reports(now);
+        run.send_requests(now);
+    }
+    run.into_waits()
+}
+
+impl<'a> Run<'a> {
+    fn new(load: &'a Load, placement: Placement) -> Self {
+        let mut rng = SmallRng::seed_from_u64(load.seed);
+        let zones = load.zone_requests_per_s.len();
+        let interval = publisher::interval(load.gateways_per_zone);
+        let gateways = (0..zones * load.gateways_per_zone).map(|idx| gateway(load, idx)).collect();
+        // Gateways do not report at the same time.
+        let next_report_at = (0..zones * load.gateways_per_zone)
+            .map(|_| Time::START + interval.mul_f64(rng.random::<f64>()))
+            .collect();
+        Self {
+            load,
+            placement,
+            rng,
+            engines: (0..load.replicas()).map(|it| pass_engine::open(load.speed(it))).collect(),
+            gateways,
+            next_report_at,
+            on_way: Vec::new(),
+            sent: HashMap::new(),
+            waits: Vec::new(),
+            requests: 0,
+            requests_away: 0,
+        }
+    }
+
+    fn advance_engines(&mut self, now: Time) {
+        let mut events = Vec::new();
+        for engine in &mut self.engines {
             engine.advance(now, &mut events);
         }
-        for event in events.drain(..) {
+        for event in events {
             match event {
                 EngineEvent::First { id, at } => {
-                    let sent_at = sent.get(&id).map_or(at, |it| it.at);
+                    let sent_at = self.sent.get(&id).map_or(at, |it| it.at);
                     if Time::START + WARM_UP < sent_at {
-                        waits.push(at.since(sent_at));
+                        self.waits.push(at.since(sent_at));
                     }
                 }
-                EngineEvent::Last { id, .. } => drop(sent.remove(&id)),
+                EngineEvent::Last { id, .. } => drop(self.sent.remove(&id)),
             }
         }
-        for (idx, due_at) in next_report.iter_mut().enumerate().filter(|(_, at)| **at <= now) {
-            let gateway = &mut gateways[idx];
-            let due = gateway.publisher.due(gateway.servers.iter(), &gateway.peer_loads, now);
-            let own =
-                due.own.into_iter().map(|report| Message { from: idx, to_zone: true, report });
-            let zone =
-                due.zone.into_iter().map(|report| Message { from: idx, to_zone: false, report });
-            on_way.extend(own.chain(zone).map(|it| (now + MESSAGE_DELAY, it)));
+    }
+
+    fn publish_reports(&mut self, now: Time) {
+        let interval = publisher::interval(self.load.gateways_per_zone);
+        for (from, due_at) in self.next_report_at.iter_mut().enumerate() {
+            if now < *due_at {
+                continue;
+            }
             *due_at = *due_at + interval;
+            let gateway = &mut self.gateways[from];
+            let due = gateway.publisher.due(gateway.servers.iter(), &gateway.peer_loads, now);
+            let own = due.own.into_iter().map(|report| Message { from, to_zone: true, report });
+            let zone = due.zone.into_iter().map(|report| Message { from, to_zone: false, report });
+            self.on_way.extend(own.chain(zone).map(|it| (now + MESSAGE_DELAY, it)));
         }
-        for (_, message) in on_way.iter().filter(|(at, _)| *at <= now) {
-            deliver(&gateways, message, now);
+    }
+
+    fn deliver_reports(&mut self, now: Time) {
+        for (_, message) in self.on_way.iter().filter(|(at, _)| *at <= now) {
+            deliver(&self.gateways, message, now);
         }
-        on_way.retain(|(at, _)| now < *at);
-        for (zone, per_s) in load.zone_requests_per_s.iter().enumerate() {
-            let mean = per_s * TICK.as_secs_f64();
-            if mean <= rng.random::<f64>() {
+        self.on_way.retain(|(at, _)| now < *at);
+    }
+
+    /// Sends at most one request of each zone.
+    fn send_requests(&mut self, now: Time) {
+        for (zone, per_s) in self.load.zone_requests_per_s.iter().enumerate() {
+            if per_s * TICK.as_secs_f64() <= self.rng.random::<f64>() {
                 continue;
             }
-            let of_zone = rng.random_range(0..load.gateways_per_zone);
-            let from = &gateways[zone * load.gateways_per_zone + of_zone];
-            let replica = match placement {
-                Placement::Random => rng.random_range(load.down_in_first_zone..replicas),
-                Placement::AllKnowing => {
-                    let up = load.down_in_first_zone..replicas;
-                    up.min_by_key(|it| engines[*it].load()).unwrap_or_default()
-                }
-                Placement::Gateways => chosen(from, now, &mut rng),
-            };
-            next_id += 1;
-            let (prompt, output) = MEAN_TOKENS;
-            let prompt_tokens = 40 + exponential(prompt, &mut rng).min(2_340.0) as u32;
-            let output_tokens = 10 + exponential(output, &mut rng).min(540.0) as u32;
-            let request = EngineRequest { id: next_id, prompt_tokens, output_tokens };
-            engines[replica].submit(request, now);
-            let in_flight = from.servers[replica - load.down_in_first_zone].stats.begin_request();
-            sent.insert(next_id, Sent { at: now, _in_flight: in_flight });
-            total += 1;
-            away += usize::from(replica / load.replicas_per_zone != zone);
+            let from = self.rng.random_range(0..self.load.gateways_per_zone);
+            self.send_request(zone * self.load.gateways_per_zone + from, zone, now);
         }
     }
-    waits.sort();
-    let percentile = |share: f64| waits[(waits.len() as f64 * share) as usize];
-    Waits {
-        p50: percentile(0.5),
-        p90: percentile(0.9),
-        p99: percentile(0.99),
-        away: f64::from(away as u32) / f64::from(total.max(1)),
+
+    fn send_request(&mut self, from: usize, zone: usize, now: Time) {
+        let replica = self.place(from, now);
+        let id = u64::from(self.requests);
+        let (prompt, output) = MEAN_TOKENS;
+        let prompt_tokens = 40 + exponential(prompt, &mut self.rng).min(2_340.0) as u32;
+        let output_tokens = 10 + exponential(output, &mut self.rng).min(540.0) as u32;
+        self.engines[replica].submit(EngineRequest { id, prompt_tokens, output_tokens }, now);
+        let server = &self.gateways[from].servers[replica - self.load.down_in_first_zone];
+        self.sent.insert(id, Sent { at: now, _in_flight: server.stats.begin_request() });
+        self.requests += 1;
+        self.requests_away += u32::from(replica / self.load.replicas_per_zone != zone);
+    }
+
+    /// Replica for a request of a gateway.
+    fn place(&mut self, from: usize, now: Time) -> usize {
+        let mut up = self.load.down_in_first_zone..self.load.replicas();
+        match self.placement {
+            Placement::Random => self.rng.random_range(up),
+            Placement::AllKnowing => {
+                up.min_by_key(|it| self.engines[*it].load()).unwrap_or_default()
+            }
+            Placement::Gateways => {
+                let chosen = chosen(&self.gateways[from], now, &mut self.rng);
+                chosen.or(up.next()).unwrap_or_default()
+            }
+        }
+    }
+
+    fn into_waits(mut self) -> Waits {
+        self.waits.sort();
+        let percentile = |share: f64| self.waits[(self.waits.len() as f64 * share) as usize];
+        Waits {
+            p50: percentile(0.5),
+            p90: percentile(0.9),
+            p99: percentile(0.99),
+            away: f64::from(self.requests_away) / f64::from(self.requests.max(1)),
+        }
     }
 }
 
@@ -214,7 +278,6 @@
 }
 
 fn gateway(load: &Load, idx: usize) -> Gateway {
-    let replicas = load.zone_requests_per_s.len() * load.replicas_per_zone;
     let server = |replica: usize| {
         Arc::new(Backend {
             id: format!("i-{replica}").as_str().into(),
@@ -229,7 +292,7 @@
     Gateway {
         node: NodeId(idx as u64),
         zone: zone_name(idx / load.gateways_per_zone),
-        servers: (load.down_in_first_zone..replicas).map(server).collect(),
+        servers: (load.down_in_first_zone..load.replicas()).map(server).collect(),
         peer_loads: PeerLoads::default(),
         publisher: publisher::open(NodeId(idx as u64)),
     }
@@ -252,10 +315,10 @@
 }
 
 /// Index of the replica that a gateway chooses.
-fn chosen(from: &Gateway, now: Time, rng: &mut SmallRng) -> usize {
+fn chosen(from: &Gateway, now: Time, rng: &mut SmallRng) -> Option<usize> {
     let criteria =
         ChoiceCriteria { zone: &from.zone, tried: &[], peer_loads: &from.peer_loads, now };
-    let choice = choose(&from.servers, &criteria, || rng.random());
-    let replica = choice.and_then(|it| it.best.server.replica.clone());
-    replica.map_or(0, |it| it.replica.0 as usize)
+    let choice = choose(&from.servers, &criteria, || rng.random())?;
+    let replica = choice.best.server.replica.as_ref()?;
+    Some(replica.replica.0 as usize)
 }
