Forget the load sums of replicas that no report names

Cause: found on reading the change. The sums for a replica under an epoch were only dropped when some report expired. While all gateways report, none does, so each repair left an entry behind for as long as the process runs.

Change: a sum counts the reports that name the replica and goes with the last one.

Test: a hundred epochs while no report expires; 100 sums were kept before, 1 now.

--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -11,7 +11,7 @@
 pub mod publisher;
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, hash_map::Entry},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -97,6 +97,8 @@
     zone_begun_per_s: f64,
     /// Requests of the other zones.
     remote_requests: u32,
+    /// Reports that name the replica.
+    reports: u32,
 }
 
 /// Latest report of each source, with sums for each replica that are updated when
@@ -177,6 +179,7 @@
         let in_zone = is_gateway(&key.0);
         for requests in &received.report.replicas {
             let totals = self.totals.entry(requests.key()).or_default();
+            totals.reports += 1;
             if in_zone {
                 totals.zone_requests += requests.requests;
                 totals.zone_begun_per_s += received.begun_per_s(requests);
@@ -190,13 +193,18 @@
     fn remove(&mut self, key: &(ReportSource, u8)) {
         let Some(removed) = self.received.remove(key) else { return };
         for requests in &removed.report.replicas {
-            let Some(totals) = self.totals.get_mut(&requests.key()) else { continue };
+            let Entry::Occupied(mut occupied) = self.totals.entry(requests.key()) else { continue };
+            let totals = occupied.get_mut();
+            totals.reports -= 1;
             if is_gateway(&key.0) {
                 totals.zone_requests -= requests.requests;
                 totals.zone_begun_per_s -= removed.begun_per_s(requests);
             } else {
                 totals.remote_requests -= requests.requests;
             }
+            if totals.reports == 0 {
+                occupied.remove();
+            }
         }
     }
 
--- a/crates/gateway/src/peer_loads/tests.rs
+++ b/crates/gateway/src/peer_loads/tests.rs
@@ -97,3 +97,20 @@
     assert!(!peer_loads.is_reporter(NodeId(5), Time::START));
     assert!(peer_loads.is_reporter(NodeId(5), Time::START + REPORT_EXPIRY), "3 fell silent");
 }
+
+#[test]
+fn replicas_that_no_report_names_are_forgotten() {
+    let peer_loads = PeerLoads::default();
+    // Each repair gives a replica another epoch, while no report ever expires.
+    for epoch in 0..100 {
+        let of_epoch = |report: LoadReport| {
+            let replicas = report.replicas.into_iter();
+            let replicas = replicas.map(|it| ReplicaRequests { epoch: Epoch(epoch), ..it });
+            LoadReport { replicas: replicas.collect(), ..report }
+        };
+        peer_loads.record(node(1), of_epoch(at(3, 1)), Time::START);
+        peer_loads.record(node(2), of_epoch(at(0, 1)), Time::START);
+        peer_loads.record(zone(), of_epoch(at(5, 0)), Time::START);
+    }
+    assert_eq!(peer_loads.lock().totals.len(), 1);
+}
