Use the field's terms in the choice and the list feed

Change: names; the flag is gone.

Result: the tests pass unchanged but for the names; behaviour is the same.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -78,7 +78,7 @@
             let load = server.stats.estimate_load(criteria.now, peer_requests);
             let slots = f64::from(server.slots.max(1));
             let zone_penalty = if server.zone == *criteria.zone { 0.0 } else { ZONE_PENALTY };
-            let level = Level { height: load.requests / slots + zone_penalty, slots };
+            let level = Level { load_share: load.requests / slots + zone_penalty, slots };
             Scored { level, load, server }
         })
         .collect();
@@ -87,7 +87,7 @@
     let levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
     let best = leveling::pick(&levels, arrivals, random())?;
     let others = scored.iter().enumerate().filter(|(idx, _)| *idx != best).map(|(_, it)| it);
-    let runner_up = others.min_by(|a, b| a.level.height.total_cmp(&b.level.height));
+    let runner_up = others.min_by(|a, b| a.level.load_share.total_cmp(&b.level.load_share));
     Some(Choice {
         best: scored[best].to_candidate(),
         runner_up: runner_up.map(Scored::to_candidate),
--- a/crates/gateway/src/choose/leveling/tests.rs
+++ b/crates/gateway/src/choose/leveling/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn levels(heights: &[f64]) -> Vec<Level> {
-    heights.iter().map(|height| Level { height: *height, slots: 10.0 }).collect()
+fn levels(load_shares: &[f64]) -> Vec<Level> {
+    load_shares.iter().map(|it| Level { load_share: *it, slots: 10.0 }).collect()
 }
 
 /// Share of the choices that each server gets.
@@ -24,7 +24,7 @@
 }
 
 #[test]
-fn arrivals_fill_the_servers_to_one_height() {
+fn arrivals_fill_the_servers_to_one_level() {
     // Four arrivals raise 0.1 to 0.35 and 0.2 to 0.35.
     let filled = shares(&levels(&[0.1, 0.2, 0.5]), 4.0);
     assert!((filled[0] - 0.625).abs() < 0.01 && (filled[1] - 0.375).abs() < 0.01);
@@ -39,6 +39,6 @@
 
 #[test]
 fn server_with_more_slots_gets_more() {
-    let servers = [Level { height: 0.0, slots: 30.0 }, Level { height: 0.0, slots: 10.0 }];
+    let servers = [Level { load_share: 0.0, slots: 30.0 }, Level { load_share: 0.0, slots: 10.0 }];
     assert!((shares(&servers, 4.0)[0] - 0.75).abs() < 0.01);
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -132,13 +132,13 @@
     /// Whether a message of the list reader, which reads the list for all
     /// gateways, arrived recently.
     fn is_reader_active(&self, now: Time) -> bool {
-        self.is_reader_heard(now, READER_SILENCE)
+        self.has_reader_message(now, READER_SILENCE)
     }
 
-    /// Whether a message of the list reader arrived within `silence`.
-    fn is_reader_heard(&self, now: Time, silence: Duration) -> bool {
+    /// Whether a message of the list reader arrived within `max_age`.
+    fn has_reader_message(&self, now: Time, max_age: Duration) -> bool {
         let last_seen_ms = self.reader_last_seen_ms.load(Ordering::Relaxed);
-        last_seen_ms != u64::MAX && now.since(Time::from_millis(last_seen_ms)) < silence
+        last_seen_ms != u64::MAX && now.since(Time::from_millis(last_seen_ms)) < max_age
     }
 
     /// Queues a change of the instance list that another gateway sent.
--- a/crates/gateway/src/feed/config/tests.rs
+++ b/crates/gateway/src/feed/config/tests.rs
@@ -15,7 +15,7 @@
     let (store, calls, clock) = (mem::open(), StoreCalls::default(), clock::open());
     let subjects = vec![("config".into(), "configuration")];
     let adapter = Adapter {
-        store: metered_store::open(std::sync::Arc::new(store.clone()), subjects, calls.clone()),
+        store: metered_store::open(Arc::new(store.clone()), subjects, calls.clone()),
         codec: Arc::new(StubCodec),
         instances: Arc::new(StubInstances),
     };
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -105,7 +105,7 @@
         let now = self.clock.now();
         let is_due = |interval| self.read_at.is_none_or(|at| interval <= now.since(at));
         let is_substitute = self.peers.is_substitute_reader()
-            && !self.routing.is_reader_heard(now, SUBSTITUTE_SILENCE);
+            && !self.routing.has_reader_message(now, SUBSTITUTE_SILENCE);
         if self.peers.is_reader() || is_substitute {
             // A check may come slightly before the interval has passed.
             if !is_due(READER_READ_INTERVAL - CHECK_INTERVAL / 2) {
@@ -183,7 +183,6 @@
         first: (NodeId, ListMessage),
         list_rx: &mut mpsc::Receiver<(NodeId, ListMessage)>,
     ) {
-        let before = self.revision;
         let mut has_changed = false;
         let mut next = Some(first);
         while let Some((from, message)) = next {
@@ -195,7 +194,7 @@
             }
             next = list_rx.try_recv().ok();
         }
-        if has_changed || before != self.revision {
+        if has_changed {
             self.routing.set_instances(self.table.view().clone());
         }
     }
