Show by tests that lost list changes are sent again and forwarded

Change: two gateways on loopback, of which one loses a change and cannot read its store; a reporter between a reader and its zone. The tests of sockets have a time limit, so that they fail in place of hanging. The secret is a module of its own.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod cluster_view;
 pub mod message;
+mod secret;
 
 use std::{
     collections::HashMap,
@@ -11,11 +12,8 @@
 };
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use citrongw_coordination::clock::Clock;
-use citrongw_protocol::store::{
-    Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
-};
+use citrongw_protocol::store::{Key, Store, StoreError, StoreResult};
 use citrongw_state::{
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     time::Time,
@@ -42,10 +40,6 @@
 pub const LIVE_PREFIX: &str = "citrongw/live/";
 /// Prefix of the keys that name the owners of domains.
 pub const OWNER_PREFIX: &str = "citrongw/live/owner/";
-/// Key of the secret that signs datagrams. The first gateway generates it.
-const SECRET_KEY: &str = "citrongw/peer-secret";
-/// Length of the secret in characters.
-const SECRET_CHARS: usize = 32;
 /// Delay after a failed attempt to register this gateway or to bind its endpoint.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between reports of one suspected replica. Its owner has polled its
@@ -362,39 +356,13 @@
     addr: SocketAddr,
 ) -> StoreResult<PeerUdp<PeerMessage>> {
     let refused = |reason: String| StoreError::Refused { reason };
-    let secret = read_secret(store).await?;
+    let secret = secret::read(store).await?;
     let keys = peer_auth::derive_keys(&[secret])
         .ok_or_else(|| refused("peer secret is empty".to_owned()))?;
     let bound = peer_udp::bind(addr, keys, peers.node, Arc::default()).await;
     bound.map_err(|error| refused(format!("could not bind {addr}: {error}")))
 }
 
-/// Reads the secret that all gateways share. The first gateway generates it.
-async fn read_secret(store: &dyn Store) -> StoreResult<String> {
-    let text = |entry: Entry| String::from_utf8_lossy(&entry.value).into_owned();
-    // The secret never changes, so an old read is as good. If it lacks the secret,
-    // the write below returns it.
-    let listed = store.list_stale(SECRET_KEY.into()).await?;
-    if let Some(entry) = listed.entries.into_iter().find(|it| it.key.as_str() == SECRET_KEY) {
-        return Ok(text(entry));
-    }
-    let generated: String =
-        (0..SECRET_CHARS).map(|_| char::from(rand::random_range(b'a'..=b'z'))).collect();
-    let write = Write {
-        key: SECRET_KEY.into(),
-        expected: Expected::Absent,
-        change: Change::Put(Bytes::from(generated.clone())),
-        lease: None,
-    };
-    match store.compare_and_swap(write).await? {
-        WriteResult::Committed(_) => Ok(generated),
-        WriteResult::Conflict(Some(entry)) => Ok(text(entry)),
-        WriteResult::Conflict(None) => {
-            Err(StoreError::Refused { reason: "peer secret could not be read".to_owned() })
-        }
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,9 +1,13 @@
 use std::{collections::BTreeMap, net::Ipv4Addr};
 
+use bytes::Bytes;
 use citrongw_coordination::clock;
-use citrongw_fakes::kv::mem::{self, Fault};
+use citrongw_fakes::kv::mem;
+use citrongw_protocol::store::Entry;
 use citrongw_state::id::InstanceId;
 
+mod resend;
+
 use super::{
     cluster_view::{NODE_LEASE_TIME, NODE_PREFIX, decode},
     *,
@@ -37,16 +41,6 @@
     assert_eq!(cluster.owners.len(), 1);
 }
 
-#[tokio::test(start_paused = true)]
-async fn first_gateway_generates_the_secret_and_all_read_the_same() {
-    let store = mem::open();
-    let first = read_secret(&store).await.unwrap();
-    assert_eq!(first.len(), SECRET_CHARS);
-    assert_eq!(read_secret(&store).await.unwrap(), first);
-    store.set_fault(Fault::Down);
-    assert!(read_secret(&store).await.is_err());
-}
-
 #[tokio::test(start_paused = true)]
 async fn gateway_that_ended_is_not_listed_after_its_lease_expired() {
     let store = mem::open();
@@ -198,15 +192,66 @@
 
     reader.publish_change(&change()).await;
     for endpoint in [&near_endpoint, &reporter_endpoint, &other_endpoint] {
-        assert_eq!(endpoint.receive().await.message, PeerMessage::List(change()));
+        assert_eq!(received(endpoint).await.1, PeerMessage::List(change()));
     }
 
     lock(&reader.zone_reporters).insert("b".into(), (NodeId(3), reader.clock.now()));
     reader.publish_change(&change()).await;
-    assert_eq!(near_endpoint.receive().await.message, PeerMessage::List(change()));
-    assert_eq!(reporter_endpoint.receive().await.message, PeerMessage::ListForZone(change()));
+    assert_eq!(received(&near_endpoint).await.1, PeerMessage::List(change()));
+    assert_eq!(received(&reporter_endpoint).await.1, PeerMessage::ListForZone(change()));
     // The next message to the other gateway is this one: it got no second change.
     let last = PeerMessage::ListMissing { digest: 9 };
     reader.send_to_gateway(NodeId(4), &last).await;
-    assert_eq!(other_endpoint.receive().await.message, last);
+    assert_eq!(received(&other_endpoint).await.1, last);
+}
+
+/// Time limit for a message on loopback.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Next message of an endpoint.
+async fn received(endpoint: &PeerUdp<PeerMessage>) -> (NodeId, PeerMessage) {
+    let received = tokio::time::timeout(LIMIT, endpoint.receive()).await.expect("a message");
+    (received.from, received.message)
+}
+
+/// Spawns the receiving task of a gateway and returns its address.
+async fn spawn_receiver(
+    peers: &Arc<Peers>,
+    store: &Arc<dyn Store>,
+    on_message: impl Fn(NodeId, PeerMessage) + Send + 'static,
+) -> (SocketAddr, JoinHandle<()>) {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let receiving = receive(Arc::clone(peers), Arc::clone(store), any, on_message);
+    let task = tokio::spawn(receiving);
+    loop {
+        if let Some(endpoint) = peers.endpoint.get() {
+            return (endpoint.local_addr().unwrap(), task);
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn reporter_forwards_a_change_of_the_list_to_its_zone_and_applies_it() {
+    let store: Arc<dyn Store> = Arc::new(mem::open());
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let peers = |node| Arc::new(open(NodeId(node), ZONE.into(), clock::open()));
+    let (reader, reporter, near) = (peers(1), peers(2), peers(3));
+    let sending = super::bind(&reader, &*store, any).await.unwrap();
+    let receiving = super::bind(&near, &*store, any).await.unwrap();
+    let (applied_tx, mut applied_rx) = mpsc::unbounded_channel();
+    let on_message = move |from, message| applied_tx.send((from, message)).unwrap();
+    let (reporter_addr, task) = spawn_receiver(&reporter, &store, on_message).await;
+    let listed = |node, addr, zone: &str| (NodeId(node), ListedGateway { addr, zone: zone.into() });
+    let nodes = BTreeMap::from([
+        listed(1, sending.local_addr().unwrap(), "b"),
+        listed(2, reporter_addr, ZONE),
+        listed(3, receiving.local_addr().unwrap(), ZONE),
+    ]);
+    reporter.cluster.store(Arc::new(ClusterView { nodes, ..ClusterView::default() }));
+
+    sending.send(reporter_addr, NodeId(2), &PeerMessage::ListForZone(change())).await;
+    assert_eq!(received(&receiving).await, (NodeId(2), PeerMessage::List(change())));
+    assert_eq!(applied_rx.recv().await, Some((NodeId(1), PeerMessage::List(change()))));
+    task.abort();
 }
