--- a/crates/coordination/src/config/held_config.rs
+++ b/crates/coordination/src/config/held_config.rs
@@ -14,6 +14,8 @@
 //! Both are within [`IN_FORCE_WITHIN`](super::rules::IN_FORCE_WITHIN) of the
 //! acceptance.
 
+mod transfer;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -22,10 +24,7 @@
 use citrongw_protocol::{
     admin_config::{Acceptance, MAX_MISSING_LISTED},
     node_record::{NodeRecord, VersionedNodeRecord},
-    peer::{
-        ConfigState, ConfigToken, ConfigTransfer, FetchRequest, FetchResponse, HolderQuery,
-        HolderReport,
-    },
+    peer::{ConfigState, ConfigToken, HolderQuery, HolderReport},
 };
 use citrongw_state::{
     id::{AttemptId, AvailabilityZone, NodeId, Revision},
@@ -239,13 +238,6 @@
         outcome
     }
 
-    /// Offers a document transferred from a peer.
-    pub fn offer_transfer(&mut self, transfer: &ConfigTransfer, now: Time) -> OfferOutcome {
-        let outcome = document::offer(&mut self.document, transfer);
-        self.apply_offer_outcome(outcome, now);
-        outcome
-    }
-
     fn apply_offer_outcome(&mut self, outcome: OfferOutcome, now: Time) {
         self.forked = match outcome {
             OfferOutcome::Applied => false,
@@ -367,24 +359,6 @@
         })
     }
 
-    /// Adds the held versions to a fetch request.
-    pub fn fill_request(&self, request: &mut FetchRequest) {
-        let held = self.document.as_ref().filter(|_| !self.needs_whole);
-        request.config = held.map(|it| it.version);
-        let version = |it: &VersionedNodeRecord| (it.zone.clone(), it.revision);
-        request.records = self.records.values().map(version).collect();
-    }
-
-    /// Adds newer state than the requester has to a response.
-    pub fn fill_response(&self, request: &FetchRequest, response: &mut FetchResponse) {
-        response.config = self.document.as_ref().and_then(|it| it.transfer_to(request.config));
-        let is_newer = |it: &&VersionedNodeRecord| {
-            let theirs = request.records.iter().find(|(zone, _)| *zone == it.zone);
-            theirs.is_none_or(|(_, revision)| *revision < it.revision)
-        };
-        response.records = self.records.values().filter(is_newer).cloned().collect();
-    }
-
     /// Next node record of this zone, given its present members. `None` if the
     /// record is up to date or a change of it is in progress.
     pub fn next_record(&self, members: BTreeSet<NodeId>, attempt: AttemptId) -> Option<NodeRecord> {
