Log each read of the configuration with its size and duration

Each read now logs the revision that was published, the one that was read, its bytes, the time and the error.

--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -8,7 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use citrongw_coordination::clock::Clock;
-use citrongw_protocol::store::{Entry, StoreError, WatchEvent};
+use citrongw_protocol::store::{Entry, Snapshot, StoreError, StoreResult, WatchEvent};
 use citrongw_state::id::Revision;
 use futures::StreamExt;
 use tokio::time::{sleep, timeout};
@@ -123,7 +123,8 @@
     async fn read_published(&self, published: Revision) -> Result<(), StoreError> {
         sleep(Duration::from_millis(rand::random_range(0..MAX_READ_DELAY_MS))).await;
         let key = self.adapter.codec.config_key();
-        let snapshot = self.adapter.store.list_stale(key.clone()).await?;
+        let read = self.adapter.store.list_stale(key.clone());
+        let snapshot = self.log_read(Some(published), read).await?;
         let found = snapshot.entries.into_iter().find(|it| it.key == key);
         match found.filter(|it| published <= it.revision) {
             Some(entry) => self.apply(&entry),
@@ -134,7 +135,8 @@
 
     /// Reads the configuration once and returns the revision of the store.
     async fn read(&self) -> Result<Revision, StoreError> {
-        let snapshot = self.adapter.store.get(self.adapter.codec.config_key()).await?;
+        let read = self.adapter.store.get(self.adapter.codec.config_key());
+        let snapshot = self.log_read(None, read).await?;
         let revision = snapshot.revision;
         if let Some(entry) = snapshot.into_entry() {
             self.apply(&entry);
@@ -142,6 +144,27 @@
         Ok(revision)
     }
 
+    /// Logs how long a read took and what it returned. `published` is the revision
+    /// that the reader has, if it caused the read.
+    async fn log_read(
+        &self,
+        published: Option<Revision>,
+        read: impl Future<Output = StoreResult<Snapshot>>,
+    ) -> StoreResult<Snapshot> {
+        let started_at = self.clock.now();
+        let res = read.await;
+        let found = res.as_ref().ok().and_then(|it| it.entries.first());
+        tracing::info!(
+            published = published.map(|it| it.0),
+            revision = found.map(|it| it.revision.0),
+            bytes = found.map(|it| it.value.len()),
+            error = res.as_ref().err().map(ToString::to_string),
+            took_ms = self.clock.now().since(started_at).as_millis(),
+            "read of the configuration ended"
+        );
+        res
+    }
+
     fn apply(&self, entry: &Entry) {
         match self.adapter.codec.decode_config(entry) {
             Ok(config) => self.routing.set_config(config),
