Limit the pauses of a large response instead of its whole transfer

Cause: the timeout of a call to the key-value service, 1 s, covered the transfer of the response. A configuration of 4,250 routes is 1.1 MB on the wire; 126 gateways that read it at the same time over one link need 1.2 s each, so a read was cut, began again and lost what it had received. Class: a timeout that does not depend on the size of what it limits, with retries that add to the load that caused it.

A response now has a limit until its head, one for a pause, and a wider one for the whole body, so that a stalled or trickling transfer still ends.

--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -11,11 +11,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
 
 pub use self::body::PooledBody;
 pub use self::pool::PoolCounters;
@@ -50,6 +51,18 @@
     },
 }
 
+/// Time limits of the stages of an exchange whose response may be large. A large
+/// response takes as long as the links between both ends need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseTimeouts {
+    /// Limit until the head of the response has arrived.
+    pub head: Duration,
+    /// Limit of a pause in the body.
+    pub pause: Duration,
+    /// Limit of the whole body.
+    pub body: Duration,
+}
+
 /// HTTP client with a connection pool. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -106,7 +119,50 @@
             let body = self.post_streaming(addr, path, body).await?;
             read_json(body).await
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
+        time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
+    }
+
+    /// Posts JSON and decodes the JSON response, which may be large.
+    pub async fn post_large_json<T: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &T,
+        timeouts: ResponseTimeouts,
+    ) -> Result<R, HttpError> {
+        self.exchange_json(json_request(addr, path, body)?, timeouts).await
+    }
+
+    /// Gets a resource and decodes the JSON response, which may be large.
+    pub async fn get_large_json<R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        timeouts: ResponseTimeouts,
+    ) -> Result<R, HttpError> {
+        let request = request_builder(Method::GET, addr, path)
+            .body(Full::<Bytes>::default())
+            .map_err(|_| HttpError::NotReached)?;
+        self.exchange_json(request, timeouts).await
+    }
+
+    async fn exchange_json<R: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeouts: ResponseTimeouts,
+    ) -> Result<R, HttpError> {
+        let sent = time::timeout(timeouts.head, self.send(request)).await;
+        let response = sent.unwrap_or(Err(HttpError::Interrupted))?;
+        let status = response.status();
+        let read = read_with_pauses(response.into_body(), timeouts.pause);
+        let read = time::timeout(timeouts.body, read).await;
+        let read = read.unwrap_or(Err(HttpError::Interrupted));
+        if !status.is_success() {
+            // The status is known although its body may have broken off.
+            let body = String::from_utf8_lossy(&read.unwrap_or_default()).into_owned();
+            return Err(HttpError::Status { status: status.as_u16(), body });
+        }
+        serde_json::from_slice(&read?).map_err(|_| HttpError::InvalidResponse)
     }
 
     /// Posts JSON and returns the response status, success or not, within
@@ -125,7 +181,7 @@
             read_bytes(response.into_body()).await?;
             Ok(status)
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
+        time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
     }
 
     /// Deletes a resource within `timeout`.
@@ -145,7 +201,7 @@
             }
             read_bytes(response.into_body()).await.map(drop)
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
+        time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
     }
 
     /// Gets a resource and decodes the JSON response within `timeout`.
@@ -165,7 +221,7 @@
             }
             read_json(response.into_body()).await
         };
-        tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
+        time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
     }
 }
 
@@ -196,6 +252,27 @@
     collected.map(http_body_util::Collected::to_bytes).map_err(|_| HttpError::Interrupted)
 }
 
+/// Reads a complete body of at most 8 MiB. A pause longer than `max_pause`
+/// interrupts it.
+async fn read_with_pauses(
+    mut body: PooledBody,
+    max_pause: Duration,
+) -> Result<BytesMut, HttpError> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) =
+        time::timeout(max_pause, body.frame()).await.map_err(|_| HttpError::Interrupted)?
+    {
+        let frame = frame.map_err(|_| HttpError::Interrupted)?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if MAX_RESPONSE_BYTES < buf.len() {
+            return Err(HttpError::Interrupted);
+        }
+    }
+    Ok(buf)
+}
+
 async fn status_error(status: StatusCode, body: PooledBody) -> HttpError {
     let body = read_bytes(body).await.unwrap_or_default();
     HttpError::Status { status: status.as_u16(), body: String::from_utf8_lossy(&body).into_owned() }
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -14,9 +14,12 @@
 
 use crate::{
     event_stream,
-    http_client::{self, HttpClient, HttpError},
+    http_client::{self, HttpClient, HttpError, ResponseTimeouts},
 };
 
+/// Limit of the transfer of a response, as a multiple of the timeout of a call.
+const TRANSFER_FACTOR: u32 = 8;
+
 /// Client of the key-value service at one address.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -25,15 +28,20 @@
     timeout: Duration,
 }
 
-/// Creates a client. Each call times out after `timeout`; a watch only until it
-/// is opened.
+/// Creates a client. The response to a call begins within `timeout` and has no
+/// longer pause; a watch times out only until it is opened.
 pub fn open(addr: SocketAddr, timeout: Duration) -> StoreClient {
     StoreClient { http: http_client::open(), addr, timeout }
 }
 
 impl StoreClient {
     async fn call(&self, path: &str, body: Value) -> StoreResult<Value> {
-        self.http.post_json(self.addr, path, &body, self.timeout).await.map_err(store_error)
+        let timeouts = ResponseTimeouts {
+            head: self.timeout,
+            pause: self.timeout,
+            body: self.timeout * TRANSFER_FACTOR,
+        };
+        self.http.post_large_json(self.addr, path, &body, timeouts).await.map_err(store_error)
     }
 
     async fn range(&self, key: Key, range_end: Option<Vec<u8>>) -> StoreResult<Snapshot> {
