Log servers that ended with the shared parts of the requests in flight

The first broken exchange of a server now leads to one poll of it, and a line with the outcome and the most frequent signatures: the parts of a prompt that other requests share, and the content, which a repeat has as well.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -28,6 +28,9 @@
     /// Id of the last event that the caller received of the stream that it
     /// resumes.
     pub last_event: Option<u64>,
+    /// Ids of the parts of the prompt, in order. The last one belongs to this
+    /// request or its session; other requests share the others.
+    pub prompt_parts: Vec<String>,
 }
 
 /// Metadata that the gateway adds to a forwarded request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod backoff;
 pub mod choose;
 pub mod control;
+mod crash_watch;
 pub mod feed;
 pub mod fleet;
 pub mod gateway_config;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -31,6 +31,7 @@
 use crate::{
     adapter::{Adapter, Codec},
     control::{self, plan},
+    crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
     metered_store::{self, Subjects},
     metrics::{self, Metrics},
@@ -65,6 +66,8 @@
     pub peers: Arc<Peers>,
     /// Metrics of the gateway.
     pub metrics: Metrics,
+    /// Watch for requests that crash backend servers.
+    pub(crate) crashes: Arc<CrashWatch>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -95,6 +98,7 @@
     let store_calls = metrics.store_calls();
     let store = metered_store::open(adapter.store, subjects(&*adapter.codec), store_calls.clone());
     let adapter = Adapter { store, ..adapter };
+    let crashes = Arc::new(crash_watch::open(&adapter));
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
@@ -106,6 +110,7 @@
         http: http_client::open(),
         retries,
         metrics,
+        crashes,
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 mod plain;
 mod refuse;
 mod send;
+mod signatures;
 mod stream;
 mod urgency;
 
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -14,6 +14,7 @@
 use super::{
     body::{self, CallBody},
     refuse::Refusal,
+    signatures::Signatures,
     urgency::{self, Timeliness},
 };
 use crate::{
@@ -49,6 +50,8 @@
     pub(super) body: CallBody,
     /// When the request head arrived.
     pub(super) arrived_at: Time,
+    /// What the request may share with others that crash servers.
+    pub(super) signatures: Signatures,
 }
 
 impl Call {
@@ -115,9 +118,11 @@
     let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
     let read = body::read(body, config.limits.body_bytes);
     let body = tokio::time::timeout(timeout, read).await.map_err(|_| ResultCode::TooSlow)??;
+    let signatures = Signatures::of_prompt(&target.service, &meta.prompt_parts);
     Ok(Call {
         request,
         meta,
+        signatures,
         route: Arc::clone(route),
         service: target.service.clone(),
         holder,
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -24,6 +24,7 @@
     log::RequestLog,
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
+    signatures,
 };
 use crate::{fleet::InFlight, node::Gateway};
 
@@ -120,6 +121,9 @@
             Ok(started) => return Ok(started),
             Err(failed) => failed,
         };
+        if failed.cause == Cause::Interrupted {
+            gateway.crashes.record_broken(&server, signatures::all_of(call));
+        }
         attempts.retry(gateway, call, failed).await?;
     }
 }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -24,6 +24,7 @@
     plain,
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
+    signatures,
 };
 use crate::{
     fleet::{Backend, InFlight},
@@ -42,6 +43,9 @@
 /// other requests. It is below the shortest time after which callers abandon a
 /// silent stream.
 const STUCK_GAP_FACTOR: u32 = 5;
+/// Time after the first event of a stream in which its request may be what crashed
+/// its server.
+const CRASH_WINDOW: Duration = Duration::from_secs(1);
 /// Time that a server that fell silent gets no requests.
 const SILENT_SUSPICION: Duration = Duration::from_secs(2);
 
@@ -107,6 +111,7 @@
     /// Event that was read before the response head was forwarded.
     first: Option<Event>,
     backend: Arc<Backend>,
+    opened_at: Time,
     _in_flight: InFlight,
 }
 
@@ -135,6 +140,9 @@
             }
             Err(failed) => failed,
         };
+        if failed.cause == Cause::Interrupted {
+            gateway.crashes.record_broken(&server, signatures::all_of(call));
+        }
         attempts.retry(gateway, call, failed).await?;
     }
 }
@@ -157,8 +165,11 @@
         }
         let BackendResponse { parts, body, backend, in_flight } = response;
         let splitter = EventSplitter::default();
-        let mut source = Source { body, splitter, first: None, backend, _in_flight: in_flight };
+        let opened_at = gateway.clock.now();
+        let mut source =
+            Source { body, splitter, first: None, backend, opened_at, _in_flight: in_flight };
         source.first = source.read(gateway).await?;
+        source.opened_at = gateway.clock.now();
         Ok(Ok((parts, source)))
     };
     tokio::pin!(exchange);
@@ -244,6 +255,7 @@
                 }
                 Err(failed) => failed,
             };
+            self.record_broken(failed.cause);
             self.resume(failed).await?;
         }
     }
@@ -278,6 +290,14 @@
         }
     }
 
+    fn record_broken(&self, cause: Cause) {
+        let age = self.gateway.clock.now().since(self.source.opened_at);
+        if cause == Cause::Interrupted && age < CRASH_WINDOW {
+            let signatures = signatures::all_of(&self.call);
+            self.gateway.crashes.record_broken(&self.source.backend, signatures);
+        }
+    }
+
     /// Resumes the stream at another replica after the last event that the caller
     /// has. A source that is only silent is kept until the other stream has
     /// begun, and waited for if none begins: silence alone is no reason to end a
