Reject requests with a prompt part that crashes servers

Cause: nothing connected the death of a server with what was in flight there. Each request with the part was sent to a replica, and to a second one when the first broke off. Class: retries and new requests that spread a fault of the request over the fleet; the limits on repeats do not see it, since no two requests are alike.

A gateway whose exchange with a server breaks polls the server once. If it ended, the gateway sends the others the signatures of its requests there: the shared parts of the prompt and the content, without those that were in a request that succeeded. What was in flight at three deaths is a culprit; its requests are rejected with 503 and a Retry-After of the quarantine, and those in flight are withdrawn before their first event. A success clears a signature at all gateways, so a part that sound requests share is not blamed. Culprits are listed in the key-value service under a lease, beside the gateways, so that a gateway that starts later knows them by the read that it makes anyway.

--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -47,6 +47,8 @@
             | PeerMessage::Owner { .. }
             | PeerMessage::List(_)
             | PeerMessage::Load(_)
+            | PeerMessage::Crash { .. }
+            | PeerMessage::Cleared { .. }
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
             | PeerMessage::ZoneLoad { .. } => false,
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -2,63 +2,206 @@
 //!
 //! A connection breaks for many reasons. That a server ended with requests in flight
 //! is known only once its address refuses connections, or once it no longer belongs
-//! to the replica that it was the head of.
+//! to the replica that it was the head of. The gateways exchange what their requests
+//! there had in common; a part that is found to crash servers is listed in the
+//! key-value service, where gateways that start later find it.
 
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
-use citrongw_state::id::{Epoch, Fingerprint, InstanceId};
-use derive_more::{Debug, Display};
-use tokio::time::{sleep, timeout};
+use bytes::Bytes;
+use citrongw_coordination::clock::Clock;
+use citrongw_protocol::store::{Change, Expected, LeaseId, Store, StoreResult, Write, WriteResult};
+use citrongw_state::{
+    crash_suspicion::{
+        RecentSuccesses,
+        shared_parts::{Culprit, QUARANTINE_TIME, ServerDeath, SharedPartSuspicions},
+    },
+    id::{Epoch, Fingerprint},
+};
+use derive_more::Debug;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
+    backoff,
     fleet::{Backend, ReplicaKey},
+    peers::{CULPRIT_PREFIX, Peers, message::PeerMessage},
 };
 
-/// Time from the first broken exchange of a server until it is polled. The other
-/// exchanges that broke with it are known by then.
-const COLLECT_TIME: Duration = Duration::from_millis(50);
 /// Timeout of the poll of a server.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Backend server that ended.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
-#[display("{instance} epoch {epoch}")]
-struct EndedServer {
-    instance: InstanceId,
-    epoch: Epoch,
-}
+/// Interval between removals of expired suspicions.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// First delay before a culprit is written to the key-value service again.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Longest delay before a culprit is written again.
+const MAX_STORE_RETRY_DELAY: Duration = Duration::from_secs(4);
 
-/// Exchanges that broke, and the servers that ended with them.
+/// Requests whose exchanges broke off, and what is suspected of having crashed their
+/// servers.
 #[derive(Debug)]
 pub(crate) struct CrashWatch {
     #[debug(skip)]
     instances: Arc<dyn InstanceClient>,
+    #[debug(skip)]
+    store: Arc<dyn Store>,
+    peers: Arc<Peers>,
+    clock: Clock,
     /// Signatures of the requests whose exchanges with a server broke before its
     /// poll ended.
-    broken: Mutex<HashMap<EndedServer, Vec<Vec<Fingerprint>>>>,
+    broken: Mutex<HashMap<ServerDeath, Vec<Vec<Fingerprint>>>>,
+    suspicions: Mutex<SharedPartSuspicions>,
+    has_suspects: AtomicBool,
+    successes: RecentSuccesses,
+    culprits_tx: watch::Sender<Vec<Culprit>>,
+    /// Leases of the culprits that this gateway wrote.
+    leases: Mutex<HashMap<Culprit, LeaseId>>,
 }
 
 /// Creates the watch.
-pub(crate) fn open(adapter: &Adapter) -> CrashWatch {
-    CrashWatch { instances: Arc::clone(&adapter.instances), broken: Mutex::default() }
+pub(crate) fn open(adapter: &Adapter, peers: &Arc<Peers>, clock: Clock) -> CrashWatch {
+    CrashWatch {
+        instances: Arc::clone(&adapter.instances),
+        store: Arc::clone(&adapter.store),
+        peers: Arc::clone(peers),
+        clock,
+        broken: Mutex::default(),
+        suspicions: Mutex::default(),
+        has_suspects: AtomicBool::new(false),
+        successes: RecentSuccesses::default(),
+        culprits_tx: watch::channel(Vec::new()).0,
+        leases: Mutex::default(),
+    }
+}
+
+/// Drops expired suspicions; never returns.
+pub(crate) async fn expire(watch: Arc<CrashWatch>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        watch.change(|it| it.expire(watch.clock.now()));
+    }
 }
 
 impl CrashWatch {
+    /// Whether a request is rejected because of what it shares with requests that
+    /// crashed servers. `signatures` is called only if any request is.
+    pub(crate) fn is_quarantined(&self, signatures: impl FnOnce() -> Vec<Fingerprint>) -> bool {
+        let cluster = self.peers.cluster();
+        let culprits = self.culprits_tx.borrow();
+        let mut culprits = cluster.culprits.iter().chain(culprits.iter()).peekable();
+        if culprits.peek().is_none() {
+            return false;
+        }
+        let signatures = signatures();
+        culprits.any(|it| it.matches(&signatures, |it| self.has_succeeded(it)))
+    }
+
+    /// Completes once a request is quarantined.
+    pub(crate) async fn wait_until_quarantined(&self, signatures: impl Fn() -> Vec<Fingerprint>) {
+        let mut culprits_rx = self.culprits_tx.subscribe();
+        while !self.is_quarantined(&signatures) {
+            // The sender is part of this watch.
+            let _ = culprits_rx.changed().await;
+        }
+    }
+
+    /// Records that a request succeeded. `signatures` is called only if any is
+    /// suspected.
+    pub(crate) fn record_success(
+        self: &Arc<Self>,
+        shared_parts: &[Fingerprint],
+        signatures: impl FnOnce() -> Vec<Fingerprint>,
+    ) {
+        let now = self.clock.now();
+        for part in shared_parts {
+            self.successes.add(*part, now);
+        }
+        let is_listed = !self.peers.cluster().culprits.is_empty();
+        if !is_listed && !self.has_suspects.load(Ordering::Relaxed) {
+            return;
+        }
+        let cleared = self.clear(&signatures());
+        if cleared.is_empty() {
+            return;
+        }
+        tracing::info!(signatures = list(&cleared), "suspected request succeeded");
+        let watch = Arc::clone(self);
+        tokio::spawn(async move {
+            watch.peers.broadcast(&PeerMessage::Cleared { signatures: cleared }).await;
+            watch.end_cleared_leases().await;
+        });
+    }
+
+    /// Applies the death of a server with a request of another gateway in flight.
+    pub(crate) fn apply_crash(&self, death: &ServerDeath, signatures: &[Fingerprint]) {
+        self.add_death(death, signatures);
+    }
+
+    /// Applies the success of a request at another gateway.
+    pub(crate) fn apply_cleared(self: &Arc<Self>, signatures: &[Fingerprint]) {
+        let now = self.clock.now();
+        for signature in signatures {
+            self.successes.add(*signature, now);
+        }
+        self.clear(signatures);
+        let watch = Arc::clone(self);
+        tokio::spawn(async move { watch.end_cleared_leases().await });
+    }
+
+    fn has_succeeded(&self, signature: Fingerprint) -> bool {
+        self.successes.is_recent(signature, self.clock.now())
+    }
+
+    fn clear(&self, signatures: &[Fingerprint]) -> Vec<Fingerprint> {
+        self.change(|it| it.record_success(signatures))
+    }
+
+    /// Records a death. Returns the culprit if this makes it known.
+    fn add_death(&self, death: &ServerDeath, signatures: &[Fingerprint]) -> Option<Culprit> {
+        let now = self.clock.now();
+        let has_succeeded = |it| self.has_succeeded(it);
+        let culprit = self.change(|it| it.add_death(death, signatures, has_succeeded, now));
+        if let Some(culprit) = &culprit {
+            tracing::warn!(%culprit, %death, "requests that crash servers are rejected from now on");
+        }
+        culprit
+    }
+
+    /// Changes the suspicions and publishes the culprits to the request path.
+    fn change<R>(&self, change: impl FnOnce(&mut SharedPartSuspicions) -> R) -> R {
+        let mut suspicions = lock(&self.suspicions);
+        let res = change(&mut suspicions);
+        self.has_suspects.store(!suspicions.is_empty(), Ordering::Relaxed);
+        let culprits: Vec<Culprit> = suspicions.culprits().cloned().collect();
+        self.culprits_tx.send_if_modified(|it| {
+            let is_changed = *it != culprits;
+            *it = culprits;
+            is_changed
+        });
+        res
+    }
+
     /// Records that the exchange of a request with a server broke when the server
     /// had begun to answer or was about to.
-    pub(crate) fn record_broken(self: &Arc<Self>, backend: &Backend, request: Vec<Fingerprint>) {
+    pub(crate) fn record_broken(self: &Arc<Self>, backend: &Backend, signatures: Vec<Fingerprint>) {
         let epoch = backend.replica.as_ref().map_or(Epoch(0), |it| it.epoch);
-        let server = EndedServer { instance: backend.id.clone(), epoch };
+        let death = ServerDeath { instance: backend.id.clone(), epoch };
         let is_first = {
             let mut broken = lock(&self.broken);
-            let requests = broken.entry(server.clone()).or_default();
-            requests.push(request);
+            let requests = broken.entry(death.clone()).or_default();
+            requests.push(signatures);
             requests.len() == 1
         };
         if !is_first {
@@ -66,17 +209,89 @@
         }
         let watch = Arc::clone(self);
         let (addr, replica) = (backend.addr, backend.replica.clone());
-        tokio::spawn(async move { watch.poll(server, addr, replica).await });
+        tokio::spawn(async move { watch.poll(death, addr, replica).await });
     }
 
-    async fn poll(&self, server: EndedServer, addr: SocketAddr, replica: Option<ReplicaKey>) {
-        sleep(COLLECT_TIME).await;
+    /// Polls a server whose exchanges broke, and publishes its death.
+    async fn poll(
+        self: Arc<Self>,
+        death: ServerDeath,
+        addr: SocketAddr,
+        replica: Option<ReplicaKey>,
+    ) {
         let has_ended = self.has_ended(addr, replica.as_ref()).await;
-        let requests = lock(&self.broken).remove(&server).unwrap_or_default();
+        let requests = lock(&self.broken).remove(&death).unwrap_or_default();
         tracing::info!(
-            %server, has_ended, requests = requests.len(), signatures = summary(&requests),
+            server = %death, has_ended, requests = requests.len(), signatures = summary(&requests),
             "exchanges with a backend server broke off"
         );
+        if !has_ended {
+            return;
+        }
+        for mut signatures in requests {
+            signatures.retain(|it| !self.has_succeeded(*it));
+            let culprit = self.add_death(&death, &signatures);
+            let message = PeerMessage::Crash { death: death.clone(), signatures };
+            self.peers.broadcast(&message).await;
+            if let Some(culprit) = culprit {
+                tokio::spawn(Arc::clone(&self).store_culprit(culprit));
+            }
+        }
+    }
+
+    /// Writes a culprit to the key-value service, for gateways that start later.
+    async fn store_culprit(self: Arc<Self>, culprit: Culprit) {
+        let mut backoff = backoff::open(STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY);
+        while lock(&self.suspicions).culprits().any(|it| *it == culprit) {
+            match self.write_culprit(&culprit).await {
+                Ok(Some(lease)) => {
+                    lock(&self.leases).insert(culprit, lease);
+                    return self.end_cleared_leases().await;
+                }
+                // Another gateway wrote it.
+                Ok(None) => return,
+                Err(error) => {
+                    tracing::warn!(%error, %culprit, dependency = "store", "could not write a culprit");
+                }
+            }
+            sleep(backoff.next_delay()).await;
+        }
+    }
+
+    /// Returns the lease of the entry, or none if there was one already.
+    async fn write_culprit(&self, culprit: &Culprit) -> StoreResult<Option<LeaseId>> {
+        let lease = self.store.grant_lease(QUARANTINE_TIME).await?;
+        let write = Write {
+            key: format!("{CULPRIT_PREFIX}{culprit}").into(),
+            expected: Expected::Absent,
+            change: Change::Put(Bytes::new()),
+            lease: Some(lease),
+        };
+        match self.store.compare_and_swap(write).await? {
+            WriteResult::Committed(_) => Ok(Some(lease)),
+            WriteResult::Conflict(_) => {
+                self.store.end_lease(lease).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Deletes the entries of culprits that are none any more.
+    async fn end_cleared_leases(&self) {
+        let ended: Vec<(Culprit, LeaseId)> = {
+            let suspicions = lock(&self.suspicions);
+            let is_cleared = |culprit: &Culprit| !suspicions.culprits().any(|it| it == culprit);
+            let mut leases = lock(&self.leases);
+            let cleared: Vec<Culprit> =
+                leases.keys().filter(|it| is_cleared(it)).cloned().collect();
+            cleared.into_iter().filter_map(|it| leases.remove_entry(&it)).collect()
+        };
+        for (culprit, lease) in ended {
+            if let Err(error) = self.store.end_lease(lease).await {
+                // The lease ends by itself.
+                tracing::warn!(%error, %culprit, dependency = "store", "could not delete a culprit");
+            }
+        }
     }
 
     /// Whether a server has ended. One that does not respond may only be cut off.
@@ -107,6 +322,11 @@
     logged.collect::<Vec<_>>().join(", ")
 }
 
+fn list(signatures: &[Fingerprint]) -> String {
+    let shown = signatures.iter().take(MAX_LOGGED).map(ToString::to_string);
+    shown.collect::<Vec<_>>().join(", ")
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -182,6 +182,8 @@
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
             | PeerMessage::Load(_)
+            | PeerMessage::Crash { .. }
+            | PeerMessage::Cleared { .. }
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -98,11 +98,12 @@
     let store_calls = metrics.store_calls();
     let store = metered_store::open(adapter.store, subjects(&*adapter.codec), store_calls.clone());
     let adapter = Adapter { store, ..adapter };
-    let crashes = Arc::new(crash_watch::open(&adapter));
+    let peers = Arc::new(peers::open(node, settings.zone.clone(), clock));
+    let crashes = Arc::new(crash_watch::open(&adapter, &peers, clock));
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
-        peers: Arc::new(peers::open(node, settings.zone.clone(), clock)),
+        peers,
         settings,
         clock,
         adapter,
@@ -129,6 +130,7 @@
         feed::spawn(&gateway.adapter, &gateway.routing, &gateway.peers, &gateway.metrics, clock);
     let routing = Arc::clone(&gateway.routing);
     let peer_loads = Arc::clone(&gateway.peer_loads);
+    let crashes = Arc::clone(&gateway.crashes);
     let on_message = move |from, message| match message {
         PeerMessage::Load(report) => {
             peer_loads.record(ReportSource::Gateway(from), report, clock.now());
@@ -138,10 +140,13 @@
         }
         PeerMessage::List(change) => routing.queue_change(from, change, clock.now()),
         PeerMessage::ListMissing { digest } => routing.queue_missing(from, digest),
+        PeerMessage::Crash { death, signatures } => crashes.apply_crash(&death, &signatures),
+        PeerMessage::Cleared { signatures } => crashes.apply_cleared(&signatures),
         message => routing.apply_message(&message, clock.now()),
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     tasks.extend(peers::spawn(&gateway.peers, store, addr, on_message));
+    tasks.push(tokio::spawn(crash_watch::expire(Arc::clone(&gateway.crashes))));
     tasks.push(metered_store::spawn_report(store_calls));
     tasks.push(control::campaign::spawn(&gateway));
     tasks.push(tokio::spawn(peer_loads::publish(Arc::clone(&gateway))));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,6 +40,8 @@
 pub const LIVE_PREFIX: &str = "citrongw/live/";
 /// Prefix of the keys that name the owners of domains.
 pub const OWNER_PREFIX: &str = "citrongw/live/owner/";
+/// Prefix of the keys that name what makes a request crash servers.
+pub(crate) const CULPRIT_PREFIX: &str = "citrongw/live/culprit/";
 /// Delay after a failed attempt to register this gateway or to bind its endpoint.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval between reports of one suspected replica. Its owner has polled its
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -1,11 +1,11 @@
-//! List of the gateways and of the owners of domains.
+//! List of the gateways, of the owners of domains and of the culprits of crashes.
 //!
 //! Each gateway keeps itself registered in the list. The reader of the instance
 //! list reads this list too and publishes its digest. The others read the list
 //! only if their digest differs.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     str::FromStr,
@@ -17,13 +17,16 @@
 use citrongw_protocol::store::{
     Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
 };
-use citrongw_state::id::{AvailabilityZone, NodeId};
+use citrongw_state::{
+    crash_suspicion::shared_parts::Culprit,
+    id::{AvailabilityZone, NodeId},
+};
 use derive_more::Display;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::backoff;
 
-use super::{LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
+use super::{CULPRIT_PREFIX, LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
 
 pub(super) const NODE_PREFIX: &str = "citrongw/live/node/";
 /// Time to live of a gateway's entry: a gateway that ended is listed for this
@@ -71,6 +74,8 @@
     pub nodes: BTreeMap<NodeId, ListedGateway>,
     /// Owner of each domain, by the owner key of the domain.
     pub owners: BTreeMap<Key, NodeId>,
+    /// What makes a request crash servers.
+    pub culprits: BTreeSet<Culprit>,
 }
 
 impl ClusterView {
@@ -167,6 +172,10 @@
             && let Ok(node) = value.parse()
         {
             cluster.owners.insert(entry.key.clone(), node);
+        } else if let Some(culprit) = entry.key.as_str().strip_prefix(CULPRIT_PREFIX)
+            && let Ok(culprit) = culprit.parse()
+        {
+            cluster.culprits.insert(culprit);
         }
     }
     cluster
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,8 +1,12 @@
 //! Messages between gateways. Except for the loads, they are hints that save time: the
 //! platform's lists or polls of the instances show the same a little later.
 
-use citrongw_state::id::{
-    AvailabilityZone, Epoch, FabricDomainId, InstanceId, ModelId, PlainServiceId, ReplicaId,
+use citrongw_state::{
+    crash_suspicion::shared_parts::ServerDeath,
+    id::{
+        AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
+        ReplicaId,
+    },
 };
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
@@ -59,6 +63,18 @@
         /// Sums of the zone for each replica.
         report: LoadReport,
     },
+    /// A backend server ended with this request in flight.
+    Crash {
+        /// Death of the server.
+        death: ServerDeath,
+        /// Signatures of the request.
+        signatures: Vec<Fingerprint>,
+    },
+    /// A request succeeded, so that these signatures are no longer suspected.
+    Cleared {
+        /// Signatures of the request.
+        signatures: Vec<Fingerprint>,
+    },
 }
 
 /// Replica that takes requests.
--- a/crates/gateway/src/peers/tests/resend.rs
+++ b/crates/gateway/src/peers/tests/resend.rs
@@ -95,6 +95,7 @@
     let other = spawn(2, &other_store, Arc::clone(&loses_change)).await;
     let listed = |addr| ListedGateway { addr, zone: ZONE.into() };
     let cluster = ClusterView {
+        culprits: std::collections::BTreeSet::new(),
         nodes: BTreeMap::from([(NodeId(1), listed(reader.addr)), (NodeId(2), listed(other.addr))]),
         owners: BTreeMap::from([(domain().owner_key(), NodeId(1))]),
     };
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -4,6 +4,7 @@
 
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::{
+    crash_suspicion::shared_parts::QUARANTINE_TIME,
     id::InstanceId,
     retry::{self, AttemptProgress, FailedAttempt},
 };
@@ -13,6 +14,7 @@
     call::Call,
     refuse::Refusal,
     send::{AttemptFailure, Cause},
+    signatures,
 };
 use crate::{
     choose::{Choice, ChoiceCriteria, choose},
@@ -63,6 +65,9 @@
         gateway: &Gateway,
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
+        if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
+            return Err(self.refusal(ResultCode::Quarantined));
+        }
         let chosen = self.choose(gateway, call);
         let choice = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
         let server = Arc::clone(&choice.best.server);
@@ -168,6 +173,7 @@
                 Refusal::from(code).after(NO_SERVER_RETRY_AFTER)
             }
             ResultCode::Overloaded => Refusal::from(code).after(OVERLOADED_RETRY_AFTER),
+            ResultCode::Quarantined => Refusal::from(code).after(QUARANTINE_TIME),
             code => code.into(),
         }
     }
@@ -183,5 +189,6 @@
         }
         Cause::ServerError => ResultCode::EngineError,
         Cause::DeadlinePassed => ResultCode::DeadlinePassed,
+        Cause::Quarantined => ResultCode::Quarantined,
     }
 }
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -63,6 +63,10 @@
     };
     let ResponseStart { parts, buffered, rest } = started;
     let Some(rest) = rest else {
+        if parts.status.is_success() {
+            let shared_parts = call.signatures.shared_parts();
+            gateway.crashes.record_success(shared_parts, || signatures::all_of(&call));
+        }
         let response = respond(&call, parts, Body::Full(Full::new(buffered)));
         log.end_with_status(response.status().as_u16(), &attempts);
         return response;
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -51,6 +51,9 @@
     /// The deadline of the request passed.
     #[display("deadline passed")]
     DeadlinePassed,
+    /// A part of the request was found to crash servers.
+    #[display("quarantined")]
+    Quarantined,
 }
 
 /// Failed attempt.
--- a/crates/gateway/src/relay/signatures.rs
+++ b/crates/gateway/src/relay/signatures.rs
@@ -25,6 +25,11 @@
         shared_parts.dedup();
         Self { shared_parts, content: OnceLock::new() }
     }
+
+    /// Digests of the shared parts of the prompt.
+    pub(super) fn shared_parts(&self) -> &[Fingerprint] {
+        &self.shared_parts
+    }
 }
 
 /// All digests of a request. That of its content is computed once it is needed.
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -86,6 +86,9 @@
         match relay.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
             Ok(None) => {
+                let parts = relay.call.signatures.shared_parts();
+                let all = || signatures::all_of(&relay.call);
+                relay.gateway.crashes.record_success(parts, all);
                 relay.log.end_with_status(200, &relay.attempts);
                 None
             }
@@ -183,6 +186,10 @@
             Cause::Stalled
         }
         () = server.stats.wait_until_down() => Cause::ReplicaDown,
+        // The server drops the request with its connection.
+        () = gateway.crashes.wait_until_quarantined(|| signatures::all_of(call)) => {
+            return Err(AttemptFailure::may_have_run(Cause::Quarantined));
+        }
     };
     tokio::select! {
         biased;
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -77,6 +77,8 @@
     Suspected = 2007, 422, NotRun, "request is suspected of crashing servers";
     /// Every attempt failed before a backend server ran the request.
     NotReached = 2008, 503, NotRun, "no backend server could be reached";
+    /// A part of the request crashes backend servers.
+    Quarantined = 2009, 503, NotRun, "part of the request crashes servers";
     /// The deadline passed while the request was running.
     DeadlinePassed = 3001, 504, Unknown, "deadline passed";
     /// The backend server interrupted the response.
--- a/crates/state/src/crash_suspicion.rs
+++ b/crates/state/src/crash_suspicion.rs
@@ -35,6 +35,7 @@
 
 mod isolation;
 mod recent_successes;
+pub mod shared_parts;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
