--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -42,6 +42,8 @@
 /// Timeout of the poll of a server.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Number of signatures that a datagram holds beside its other fields.
+const MAX_SIGNATURES: usize = 32;
 /// Interval between removals of expired suspicions.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// First delay before a culprit is written to the key-value service again.
@@ -139,7 +141,10 @@
         tracing::info!(signatures = list(&cleared), "suspected request succeeded");
         let watch = Arc::clone(self);
         tokio::spawn(async move {
-            watch.peers.broadcast(&PeerMessage::Cleared { signatures: cleared }).await;
+            for part in cleared.chunks(MAX_SIGNATURES) {
+                let signatures = part.to_vec();
+                watch.peers.broadcast(&PeerMessage::Cleared { signatures }).await;
+            }
             watch.end_cleared_leases().await;
         });
     }
@@ -231,8 +236,10 @@
         for mut signatures in requests {
             signatures.retain(|it| !self.has_succeeded(*it));
             let culprit = self.add_death(&death, &signatures);
-            let message = PeerMessage::Crash { death: death.clone(), signatures };
-            self.peers.broadcast(&message).await;
+            for part in signatures.chunks(MAX_SIGNATURES) {
+                let (death, signatures) = (death.clone(), part.to_vec());
+                self.peers.broadcast(&PeerMessage::Crash { death, signatures }).await;
+            }
             if let Some(culprit) = culprit {
                 tokio::spawn(Arc::clone(&self).store_culprit(culprit));
             }
