Identify the death of a server by its incarnation

A server was taken for ended when its replica had a new epoch, as after the repair of a lost member: the requests that broke off then counted as in flight at a death. The poll now compares the incarnation. A culprit is stored under a digest, since a key cannot hold many signatures. A success is published only for signatures at two deaths or more: most of those at one are sound, and a datagram to each gateway for each of them gained nothing.

--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -14,6 +14,7 @@
     stats.record_load(Time::START, ServerLoad { running: load, waiting: 0, slots: 10 });
     Arc::new(Backend {
         id: id.into(),
+        incarnation: citrongw_state::id::Incarnation(1),
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: zone.into(),
         slots: 10,
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -1,8 +1,8 @@
 //! Watch for requests that crash backend servers.
 //!
 //! A connection breaks for many reasons. That a server ended with requests in flight
-//! is known only once its address refuses connections, or once it no longer belongs
-//! to the replica that it was the head of. The gateways exchange what their requests
+//! is known only once its address refuses connections or another incarnation
+//! responds there. The gateways exchange what their requests
 //! there had in common; a part that is found to crash servers is listed in the
 //! key-value service, where gateways that start later find it.
 
@@ -24,7 +24,7 @@
         RecentSuccesses,
         shared_parts::{Culprit, QUARANTINE_TIME, ServerDeath, SharedPartSuspicions},
     },
-    id::{Epoch, Fingerprint},
+    id::Fingerprint,
 };
 use derive_more::Debug;
 use tokio::{
@@ -35,7 +35,7 @@
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
     backoff,
-    fleet::{Backend, ReplicaKey},
+    fleet::Backend,
     peers::{CULPRIT_PREFIX, Peers, message::PeerMessage},
 };
 
@@ -201,8 +201,7 @@
     /// Records that the exchange of a request with a server broke when the server
     /// had begun to answer or was about to.
     pub(crate) fn record_broken(self: &Arc<Self>, backend: &Backend, signatures: Vec<Fingerprint>) {
-        let epoch = backend.replica.as_ref().map_or(Epoch(0), |it| it.epoch);
-        let death = ServerDeath { instance: backend.id.clone(), epoch };
+        let death = ServerDeath { instance: backend.id.clone(), incarnation: backend.incarnation };
         let is_first = {
             let mut broken = lock(&self.broken);
             let requests = broken.entry(death.clone()).or_default();
@@ -212,19 +211,12 @@
         if !is_first {
             return;
         }
-        let watch = Arc::clone(self);
-        let (addr, replica) = (backend.addr, backend.replica.clone());
-        tokio::spawn(async move { watch.poll(death, addr, replica).await });
+        tokio::spawn(Arc::clone(self).poll(death, backend.addr));
     }
 
     /// Polls a server whose exchanges broke, and publishes its death.
-    async fn poll(
-        self: Arc<Self>,
-        death: ServerDeath,
-        addr: SocketAddr,
-        replica: Option<ReplicaKey>,
-    ) {
-        let has_ended = self.has_ended(addr, replica.as_ref()).await;
+    async fn poll(self: Arc<Self>, death: ServerDeath, addr: SocketAddr) {
+        let has_ended = self.has_ended(&death, addr).await;
         let requests = lock(&self.broken).remove(&death).unwrap_or_default();
         tracing::info!(
             server = %death, has_ended, requests = requests.len(), signatures = summary(&requests),
@@ -269,9 +261,9 @@
     async fn write_culprit(&self, culprit: &Culprit) -> StoreResult<Option<LeaseId>> {
         let lease = self.store.grant_lease(QUARANTINE_TIME).await?;
         let write = Write {
-            key: format!("{CULPRIT_PREFIX}{culprit}").into(),
+            key: format!("{CULPRIT_PREFIX}{}", culprit.digest()).into(),
             expected: Expected::Absent,
-            change: Change::Put(Bytes::new()),
+            change: Change::Put(Bytes::from(culprit.to_string())),
             lease: Some(lease),
         };
         match self.store.compare_and_swap(write).await? {
@@ -302,11 +294,9 @@
     }
 
     /// Whether a server has ended. One that does not respond may only be cut off.
-    async fn has_ended(&self, addr: SocketAddr, replica: Option<&ReplicaKey>) -> bool {
+    async fn has_ended(&self, death: &ServerDeath, addr: SocketAddr) -> bool {
         match timeout(POLL_TIMEOUT, self.instances.report(addr)).await {
-            Ok(Ok(report)) => replica.is_some_and(|replica| {
-                !report.membership.is_some_and(|it| it.matches(replica.replica, replica.epoch))
-            }),
+            Ok(Ok(report)) => report.incarnation.is_some_and(|it| it != death.incarnation),
             Ok(Err(InstanceError::NotReached)) => true,
             Ok(Err(InstanceError::NoResponse | InstanceError::InvalidResponse)) | Err(_) => false,
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -180,6 +180,8 @@
 pub struct Backend {
     /// Instance that takes the requests.
     pub id: InstanceId,
+    /// Incarnation of the instance.
+    pub incarnation: Incarnation,
     /// Address for requests.
     pub addr: SocketAddr,
     /// Zone of the instance.
@@ -326,6 +328,7 @@
         self.stats.insert(key, Arc::clone(&stats));
         Arc::new(Backend {
             id: entry.id.clone(),
+            incarnation: entry.incarnation,
             addr: entry.addr,
             zone: entry.zone.clone(),
             slots: entry.slots,
--- a/crates/gateway/src/peer_loads/publisher/tests.rs
+++ b/crates/gateway/src/peer_loads/publisher/tests.rs
@@ -8,6 +8,7 @@
 fn server(replica: u64) -> Arc<Backend> {
     Arc::new(Backend {
         id: "i".into(),
+        incarnation: citrongw_state::id::Incarnation(1),
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: "a".into(),
         slots: 10,
--- a/crates/gateway/src/peer_loads/tests.rs
+++ b/crates/gateway/src/peer_loads/tests.rs
@@ -8,6 +8,7 @@
 fn server(key: ReplicaKey) -> Backend {
     Backend {
         id: "i".into(),
+        incarnation: citrongw_state::id::Incarnation(1),
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         zone: "a".into(),
         slots: 10,
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -172,8 +172,8 @@
             && let Ok(node) = value.parse()
         {
             cluster.owners.insert(entry.key.clone(), node);
-        } else if let Some(culprit) = entry.key.as_str().strip_prefix(CULPRIT_PREFIX)
-            && let Ok(culprit) = culprit.parse()
+        } else if entry.key.as_str().starts_with(CULPRIT_PREFIX)
+            && let Ok(culprit) = value.parse()
         {
             cluster.culprits.insert(culprit);
         }
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -281,6 +281,7 @@
     let server = |replica: usize| {
         Arc::new(Backend {
             id: format!("i-{replica}").as_str().into(),
+            incarnation: citrongw_state::id::Incarnation(1),
             addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: zone_name(replica / load.replicas_per_zone),
             slots: SPEED.slots as u32,
--- a/crates/state/src/crash_suspicion/shared_parts.rs
+++ b/crates/state/src/crash_suspicion/shared_parts.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{Epoch, Fingerprint, InstanceId},
+    id::{Fingerprint, Incarnation, InstanceId},
     time::Time,
 };
 
@@ -27,6 +27,9 @@
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Number of deaths from which requests are rejected.
 pub const DEATHS_TO_QUARANTINE: usize = 3;
+/// Number of deaths from which a success clears a signature. Fewer are not worth the
+/// messages, since most signatures at a death are sound.
+const DEATHS_TO_CLEAR: usize = 2;
 /// Time for which a death counts against a signature.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Maximum number of signatures kept.
@@ -34,12 +37,12 @@
 
 /// Death of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display)]
-#[display("{instance} epoch {epoch}")]
+#[display("{instance} incarnation {incarnation}")]
 pub struct ServerDeath {
     /// Instance that took the requests.
     pub instance: InstanceId,
-    /// Epoch of its replica; 0 for a plain service.
-    pub epoch: Epoch,
+    /// Incarnation that ended.
+    pub incarnation: Incarnation,
 }
 
 /// Signatures that crash a server if a request has all of them.
@@ -47,6 +50,11 @@
 pub struct Culprit(BTreeSet<Fingerprint>);
 
 impl Culprit {
+    /// Digest of the signatures.
+    pub fn digest(&self) -> Fingerprint {
+        Fingerprint(self.0.iter().fold(0, |digest, it| digest ^ it.0))
+    }
+
     /// Whether a request with these signatures is rejected. Signatures that
     /// succeeded do not count.
     pub fn matches(
@@ -149,10 +157,10 @@
     }
 
     /// Records that a request with these signatures succeeded. Returns those that
-    /// were suspected.
+    /// it cleared.
     pub fn record_success(&mut self, signatures: &[Fingerprint]) -> Vec<Fingerprint> {
         let is_suspected = |it: &Fingerprint| {
-            self.suspects.contains_key(it)
+            DEATHS_TO_CLEAR <= self.deaths(*it)
                 || self.culprits.keys().any(|culprit| culprit.0.contains(it))
         };
         let cleared: Vec<Fingerprint> =
--- a/crates/state/src/crash_suspicion/shared_parts/tests.rs
+++ b/crates/state/src/crash_suspicion/shared_parts/tests.rs
@@ -4,7 +4,7 @@
 const BAD: Fingerprint = Fingerprint(2);
 
 fn death(number: u32) -> ServerDeath {
-    ServerDeath { instance: format!("h{number}").as_str().into(), epoch: Epoch(1) }
+    ServerDeath { instance: format!("h{number}").as_str().into(), incarnation: Incarnation(1) }
 }
 
 fn own(number: u32) -> Fingerprint {
