--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -6,6 +6,8 @@
 //! there had in common; a part that is found to crash servers is listed in the
 //! key-value service, where gateways that start later find it.
 
+mod listed_culprits;
+
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -16,13 +18,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use citrongw_coordination::clock::Clock;
-use citrongw_protocol::store::{Change, Expected, LeaseId, Store, StoreResult, Write, WriteResult};
 use citrongw_state::{
     crash_suspicion::{
         RecentSuccesses,
-        shared_parts::{Culprit, QUARANTINE_TIME, ServerDeath, SharedPartSuspicions},
+        shared_parts::{Culprit, ServerDeath, SharedPartSuspicions},
     },
     id::Fingerprint,
 };
@@ -32,11 +32,11 @@
     time::{sleep, timeout},
 };
 
+use self::listed_culprits::ListedCulprits;
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
-    backoff,
     fleet::Backend,
-    peers::{CULPRIT_PREFIX, Peers, message::PeerMessage},
+    peers::{Peers, message::PeerMessage},
 };
 
 /// Timeout of the poll of a server.
@@ -46,10 +46,6 @@
 const MAX_SIGNATURES: usize = 32;
 /// Interval between removals of expired suspicions.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
-/// First delay before a culprit is written to the key-value service again.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Longest delay before a culprit is written again.
-const MAX_STORE_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// Requests whose exchanges broke off, and what is suspected of having crashed their
 /// servers.
@@ -57,8 +53,7 @@
 pub(crate) struct CrashWatch {
     #[debug(skip)]
     instances: Arc<dyn InstanceClient>,
-    #[debug(skip)]
-    store: Arc<dyn Store>,
+    listed: ListedCulprits,
     peers: Arc<Peers>,
     clock: Clock,
     /// Signatures of the requests whose exchanges with a server broke before its
@@ -68,15 +63,13 @@
     has_suspects: AtomicBool,
     successes: RecentSuccesses,
     culprits_tx: watch::Sender<Vec<Culprit>>,
-    /// Leases of the culprits that this gateway wrote.
-    leases: Mutex<HashMap<Culprit, LeaseId>>,
 }
 
 /// Creates the watch.
 pub(crate) fn open(adapter: &Adapter, peers: &Arc<Peers>, clock: Clock) -> CrashWatch {
     CrashWatch {
         instances: Arc::clone(&adapter.instances),
-        store: Arc::clone(&adapter.store),
+        listed: listed_culprits::open(&adapter.store),
         peers: Arc::clone(peers),
         clock,
         broken: Mutex::default(),
@@ -84,7 +77,6 @@
         has_suspects: AtomicBool::new(false),
         successes: RecentSuccesses::default(),
         culprits_tx: watch::channel(Vec::new()).0,
-        leases: Mutex::default(),
     }
 }
 
@@ -145,7 +137,7 @@
                 let signatures = part.to_vec();
                 watch.peers.broadcast(&PeerMessage::Cleared { signatures }).await;
             }
-            watch.end_cleared_leases().await;
+            watch.listed.retain(|it| watch.is_culprit(it)).await;
         });
     }
 
@@ -162,7 +154,7 @@
         }
         self.clear(signatures);
         let watch = Arc::clone(self);
-        tokio::spawn(async move { watch.end_cleared_leases().await });
+        tokio::spawn(async move { watch.listed.retain(|it| watch.is_culprit(it)).await });
     }
 
     fn has_succeeded(&self, signature: Fingerprint) -> bool {
@@ -233,64 +225,16 @@
                 self.peers.broadcast(&PeerMessage::Crash { death, signatures }).await;
             }
             if let Some(culprit) = culprit {
-                tokio::spawn(Arc::clone(&self).store_culprit(culprit));
-            }
-        }
-    }
-
-    /// Writes a culprit to the key-value service, for gateways that start later.
-    async fn store_culprit(self: Arc<Self>, culprit: Culprit) {
-        let mut backoff = backoff::open(STORE_RETRY_DELAY, MAX_STORE_RETRY_DELAY);
-        while lock(&self.suspicions).culprits().any(|it| *it == culprit) {
-            match self.write_culprit(&culprit).await {
-                Ok(Some(lease)) => {
-                    lock(&self.leases).insert(culprit, lease);
-                    return self.end_cleared_leases().await;
-                }
-                // Another gateway wrote it.
-                Ok(None) => return,
-                Err(error) => {
-                    tracing::warn!(%error, %culprit, dependency = "store", "could not write a culprit");
-                }
-            }
-            sleep(backoff.next_delay()).await;
-        }
-    }
-
-    /// Returns the lease of the entry, or none if there was one already.
-    async fn write_culprit(&self, culprit: &Culprit) -> StoreResult<Option<LeaseId>> {
-        let lease = self.store.grant_lease(QUARANTINE_TIME).await?;
-        let write = Write {
-            key: format!("{CULPRIT_PREFIX}{}", culprit.digest()).into(),
-            expected: Expected::Absent,
-            change: Change::Put(Bytes::from(culprit.to_string())),
-            lease: Some(lease),
-        };
-        match self.store.compare_and_swap(write).await? {
-            WriteResult::Committed(_) => Ok(Some(lease)),
-            WriteResult::Conflict(_) => {
-                self.store.end_lease(lease).await?;
-                Ok(None)
+                let watch = Arc::clone(&self);
+                tokio::spawn(async move {
+                    watch.listed.add(&culprit, || watch.is_culprit(&culprit)).await;
+                });
             }
         }
     }
 
-    /// Deletes the entries of culprits that are none any more.
-    async fn end_cleared_leases(&self) {
-        let ended: Vec<(Culprit, LeaseId)> = {
-            let suspicions = lock(&self.suspicions);
-            let is_cleared = |culprit: &Culprit| !suspicions.culprits().any(|it| it == culprit);
-            let mut leases = lock(&self.leases);
-            let cleared: Vec<Culprit> =
-                leases.keys().filter(|it| is_cleared(it)).cloned().collect();
-            cleared.into_iter().filter_map(|it| leases.remove_entry(&it)).collect()
-        };
-        for (culprit, lease) in ended {
-            if let Err(error) = self.store.end_lease(lease).await {
-                // The lease ends by itself.
-                tracing::warn!(%error, %culprit, dependency = "store", "could not delete a culprit");
-            }
-        }
+    fn is_culprit(&self, culprit: &Culprit) -> bool {
+        lock(&self.suspicions).culprits().any(|it| it == culprit)
     }
 
     /// Whether a server has ended. One that does not respond may only be cut off.
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -25,6 +25,10 @@
 /// Maximum size of a response body that is read into memory.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Limit of the transfer of a large response, as a multiple of the timeout of a call.
+/// A response of a megabyte may share its link with a hundred others.
+const TRANSFER_FACTOR: u32 = 8;
+
 /// Error of an HTTP exchange.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum HttpError {
@@ -63,6 +67,18 @@
     pub body: Duration,
 }
 
+impl ResponseTimeouts {
+    /// Limits that follow from the timeout of a call with a small response.
+    pub fn of_call(timeout: Duration) -> Self {
+        Self { head: timeout, pause: timeout, body: timeout * TRANSFER_FACTOR }
+    }
+
+    /// Adds the time by which the server delays the response.
+    pub fn after(self, wait: Duration) -> Self {
+        Self { head: self.head + wait, ..self }
+    }
+}
+
 /// HTTP client with a connection pool. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -17,9 +17,6 @@
     http_client::{self, HttpClient, HttpError, ResponseTimeouts},
 };
 
-/// Limit of the transfer of a response, as a multiple of the timeout of a call.
-const TRANSFER_FACTOR: u32 = 8;
-
 /// Client of the key-value service at one address.
 #[derive(Debug, Clone)]
 pub struct StoreClient {
@@ -36,11 +33,7 @@
 
 impl StoreClient {
     async fn call(&self, path: &str, body: Value) -> StoreResult<Value> {
-        let timeouts = ResponseTimeouts {
-            head: self.timeout,
-            pause: self.timeout,
-            body: self.timeout * TRANSFER_FACTOR,
-        };
+        let timeouts = ResponseTimeouts::of_call(self.timeout);
         self.http.post_large_json(self.addr, path, &body, timeouts).await.map_err(store_error)
     }
 
