--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -131,10 +131,7 @@
         body: &T,
         timeout: Duration,
     ) -> Result<R, HttpError> {
-        let exchange = async {
-            let body = self.post_streaming(addr, path, body).await?;
-            read_json(body).await
-        };
+        let exchange = self.post_large_json(addr, path, body, ResponseTimeouts::of_call(timeout));
         time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
     }
 
@@ -156,10 +153,7 @@
         path: &str,
         timeouts: ResponseTimeouts,
     ) -> Result<R, HttpError> {
-        let request = request_builder(Method::GET, addr, path)
-            .body(Full::<Bytes>::default())
-            .map_err(|_| HttpError::NotReached)?;
-        self.exchange_json(request, timeouts).await
+        self.exchange_json(empty_request(Method::GET, addr, path)?, timeouts).await
     }
 
     async fn exchange_json<R: DeserializeOwned>(
@@ -207,9 +201,7 @@
         path: &str,
         timeout: Duration,
     ) -> Result<(), HttpError> {
-        let request = request_builder(Method::DELETE, addr, path)
-            .body(Full::<Bytes>::default())
-            .map_err(|_| HttpError::NotReached)?;
+        let request = empty_request(Method::DELETE, addr, path)?;
         let exchange = async {
             let response = self.send(request).await?;
             if !response.status().is_success() {
@@ -227,16 +219,7 @@
         path: &str,
         timeout: Duration,
     ) -> Result<R, HttpError> {
-        let request = request_builder(Method::GET, addr, path)
-            .body(Full::<Bytes>::default())
-            .map_err(|_| HttpError::NotReached)?;
-        let exchange = async {
-            let response = self.send(request).await?;
-            if !response.status().is_success() {
-                return Err(status_error(response.status(), response.into_body()).await);
-            }
-            read_json(response.into_body()).await
-        };
+        let exchange = self.get_large_json(addr, path, ResponseTimeouts::of_call(timeout));
         time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Interrupted))
     }
 }
@@ -245,6 +228,14 @@
     Request::builder().method(method).uri(format!("http://{addr}{path}"))
 }
 
+fn empty_request(
+    method: Method,
+    addr: SocketAddr,
+    path: &str,
+) -> Result<Request<Full<Bytes>>, HttpError> {
+    request_builder(method, addr, path).body(Full::default()).map_err(|_| HttpError::NotReached)
+}
+
 fn json_request<T: Serialize>(
     addr: SocketAddr,
     path: &str,
@@ -257,11 +248,6 @@
         .map_err(|_| HttpError::NotReached)
 }
 
-async fn read_json<R: DeserializeOwned>(body: PooledBody) -> Result<R, HttpError> {
-    let bytes = read_bytes(body).await?;
-    serde_json::from_slice(&bytes).map_err(|_| HttpError::InvalidResponse)
-}
-
 /// Reads a complete body. One larger than 8 MiB fails as interrupted.
 pub async fn read_bytes(body: PooledBody) -> Result<Bytes, HttpError> {
     let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
