--- a/crates/fakes/src/kv/core.rs
+++ b/crates/fakes/src/kv/core.rs
@@ -96,13 +96,18 @@
         let expired: Vec<i64> =
             self.leases.iter().filter(|(_, it)| it.expires_at <= now).map(|(id, _)| *id).collect();
         for id in expired {
-            self.leases.remove(&id);
-            let of_lease = |stored: &&Stored| stored.lease == Some(LeaseId(id));
-            let keys: Vec<Key> =
-                self.entries.values().filter(of_lease).map(|it| it.entry.key.clone()).collect();
-            for key in keys {
-                self.delete(&key);
-            }
+            self.end_lease(LeaseId(id));
+        }
+    }
+
+    /// Removes a lease with its keys.
+    pub fn end_lease(&mut self, id: LeaseId) {
+        self.leases.remove(&id.0);
+        let of_lease = |stored: &&Stored| stored.lease == Some(id);
+        let keys: Vec<Key> =
+            self.entries.values().filter(of_lease).map(|it| it.entry.key.clone()).collect();
+        for key in keys {
+            self.delete(&key);
         }
     }
 
--- a/crates/fakes/src/kv/mem.rs
+++ b/crates/fakes/src/kv/mem.rs
@@ -125,6 +125,10 @@
         .boxed()
     }
 
+    fn end_lease(&self, lease: LeaseId) -> BoxFuture<'_, StoreResult<()>> {
+        self.call(move |core, _| core.end_lease(lease)).boxed()
+    }
+
     fn watch(
         &self,
         prefix: Key,
