Withdraw quarantined requests without a charge to the retry budget

Cause: a request withdrawn from its server went through the decision on retries, which charged the shared budget and logged a retry that the quarantine then refused. Change: it ends at once, with the code that does not promise that it has not run. Result: found on reading; no run showed a spent budget. The tests of crashes pass.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Ends the attempts of a request that was withdrawn from its server because it
+    /// is quarantined.
+    pub(super) fn withdraw(&mut self) -> Refusal {
+        self.last_cause = Some(Cause::Quarantined);
+        self.may_have_run = true;
+        self.refusal(ResultCode::Quarantined)
+    }
+
     /// Refusal that is correct for all attempts made: once one may have run, the
     /// code does not promise that none did.
     pub(super) fn refusal(&self, code: ResultCode) -> Refusal {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -143,8 +143,12 @@
             }
             Err(failed) => failed,
         };
-        if failed.cause == Cause::Interrupted {
-            gateway.crashes.record_broken(&server, signatures::all_of(call));
+        match failed.cause {
+            Cause::Interrupted => {
+                gateway.crashes.record_broken(&server, signatures::all_of(call));
+            }
+            Cause::Quarantined => return Err(attempts.withdraw()),
+            _ => {}
         }
         attempts.retry(gateway, call, failed).await?;
     }
