Lock mutexes of the gateway in one way, and say interrupted and crashed

Cause: the function that locks a mutex whose holder panicked stood five times in the gateway, and the new log lines used the words of the users' pages. Change: one function in a module of its own; exchanges are interrupted and servers crash, in names, fields and lines.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -1,6 +1,6 @@
 //! Watch for requests that crash backend servers.
 //!
-//! A connection breaks for many reasons. That a server ended with requests in flight
+//! A connection breaks for many reasons. That a server crashed with requests in flight
 //! is known only once its address refuses connections or another incarnation
 //! responds there. The gateways exchange what their requests
 //! there had in common; a part that is found to crash servers is listed in the
@@ -12,7 +12,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -36,6 +36,7 @@
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
     fleet::Backend,
+    lock::lock,
     peers::{Peers, message::PeerMessage},
 };
 
@@ -47,8 +48,8 @@
 /// Interval between removals of expired suspicions.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Requests whose exchanges broke off, and what is suspected of having crashed their
-/// servers.
+/// Requests whose exchanges were interrupted, and what is suspected of having crashed
+/// their servers.
 #[derive(Debug)]
 pub(crate) struct CrashWatch {
     #[debug(skip)]
@@ -56,9 +57,9 @@
     listed: ListedCulprits,
     peers: Arc<Peers>,
     clock: Clock,
-    /// Signatures of the requests whose exchanges with a server broke before its
+    /// Signatures of the requests whose exchanges with a server were interrupted before its
     /// poll ended.
-    broken: Mutex<HashMap<ServerDeath, Vec<Vec<Fingerprint>>>>,
+    interrupted: Mutex<HashMap<ServerDeath, Vec<Vec<Fingerprint>>>>,
     suspicions: Mutex<SharedPartSuspicions>,
     has_suspects: AtomicBool,
     successes: RecentSuccesses,
@@ -72,7 +73,7 @@
         listed: listed_culprits::open(&adapter.store),
         peers: Arc::clone(peers),
         clock,
-        broken: Mutex::default(),
+        interrupted: Mutex::default(),
         suspicions: Mutex::default(),
         has_suspects: AtomicBool::new(false),
         successes: RecentSuccesses::default(),
@@ -171,7 +172,7 @@
         let has_succeeded = |it| self.has_succeeded(it);
         let culprit = self.change(|it| it.add_death(death, signatures, has_succeeded, now));
         if let Some(culprit) = &culprit {
-            tracing::warn!(%culprit, %death, "requests that crash servers are rejected from now on");
+            tracing::warn!(%culprit, %death, "quarantine of requests that crash servers began");
         }
         culprit
     }
@@ -190,13 +191,17 @@
         res
     }
 
-    /// Records that the exchange of a request with a server broke when the server
-    /// had begun to answer or was about to.
-    pub(crate) fn record_broken(self: &Arc<Self>, backend: &Backend, signatures: Vec<Fingerprint>) {
+    /// Records that the exchange of a request with a server was interrupted when the
+    /// server had begun to answer or was about to.
+    pub(crate) fn record_interrupted(
+        self: &Arc<Self>,
+        backend: &Backend,
+        signatures: Vec<Fingerprint>,
+    ) {
         let death = ServerDeath { instance: backend.id.clone(), incarnation: backend.incarnation };
         let is_first = {
-            let mut broken = lock(&self.broken);
-            let requests = broken.entry(death.clone()).or_default();
+            let mut interrupted = lock(&self.interrupted);
+            let requests = interrupted.entry(death.clone()).or_default();
             requests.push(signatures);
             requests.len() == 1
         };
@@ -206,15 +211,15 @@
         tokio::spawn(Arc::clone(self).poll(death, backend.addr));
     }
 
-    /// Polls a server whose exchanges broke, and publishes its death.
+    /// Polls a server whose exchanges were interrupted, and publishes its death.
     async fn poll(self: Arc<Self>, death: ServerDeath, addr: SocketAddr) {
-        let has_ended = self.has_ended(&death, addr).await;
-        let requests = lock(&self.broken).remove(&death).unwrap_or_default();
+        let has_crashed = self.has_crashed(&death, addr).await;
+        let requests = lock(&self.interrupted).remove(&death).unwrap_or_default();
         tracing::info!(
-            server = %death, has_ended, requests = requests.len(), signatures = summary(&requests),
-            "exchanges with a backend server broke off"
+            server = %death, has_crashed, requests = requests.len(), signatures = summary(&requests),
+            "exchanges with a backend server were interrupted"
         );
-        if !has_ended {
+        if !has_crashed {
             return;
         }
         for mut signatures in requests {
@@ -237,8 +242,8 @@
         lock(&self.suspicions).culprits().any(|it| it == culprit)
     }
 
-    /// Whether a server has ended. One that does not respond may only be cut off.
-    async fn has_ended(&self, death: &ServerDeath, addr: SocketAddr) -> bool {
+    /// Whether a server has crashed. One that does not respond may only be cut off.
+    async fn has_crashed(&self, death: &ServerDeath, addr: SocketAddr) -> bool {
         match timeout(POLL_TIMEOUT, self.instances.report(addr)).await {
             Ok(Ok(report)) => report.incarnation.is_some_and(|it| it != death.incarnation),
             Ok(Err(InstanceError::NotReached)) => true,
@@ -267,7 +272,3 @@
     let shown = signatures.iter().take(MAX_LOGGED).map(ToString::to_string);
     shown.collect::<Vec<_>>().join(", ")
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/gateway/src/crash_watch/listed_culprits.rs
+++ b/crates/gateway/src/crash_watch/listed_culprits.rs
@@ -13,8 +13,7 @@
 use derive_more::Debug;
 use tokio::time::sleep;
 
-use super::lock;
-use crate::{backoff, peers::CULPRIT_PREFIX};
+use crate::{backoff, lock::lock, peers::CULPRIT_PREFIX};
 
 /// First delay before a culprit is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,7 +8,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -34,6 +34,7 @@
     gateway_config::GatewayConfig,
     instance_table::InstancesView,
     listing::{ListChange, READER_SILENCE},
+    lock::lock,
     metrics::Metrics,
     peers::{Peers, message::PeerMessage},
 };
@@ -204,10 +205,6 @@
     }
 }
 
-fn lock(announced: &Mutex<AnnouncedReplicas>) -> MutexGuard<'_, AnnouncedReplicas> {
-    announced.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Spawns the tasks that follow the configuration and the instance list.
 pub fn spawn(
     adapter: &Adapter,
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -1,9 +1,6 @@
 //! Follows the platform's instance list, for this gateway or for all.
 
-use std::{
-    sync::{Arc, PoisonError},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::Snapshot;
@@ -21,6 +18,7 @@
     adapter::Adapter,
     instance_table::{InstanceTable, InstancesView},
     listing::{self, ApplyOutcome, ChangeHistory, ListChange, ReaderState},
+    lock::lock,
     peers::{Peers, message::PeerMessage},
 };
 
@@ -86,7 +84,7 @@
 impl InstanceFeed {
     /// Follows the list; never returns.
     pub(super) async fn follow(mut self) {
-        let list_rx = self.routing.list_rx.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let list_rx = lock(&self.routing.list_rx).take();
         // Each routing state has only one feed.
         let Some(mut list_rx) = list_rx else { return };
         let mut ticks = interval(CHECK_INTERVAL);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod instance;
 pub mod instance_table;
 pub mod listing;
+mod lock;
 pub mod log;
 pub mod metered_store;
 pub mod metrics;
--- a/crates/gateway/src/metered_store.rs
+++ b/crates/gateway/src/metered_store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -18,6 +18,8 @@
 };
 use tokio::{task::JoinHandle, time::sleep};
 
+use crate::lock::lock;
+
 /// Interval between log lines with the numbers of calls.
 const LOG_INTERVAL: Duration = Duration::from_secs(20);
 /// Subject of calls whose keys match no prefix.
@@ -38,7 +40,7 @@
 
     /// Totals since the start.
     pub fn totals(&self) -> BTreeMap<CallLabels, u64> {
-        self.lock().clone()
+        lock(&self.totals).clone()
     }
 
     fn count(&self, subject: &'static str, call: &'static str, error: Option<&StoreError>) {
@@ -50,11 +52,7 @@
         };
         let labels = CallLabels { subject, call, outcome };
         self.family.get_or_create(&labels).inc();
-        *self.lock().entry(labels).or_default() += 1;
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<CallLabels, u64>> {
-        self.totals.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.totals).entry(labels).or_default() += 1;
     }
 }
 
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -12,7 +12,7 @@
 
 use std::{
     collections::{HashMap, hash_map::Entry},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -23,7 +23,10 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::publisher::publish;
-use crate::fleet::{Backend, ReplicaKey};
+use crate::{
+    fleet::{Backend, ReplicaKey},
+    lock::lock,
+};
 
 /// Time after which a report no longer counts.
 const REPORT_EXPIRY: Duration = Duration::from_millis(2_500);
@@ -118,7 +121,7 @@
     /// Records a part of a report, which replaces the same part of the previous
     /// one.
     pub fn record(&self, source: ReportSource, report: LoadReport, now: Time) {
-        let mut reports = self.lock();
+        let mut reports = lock(&self.reports);
         reports.remove_expired(now);
         let previous_parts: Vec<_> = reports
             .received
@@ -136,7 +139,7 @@
 
     /// Loads for one choice. Other users wait until the value is dropped.
     pub fn view(&self, now: Time) -> PeerLoadsView<'_> {
-        let mut reports = self.lock();
+        let mut reports = lock(&self.reports);
         reports.remove_expired(now);
         PeerLoadsView { reports, now }
     }
@@ -144,7 +147,7 @@
     /// Sums of the zone for the other zones: the requests that the other gateways
     /// of this zone reported.
     fn zone_requests(&self, now: Time) -> HashMap<ReplicaKey, u32> {
-        let mut reports = self.lock();
+        let mut reports = lock(&self.reports);
         reports.remove_expired(now);
         let mut sums: HashMap<ReplicaKey, u32> = HashMap::new();
         let of_zone = reports.received.iter().filter(|((from, _), _)| is_gateway(from));
@@ -157,17 +160,13 @@
     /// Whether `node` has the lowest id of the gateways of its zone that report
     /// requests, and so sends the sums of the zone.
     fn is_reporter(&self, node: NodeId, now: Time) -> bool {
-        let mut reports = self.lock();
+        let mut reports = lock(&self.reports);
         reports.remove_expired(now);
         !reports
             .received
             .keys()
             .any(|(from, _)| matches!(from, ReportSource::Gateway(other) if *other < node))
     }
-
-    fn lock(&self) -> MutexGuard<'_, Reports> {
-        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 fn is_gateway(source: &ReportSource) -> bool {
--- a/crates/gateway/src/peer_loads/tests.rs
+++ b/crates/gateway/src/peer_loads/tests.rs
@@ -113,5 +113,5 @@
         peer_loads.record(node(2), of_epoch(at(0, 1)), Time::START);
         peer_loads.record(zone(), of_epoch(at(5, 0)), Time::START);
     }
-    assert_eq!(peer_loads.lock().totals.len(), 1);
+    assert_eq!(lock(&peer_loads.reports).totals.len(), 1);
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -34,7 +34,7 @@
     cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
 };
-use crate::{control::plan::DomainKey, listing::ListChange};
+use crate::{control::plan::DomainKey, listing::ListChange, lock::lock};
 
 /// Prefix of all keys that are attached to the lease of a process.
 pub const LIVE_PREFIX: &str = "citrongw/live/";
@@ -365,9 +365,5 @@
     bound.map_err(|error| refused(format!("could not bind {addr}: {error}")))
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -63,7 +63,7 @@
         /// Sums of the zone for each replica.
         report: LoadReport,
     },
-    /// A backend server ended with this request in flight.
+    /// A backend server crashed with this request in flight.
     Crash {
         /// Death of the server.
         death: ServerDeath,
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -215,7 +215,7 @@
 }
 
 /// Spawns the receiving task of a gateway and returns its address.
-async fn spawn_receiver(
+pub(crate) async fn spawn_receiver(
     peers: &Arc<Peers>,
     store: &Arc<dyn Store>,
     on_message: impl Fn(NodeId, PeerMessage) + Send + 'static,
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -126,7 +126,7 @@
             Err(failed) => failed,
         };
         if failed.cause == Cause::Interrupted {
-            gateway.crashes.record_broken(&server, signatures::all_of(call));
+            gateway.crashes.record_interrupted(&server, signatures::all_of(call));
         }
         attempts.retry(gateway, call, failed).await?;
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -145,7 +145,7 @@
         };
         match failed.cause {
             Cause::Interrupted => {
-                gateway.crashes.record_broken(&server, signatures::all_of(call));
+                gateway.crashes.record_interrupted(&server, signatures::all_of(call));
             }
             Cause::Quarantined => return Err(attempts.withdraw()),
             _ => {}
@@ -266,7 +266,7 @@
                 }
                 Err(failed) => failed,
             };
-            self.record_broken(failed.cause);
+            self.record_interrupted(failed.cause);
             self.resume(failed).await?;
         }
     }
@@ -301,11 +301,11 @@
         }
     }
 
-    fn record_broken(&self, cause: Cause) {
+    fn record_interrupted(&self, cause: Cause) {
         let age = self.gateway.clock.now().since(self.source.opened_at);
         if cause == Cause::Interrupted && age < CRASH_WINDOW {
             let signatures = signatures::all_of(&self.call);
-            self.gateway.crashes.record_broken(&self.source.backend, signatures);
+            self.gateway.crashes.record_interrupted(&self.source.backend, signatures);
         }
     }
 
