Keep the culprits of all gateways alike, and test the watch for crashes

Cause: a gateway used all signatures of its request and sent them in parts, so that another gateway could find another culprit, and a success there cleared only part of what the first one rejected. A new test of two gateways with 100 signatures never ended. Change: one set of at most 32 signatures, after those that succeeded are left out, is used and sent. Result: the test passes.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -43,7 +43,8 @@
 /// Timeout of the poll of a server.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Number of signatures that a datagram holds beside its other fields.
+/// Number of signatures of a request that are sent: as many as a datagram holds
+/// beside its other fields.
 const MAX_SIGNATURES: usize = 32;
 /// Interval between removals of expired suspicions.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
@@ -224,11 +225,11 @@
         }
         for mut signatures in requests {
             signatures.retain(|it| !self.has_succeeded(*it));
+            // All gateways have to see the same ones, or their culprits differ.
+            signatures.truncate(MAX_SIGNATURES);
             let culprit = self.add_death(&death, &signatures);
-            for part in signatures.chunks(MAX_SIGNATURES) {
-                let (death, signatures) = (death.clone(), part.to_vec());
-                self.peers.broadcast(&PeerMessage::Crash { death, signatures }).await;
-            }
+            let message = PeerMessage::Crash { death: death.clone(), signatures };
+            self.peers.broadcast(&message).await;
             if let Some(culprit) = culprit {
                 let watch = Arc::clone(&self);
                 tokio::spawn(async move {
@@ -272,3 +273,6 @@
     let shown = signatures.iter().take(MAX_LOGGED).map(ToString::to_string);
     shown.collect::<Vec<_>>().join(", ")
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -0,0 +1,191 @@
+use std::collections::BTreeMap;
+
+use citrongw_coordination::clock;
+use citrongw_fakes::kv::mem::{self, MemStore};
+use citrongw_protocol::store::{Key, Store};
+use citrongw_state::{
+    crash_suspicion::shared_parts::DEATHS_TO_QUARANTINE,
+    id::{Incarnation, NodeId},
+};
+use futures::{FutureExt, future::BoxFuture};
+
+use super::*;
+use crate::{
+    adapter::{Order, OrderReply},
+    instance::InstanceReport,
+    peers::{self, CULPRIT_PREFIX, ClusterView, ListedGateway},
+    testing::StubCodec,
+};
+
+const BAD: Fingerprint = Fingerprint(1);
+const SHARED: Fingerprint = Fingerprint(2);
+
+/// Instances that all give the same response to a poll.
+struct PolledInstances(Result<InstanceReport, InstanceError>);
+
+impl InstanceClient for PolledInstances {
+    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Result<InstanceReport, InstanceError>> {
+        futures::future::ready(self.0.clone()).boxed()
+    }
+
+    fn order(&self, _: SocketAddr, _: Order) -> BoxFuture<'_, Result<OrderReply, InstanceError>> {
+        futures::future::ready(Err(InstanceError::NotReached)).boxed()
+    }
+}
+
+fn report(incarnation: u64) -> Result<InstanceReport, InstanceError> {
+    let incarnation = Some(Incarnation(incarnation));
+    Ok(InstanceReport { incarnation, staged: Vec::new(), membership: None })
+}
+
+fn open_watch(
+    node: u64,
+    store: &MemStore,
+    polled: Result<InstanceReport, InstanceError>,
+) -> Arc<CrashWatch> {
+    let clock = clock::open();
+    let peers = Arc::new(peers::open(NodeId(node), "a".into(), clock));
+    let adapter = Adapter {
+        store: Arc::new(store.clone()),
+        codec: Arc::new(StubCodec),
+        instances: Arc::new(PolledInstances(polled)),
+    };
+    Arc::new(open(&adapter, &peers, clock))
+}
+
+fn backend(number: usize) -> Backend {
+    Backend {
+        id: format!("h{number}").as_str().into(),
+        incarnation: Incarnation(1),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".into(),
+        slots: 8,
+        replica: None,
+        domain: None,
+        stats: Arc::default(),
+    }
+}
+
+fn death(number: usize) -> ServerDeath {
+    let Backend { id, incarnation, .. } = backend(number);
+    ServerDeath { instance: id, incarnation }
+}
+
+fn quarantine(watch: &CrashWatch, signatures: &[Fingerprint]) {
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.apply_crash(&death(number), signatures);
+    }
+}
+
+fn is_quarantined(watch: &CrashWatch, signatures: &[Fingerprint]) -> bool {
+    watch.is_quarantined(|| signatures.to_vec())
+}
+
+fn listed(store: &MemStore) -> usize {
+    store.inspect(|core| core.list(&Key::from(CULPRIT_PREFIX)).entries.len())
+}
+
+/// Lets the spawned tasks run until they wait for time.
+async fn settle() {
+    sleep(Duration::from_millis(1)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_a_poll_that_shows_a_crash_counts_as_a_death() {
+    let cases = [
+        (Err(InstanceError::NotReached), true),
+        (report(2), true),
+        (report(1), false),
+        (Err(InstanceError::NoResponse), false),
+        (Err(InstanceError::InvalidResponse), false),
+    ];
+    for (polled, counts) in cases {
+        let watch = open_watch(1, &mem::open(), polled.clone());
+        for number in 0..DEATHS_TO_QUARANTINE {
+            watch.record_interrupted(&backend(number), vec![BAD]);
+            settle().await;
+        }
+        assert_eq!(is_quarantined(&watch, &[BAD]), counts, "{polled:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn deaths_that_other_gateways_report_lead_to_a_quarantine_and_a_success_ends_it() {
+    let watch = open_watch(1, &mem::open(), report(1));
+    quarantine(&watch, &[SHARED, BAD]);
+    assert!(is_quarantined(&watch, &[SHARED, BAD]));
+    assert!(!is_quarantined(&watch, &[SHARED]), "sound requests share a part");
+    watch.apply_cleared(&[SHARED]);
+    assert!(is_quarantined(&watch, &[BAD]));
+    watch.record_success(&[], || vec![BAD]);
+    assert!(!is_quarantined(&watch, &[BAD]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn part_that_succeeded_before_is_not_quarantined() {
+    let watch = open_watch(1, &mem::open(), report(1));
+    watch.record_success(&[SHARED], Vec::new);
+    quarantine(&watch, &[SHARED]);
+    assert!(!is_quarantined(&watch, &[SHARED]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_that_waits_for_its_server_notices_the_quarantine() {
+    let watch = open_watch(1, &mem::open(), report(1));
+    let mut waiting = Box::pin(watch.wait_until_quarantined(|| vec![BAD]));
+    assert_eq!((&mut waiting).now_or_never(), None);
+    quarantine(&watch, &[BAD]);
+    assert_eq!(waiting.now_or_never(), Some(()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn culprit_is_listed_until_a_success() {
+    let store = mem::open();
+    let watch = open_watch(1, &store, report(2));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.record_interrupted(&backend(number), vec![BAD]);
+        settle().await;
+    }
+    assert_eq!(listed(&store), 1);
+    watch.apply_cleared(&[BAD]);
+    settle().await;
+    assert_eq!(listed(&store), 0);
+}
+
+#[tokio::test]
+async fn death_and_success_reach_the_other_gateways() {
+    let store = mem::open();
+    let shared: Arc<dyn Store> = Arc::new(store.clone());
+    let (first, second) = (open_watch(1, &store, report(2)), open_watch(2, &store, report(2)));
+    let mut nodes = BTreeMap::new();
+    let mut tasks = Vec::new();
+    for (node, watch) in [(1, &first), (2, &second)] {
+        let receiver = Arc::clone(watch);
+        let on_message = move |_, message| match message {
+            PeerMessage::Crash { death, signatures } => receiver.apply_crash(&death, &signatures),
+            PeerMessage::Cleared { signatures } => receiver.apply_cleared(&signatures),
+            _ => {}
+        };
+        let spawned = peers::tests::spawn_receiver(&watch.peers, &shared, on_message);
+        let (addr, task) = spawned.await;
+        nodes.insert(NodeId(node), ListedGateway { addr, zone: "a".into() });
+        tasks.push(task);
+    }
+    for watch in [&first, &second] {
+        let nodes = nodes.clone();
+        watch.peers.set_cluster(ClusterView { nodes, ..ClusterView::default() });
+    }
+    // More signatures than fit into one datagram.
+    let signatures: Vec<Fingerprint> = (0..100).map(|it| Fingerprint(u128::MAX - it)).collect();
+    for number in 0..DEATHS_TO_QUARANTINE {
+        first.record_interrupted(&backend(number), signatures.clone());
+    }
+    while !is_quarantined(&second, &signatures) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    second.record_success(&[], || signatures.clone());
+    while is_quarantined(&first, &signatures) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    tasks.iter().for_each(tokio::task::JoinHandle::abort);
+}
