--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -8,6 +8,7 @@
     id::{NodeId, Revision},
     time::Time,
 };
+use derive_more::Display;
 use tokio::{
     sync::mpsc,
     time::{MissedTickBehavior, interval},
@@ -41,6 +42,23 @@
 /// Time without the requested changes after which a gateway reads the list.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Where a gateway gets the instance list from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum ListSource {
+    /// It reads the list for all gateways.
+    #[display("reads for all")]
+    Reader,
+    /// It reads the list for its zone.
+    #[display("reads for its zone")]
+    Substitute,
+    /// It applies the changes of a gateway that reads the list.
+    #[display("follows {_0}")]
+    Follower(NodeId),
+    /// It reads the list for itself.
+    #[display("reads for itself")]
+    Alone,
+}
+
 /// Keeps this gateway's instance list up to date.
 pub(super) struct InstanceFeed {
     adapter: Adapter,
@@ -55,6 +73,7 @@
     /// When this gateway requested the changes that it lost.
     requested_missing_at: Option<Time>,
     is_store_reachable: bool,
+    source: ListSource,
     unreadable: UnreadableRecords,
 }
 
@@ -77,6 +96,7 @@
         history: ChangeHistory::default(),
         requested_missing_at: None,
         is_store_reachable: true,
+        source: ListSource::Alone,
         unreadable,
     }
 }
@@ -101,10 +121,15 @@
 
     async fn read_if_due(&mut self) {
         let now = self.clock.now();
-        let is_due = |interval| self.read_at.is_none_or(|at| interval <= now.since(at));
+        let read_at = self.read_at;
+        let is_due = |interval| read_at.is_none_or(|at| interval <= now.since(at));
         let is_substitute = self.peers.is_substitute_reader()
             && !self.routing.has_reader_message(now, SUBSTITUTE_SILENCE);
         if self.peers.is_reader() || is_substitute {
+            self.set_source(match self.peers.is_reader() {
+                true => ListSource::Reader,
+                false => ListSource::Substitute,
+            });
             // A check may come slightly before the interval has passed.
             if !is_due(READER_READ_INTERVAL - CHECK_INTERVAL / 2) {
                 return;
@@ -122,11 +147,21 @@
             false => OUTAGE_READ_INTERVAL,
         };
         let is_alone = !self.routing.is_reader_active(now) && is_due(own_interval);
+        if is_alone {
+            self.set_source(ListSource::Alone);
+        }
         if lacks_changes || is_alone {
             self.read().await;
         }
     }
 
+    fn set_source(&mut self, source: ListSource) {
+        if self.source != source {
+            tracing::info!(before = %self.source, now = %source, "source of the instance list changed");
+            self.source = source;
+        }
+    }
+
     /// Reads the list. True if the key-value service responded.
     async fn read(&mut self) -> bool {
         let read_at = self.clock.now();
@@ -203,6 +238,7 @@
         if self.peers.is_reader() {
             return false;
         }
+        self.set_source(ListSource::Follower(from));
         let now = self.clock.now();
         let (applied, view) = listing::apply(self.table.view(), self.revision, change, now);
         match applied {
