Move the identity of a server's start to the ids

It names more than deaths: limits that a server states belong to one start as well. No change of behaviour; the datagrams keep their encoding.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -22,9 +22,9 @@
 use citrongw_state::{
     crash_suspicion::{
         RecentSuccesses,
-        shared_parts::{Culprit, ServerDeath, SharedPartSuspicions},
+        shared_parts::{Culprit, SharedPartSuspicions},
     },
-    id::Fingerprint,
+    id::{Fingerprint, ServerIncarnation},
 };
 use derive_more::Debug;
 use tokio::{
@@ -60,7 +60,7 @@
     clock: Clock,
     /// Signatures of the requests whose exchanges with a server were interrupted before its
     /// poll ended.
-    interrupted: Mutex<HashMap<ServerDeath, Vec<Vec<Fingerprint>>>>,
+    interrupted: Mutex<HashMap<ServerIncarnation, Vec<Vec<Fingerprint>>>>,
     suspicions: Mutex<SharedPartSuspicions>,
     has_suspects: AtomicBool,
     successes: RecentSuccesses,
@@ -144,7 +144,7 @@
     }
 
     /// Applies the death of a server with a request of another gateway in flight.
-    pub(crate) fn apply_crash(&self, death: &ServerDeath, signatures: &[Fingerprint]) {
+    pub(crate) fn apply_crash(&self, death: &ServerIncarnation, signatures: &[Fingerprint]) {
         self.add_death(death, signatures);
     }
 
@@ -168,7 +168,7 @@
     }
 
     /// Records a death. Returns the culprit if this makes it known.
-    fn add_death(&self, death: &ServerDeath, signatures: &[Fingerprint]) -> Option<Culprit> {
+    fn add_death(&self, death: &ServerIncarnation, signatures: &[Fingerprint]) -> Option<Culprit> {
         let now = self.clock.now();
         let has_succeeded = |it| self.has_succeeded(it);
         let culprit = self.change(|it| it.add_death(death, signatures, has_succeeded, now));
@@ -199,7 +199,7 @@
         backend: &Backend,
         signatures: Vec<Fingerprint>,
     ) {
-        let death = ServerDeath { instance: backend.id.clone(), incarnation: backend.incarnation };
+        let death = backend.server();
         let is_first = {
             let mut interrupted = lock(&self.interrupted);
             let requests = interrupted.entry(death.clone()).or_default();
@@ -213,7 +213,7 @@
     }
 
     /// Polls a server whose exchanges were interrupted, and publishes its death.
-    async fn poll(self: Arc<Self>, death: ServerDeath, addr: SocketAddr) {
+    async fn poll(self: Arc<Self>, death: ServerIncarnation, addr: SocketAddr) {
         let has_crashed = self.has_crashed(&death, addr).await;
         let requests = lock(&self.interrupted).remove(&death).unwrap_or_default();
         tracing::info!(
@@ -244,7 +244,7 @@
     }
 
     /// Whether a server has crashed. One that does not respond may only be cut off.
-    async fn has_crashed(&self, death: &ServerDeath, addr: SocketAddr) -> bool {
+    async fn has_crashed(&self, death: &ServerIncarnation, addr: SocketAddr) -> bool {
         match timeout(POLL_TIMEOUT, self.instances.report(addr)).await {
             Ok(Ok(report)) => report.incarnation.is_some_and(|it| it != death.incarnation),
             Ok(Err(InstanceError::NotReached)) => true,
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -5,7 +5,7 @@
 use citrongw_protocol::store::{Key, Store};
 use citrongw_state::{
     crash_suspicion::shared_parts::DEATHS_TO_QUARANTINE,
-    id::{Incarnation, NodeId},
+    id::{Incarnation, NodeId, ServerIncarnation},
 };
 use futures::{FutureExt, future::BoxFuture};
 
@@ -66,9 +66,9 @@
     }
 }
 
-fn death(number: usize) -> ServerDeath {
+fn death(number: usize) -> ServerIncarnation {
     let Backend { id, incarnation, .. } = backend(number);
-    ServerDeath { instance: id, incarnation }
+    ServerIncarnation { instance: id, incarnation }
 }
 
 fn quarantine(watch: &CrashWatch, signatures: &[Fingerprint]) {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,7 +17,10 @@
 
 use citrongw_state::{
     breaker::Breaker,
-    id::{AvailabilityZone, Epoch, Incarnation, InstanceId, ModelId, PlainServiceId, ReplicaId},
+    id::{
+        AvailabilityZone, Epoch, Incarnation, InstanceId, ModelId, PlainServiceId, ReplicaId,
+        ServerIncarnation,
+    },
     time::Time,
 };
 
@@ -198,6 +201,13 @@
     pub stats: Arc<BackendStats>,
 }
 
+impl Backend {
+    /// Server and its start, under which peers know it.
+    pub fn server(&self) -> ServerIncarnation {
+        ServerIncarnation { instance: self.id.clone(), incarnation: self.incarnation }
+    }
+}
+
 /// Backend servers of one service.
 #[derive(Debug, Clone, Default)]
 pub struct ServicePool {
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,12 +1,9 @@
 //! Messages between gateways. Except for the loads, they are hints that save time: the
 //! platform's lists or polls of the instances show the same a little later.
 
-use citrongw_state::{
-    crash_suspicion::shared_parts::ServerDeath,
-    id::{
-        AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
-        ReplicaId,
-    },
+use citrongw_state::id::{
+    AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
+    ReplicaId, ServerIncarnation,
 };
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
@@ -66,7 +63,7 @@
     /// A backend server crashed with this request in flight.
     Crash {
         /// Death of the server.
-        death: ServerDeath,
+        death: ServerIncarnation,
         /// Signatures of the request.
         signatures: Vec<Fingerprint>,
     },
--- a/crates/state/src/crash_suspicion/shared_parts.rs
+++ b/crates/state/src/crash_suspicion/shared_parts.rs
@@ -15,11 +15,8 @@
     time::Duration,
 };
 
-use derive_more::Display;
-use serde::{Deserialize, Serialize};
-
 use crate::{
-    id::{Fingerprint, Incarnation, InstanceId},
+    id::{Fingerprint, ServerIncarnation},
     time::Time,
 };
 
@@ -35,16 +32,6 @@
 /// Maximum number of signatures kept.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Death of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display)]
-#[display("{instance} incarnation {incarnation}")]
-pub struct ServerDeath {
-    /// Instance that took the requests.
-    pub instance: InstanceId,
-    /// Incarnation that ended.
-    pub incarnation: Incarnation,
-}
-
 /// Signatures that crash a server if a request has all of them.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Culprit(BTreeSet<Fingerprint>);
@@ -84,7 +71,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Suspect {
-    deaths: BTreeSet<ServerDeath>,
+    deaths: BTreeSet<ServerIncarnation>,
     updated_at: Time,
 }
 
@@ -101,7 +88,7 @@
     /// recently. Returns the culprit if this makes it known.
     pub fn add_death(
         &mut self,
-        death: &ServerDeath,
+        death: &ServerIncarnation,
         signatures: &[Fingerprint],
         has_succeeded: impl Fn(Fingerprint) -> bool,
         now: Time,
@@ -135,7 +122,7 @@
     }
 
     /// Whether a culprit that these signatures lack was in flight at a death.
-    fn is_explained(&self, death: &ServerDeath, signatures: &[Fingerprint]) -> bool {
+    fn is_explained(&self, death: &ServerIncarnation, signatures: &[Fingerprint]) -> bool {
         let was_at = |it: &Fingerprint| {
             self.suspects.get(it).is_some_and(|suspect| suspect.deaths.contains(death))
         };
--- a/crates/state/src/crash_suspicion/shared_parts/tests.rs
+++ b/crates/state/src/crash_suspicion/shared_parts/tests.rs
@@ -1,10 +1,14 @@
 use super::*;
+use crate::id::Incarnation;
 
 const SHARED: Fingerprint = Fingerprint(1);
 const BAD: Fingerprint = Fingerprint(2);
 
-fn death(number: u32) -> ServerDeath {
-    ServerDeath { instance: format!("h{number}").as_str().into(), incarnation: Incarnation(1) }
+fn death(number: u32) -> ServerIncarnation {
+    ServerIncarnation {
+        instance: format!("h{number}").as_str().into(),
+        incarnation: Incarnation(1),
+    }
 }
 
 fn own(number: u32) -> Fingerprint {
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -140,6 +140,16 @@
     Revision(u64, "{}");
 }
 
+/// One start of a backend server on an instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Display)]
+#[display("{instance} incarnation {incarnation}")]
+pub struct ServerIncarnation {
+    /// Instance of the server.
+    pub instance: InstanceId,
+    /// Start of the server.
+    pub incarnation: Incarnation,
+}
+
 impl Epoch {
     /// Epoch after this one.
     pub fn next(self) -> Self {
