Log the limits that backend servers state

No line named a limit, so requests beyond one could not be told from repeats or from servers that did not tell the gateway. The codec decodes Server-Limit, and a gateway logs each significant change. A number that is negative or not finite changes nothing. Requests are sent as before.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,7 +4,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use citrongw_protocol::store::{Entry, Key, Store};
-use citrongw_state::id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId};
+use citrongw_state::{
+    id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
+    server_limit::StatedLimit,
+};
 use derive_more::{Debug, Display, Error};
 use futures::future::BoxFuture;
 use http::{HeaderMap, StatusCode};
@@ -60,7 +63,7 @@
 }
 
 /// Metadata of a backend server's response, decoded from its status and headers.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ResponseMeta {
     /// Id of the caller's attempt that the response belongs to.
     pub attempt: Option<String>,
@@ -68,6 +71,8 @@
     pub not_run: bool,
     /// Load of the backend server, if the response reports it.
     pub load: Option<ServerLoad>,
+    /// Limit that the backend server states.
+    pub limit: StatedLimit,
     /// Instance that caused the failure, if it is not the one that the request
     /// was sent to.
     pub at_fault: Option<InstanceId>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod peer_loads;
 pub mod peers;
 pub mod relay;
+mod server_limits;
 #[cfg(test)]
 mod testing;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -38,6 +38,7 @@
     peer_loads::{self, PeerLoads, ReportSource},
     peers::{self, Peers, message::PeerMessage},
     relay,
+    server_limits::{self, ServerLimits},
 };
 
 /// Time between the last responses and the end of the grace period at a shutdown.
@@ -68,6 +69,8 @@
     pub metrics: Metrics,
     /// Watch for requests that crash backend servers.
     pub(crate) crashes: Arc<CrashWatch>,
+    /// Limits that backend servers state.
+    pub(crate) limits: Arc<ServerLimits>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -112,6 +115,7 @@
         retries,
         metrics,
         crashes,
+        limits: Arc::new(server_limits::open(clock)),
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
@@ -147,6 +151,7 @@
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     tasks.extend(peers::spawn(&gateway.peers, store, addr, on_message));
     tasks.push(tokio::spawn(crash_watch::expire(Arc::clone(&gateway.crashes))));
+    tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
     tasks.push(metered_store::spawn_report(store_calls));
     tasks.push(control::campaign::spawn(&gateway));
     tasks.push(tokio::spawn(peer_loads::publish(Arc::clone(&gateway))));
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citrongw_state::{retry::AttemptProgress, time::Time};
+use citrongw_state::{retry::AttemptProgress, server_limit::StatedLimit, time::Time};
 use citrongw_transport::http_client::{HttpError, PooledBody, RequestBody};
 use derive_more::Display;
 use http::{Request, Uri, response};
@@ -96,8 +96,8 @@
     backend: &Arc<Backend>,
     resume_after: Option<u64>,
 ) -> Result<BackendResponse, AttemptFailure> {
-    let now = gateway.clock.now();
-    let request = build(gateway, call, backend, resume_after, now)
+    let sent_at = gateway.clock.now();
+    let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
     let in_flight = backend.stats.begin_request();
     let sent = gateway.http.send(request).await;
@@ -111,6 +111,10 @@
     if let Some(load) = meta.load {
         backend.stats.record_load(now, load);
     }
+    // A failure without a limit does not say that there is none.
+    if parts.status.is_success() || meta.limit != StatedLimit::None {
+        gateway.limits.record_response(backend, meta.limit, sent_at);
+    }
     if call.meta.attempt.is_some() && meta.attempt.is_some() && meta.attempt != call.meta.attempt {
         return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod retry;
 pub mod routing;
 pub mod self_suspicion;
+pub mod server_limit;
 pub mod slow_members;
 pub mod straggler;
 pub mod time;
