Observe the limits that backend servers state, over all gateways together

Cause: nothing acted on a limit, and no gateway alone can, since a server's requests come from all of them.

One gateway, chosen by rendezvous hashing in the server's zone, keeps the token bucket. Each attempt needs a permit of it, by an exchange of two datagrams; what is denied goes elsewhere, or is rejected at once with code 2010 and the time of the next token. Substitutes follow in order while granters are silent. Buckets start empty, so restarts and moves add nothing.

--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -49,6 +49,9 @@
             | PeerMessage::Load(_)
             | PeerMessage::Crash { .. }
             | PeerMessage::Cleared { .. }
+            | PeerMessage::ServerLimit { .. }
+            | PeerMessage::PermitRequest(_)
+            | PeerMessage::PermitReply(_)
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
             | PeerMessage::ZoneLoad { .. } => false,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -149,6 +149,7 @@
 fn is_usable(server: &Backend, criteria: &ChoiceCriteria<'_>) -> bool {
     !criteria.tried.contains(&server.id)
         && !server.stats.is_suspect(criteria.now)
+        && server.stats.denied_for(criteria.now).is_none()
         && !matches!(server.stats.breaker.state(criteria.now), BreakerState::Open { .. })
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -185,6 +185,9 @@
             | PeerMessage::Load(_)
             | PeerMessage::Crash { .. }
             | PeerMessage::Cleared { .. }
+            | PeerMessage::ServerLimit { .. }
+            | PeerMessage::PermitRequest(_)
+            | PeerMessage::PermitReply(_)
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -63,6 +63,7 @@
     sent_since_report: AtomicU32,
     last_received_ms: AtomicU64,
     suspect_until_ms: AtomicU64,
+    denied_until_ms: AtomicU64,
     is_down: AtomicBool,
     marked_down: Notify,
 }
@@ -114,6 +115,18 @@
         millis(now) < self.suspect_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Records that the granter of the server denied a permit until a time. Until then
+    /// the server gets no requests.
+    pub fn deny_until(&self, until: Time) {
+        self.denied_until_ms.fetch_max(millis(until) + 1, Ordering::Relaxed);
+    }
+
+    /// Time for which permits are denied from now on; none if they are not.
+    pub fn denied_for(&self, now: Time) -> Option<Duration> {
+        let left_ms = self.denied_until_ms.load(Ordering::Relaxed).saturating_sub(millis(now));
+        (left_ms != 0).then(|| Duration::from_millis(left_ms))
+    }
+
     /// Records that the server takes no requests any more. Requests in flight
     /// there will not finish.
     pub fn mark_down(&self) {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -106,7 +106,6 @@
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
-        peers,
         settings,
         clock,
         adapter,
@@ -115,7 +114,8 @@
         retries,
         metrics,
         crashes,
-        limits: Arc::new(server_limits::open(clock)),
+        limits: Arc::new(server_limits::open(node, &peers, clock)),
+        peers,
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
@@ -135,18 +135,27 @@
     let routing = Arc::clone(&gateway.routing);
     let peer_loads = Arc::clone(&gateway.peer_loads);
     let crashes = Arc::clone(&gateway.crashes);
-    let on_message = move |from, message| match message {
-        PeerMessage::Load(report) => {
-            peer_loads.record(ReportSource::Gateway(from), report, clock.now());
-        }
-        PeerMessage::ZoneLoad { zone, report } => {
-            peer_loads.record(ReportSource::Zone(zone), report, clock.now());
+    let limits = Arc::clone(&gateway.limits);
+    let on_message = move |from, message| {
+        limits.record_message(from);
+        match message {
+            PeerMessage::Load(report) => {
+                peer_loads.record(ReportSource::Gateway(from), report, clock.now());
+            }
+            PeerMessage::ZoneLoad { zone, report } => {
+                peer_loads.record(ReportSource::Zone(zone), report, clock.now());
+            }
+            PeerMessage::List(change) => routing.queue_change(from, change, clock.now()),
+            PeerMessage::ListMissing { digest } => routing.queue_missing(from, digest),
+            PeerMessage::Crash { death, signatures } => crashes.apply_crash(&death, &signatures),
+            PeerMessage::Cleared { signatures } => crashes.apply_cleared(&signatures),
+            PeerMessage::ServerLimit { server, statement } => {
+                limits.apply_report(&server, statement);
+            }
+            PeerMessage::PermitRequest(request) => limits.apply_request(from, request),
+            PeerMessage::PermitReply(reply) => limits.apply_reply(&reply),
+            message => routing.apply_message(&message, clock.now()),
         }
-        PeerMessage::List(change) => routing.queue_change(from, change, clock.now()),
-        PeerMessage::ListMissing { digest } => routing.queue_missing(from, digest),
-        PeerMessage::Crash { death, signatures } => crashes.apply_crash(&death, &signatures),
-        PeerMessage::Cleared { signatures } => crashes.apply_cleared(&signatures),
-        message => routing.apply_message(&message, clock.now()),
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     tasks.extend(peers::spawn(&gateway.peers, store, addr, on_message));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,9 +1,16 @@
 //! Messages between gateways. Except for the loads, they are hints that save time: the
 //! platform's lists or polls of the instances show the same a little later.
 
-use citrongw_state::id::{
-    AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
-    ReplicaId, ServerIncarnation,
+use std::time::Duration;
+
+use citrongw_state::{
+    id::{
+        AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
+        ReplicaId, ServerIncarnation,
+    },
+    server_limit::{permits::Permit, statements::Statement},
+    time::Time,
+    unit::RequestsPerSecond,
 };
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
@@ -11,7 +18,7 @@
 use crate::{listing::ListChange, peer_loads::LoadReport};
 
 /// Message between gateways.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// To the owner of a domain: a replica does not respond to requests.
     Suspect {
@@ -72,6 +79,62 @@
         /// Signatures of the request.
         signatures: Vec<Fingerprint>,
     },
+    /// A backend server stated a limit, or no longer has one.
+    ServerLimit {
+        /// Server that stated it.
+        server: ServerIncarnation,
+        /// Newest statement.
+        statement: ReportedStatement,
+    },
+    /// To the granter of a server with a limit.
+    PermitRequest(PermitRequest),
+    /// From the granter.
+    PermitReply(PermitReply),
+}
+
+/// Limit of a server, as one gateway reports it to another.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ReportedStatement {
+    limit: Option<RequestsPerSecond>,
+    age: Duration,
+}
+
+impl ReportedStatement {
+    /// Converts a statement of the sender.
+    pub fn new(statement: Statement, now: Time) -> Self {
+        Self { limit: statement.limit, age: now.since(statement.stated_at) }
+    }
+
+    /// Converts the report to a statement on the receiver's clock.
+    pub fn into_statement(self, now: Time) -> Statement {
+        Statement { limit: self.limit, stated_at: now - self.age }
+    }
+}
+
+/// Request for a permit for one attempt.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Id of the request at its sender, the same when it is repeated.
+    pub id: u64,
+    /// Server that the attempt is for.
+    pub server: ServerIncarnation,
+    /// Zone of the server.
+    pub zone: AvailabilityZone,
+    /// Newest statement that the sender knows.
+    pub statement: ReportedStatement,
+}
+
+/// Reply to a request for a permit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitReply {
+    /// Id of the request.
+    pub id: u64,
+    /// Server that the attempt is for.
+    pub server: ServerIncarnation,
+    /// Whether the attempt may be sent.
+    pub permit: Permit,
+    /// Newest statement that the granter knows.
+    pub statement: Option<ReportedStatement>,
 }
 
 /// Replica that takes requests.
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -7,6 +7,7 @@
     crash_suspicion::shared_parts::QUARANTINE_TIME,
     id::InstanceId,
     retry::{self, AttemptProgress, FailedAttempt},
+    server_limit::permits::Permit,
 };
 use tokio::time::sleep;
 
@@ -28,6 +29,14 @@
 /// Value of `Retry-After` when all servers are full.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Shortest value of `Retry-After` when all servers are at their limits, before it is
+/// spread: callers that return sooner find the same tokens taken.
+const MIN_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Permits that are requested one after the other for one attempt.
+const MAX_PERMIT_REQUESTS: usize = 4;
+/// Time for which all servers with limits count as denied after that many.
+const DENIAL_TIME: Duration = Duration::from_millis(50);
+
 /// Interval between checks for another server while the current one is silent:
 /// well below the time between events that callers of a stream expect.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -60,7 +69,7 @@
     }
 
     /// Chooses the server of the next attempt and records it as tried.
-    pub(super) fn next_server(
+    pub(super) async fn next_server(
         &mut self,
         gateway: &Gateway,
         call: &Call,
@@ -68,14 +77,49 @@
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
-        let chosen = self.choose(gateway, call);
-        let choice = chosen.ok_or_else(|| self.refusal(ResultCode::NoReplica))?;
+        let choice = self.choose_permitted(gateway, call).await;
+        let choice = choice.ok_or_else(|| self.refusal_without_server(gateway, call))?;
         let server = Arc::clone(&choice.best.server);
         self.tried.push(server.id.clone());
         self.last_choice = Some(choice);
         Ok(server)
     }
 
+    /// Chooses a server that has no limit, or that the attempt has a permit for.
+    async fn choose_permitted(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
+        for _ in 0..MAX_PERMIT_REQUESTS {
+            let choice = self.choose(gateway, call)?;
+            let server = &choice.best.server;
+            match gateway.limits.acquire(server).await {
+                Permit::Granted => return Some(choice),
+                Permit::Denied { wait } => server.stats.deny_until(gateway.clock.now() + wait),
+            }
+        }
+        let until = gateway.clock.now() + DENIAL_TIME;
+        for server in call.servers(&gateway.routing.fleet.load()) {
+            if gateway.limits.is_limited(server) {
+                server.stats.deny_until(until);
+            }
+        }
+        self.choose(gateway, call)
+    }
+
+    /// Refusal when no server may be chosen. If limits are the reason, the caller may
+    /// return once a permit is due.
+    fn refusal_without_server(&self, gateway: &Gateway, call: &Call) -> Refusal {
+        let now = gateway.clock.now();
+        let fleet = gateway.routing.fleet.load();
+        let untried = call.servers(&fleet).iter().filter(|it| !self.tried.contains(&it.id));
+        match untried.filter_map(|it| it.stats.denied_for(now)).min() {
+            Some(wait) if !self.may_have_run => {
+                let spread = 1.0 + rand::random::<f64>();
+                let retry_after = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(spread);
+                Refusal::from(ResultCode::ServersLimited).after(retry_after)
+            }
+            Some(_) | None => self.refusal(ResultCode::NoReplica),
+        }
+    }
+
     /// Whether a request with an attempt in progress could be sent to another
     /// server.
     pub(super) fn has_another(&self, gateway: &Gateway, call: &Call) -> bool {
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -93,7 +93,7 @@
 ) -> Result<ResponseStart, Refusal> {
     let deadline = gateway.clock.instant(call.deadline());
     loop {
-        let server = attempts.next_server(gateway, call)?;
+        let server = attempts.next_server(gateway, call).await?;
         let exchange = async {
             let response = send::send(gateway, call, &server, None).await?;
             read_buffered(response).await
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -126,7 +126,7 @@
     resume_after: Option<u64>,
 ) -> Result<Opened, Refusal> {
     loop {
-        let server = attempts.next_server(gateway, call)?;
+        let server = attempts.next_server(gateway, call).await?;
         let failed = match open_at(gateway, call, &server, attempts, resume_after).await {
             Ok(Ok((parts, source))) => return Ok(Opened::Stream(parts, Box::new(source))),
             Ok(Err(response)) => {
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -79,6 +79,8 @@
     NotReached = 2008, 503, NotRun, "no backend server could be reached";
     /// A part of the request crashes backend servers.
     Quarantined = 2009, 503, NotRun, "part of the request crashes servers";
+    /// The servers take no more requests for now, by limits that they state.
+    ServersLimited = 2010, 503, NotRun, "limits of the backend servers are reached";
     /// The deadline passed while the request was running.
     DeadlinePassed = 3001, 504, Unknown, "deadline passed";
     /// The backend server interrupted the response.
--- a/crates/state/src/server_limit.rs
+++ b/crates/state/src/server_limit.rs
@@ -1,6 +1,14 @@
 //! Limits that backend servers in need state: the requests a second that a server
 //! takes from all gateways together.
+//!
+//! One gateway, the granter of the server, keeps a token bucket of the limit
+//! ([`permits`]); the others request a permit from it for each attempt, and send the
+//! attempt elsewhere if it is denied. [`granters`] chooses that gateway and a
+//! substitute, and [`statements`] holds what a gateway knows of the limits. Servers
+//! that state no limit need no permit.
 
+pub mod granters;
+pub mod permits;
 pub mod statements;
 
 use derive_more::Display;
--- a/crates/state/src/server_limit/statements.rs
+++ b/crates/state/src/server_limit/statements.rs
@@ -1,13 +1,21 @@
-//! What one gateway knows of the limits of the servers: the newest statement of each.
+//! What one gateway knows of the limits of the servers: the newest statement of each,
+//! from its own responses or from other gateways.
 //!
 //! A limit holds until a response without one arrives to a request that was sent after
-//! the last statement.
+//! the last statement, or until the granter of the server has heard of none for
+//! [`STATEMENT_EXPIRY`]. The others keep it for [`RETENTION`]: where many gateways
+//! share the requests, each hears of a server seldom.
 
 use std::{collections::HashMap, time::Duration};
 
 use super::StatedLimit;
 use crate::{id::ServerIncarnation, time::Time, unit::RequestsPerSecond};
 
+/// Time without a statement after which the granter of a server treats its limit as
+/// ended. While there are requests, some reach the server more often than that.
+pub const STATEMENT_EXPIRY: Duration = Duration::from_secs(30);
+/// Age of the granter's statement from which on it is told of an unchanged limit.
+const GRANTER_REFRESH: Duration = Duration::from_secs(1);
 /// Time without a statement after which a gateway drops what it knows.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Change of a limit, as a fraction, that counts as a new limit.
@@ -24,6 +32,17 @@
     pub stated_at: Time,
 }
 
+/// Gateways that are told of a statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// All gateways: the limit changed significantly.
+    All,
+    /// The granter of the server: it has heard of none for a while.
+    Granter,
+    /// No gateway.
+    None,
+}
+
 /// Newest statement of each server that stated a limit.
 #[derive(Debug, Clone, Default)]
 pub struct Statements {
@@ -35,18 +54,20 @@
     newest: Statement,
     /// Limit at the last significant change.
     significant: Option<RequestsPerSecond>,
+    /// When the newest statement was made that the granter has.
+    granter_heard_at: Time,
 }
 
 impl Statements {
     /// Records what a response says that arrived at `now` to a request sent at
-    /// `sent_at`. Returns the statement if it changes the limit significantly.
+    /// `sent_at`. Returns the statement, if it makes one, and whom to tell of it.
     pub fn record_response(
         &mut self,
         server: &ServerIncarnation,
         stated: StatedLimit,
         sent_at: Time,
         now: Time,
-    ) -> Option<Statement> {
+    ) -> Option<(Statement, Audience)> {
         let known = self.known.get(server).map(|it| it.newest);
         let limit = match stated {
             StatedLimit::Rate(rate) => Some(rate),
@@ -57,7 +78,50 @@
             StatedLimit::None => None,
         };
         let statement = Statement { limit, stated_at: now };
-        self.set(server, statement).then_some(statement)
+        let is_significant = self.set(server, statement);
+        let known = self.known.get_mut(server)?;
+        let audience = if is_significant {
+            Audience::All
+        } else if limit.is_some() && GRANTER_REFRESH <= now.since(known.granter_heard_at) {
+            Audience::Granter
+        } else {
+            Audience::None
+        };
+        if audience != Audience::None {
+            known.granter_heard_at = now;
+        }
+        Some((statement, audience))
+    }
+
+    /// Records a statement that another gateway reported. True if it changes the limit
+    /// significantly.
+    pub fn record_report(&mut self, server: &ServerIncarnation, reported: Statement) -> bool {
+        let newest = self.newest(server);
+        let is_old =
+            newest.map_or(reported.limit.is_none(), |it| reported.stated_at <= it.stated_at);
+        !is_old && self.set(server, reported)
+    }
+
+    /// Records when the newest statement was made that the granter of a server has.
+    pub fn record_granter(&mut self, server: &ServerIncarnation, heard_at: Time) {
+        if let Some(known) = self.known.get_mut(server) {
+            known.granter_heard_at = known.granter_heard_at.max(heard_at);
+        }
+    }
+
+    /// Newest statement of a server to its granter, which has granted since
+    /// `granting_since`. A limit that no gateway has heard of for long has ended.
+    pub fn confirmed(
+        &mut self,
+        server: &ServerIncarnation,
+        granting_since: Time,
+        now: Time,
+    ) -> Option<Statement> {
+        let newest = &mut self.known.get_mut(server)?.newest;
+        if STATEMENT_EXPIRY <= now.since(newest.stated_at.max(granting_since)) {
+            *newest = Statement { limit: None, stated_at: now };
+        }
+        Some(*newest)
     }
 
     /// Newest statement of a server.
@@ -81,7 +145,8 @@
             self.drop_oldest();
         }
         let known = self.known.entry(server.clone());
-        let known = known.or_insert(Known { newest, significant: None });
+        let known =
+            known.or_insert(Known { newest, significant: None, granter_heard_at: Time::START });
         known.newest = newest;
         let is_significant = differs(known.significant, newest.limit);
         if is_significant {
