--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -71,7 +71,7 @@
     ServerIncarnation { instance: id, incarnation }
 }
 
-fn quarantine(watch: &CrashWatch, signatures: &[Fingerprint]) {
+fn quarantine(watch: &Arc<CrashWatch>, signatures: &[Fingerprint]) {
     for number in 0..DEATHS_TO_QUARANTINE {
         watch.apply_crash(&death(number), signatures);
     }
@@ -189,3 +189,28 @@
     }
     tasks.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+#[tokio::test(start_paused = true)]
+#[ignore = "KNOWN-RED.txt"]
+async fn inconclusive_poll_keeps_the_evidence_for_a_death_that_another_gateway_reports() {
+    let watch = open_watch(1, &mem::open(), Err(InstanceError::NoResponse));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.record_interrupted(&backend(number), vec![BAD]);
+        settle().await;
+        watch.apply_crash(&death(number), &[Fingerprint(100 + number as u128)]);
+        settle().await;
+    }
+    assert!(is_quarantined(&watch, &[BAD]));
+}
+
+#[tokio::test(start_paused = true)]
+#[ignore = "KNOWN-RED.txt"]
+async fn request_interrupted_after_a_reported_death_counts_without_a_poll() {
+    let watch = open_watch(1, &mem::open(), Err(InstanceError::NoResponse));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.apply_crash(&death(number), &[Fingerprint(100 + number as u128)]);
+        watch.record_interrupted(&backend(number), vec![BAD]);
+        settle().await;
+    }
+    assert!(is_quarantined(&watch, &[BAD]));
+}
