Keep the evidence of a crash until a poll or another gateway tells

Callers whose requests were beside a crashing one lost one server more than the three that a quarantine takes; a gateway with few requests could lose any number.

Cause: a gateway polled a server once when its exchanges broke. A poll that was cut off or timed out counted like one that found the server running, and what was in flight was forgotten, even if another gateway reported the death. Class: an unknown outcome taken for a negative one.

The requests are kept for three seconds. A poll that does not tell is repeated, up to three in all, and a death that another gateway reports makes them count, as does one that was reported before. A server that responds under the same incarnation still clears them.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -6,6 +6,7 @@
 //! there had in common; a part that is found to crash servers is listed in the
 //! key-value service, where gateways that start later find it.
 
+mod evidence;
 mod listed_culprits;
 
 use std::{
@@ -32,7 +33,10 @@
     time::{sleep, timeout},
 };
 
-use self::listed_culprits::ListedCulprits;
+use self::{
+    evidence::{Evidence, NextStep, Signatures},
+    listed_culprits::ListedCulprits,
+};
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
     fleet::Backend,
@@ -42,6 +46,10 @@
 
 /// Timeout of the poll of a server.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Polls of a server, while none tells whether it has crashed.
+const MAX_POLLS: usize = 3;
+/// Delay before a server is polled again.
+const POLL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Number of signatures of a request that are sent: as many as a datagram holds
 /// beside its other fields.
@@ -58,9 +66,7 @@
     listed: ListedCulprits,
     peers: Arc<Peers>,
     clock: Clock,
-    /// Signatures of the requests whose exchanges with a server were interrupted before its
-    /// poll ended.
-    interrupted: Mutex<HashMap<ServerIncarnation, Vec<Vec<Fingerprint>>>>,
+    evidence: Mutex<Evidence>,
     suspicions: Mutex<SharedPartSuspicions>,
     has_suspects: AtomicBool,
     successes: RecentSuccesses,
@@ -74,7 +80,7 @@
         listed: listed_culprits::open(&adapter.store),
         peers: Arc::clone(peers),
         clock,
-        interrupted: Mutex::default(),
+        evidence: Mutex::default(),
         suspicions: Mutex::default(),
         has_suspects: AtomicBool::new(false),
         successes: RecentSuccesses::default(),
@@ -87,6 +93,7 @@
     loop {
         sleep(EXPIRY_INTERVAL).await;
         watch.change(|it| it.expire(watch.clock.now()));
+        lock(&watch.evidence).expire(watch.clock.now());
     }
 }
 
@@ -144,8 +151,16 @@
     }
 
     /// Applies the death of a server with a request of another gateway in flight.
-    pub(crate) fn apply_crash(&self, death: &ServerIncarnation, signatures: &[Fingerprint]) {
+    pub(crate) fn apply_crash(
+        self: &Arc<Self>,
+        death: &ServerIncarnation,
+        signatures: &[Fingerprint],
+    ) {
         self.add_death(death, signatures);
+        let requests = lock(&self.evidence).record_death(death, self.clock.now());
+        if !requests.is_empty() {
+            tokio::spawn(Arc::clone(self).publish(death.clone(), requests));
+        }
     }
 
     /// Applies the success of a request at another gateway.
@@ -199,30 +214,48 @@
         backend: &Backend,
         signatures: Vec<Fingerprint>,
     ) {
-        let death = backend.server();
-        let is_first = {
-            let mut interrupted = lock(&self.interrupted);
-            let requests = interrupted.entry(death.clone()).or_default();
-            requests.push(signatures);
-            requests.len() == 1
-        };
-        if !is_first {
-            return;
+        let (server, now) = (backend.server(), self.clock.now());
+        let next = lock(&self.evidence).add_interrupted(&server, signatures, now);
+        match next {
+            NextStep::Poll => drop(tokio::spawn(Arc::clone(self).poll(server, backend.addr))),
+            NextStep::Publish(signatures) => {
+                tokio::spawn(Arc::clone(self).publish(server, vec![signatures]));
+            }
+            NextStep::Wait => {}
         }
-        tokio::spawn(Arc::clone(self).poll(death, backend.addr));
     }
 
     /// Polls a server whose exchanges were interrupted, and publishes its death.
-    async fn poll(self: Arc<Self>, death: ServerIncarnation, addr: SocketAddr) {
-        let has_crashed = self.has_crashed(&death, addr).await;
-        let requests = lock(&self.interrupted).remove(&death).unwrap_or_default();
+    async fn poll(self: Arc<Self>, server: ServerIncarnation, addr: SocketAddr) {
+        let mut has_crashed = None;
+        for attempt in 0..MAX_POLLS {
+            if attempt != 0 {
+                sleep(POLL_RETRY_DELAY).await;
+            }
+            has_crashed = self.has_crashed(&server, addr).await;
+            if has_crashed.is_some() {
+                break;
+            }
+        }
+        let requests = {
+            let mut evidence = lock(&self.evidence);
+            match has_crashed {
+                Some(true) => evidence.record_death(&server, self.clock.now()),
+                Some(false) => evidence.record_running(&server),
+                None => evidence.record_unknown(&server),
+            }
+        };
         tracing::info!(
-            server = %death, has_crashed, requests = requests.len(), signatures = summary(&requests),
+            %server, has_crashed, requests = requests.len(), signatures = summary(&requests),
             "exchanges with a backend server were interrupted"
         );
-        if !has_crashed {
-            return;
+        if has_crashed == Some(true) {
+            self.publish(server, requests).await;
         }
+    }
+
+    /// Publishes the death of a server with these requests of this gateway in flight.
+    async fn publish(self: Arc<Self>, death: ServerIncarnation, requests: Vec<Signatures>) {
         for mut signatures in requests {
             signatures.retain(|it| !self.has_succeeded(*it));
             // All gateways have to see the same ones, or their culprits differ.
@@ -243,12 +276,14 @@
         lock(&self.suspicions).culprits().any(|it| it == culprit)
     }
 
-    /// Whether a server has crashed. One that does not respond may only be cut off.
-    async fn has_crashed(&self, death: &ServerIncarnation, addr: SocketAddr) -> bool {
+    /// Whether a server has crashed. None if it does not respond: it may only be cut
+    /// off, or about to refuse connections.
+    async fn has_crashed(&self, server: &ServerIncarnation, addr: SocketAddr) -> Option<bool> {
         match timeout(POLL_TIMEOUT, self.instances.report(addr)).await {
-            Ok(Ok(report)) => report.incarnation.is_some_and(|it| it != death.incarnation),
-            Ok(Err(InstanceError::NotReached)) => true,
-            Ok(Err(InstanceError::NoResponse | InstanceError::InvalidResponse)) | Err(_) => false,
+            Ok(Ok(report)) => Some(report.incarnation.is_some_and(|it| it != server.incarnation)),
+            Ok(Err(InstanceError::NotReached)) => Some(true),
+            Ok(Err(InstanceError::InvalidResponse)) => Some(false),
+            Ok(Err(InstanceError::NoResponse)) | Err(_) => None,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/crash_watch/evidence.rs
@@ -0,0 +1,97 @@
+//! Requests that ended without a response, kept until it is known whether their server
+//! died. One poll may not tell, and another gateway may find the death first.
+
+use std::{collections::HashMap, time::Duration};
+
+use citrongw_state::{
+    id::{Fingerprint, ServerIncarnation},
+    time::Time,
+};
+
+/// Time for which a request counts if its server is found dead.
+pub(super) const EVIDENCE_TIME: Duration = Duration::from_secs(3);
+/// Time for which a death is known to requests that end after it.
+const DEATH_RETENTION: Duration = Duration::from_secs(10);
+
+/// Signatures of one request.
+pub(super) type Signatures = Vec<Fingerprint>;
+
+/// What follows from a request that ended without a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum NextStep {
+    /// The server is to be polled.
+    Poll,
+    /// The server is known to be dead.
+    Publish(Signatures),
+    /// A poll is in progress.
+    Wait,
+}
+
+#[derive(Debug, Default)]
+struct ServerEvidence {
+    requests: Vec<(Time, Signatures)>,
+    died_at: Option<Time>,
+    is_polled: bool,
+}
+
+/// Requests that ended without a response, by server.
+#[derive(Debug, Default)]
+pub(super) struct Evidence {
+    servers: HashMap<ServerIncarnation, ServerEvidence>,
+}
+
+impl Evidence {
+    /// Records a request whose exchange was interrupted.
+    pub(super) fn add_interrupted(
+        &mut self,
+        server: &ServerIncarnation,
+        signatures: Signatures,
+        now: Time,
+    ) -> NextStep {
+        let evidence = self.servers.entry(server.clone()).or_default();
+        if evidence.died_at.is_some() {
+            return NextStep::Publish(signatures);
+        }
+        evidence.requests.push((now, signatures));
+        if std::mem::replace(&mut evidence.is_polled, true) {
+            return NextStep::Wait;
+        }
+        NextStep::Poll
+    }
+
+    /// Records the death of a server. Returns the requests that count.
+    pub(super) fn record_death(
+        &mut self,
+        server: &ServerIncarnation,
+        now: Time,
+    ) -> Vec<Signatures> {
+        let evidence = self.servers.entry(server.clone()).or_default();
+        evidence.died_at = Some(now);
+        let requests = std::mem::take(&mut evidence.requests).into_iter();
+        let recent = requests.filter(|(at, _)| now.since(*at) < EVIDENCE_TIME);
+        recent.map(|(_, signatures)| signatures).collect()
+    }
+
+    /// Records that a server runs, so that no interrupted request crashed it. Returns
+    /// these.
+    pub(super) fn record_running(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
+        let evidence = self.servers.remove(server).unwrap_or_default();
+        evidence.requests.into_iter().map(|(_, signatures)| signatures).collect()
+    }
+
+    /// Records that the polls of a server did not tell. Returns the requests that wait.
+    pub(super) fn record_unknown(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
+        let Some(evidence) = self.servers.get_mut(server) else { return Vec::new() };
+        evidence.is_polled = false;
+        evidence.requests.iter().map(|(_, signatures)| signatures.clone()).collect()
+    }
+
+    /// Drops requests and deaths that no longer count.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.servers.retain(|_, it| {
+            it.requests.retain(|(at, _)| now.since(*at) < EVIDENCE_TIME);
+            it.died_at = it.died_at.filter(|at| now.since(*at) < DEATH_RETENTION);
+            it.is_polled || it.died_at.is_some() || !it.requests.is_empty()
+        });
+    }
+}
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -9,7 +9,7 @@
 };
 use futures::{FutureExt, future::BoxFuture};
 
-use super::*;
+use super::{evidence::EVIDENCE_TIME, *};
 use crate::{
     adapter::{Order, OrderReply},
     instance::InstanceReport,
@@ -20,12 +20,27 @@
 const BAD: Fingerprint = Fingerprint(1);
 const SHARED: Fingerprint = Fingerprint(2);
 
-/// Instances that all give the same response to a poll.
-struct PolledInstances(Result<InstanceReport, InstanceError>);
+type Report = Result<InstanceReport, InstanceError>;
+
+/// Instances that give their first response to the first poll of each and their last to
+/// all others.
+struct PolledInstances {
+    reports: [Report; 2],
+    unpolled: Mutex<usize>,
+}
+
+impl PolledInstances {
+    fn new(reports: [Report; 2]) -> Self {
+        Self { reports, unpolled: Mutex::new(DEATHS_TO_QUARANTINE) }
+    }
+}
 
 impl InstanceClient for PolledInstances {
-    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Result<InstanceReport, InstanceError>> {
-        futures::future::ready(self.0.clone()).boxed()
+    fn report(&self, _: SocketAddr) -> BoxFuture<'_, Report> {
+        let mut unpolled = lock(&self.unpolled);
+        let idx = usize::from(*unpolled == 0);
+        *unpolled = unpolled.saturating_sub(1);
+        futures::future::ready(self.reports[idx].clone()).boxed()
     }
 
     fn order(&self, _: SocketAddr, _: Order) -> BoxFuture<'_, Result<OrderReply, InstanceError>> {
@@ -33,22 +48,22 @@
     }
 }
 
-fn report(incarnation: u64) -> Result<InstanceReport, InstanceError> {
+fn report(incarnation: u64) -> Report {
     let incarnation = Some(Incarnation(incarnation));
     Ok(InstanceReport { incarnation, staged: Vec::new(), membership: None })
 }
 
-fn open_watch(
-    node: u64,
-    store: &MemStore,
-    polled: Result<InstanceReport, InstanceError>,
-) -> Arc<CrashWatch> {
+fn open_watch(node: u64, store: &MemStore, polled: Report) -> Arc<CrashWatch> {
+    open_watch_of(node, store, PolledInstances::new([polled.clone(), polled]))
+}
+
+fn open_watch_of(node: u64, store: &MemStore, instances: PolledInstances) -> Arc<CrashWatch> {
     let clock = clock::open();
     let peers = Arc::new(peers::open(NodeId(node), "a".into(), clock));
     let adapter = Adapter {
         store: Arc::new(store.clone()),
         codec: Arc::new(StubCodec),
-        instances: Arc::new(PolledInstances(polled)),
+        instances: Arc::new(instances),
     };
     Arc::new(open(&adapter, &peers, clock))
 }
@@ -191,7 +206,6 @@
 }
 
 #[tokio::test(start_paused = true)]
-#[ignore = "KNOWN-RED.txt"]
 async fn inconclusive_poll_keeps_the_evidence_for_a_death_that_another_gateway_reports() {
     let watch = open_watch(1, &mem::open(), Err(InstanceError::NoResponse));
     for number in 0..DEATHS_TO_QUARANTINE {
@@ -204,7 +218,6 @@
 }
 
 #[tokio::test(start_paused = true)]
-#[ignore = "KNOWN-RED.txt"]
 async fn request_interrupted_after_a_reported_death_counts_without_a_poll() {
     let watch = open_watch(1, &mem::open(), Err(InstanceError::NoResponse));
     for number in 0..DEATHS_TO_QUARANTINE {
@@ -214,3 +227,29 @@
     }
     assert!(is_quarantined(&watch, &[BAD]));
 }
+
+#[tokio::test(start_paused = true)]
+async fn evidence_without_a_death_is_dropped() {
+    let watch = open_watch(1, &mem::open(), Err(InstanceError::NoResponse));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.record_interrupted(&backend(number), vec![BAD]);
+    }
+    sleep(EVIDENCE_TIME).await;
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.apply_crash(&death(number), &[SHARED]);
+    }
+    assert!(!is_quarantined(&watch, &[BAD]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn server_that_does_not_respond_at_first_is_polled_again() {
+    let reports = [Err(InstanceError::NoResponse), Err(InstanceError::NotReached)];
+    let watch = open_watch_of(1, &mem::open(), PolledInstances::new(reports));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.record_interrupted(&backend(number), vec![BAD]);
+    }
+    settle().await;
+    assert!(!is_quarantined(&watch, &[BAD]));
+    sleep(POLL_RETRY_DELAY).await;
+    assert!(is_quarantined(&watch, &[BAD]));
+}
