Count large responses as evidence for and against their requests

A call whose server ends in the middle of a response of over 64 KB was never quarantined: each repeat ended one more server.

Cause: only exchanges that broke before the buffered part was complete were recorded. The rest of a response is streamed after the attempt has ended, and its end went to the log alone; the same holds for its success. Class: an outcome on a second path that the first path's bookkeeping does not see.

--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -26,7 +26,10 @@
     send::{self, AttemptFailure, BackendResponse, Cause},
     signatures,
 };
-use crate::{fleet::InFlight, node::Gateway};
+use crate::{
+    fleet::{Backend, InFlight},
+    node::Gateway,
+};
 
 /// Multiple of the expected latency after which an idempotent request is
 /// abandoned at one server and retried at another.
@@ -42,6 +45,7 @@
 /// Rest of a response that is streamed as it arrives.
 struct Rest {
     body: PooledBody,
+    backend: Arc<Backend>,
     _in_flight: InFlight,
 }
 
@@ -74,9 +78,23 @@
     let length = rest.body.size_hint().exact().map(|it| it + buffered.len() as u64);
     let deadline = gateway.clock.instant(call.deadline());
     let status = parts.status.as_u16();
+    let (crashes, backend) = (Arc::clone(&gateway.crashes), Arc::clone(&rest.backend));
+    let is_success = parts.status.is_success();
+    let shared_parts = call.signatures.shared_parts().to_vec();
+    let signatures = signatures::all_of(&call);
     let chunks = stream_rest(buffered, rest, deadline, move |outcome| match outcome {
-        Ok(()) => log.end_with_status(status, &attempts),
-        Err(cause) => log.end_interrupted(cause, &attempts),
+        Ok(()) => {
+            if is_success {
+                crashes.record_success(&shared_parts, || signatures);
+            }
+            log.end_with_status(status, &attempts);
+        }
+        Err(cause) => {
+            if cause == Cause::Interrupted {
+                crashes.record_interrupted(&backend, signatures);
+            }
+            log.end_interrupted(cause, &attempts);
+        }
     });
     let mut response = respond(&call, parts, Body::from_stream(chunks));
     if let Some(length) = length.filter(|_| response.status().as_u16() == status) {
@@ -134,7 +152,7 @@
 
 /// Reads a response to its end, or up to the limit of the buffer.
 async fn read_buffered(response: BackendResponse) -> Result<ResponseStart, AttemptFailure> {
-    let BackendResponse { parts, mut body, in_flight, .. } = response;
+    let BackendResponse { parts, mut body, backend, in_flight } = response;
     let mut buffered = BytesMut::new();
     while buffered.len() <= MAX_BUFFERED_BYTES {
         let Some(frame) = body.frame().await else {
@@ -145,7 +163,7 @@
             buffered.extend_from_slice(&data);
         }
     }
-    let rest = Rest { body, _in_flight: in_flight };
+    let rest = Rest { body, backend, _in_flight: in_flight };
     Ok(ResponseStart { parts, buffered: buffered.freeze(), rest: Some(rest) })
 }
 
