Count requests that were given up before their server crashed

A request that crashes its servers after the gateway has given it up was sent to one server after the other: the silence of a server, a passed deadline and a caller that leaves drop the connection, and not every server drops the request with it.

Cause: evidence was recorded where an exchange broke, and these end before. Class: cleanup that is skipped when a future is dropped.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -225,6 +225,25 @@
         }
     }
 
+    /// Records that a request was given up while a server might still run it. It counts
+    /// if the server is found dead soon.
+    pub(crate) fn record_given_up(self: &Arc<Self>, backend: &Backend, signatures: Signatures) {
+        let (server, now) = (backend.server(), self.clock.now());
+        let next = lock(&self.evidence).add_given_up(&server, signatures, now);
+        if let NextStep::Publish(signatures) = next {
+            tokio::spawn(Arc::clone(self).publish(server, vec![signatures]));
+        }
+    }
+
+    /// Records that the address of a server refused a connection: the server is dead.
+    pub(crate) fn record_refused(self: &Arc<Self>, backend: &Backend) {
+        let server = backend.server();
+        let requests = lock(&self.evidence).record_death(&server, self.clock.now());
+        if !requests.is_empty() {
+            tokio::spawn(Arc::clone(self).publish(server, requests));
+        }
+    }
+
     /// Polls a server whose exchanges were interrupted, and publishes its death.
     async fn poll(self: Arc<Self>, server: ServerIncarnation, addr: SocketAddr) {
         let mut has_crashed = None;
--- a/crates/gateway/src/crash_watch/evidence.rs
+++ b/crates/gateway/src/crash_watch/evidence.rs
@@ -13,6 +13,9 @@
 /// Time for which a death is known to requests that end after it.
 const DEATH_RETENTION: Duration = Duration::from_secs(10);
 
+/// Maximum number of requests kept for one server: many times its slots.
+const MAX_REQUESTS: usize = 256;
+
 /// Signatures of one request.
 pub(super) type Signatures = Vec<Fingerprint>;
 
@@ -23,17 +26,38 @@
     Poll,
     /// The server is known to be dead.
     Publish(Signatures),
-    /// A poll is in progress.
+    /// A poll or another request may tell.
     Wait,
 }
 
+#[derive(Debug)]
+struct EndedRequest {
+    ended_at: Time,
+    signatures: Signatures,
+    /// Whether the server may still have been running it.
+    is_given_up: bool,
+}
+
 #[derive(Debug, Default)]
 struct ServerEvidence {
-    requests: Vec<(Time, Signatures)>,
+    requests: Vec<EndedRequest>,
     died_at: Option<Time>,
     is_polled: bool,
 }
 
+impl ServerEvidence {
+    fn add(&mut self, signatures: Signatures, is_given_up: bool, now: Time) -> NextStep {
+        if self.died_at.is_some() {
+            return NextStep::Publish(signatures);
+        }
+        if MAX_REQUESTS <= self.requests.len() {
+            self.requests.remove(0);
+        }
+        self.requests.push(EndedRequest { ended_at: now, signatures, is_given_up });
+        NextStep::Wait
+    }
+}
+
 /// Requests that ended without a response, by server.
 #[derive(Debug, Default)]
 pub(super) struct Evidence {
@@ -49,16 +73,23 @@
         now: Time,
     ) -> NextStep {
         let evidence = self.servers.entry(server.clone()).or_default();
-        if evidence.died_at.is_some() {
-            return NextStep::Publish(signatures);
-        }
-        evidence.requests.push((now, signatures));
-        if std::mem::replace(&mut evidence.is_polled, true) {
-            return NextStep::Wait;
+        let next = evidence.add(signatures, false, now);
+        if next != NextStep::Wait || std::mem::replace(&mut evidence.is_polled, true) {
+            return next;
         }
         NextStep::Poll
     }
 
+    /// Records a request that was given up while its server might still run it.
+    pub(super) fn add_given_up(
+        &mut self,
+        server: &ServerIncarnation,
+        signatures: Signatures,
+        now: Time,
+    ) -> NextStep {
+        self.servers.entry(server.clone()).or_default().add(signatures, true, now)
+    }
+
     /// Records the death of a server. Returns the requests that count.
     pub(super) fn record_death(
         &mut self,
@@ -68,28 +99,32 @@
         let evidence = self.servers.entry(server.clone()).or_default();
         evidence.died_at = Some(now);
         let requests = std::mem::take(&mut evidence.requests).into_iter();
-        let recent = requests.filter(|(at, _)| now.since(*at) < EVIDENCE_TIME);
-        recent.map(|(_, signatures)| signatures).collect()
+        let recent = requests.filter(|it| now.since(it.ended_at) < EVIDENCE_TIME);
+        recent.map(|it| it.signatures).collect()
     }
 
     /// Records that a server runs, so that no interrupted request crashed it. Returns
     /// these.
     pub(super) fn record_running(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
-        let evidence = self.servers.remove(server).unwrap_or_default();
-        evidence.requests.into_iter().map(|(_, signatures)| signatures).collect()
+        let Some(evidence) = self.servers.get_mut(server) else { return Vec::new() };
+        evidence.is_polled = false;
+        let requests = std::mem::take(&mut evidence.requests).into_iter();
+        let (given_up, interrupted) = requests.partition(|it| it.is_given_up);
+        evidence.requests = given_up;
+        interrupted.into_iter().map(|it: EndedRequest| it.signatures).collect()
     }
 
     /// Records that the polls of a server did not tell. Returns the requests that wait.
     pub(super) fn record_unknown(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
         let Some(evidence) = self.servers.get_mut(server) else { return Vec::new() };
         evidence.is_polled = false;
-        evidence.requests.iter().map(|(_, signatures)| signatures.clone()).collect()
+        evidence.requests.iter().map(|it| it.signatures.clone()).collect()
     }
 
     /// Drops requests and deaths that no longer count.
     pub(super) fn expire(&mut self, now: Time) {
         self.servers.retain(|_, it| {
-            it.requests.retain(|(at, _)| now.since(*at) < EVIDENCE_TIME);
+            it.requests.retain(|it| now.since(it.ended_at) < EVIDENCE_TIME);
             it.died_at = it.died_at.filter(|at| now.since(*at) < DEATH_RETENTION);
             it.is_polled || it.died_at.is_some() || !it.requests.is_empty()
         });
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -253,3 +253,18 @@
     sleep(POLL_RETRY_DELAY).await;
     assert!(is_quarantined(&watch, &[BAD]));
 }
+
+#[tokio::test(start_paused = true)]
+async fn request_that_was_given_up_counts_once_its_server_refuses_connections() {
+    let watch = open_watch(1, &mem::open(), report(1));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        watch.record_given_up(&backend(number), vec![BAD]);
+        // A poll that finds the server running only clears other requests.
+        watch.record_interrupted(&backend(number), vec![SHARED]);
+        settle().await;
+        watch.record_refused(&backend(number));
+        settle().await;
+    }
+    assert!(is_quarantined(&watch, &[BAD]));
+    assert!(!is_quarantined(&watch, &[SHARED]));
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 mod send;
 mod signatures;
 mod stream;
+mod unanswered;
 mod urgency;
 
 use std::sync::{Arc, atomic::Ordering};
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -24,7 +24,7 @@
     log::RequestLog,
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
-    signatures,
+    signatures, unanswered,
 };
 use crate::{
     fleet::{Backend, InFlight},
@@ -112,6 +112,7 @@
     let deadline = gateway.clock.instant(call.deadline());
     loop {
         let server = attempts.next_server(gateway, call).await?;
+        let unanswered = unanswered::open(gateway, call, &server);
         let exchange = async {
             let response = send::send(gateway, call, &server, None).await?;
             read_buffered(response).await
@@ -130,6 +131,9 @@
             timeout_at(deadline, exchange).await
         };
         let Ok(outcome) = outcome else { return Err(ResultCode::DeadlinePassed.into()) };
+        if !matches!(outcome, Err(AttemptFailure { cause: Cause::Stalled, .. })) {
+            unanswered.end();
+        }
         let failed = match outcome {
             Ok(started)
                 if started.parts.status.is_server_error() && call.route.kind.may_rerun() =>
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -165,6 +165,9 @@
     now: Time,
 ) -> AttemptFailure {
     backend.stats.breaker.record_result(now, false);
+    if matches!(error, HttpError::ConnectionRefused) {
+        gateway.crashes.record_refused(backend);
+    }
     match error {
         HttpError::NotReached | HttpError::ConnectionRefused => {
             mark_suspect(gateway, backend, UNREACHED_SUSPICION);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -24,7 +24,7 @@
     plain,
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
-    signatures,
+    signatures, unanswered,
 };
 use crate::{
     fleet::{Backend, InFlight},
@@ -165,6 +165,7 @@
     resume_after: Option<u64>,
 ) -> Result<Result<(http::response::Parts, Source), BackendResponse>, AttemptFailure> {
     let sent_at = gateway.clock.now();
+    let unanswered = unanswered::open(gateway, call, server);
     let exchange = async {
         let response = send::send(gateway, call, server, resume_after).await?;
         if !response.parts.status.is_success() {
@@ -183,7 +184,10 @@
     let deadline = gateway.clock.instant(call.deadline());
     let limit = call.route.target_latency * SILENT_LATENCY_FACTOR;
     let cause = tokio::select! {
-        res = &mut exchange => return res,
+        res = &mut exchange => {
+            unanswered.end();
+            return res;
+        }
         () = sleep_until(deadline) => return Err(AttemptFailure::may_have_run(Cause::DeadlinePassed)),
         () = wait_for_silence(gateway, server, sent_at, limit) => {
             send::mark_suspect(gateway, server, SILENT_SUSPICION);
@@ -198,7 +202,10 @@
     tokio::select! {
         biased;
         () = attempts.wait_for_another(gateway, call) => Err(AttemptFailure::may_have_run(cause)),
-        res = exchange => res,
+        res = exchange => {
+            unanswered.end();
+            res
+        }
         () = sleep_until(deadline) => Err(AttemptFailure::may_have_run(Cause::DeadlinePassed)),
     }
 }
