--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -204,10 +204,7 @@
     }
 
     fn record_timeout(&self, node: NodeId) {
-        let now = self.clock.now();
-        let mut silent = lock(&self.silent);
-        silent.record_timeout(node, now);
-        if silent.is_silent(node, now) {
+        if lock(&self.silent).record_timeout(node, self.clock.now()) {
             tracing::info!(%node, "granter of permits does not respond");
         }
     }
--- a/crates/state/src/server_limit/granters.rs
+++ b/crates/state/src/server_limit/granters.rs
@@ -88,11 +88,14 @@
         LOSS_TIME <= now.since(received_at)
     }
 
-    /// Records that a gateway did not respond in time.
-    pub fn record_timeout(&mut self, node: NodeId, now: Time) {
+    /// Records that a gateway did not respond in time. True if it becomes silent by
+    /// this.
+    pub fn record_timeout(&mut self, node: NodeId, now: Time) -> bool {
+        let was_silent = self.is_silent(node, now);
         let (count, last_at) = self.timeouts.entry(node).or_default();
         *count += 1;
         *last_at = now;
+        !was_silent && self.is_silent(node, now)
     }
 
     /// Records a message of a gateway.
--- a/crates/state/src/server_limit/granters/tests.rs
+++ b/crates/state/src/server_limit/granters/tests.rs
@@ -56,11 +56,12 @@
 fn gateway_is_silent_after_two_timeouts_in_a_row() {
     let (node, now) = (NodeId(1), Time::from_millis(1_000));
     let mut silent = SilentGateways::default();
-    silent.record_timeout(node, now);
+    assert!(!silent.record_timeout(node, now));
     assert!(!silent.is_silent(node, now));
     silent.record_message(node, now);
-    silent.record_timeout(node, now);
-    silent.record_timeout(node, now);
+    assert!(!silent.record_timeout(node, now));
+    assert!(silent.record_timeout(node, now));
+    assert!(!silent.record_timeout(node, now), "it was silent before");
     assert!(silent.is_silent(node, now));
     assert!(!silent.is_silent(node, now + SILENCE_TIME));
 }
