Remove a gateway from the list when it stops

A gateway that had stopped stayed listed for up to ten seconds. Others divided retry budgets by it, sent it datagrams and, since limits of servers are observed, asked it for permits: each gateway waits 0.1 s for the first one that is not answered.

Cause: its lease was left to expire. It is ended after the last response, within the margin of the shutdown. gateway_that_stopped_is_not_listed failed before.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -44,6 +44,9 @@
 /// Time between the last responses and the end of the grace period at a shutdown.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// Timeout of the removal from the list of gateways at a shutdown: half of the margin.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Shared state of a gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -232,6 +235,17 @@
         for task in &self.tasks {
             task.abort();
         }
+        let leaving = self.gateway.peers.leave(&*self.gateway.adapter.store);
+        match timeout(LEAVE_TIMEOUT, leaving).await {
+            Ok(Ok(())) => {}
+            // The entry ends with its lease.
+            Ok(Err(error)) => {
+                tracing::info!(%error, dependency = "store", "could not leave the list of gateways");
+            }
+            Err(_) => {
+                tracing::info!(dependency = "store", "leaving the list of gateways timed out");
+            }
+        }
         self.ready.abort();
         self.metrics.abort();
         tracing::info!(node = %self.gateway.node, "stopped");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use arc_swap::ArcSwap;
 use citrongw_coordination::clock::Clock;
-use citrongw_protocol::store::{Key, Store, StoreError, StoreResult};
+use citrongw_protocol::store::{Key, LeaseId, Store, StoreError, StoreResult};
 use citrongw_state::{
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     time::Time,
@@ -75,6 +75,8 @@
     zone: AvailabilityZone,
     clock: Clock,
     cluster: ArcSwap<ClusterView>,
+    /// Lease of this gateway's entry in the list.
+    registration: Mutex<Option<LeaseId>>,
     #[debug(skip)]
     endpoint: OnceCell<PeerUdp<PeerMessage>>,
     suspect_reported_at: Mutex<HashMap<ReplicaEpoch, Time>>,
@@ -96,6 +98,7 @@
         zone,
         clock,
         cluster: ArcSwap::default(),
+        registration: Mutex::default(),
         endpoint: OnceCell::new(),
         suspect_reported_at: Mutex::default(),
         announced_owners: Mutex::default(),
@@ -165,6 +168,15 @@
         self.cluster.store(Arc::new(cluster));
     }
 
+    /// Removes this gateway from the list, after its tasks have ended.
+    pub(crate) async fn leave(&self, store: &dyn Store) -> StoreResult<()> {
+        let registration = lock(&self.registration).take();
+        match registration {
+            Some(lease) => store.end_lease(lease).await,
+            None => Ok(()),
+        }
+    }
+
     /// Ends the registration of a domain.
     pub fn unregister_domain(&self, domain: &DomainKey) {
         lock(&self.suspect_txs).remove(domain);
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -24,7 +24,7 @@
 use derive_more::Display;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::backoff;
+use crate::{backoff, lock::lock};
 
 use super::{CULPRIT_PREFIX, LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
 
@@ -125,6 +125,7 @@
         store.end_lease(lease).await?;
         return Ok(());
     }
+    *lock(&peers.registration) = Some(lease);
     loop {
         sleep(NODE_RENEW_INTERVAL).await;
         match store.renew_lease(lease).await {
