--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -66,28 +66,41 @@
         }
     };
     let ResponseStart { parts, buffered, rest } = started;
-    let Some(rest) = rest else {
-        if parts.status.is_success() {
-            let shared_parts = call.signatures.shared_parts();
-            gateway.crashes.record_success(shared_parts, || signatures::all_of(&call));
-        }
-        let response = respond(&call, parts, Body::Full(Full::new(buffered)));
-        log.end_with_status(response.status().as_u16(), &attempts);
-        return response;
-    };
+    if let Some(rest) = rest {
+        return forward_rest(gateway, &call, parts, buffered, rest, attempts, log);
+    }
+    if parts.status.is_success() {
+        let shared_parts = call.signatures.shared_parts();
+        gateway.crashes.record_success(shared_parts, || signatures::all_of(&call));
+    }
+    let response = respond(&call, parts, Body::Full(Full::new(buffered)));
+    log.end_with_status(response.status().as_u16(), &attempts);
+    response
+}
+
+/// Responds with the buffered part and the rest as it arrives.
+fn forward_rest(
+    gateway: &Gateway,
+    call: &Call,
+    parts: response::Parts,
+    buffered: Bytes,
+    rest: Rest,
+    attempts: Attempts,
+    mut log: RequestLog,
+) -> Response {
     let length = rest.body.size_hint().exact().map(|it| it + buffered.len() as u64);
     let deadline = gateway.clock.instant(call.deadline());
-    let status = parts.status.as_u16();
-    let (crashes, backend) = (Arc::clone(&gateway.crashes), Arc::clone(&rest.backend));
-    let is_success = parts.status.is_success();
+    let status = parts.status;
+    let crashes = Arc::clone(&gateway.crashes);
+    let backend = Arc::clone(&rest.backend);
     let shared_parts = call.signatures.shared_parts().to_vec();
-    let signatures = signatures::all_of(&call);
+    let signatures = signatures::all_of(call);
     let chunks = stream_rest(buffered, rest, deadline, move |outcome| match outcome {
         Ok(()) => {
-            if is_success {
+            if status.is_success() {
                 crashes.record_success(&shared_parts, || signatures);
             }
-            log.end_with_status(status, &attempts);
+            log.end_with_status(status.as_u16(), &attempts);
         }
         Err(cause) => {
             if cause == Cause::Interrupted {
@@ -96,8 +109,8 @@
             log.end_interrupted(cause, &attempts);
         }
     });
-    let mut response = respond(&call, parts, Body::from_stream(chunks));
-    if let Some(length) = length.filter(|_| response.status().as_u16() == status) {
+    let mut response = respond(call, parts, Body::from_stream(chunks));
+    if let Some(length) = length.filter(|_| response.status() == status) {
         response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(length));
     }
     response
