End the wait for a permit at the deadline of its request

A request whose granters were silent waited up to 0.4 s for a permit although its caller had less time, and then got a Retry-After instead of the end of its time. The exchange was outside of the deadline that covers the attempt itself. request_that_waits_for_a_permit_ends_at_its_deadline got 503 before.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -9,7 +9,7 @@
     retry::{self, AttemptProgress, FailedAttempt},
     server_limit::permits::Permit,
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout_at};
 
 use super::{
     call::Call,
@@ -77,7 +77,9 @@
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
-        let choice = self.choose_permitted(gateway, call).await;
+        let deadline = gateway.clock.instant(call.deadline());
+        let choice = timeout_at(deadline, self.choose_permitted(gateway, call)).await;
+        let choice = choice.map_err(|_| self.refusal(ResultCode::DeadlinePassed))?;
         let choice = choice.ok_or_else(|| self.refusal_without_server(gateway, call))?;
         let server = Arc::clone(&choice.best.server);
         self.tried.push(server.id.clone());
