Remove instances that were listed after an outage as soon as they are missing

Cause: entries that are missing in the 2.5 s after an outage of the key-value service are kept, because those that expired in it reappear. The reader also kept entries that it had read since the outage and that were then removed: these did not expire in it. Class: a grace period for one cause that covers all causes.

entry_that_was_listed_after_an_outage_is_removed_at_once failed before.

--- a/crates/gateway/src/instance_table.rs
+++ b/crates/gateway/src/instance_table.rs
@@ -2,10 +2,10 @@
 //!
 //! Entries that expire during an outage of the platform's service reappear
 //! shortly after it if the instance is alive. So an entry that is missing right
-//! after an outage is kept until it could have reappeared.
+//! after an outage is kept until it could have reappeared, unless it was listed since.
 
 use std::{
-    collections::{BTreeMap, btree_map},
+    collections::{BTreeMap, BTreeSet, btree_map},
     sync::Arc,
     time::Duration,
 };
@@ -50,6 +50,9 @@
     view: InstancesView,
     has_read: bool,
     keep_missing_until: Time,
+    /// Instances that were listed since the last outage, while missing entries are
+    /// kept. Their entries did not expire in it.
+    listed_since_outage: BTreeSet<InstanceId>,
 }
 
 impl InstanceTable {
@@ -72,7 +75,9 @@
     ) -> &InstancesView {
         if self.has_read && OUTAGE_AFTER < read_at.since(self.view.read_at) {
             self.keep_missing_until = read_at + REAPPEAR_TIME;
+            self.listed_since_outage.clear();
         }
+        let keeps_missing = read_at < self.keep_missing_until;
         self.has_read = true;
         let mut old = std::mem::take(&mut self.view.instances);
         let mut new = BTreeMap::new();
@@ -81,10 +86,16 @@
                 Some(known) if known.revision == revision => known,
                 _ => KnownInstance { entry: Arc::new(entry), revision, changed_at: read_at },
             };
+            if keeps_missing {
+                self.listed_since_outage.insert(known.entry.id.clone());
+            }
             new.insert(known.entry.id.clone(), known);
         }
-        if read_at < self.keep_missing_until {
+        if keeps_missing {
             for (id, known) in old {
+                if self.listed_since_outage.contains(&id) {
+                    continue;
+                }
                 if let btree_map::Entry::Vacant(vacant) = new.entry(id) {
                     vacant.insert(known);
                 }
--- a/crates/gateway/src/instance_table/tests.rs
+++ b/crates/gateway/src/instance_table/tests.rs
@@ -44,6 +44,17 @@
     assert_eq!(ids(table.apply(Time::from_millis(11_600), only())), ["a"]);
 }
 
+#[test]
+fn entry_that_was_listed_after_an_outage_is_removed_at_once() {
+    let mut table = InstanceTable::default();
+    let all = || [("a", 1), ("b", 2), ("c", 3)].map(|(id, rev)| (entry(id), Revision(rev)));
+    table.apply(Time::from_millis(1_000), all().into());
+    let [a, b, _] = all();
+    assert_eq!(ids(table.apply(Time::from_millis(9_000), vec![a, b])), ["a", "b", "c"]);
+    let [a, _, _] = all();
+    assert_eq!(ids(table.apply(Time::from_millis(9_500), vec![a])), ["a", "c"]);
+}
+
 #[test]
 fn change_has_the_time_of_the_read_that_found_it() {
     let mut table = InstanceTable::default();
