--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -8,9 +8,9 @@
 
 mod evidence;
 mod listed_culprits;
+mod summary;
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -36,6 +36,7 @@
 use self::{
     evidence::{Evidence, NextStep, Signatures},
     listed_culprits::ListedCulprits,
+    summary::{list, most_frequent},
 };
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
@@ -265,7 +266,7 @@
             }
         };
         tracing::info!(
-            %server, has_crashed, requests = requests.len(), signatures = summary(&requests),
+            %server, has_crashed, requests = requests.len(), signatures = most_frequent(&requests),
             "exchanges with a backend server were interrupted"
         );
         if has_crashed == Some(true) {
@@ -307,26 +308,5 @@
     }
 }
 
-/// Number of signatures that a log line names.
-const MAX_LOGGED: usize = 8;
-
-/// Most frequent signatures with the number of requests that have them.
-fn summary(requests: &[Vec<Fingerprint>]) -> String {
-    let mut counts: HashMap<Fingerprint, usize> = HashMap::new();
-    for signature in requests.iter().flatten() {
-        *counts.entry(*signature).or_default() += 1;
-    }
-    let mut counts: Vec<(Fingerprint, usize)> = counts.into_iter().collect();
-    counts.sort_unstable_by_key(|(signature, count)| (std::cmp::Reverse(*count), *signature));
-    let logged =
-        counts.iter().take(MAX_LOGGED).map(|(signature, count)| format!("{signature}: {count}"));
-    logged.collect::<Vec<_>>().join(", ")
-}
-
-fn list(signatures: &[Fingerprint]) -> String {
-    let shown = signatures.iter().take(MAX_LOGGED).map(ToString::to_string);
-    shown.collect::<Vec<_>>().join(", ")
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/crash_watch/evidence.rs
+++ b/crates/gateway/src/crash_watch/evidence.rs
@@ -98,6 +98,7 @@
     ) -> Vec<Signatures> {
         let evidence = self.servers.entry(server.clone()).or_default();
         evidence.died_at = Some(now);
+        evidence.is_polled = false;
         let requests = std::mem::take(&mut evidence.requests).into_iter();
         let recent = requests.filter(|it| now.since(it.ended_at) < EVIDENCE_TIME);
         recent.map(|it| it.signatures).collect()
@@ -130,3 +131,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
