--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -14,7 +14,7 @@
     adapter::{Order, OrderReply},
     instance::InstanceReport,
     peers::{self, CULPRIT_PREFIX, ClusterView, ListedGateway},
-    testing::StubCodec,
+    testing::{self, StubCodec},
 };
 
 const BAD: Fingerprint = Fingerprint(1);
@@ -69,21 +69,11 @@
 }
 
 fn backend(number: usize) -> Backend {
-    Backend {
-        id: format!("h{number}").as_str().into(),
-        incarnation: Incarnation(1),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: "a".into(),
-        slots: 8,
-        replica: None,
-        domain: None,
-        stats: Arc::default(),
-    }
+    testing::backend(&format!("h{number}"))
 }
 
 fn death(number: usize) -> ServerIncarnation {
-    let Backend { id, incarnation, .. } = backend(number);
-    ServerIncarnation { instance: id, incarnation }
+    backend(number).server()
 }
 
 fn quarantine(watch: &Arc<CrashWatch>, signatures: &[Fingerprint]) {
--- a/crates/gateway/src/server_limits/tests.rs
+++ b/crates/gateway/src/server_limits/tests.rs
@@ -1,27 +1,19 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use citrongw_coordination::clock;
-use citrongw_state::{
-    id::Incarnation, server_limit::statements::STATEMENT_EXPIRY, unit::RequestsPerSecond,
-};
+use citrongw_state::{server_limit::statements::STATEMENT_EXPIRY, unit::RequestsPerSecond};
 
 use super::*;
-use crate::peers::{self, ListedGateway};
+use crate::{
+    peers::{self, ListedGateway},
+    testing,
+};
 
 const SELF: NodeId = NodeId(1);
 const LIMIT: RequestsPerSecond = RequestsPerSecond(4.0);
 
 fn backend() -> Backend {
-    Backend {
-        id: "h0".into(),
-        incarnation: Incarnation(1),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: "a".into(),
-        slots: 8,
-        replica: None,
-        domain: None,
-        stats: Arc::default(),
-    }
+    testing::backend("h0")
 }
 
 /// Limits of a gateway in a list of these gateways. No message leaves it.
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -16,6 +16,7 @@
         Codec, CodecError, ForwardMeta, InstanceClient, InstanceError, Order, OrderReply,
         RequestMeta, ResponseMeta,
     },
+    fleet::Backend,
     gateway_config::{CallerLimits, EngineSpec, GatewayConfig, ModelSpec, RouteTable, ServiceSpec},
     instance::{InstanceEntry, InstanceReport, MemberState, Membership},
     instance_table::{InstancesView, KnownInstance},
@@ -59,6 +60,20 @@
     }
 }
 
+/// Backend server of a plain service.
+pub(crate) fn backend(id: &str) -> Backend {
+    Backend {
+        id: id.into(),
+        incarnation: Incarnation(1),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".into(),
+        slots: 8,
+        replica: None,
+        domain: None,
+        stats: Arc::default(),
+    }
+}
+
 pub(crate) fn member(id: &str, replica: u64, epoch: u64, rank: usize) -> InstanceEntry {
     let state = if rank == 0 { MemberState::Open } else { MemberState::Ready };
     let membership =
