Keep epochs from wrapping when spares refuse joins

Cause of the epoch: each refused join of a spare doubles the epoch, the product saturates, and the next epoch wraps to 0 in builds without overflow checks. Class: a counter that must only grow, with an unbounded factor. Doubling ends at 2^52 now. epochs_grow_however_often_a_spare_refuses failed before with an overflow.

--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -17,6 +17,10 @@
 /// are random numbers below it.
 const STANDBY_BIT: u64 = 1 << 63;
 
+/// Epoch up to which refused joins double it. Above it, epochs grow by one, and a
+/// number that JSON holds exactly never wraps.
+const MAX_EPOCH_FLOOR: u64 = 1 << 52;
+
 /// Delay before an order without effect is sent again. Responses take
 /// milliseconds, and a repeated order is harmless.
 const ORDER_INTERVAL: Duration = Duration::from_millis(400);
@@ -108,7 +112,8 @@
             return;
         }
         self.standbys.retain(|(id, _), _| id != instance);
-        self.epoch_floor = self.epoch_floor.max(Epoch(epoch.0.saturating_mul(2)));
+        let doubled = epoch.0.saturating_mul(2).min(MAX_EPOCH_FLOOR);
+        self.epoch_floor = self.epoch_floor.max(Epoch(doubled));
     }
 
     /// Records that an instance did not begin to load weights. An instance that
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -364,3 +364,18 @@
     domain.run(2);
     assert!(joined.unwrap() < domain.plan.epoch);
 }
+
+#[test]
+fn epochs_grow_however_often_a_spare_refuses() {
+    let mut domain = open(7);
+    domain.run(4);
+    let spare = domain.spares()[0].clone();
+    let mut control_state = ControlState::default();
+    let mut last = Epoch(0);
+    for refusals in 0..100 {
+        let standby = control_state.begin_standby(&spare, &"l".into(), last);
+        assert!(last < standby.epoch, "epoch {} after {refusals} refusals", standby.epoch);
+        last = standby.epoch;
+        control_state.add_refused(&spare.id, standby.replica, standby.epoch);
+    }
+}
