Take a server's limit only from the response to the request that was sent

A response to an earlier request that arrived late on a reused connection, without Server-Limit, ended the limit at all gateways until the next response.

Cause: the limit was recorded before the attempt id of the response was compared. It is recorded after it now.

response_to_another_request_does_not_end_a_limit failed before: no request was rejected after such a response.

--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -111,13 +111,13 @@
     if let Some(load) = meta.load {
         backend.stats.record_load(now, load);
     }
+    if call.meta.attempt.is_some() && meta.attempt.is_some() && meta.attempt != call.meta.attempt {
+        return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
+    }
     // A failure without a limit does not say that there is none.
     if parts.status.is_success() || meta.limit != StatedLimit::None {
         gateway.limits.record_response(backend, meta.limit, sent_at);
     }
-    if call.meta.attempt.is_some() && meta.attempt.is_some() && meta.attempt != call.meta.attempt {
-        return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
-    }
     if meta.not_run {
         return Err(refusal_failure(gateway, backend, &meta));
     }
