Log the model of each join

The refused joins of a spare could not be told apart: two joins of one epoch were sent to it, one begun and one refused. The order names its model now, in log lines as well.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -114,7 +114,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
 pub enum Order {
     /// Become a member of a replica.
-    #[display("join {replica} epoch {epoch}")]
+    #[display("join {replica} epoch {epoch} model {model}")]
     Join {
         /// Id of the replica.
         replica: ReplicaId,
