Give each join of a spare an epoch of its own

Cause: the epoch of a join followed from the spare's report, which lags. Two joins for two models within the lag had one epoch, and an instance refuses a second join of an epoch that differs. Class: a fencing number derived from an old read in place of what was handed out.

spare_that_changes_its_model_joins_under_another_epoch_although_its_report_is_old failed before.

--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -173,6 +173,8 @@
         let last_epoch = host.membership.map_or(epoch, |it| it.epoch.max(epoch));
         let replica = standby_replica(host);
         let standby = Standby { replica, epoch: last_epoch.next(), model: model.clone() };
+        // The report of the spare may still lack this epoch at the next join.
+        self.epoch_floor = self.epoch_floor.max(standby.epoch);
         self.standbys.insert((host.id.clone(), host.incarnation), standby.clone());
         standby
     }
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -379,3 +379,14 @@
         control_state.add_refused(&spare.id, standby.replica, standby.epoch);
     }
 }
+
+#[test]
+fn spare_that_changes_its_model_joins_under_another_epoch_although_its_report_is_old() {
+    let mut domain = open(7);
+    domain.run(4);
+    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
+    let mut control_state = ControlState::default();
+    let first = control_state.begin_standby(&spare, &"l".into(), planned);
+    let second = control_state.begin_standby(&spare, &"s".into(), planned);
+    assert!(first.epoch < second.epoch);
+}
