Keep the standby of a spare whose join loads its weights

Cause: a standby was dropped if the spare reported the weights of another model, which it does until its join has loaded them. It is dropped only once the spare is ready under it. Class: a state that is in progress taken for one that was undone.

spare_that_loads_other_weights_with_a_join_ends_the_load failed before. The simulated domain lets joins load, and a later join end that load.

--- a/crates/gateway/src/control/step/spares.rs
+++ b/crates/gateway/src/control/step/spares.rs
@@ -82,11 +82,16 @@
         })
     };
     // The standby of a spare that became a member is dropped, and so is that of a
-    // spare whose weights were replaced by those of another model.
+    // spare whose weights were replaced by those of another model. A spare that has
+    // not joined yet, or loads with its join, still reports its earlier weights.
     control_state.standbys.retain(|(id, incarnation), standby| {
         let host = hosts.get(id).filter(|it| it.incarnation == *incarnation);
-        let was_replaced =
-            host.is_some_and(|it| !it.staged.is_empty() && !it.staged.contains(&standby.model));
+        let was_replaced = host.is_some_and(|it| {
+            let has_joined = it.membership.is_some_and(|it| {
+                it.matches(standby.replica, standby.epoch) && it.state == MemberState::Ready
+            });
+            has_joined && !it.staged.is_empty() && !it.staged.contains(&standby.model)
+        });
         !plan.contains(id) && !was_replaced
     });
     let mut counts: BTreeMap<&ModelId, usize> =
--- a/crates/gateway/src/control/step/tests/staging.rs
+++ b/crates/gateway/src/control/step/tests/staging.rs
@@ -72,3 +72,20 @@
     let joined = |it: &&(String, Order)| it.0 == "new" && matches!(it.1, Order::Join { .. });
     assert!(domain.sent.iter().any(|it| joined(&it)), "{:?}", domain.sent);
 }
+
+#[test]
+fn spare_that_loads_other_weights_with_a_join_ends_the_load() {
+    let mut domain = open(7);
+    domain.run(4);
+    domain.has_traffic = true;
+    for spare in domain.spares().iter().map(|it| it.id.clone()).collect::<Vec<_>>() {
+        domain.control_state.cancel_staging(&spare, true);
+    }
+    let lost = domain.members("l")[1].clone();
+    domain.host(&lost).liveness = Liveness::Refusing;
+    domain.run(20);
+    let spares = domain.spares();
+    let spare = spares.iter().find(|it| it.is_alive()).unwrap();
+    assert_eq!(spare.staged, ["l".into()]);
+    assert_eq!(spare.membership.unwrap().state, MemberState::Ready);
+}
--- a/crates/gateway/src/control/step/tests/test_domain.rs
+++ b/crates/gateway/src/control/step/tests/test_domain.rs
@@ -21,6 +21,8 @@
     pub(super) has_traffic: bool,
     /// Loads in progress, and when each is done.
     staging: Vec<(InstanceId, ModelId, Time)>,
+    /// Loads that belong to a join, which the next join ends.
+    joining: Vec<(InstanceId, ModelId, Time)>,
     /// Orders in the order in which they were sent.
     pub(super) sent: Vec<(String, Order)>,
 }
@@ -40,6 +42,7 @@
         next_replica: 1,
         has_traffic: false,
         staging: Vec::new(),
+        joining: Vec::new(),
         sent: Vec::new(),
     };
     for idx in 0..hosts {
@@ -98,10 +101,14 @@
 
     fn end_loads(&mut self) {
         let now = self.now;
-        let (done, staging) =
-            std::mem::take(&mut self.staging).into_iter().partition(|(_, _, at)| *at <= now);
+        let is_done = |(_, _, at): &(InstanceId, ModelId, Time)| *at <= now;
+        let (mut done, staging): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.staging).into_iter().partition(is_done);
         self.staging = staging;
-        let done: Vec<(InstanceId, ModelId, Time)> = done;
+        let (joined, joining): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.joining).into_iter().partition(is_done);
+        self.joining = joining;
+        done.extend(joined);
         for (id, model, _) in done {
             let Some(host) = self.hosts.get_mut(&id) else { continue };
             host.staged = vec![model];
@@ -125,10 +132,15 @@
                 let rank = members.iter().position(|it| *it == host.id).unwrap();
                 let is_staged = !has_traffic || host.staged.contains(&model);
                 let state = if is_staged { MemberState::Ready } else { MemberState::Joining };
+                host.membership = Some(Membership { replica: Some(replica), epoch, rank, state });
                 if !has_traffic {
                     host.staged = vec![model];
+                    return;
+                }
+                self.joining.retain(|(joining, _, _)| joining.as_str() != id);
+                if !is_staged {
+                    self.joining.push((id.into(), model, self.now + LOAD));
                 }
-                host.membership = Some(Membership { replica: Some(replica), epoch, rank, state });
             }
             Order::Open { replica, epoch } => host.set_state(replica, epoch, MemberState::Open),
             Order::Close { replica, epoch } => host.set_state(replica, epoch, MemberState::Closing),
