--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -113,7 +113,7 @@
         }
         self.standbys.retain(|(id, _), _| id != instance);
         let doubled = epoch.0.saturating_mul(2).min(MAX_EPOCH_FLOOR);
-        self.epoch_floor = self.epoch_floor.max(Epoch(doubled));
+        self.epoch_floor = self.epoch_floor.max(epoch).max(Epoch(doubled));
     }
 
     /// Records that an instance did not begin to load weights. An instance that
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -369,11 +369,11 @@
 fn epochs_grow_however_often_a_spare_refuses() {
     let mut domain = open(7);
     domain.run(4);
-    let spare = domain.spares()[0].clone();
+    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
     let mut control_state = ControlState::default();
     let mut last = Epoch(0);
     for refusals in 0..100 {
-        let standby = control_state.begin_standby(&spare, &"l".into(), last);
+        let standby = control_state.begin_standby(&spare, &"l".into(), planned);
         assert!(last < standby.epoch, "epoch {} after {refusals} refusals", standby.epoch);
         last = standby.epoch;
         control_state.add_refused(&spare.id, standby.replica, standby.epoch);
