Ignore the refusal of a join that a later one overtook

A spare refuses a join that arrives after a later one. That doubled the epoch of the next join, which overtook the later one in turn.

Cause: the epoch of the refused join was not compared with that of the current one. refusal_of_a_join_that_a_later_one_overtook_changes_nothing failed before.

--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -111,6 +111,13 @@
             self.refused.insert((replica, epoch));
             return;
         }
+        // A join that arrived after a later one says nothing about the later one.
+        let is_overtaken = |((id, _), standby): (&(InstanceId, Incarnation), &Standby)| {
+            id == instance && epoch < standby.epoch
+        };
+        if self.standbys.iter().any(is_overtaken) {
+            return;
+        }
         self.standbys.retain(|(id, _), _| id != instance);
         let doubled = epoch.0.saturating_mul(2).min(MAX_EPOCH_FLOOR);
         self.epoch_floor = self.epoch_floor.max(epoch).max(Epoch(doubled));
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -390,3 +390,15 @@
     let second = control_state.begin_standby(&spare, &"s".into(), planned);
     assert!(first.epoch < second.epoch);
 }
+
+#[test]
+fn refusal_of_a_join_that_a_later_one_overtook_changes_nothing() {
+    let mut domain = open(7);
+    domain.run(4);
+    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
+    let mut control_state = ControlState::default();
+    let first = control_state.begin_standby(&spare, &"l".into(), planned);
+    let second = control_state.begin_standby(&spare, &"s".into(), planned);
+    control_state.add_refused(&spare.id, first.replica, first.epoch);
+    assert_eq!(control_state.standby(&spare), Some(&second));
+}
