Count each server once against the attempts of a stream that is kept

A stream at a silent server that could not resume at once never resumed: it waited until its deadline although another server got a permit 4 s later.

Cause: each decision to resume counted the silent attempt as failed again, although it is kept while no other begins. With two attempts allowed, the first denied permit used up the second. Limits of servers make this frequent; before them it took a server that went away between the check and the choice.

stream_of_a_stalled_server_resumes_once_another_has_a_permit failed before after 18 s and passes in 3.5 s. A decision that finds no permit is still charged to the retry budget.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -45,8 +45,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
     tried: Vec<InstanceId>,
-    /// Number of servers that the request, or part of it, was sent to.
+    /// Number of servers that the request, or part of it, was sent to and failed at.
     sent: u32,
+    /// Number of servers tried whose failure is counted. A silent one that is kept can
+    /// fail more than once.
+    counted: usize,
     may_have_run: bool,
     last_cause: Option<Cause>,
     last_choice: Option<Choice>,
@@ -128,7 +131,7 @@
         let now = gateway.clock.now();
         call.route.kind.may_rerun()
             && call.body.can_be_sent()
-            && self.sent + 1 < call.route.max_attempts
+            && self.sent + self.in_progress() < call.route.max_attempts
             && 0 < gateway
                 .retries
                 .service_budget(&call.service, gateway.peers.gateway_count(), now)
@@ -136,6 +139,11 @@
             && self.choose(gateway, call).is_some()
     }
 
+    /// Number of attempts in progress whose failure is not counted yet.
+    fn in_progress(&self) -> u32 {
+        u32::from(self.counted < self.tried.len())
+    }
+
     /// Completes once a request with an attempt in progress could be sent to
     /// another server.
     pub(super) async fn wait_for_another(&self, gateway: &Gateway, call: &Call) {
@@ -165,7 +173,10 @@
     ) -> Result<(), Refusal> {
         self.last_cause = Some(failed.cause);
         self.may_have_run |= failed.progress != AttemptProgress::NotRun;
-        self.sent += u32::from(failed.cause != Cause::NotReached);
+        if failed.cause != Cause::NotReached {
+            self.sent += self.in_progress();
+        }
+        self.counted = self.tried.len();
         let max_retries = match call.body.can_be_sent() {
             true => call.route.max_attempts.saturating_sub(1),
             false => 0,
