Use one path for evidence of crashes, and call abandoned requests so

Requests were given up in one place and abandoned in another, and polls did not tell in place of being inconclusive. No change of behaviour; the tests of both packages pass.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -47,7 +47,7 @@
 
 /// Timeout of the poll of a server.
 const POLL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Polls of a server, while none tells whether it has crashed.
+/// Maximum number of polls of a server while they are inconclusive.
 const MAX_POLLS: usize = 3;
 /// Delay before a server is polled again.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -158,10 +158,7 @@
         signatures: &[Fingerprint],
     ) {
         self.add_death(death, signatures);
-        let requests = lock(&self.evidence).record_death(death, self.clock.now());
-        if !requests.is_empty() {
-            tokio::spawn(Arc::clone(self).publish(death.clone(), requests));
-        }
+        self.record_death(death);
     }
 
     /// Applies the success of a request at another gateway.
@@ -217,31 +214,37 @@
     ) {
         let (server, now) = (backend.server(), self.clock.now());
         let next = lock(&self.evidence).add_interrupted(&server, signatures, now);
-        match next {
-            NextStep::Poll => drop(tokio::spawn(Arc::clone(self).poll(server, backend.addr))),
-            NextStep::Publish(signatures) => {
-                tokio::spawn(Arc::clone(self).publish(server, vec![signatures]));
-            }
-            NextStep::Wait => {}
-        }
+        self.carry_out(next, server, backend.addr);
     }
 
-    /// Records that a request was given up while a server might still run it. It counts
+    /// Records that a request was abandoned while a server might still run it. It counts
     /// if the server is found dead soon.
-    pub(crate) fn record_given_up(self: &Arc<Self>, backend: &Backend, signatures: Signatures) {
+    pub(crate) fn record_abandoned(self: &Arc<Self>, backend: &Backend, signatures: Signatures) {
         let (server, now) = (backend.server(), self.clock.now());
-        let next = lock(&self.evidence).add_given_up(&server, signatures, now);
-        if let NextStep::Publish(signatures) = next {
-            tokio::spawn(Arc::clone(self).publish(server, vec![signatures]));
-        }
+        let next = lock(&self.evidence).add_abandoned(&server, signatures, now);
+        self.carry_out(next, server, backend.addr);
     }
 
     /// Records that the address of a server refused a connection: the server is dead.
     pub(crate) fn record_refused(self: &Arc<Self>, backend: &Backend) {
-        let server = backend.server();
-        let requests = lock(&self.evidence).record_death(&server, self.clock.now());
+        self.record_death(&backend.server());
+    }
+
+    fn carry_out(self: &Arc<Self>, next: NextStep, server: ServerIncarnation, addr: SocketAddr) {
+        match next {
+            NextStep::Poll => drop(tokio::spawn(Arc::clone(self).poll(server, addr))),
+            NextStep::Publish(signatures) => {
+                tokio::spawn(Arc::clone(self).publish(server, vec![signatures]));
+            }
+            NextStep::Wait => {}
+        }
+    }
+
+    /// Publishes the death of a server if requests of this gateway were in flight there.
+    fn record_death(self: &Arc<Self>, server: &ServerIncarnation) {
+        let requests = lock(&self.evidence).record_death(server, self.clock.now());
         if !requests.is_empty() {
-            tokio::spawn(Arc::clone(self).publish(server, requests));
+            tokio::spawn(Arc::clone(self).publish(server.clone(), requests));
         }
     }
 
@@ -262,7 +265,7 @@
             match has_crashed {
                 Some(true) => evidence.record_death(&server, self.clock.now()),
                 Some(false) => evidence.record_running(&server),
-                None => evidence.record_unknown(&server),
+                None => evidence.record_inconclusive(&server),
             }
         };
         tracing::info!(
--- a/crates/gateway/src/crash_watch/evidence.rs
+++ b/crates/gateway/src/crash_watch/evidence.rs
@@ -1,5 +1,5 @@
 //! Requests that ended without a response, kept until it is known whether their server
-//! died. One poll may not tell, and another gateway may find the death first.
+//! died. A poll may be inconclusive, and another gateway may find the death first.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -26,7 +26,7 @@
     Poll,
     /// The server is known to be dead.
     Publish(Signatures),
-    /// A poll or another request may tell.
+    /// A poll or another request decides.
     Wait,
 }
 
@@ -35,7 +35,7 @@
     ended_at: Time,
     signatures: Signatures,
     /// Whether the server may still have been running it.
-    is_given_up: bool,
+    is_abandoned: bool,
 }
 
 #[derive(Debug, Default)]
@@ -46,14 +46,14 @@
 }
 
 impl ServerEvidence {
-    fn add(&mut self, signatures: Signatures, is_given_up: bool, now: Time) -> NextStep {
+    fn add(&mut self, signatures: Signatures, is_abandoned: bool, now: Time) -> NextStep {
         if self.died_at.is_some() {
             return NextStep::Publish(signatures);
         }
         if MAX_REQUESTS <= self.requests.len() {
             self.requests.remove(0);
         }
-        self.requests.push(EndedRequest { ended_at: now, signatures, is_given_up });
+        self.requests.push(EndedRequest { ended_at: now, signatures, is_abandoned });
         NextStep::Wait
     }
 }
@@ -80,8 +80,8 @@
         NextStep::Poll
     }
 
-    /// Records a request that was given up while its server might still run it.
-    pub(super) fn add_given_up(
+    /// Records a request that was abandoned while its server might still run it.
+    pub(super) fn add_abandoned(
         &mut self,
         server: &ServerIncarnation,
         signatures: Signatures,
@@ -110,13 +110,14 @@
         let Some(evidence) = self.servers.get_mut(server) else { return Vec::new() };
         evidence.is_polled = false;
         let requests = std::mem::take(&mut evidence.requests).into_iter();
-        let (given_up, interrupted) = requests.partition(|it| it.is_given_up);
-        evidence.requests = given_up;
+        let (abandoned, interrupted) = requests.partition(|it| it.is_abandoned);
+        evidence.requests = abandoned;
         interrupted.into_iter().map(|it: EndedRequest| it.signatures).collect()
     }
 
-    /// Records that the polls of a server did not tell. Returns the requests that wait.
-    pub(super) fn record_unknown(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
+    /// Records that the polls of a server were inconclusive. Returns the requests that
+    /// wait.
+    pub(super) fn record_inconclusive(&mut self, server: &ServerIncarnation) -> Vec<Signatures> {
         let Some(evidence) = self.servers.get_mut(server) else { return Vec::new() };
         evidence.is_polled = false;
         evidence.requests.iter().map(|it| it.signatures.clone()).collect()
--- a/crates/gateway/src/crash_watch/evidence/tests.rs
+++ b/crates/gateway/src/crash_watch/evidence/tests.rs
@@ -15,10 +15,10 @@
     let (mut evidence, now) = (Evidence::default(), Time::START);
     assert_eq!(evidence.add_interrupted(&server(), request(1), now), NextStep::Poll);
     assert_eq!(evidence.add_interrupted(&server(), request(2), now), NextStep::Wait);
-    assert_eq!(evidence.add_given_up(&server(), request(3), now), NextStep::Wait);
+    assert_eq!(evidence.add_abandoned(&server(), request(3), now), NextStep::Wait);
     let all = [request(1), request(2), request(3)];
     assert_eq!(evidence.record_death(&server(), now), all);
-    let late = evidence.add_given_up(&server(), request(4), now);
+    let late = evidence.add_abandoned(&server(), request(4), now);
     assert_eq!(late, NextStep::Publish(request(4)));
 }
 
@@ -26,7 +26,7 @@
 fn running_server_clears_only_the_requests_that_it_interrupted() {
     let (mut evidence, now) = (Evidence::default(), Time::START);
     evidence.add_interrupted(&server(), request(1), now);
-    evidence.add_given_up(&server(), request(2), now);
+    evidence.add_abandoned(&server(), request(2), now);
     assert_eq!(evidence.record_running(&server()), [request(1)]);
     assert_eq!(evidence.record_death(&server(), now), [request(2)]);
 }
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -245,10 +245,10 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn request_that_was_given_up_counts_once_its_server_refuses_connections() {
+async fn request_that_was_abandoned_counts_once_its_server_refuses_connections() {
     let watch = open_watch(1, &mem::open(), report(1));
     for number in 0..DEATHS_TO_QUARANTINE {
-        watch.record_given_up(&backend(number), vec![BAD]);
+        watch.record_abandoned(&backend(number), vec![BAD]);
         // A poll that finds the server running only clears other requests.
         watch.record_interrupted(&backend(number), vec![SHARED]);
         settle().await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -117,7 +117,7 @@
         retries,
         metrics,
         crashes,
-        limits: Arc::new(server_limits::open(node, &peers, clock)),
+        limits: Arc::new(server_limits::open(&peers, clock)),
         peers,
         stopping: AtomicBool::new(false),
     });
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -110,6 +110,11 @@
 }
 
 impl Peers {
+    /// Id of this gateway.
+    pub(crate) fn node(&self) -> NodeId {
+        self.node
+    }
+
     /// Gateways and owners as last read, with the owners announced since.
     pub fn cluster(&self) -> Arc<ClusterView> {
         self.cluster.load_full()
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -165,7 +165,7 @@
     now: Time,
 ) -> AttemptFailure {
     backend.stats.breaker.record_result(now, false);
-    if matches!(error, HttpError::ConnectionRefused) {
+    if *error == HttpError::ConnectionRefused {
         gateway.crashes.record_refused(backend);
     }
     match error {
--- a/crates/gateway/src/relay/unanswered.rs
+++ b/crates/gateway/src/relay/unanswered.rs
@@ -1,4 +1,4 @@
-//! Attempt that its server has not answered. If the gateway gives it up, because the
+//! Attempt that its server has not answered. If the gateway abandons it, because the
 //! server is silent, the deadline passes or the caller leaves, its request may still
 //! crash the server.
 
@@ -7,7 +7,7 @@
 use super::{call::Call, signatures};
 use crate::{fleet::Backend, node::Gateway};
 
-/// Attempt in progress. A dropped one counts as given up.
+/// Attempt in progress. A dropped one counts as abandoned.
 #[derive(Debug)]
 pub(super) struct UnansweredAttempt<'a> {
     gateway: &'a Gateway,
@@ -36,7 +36,7 @@
     fn drop(&mut self) {
         if !self.is_answered {
             let signatures = signatures::all_of(self.call);
-            self.gateway.crashes.record_given_up(self.server, signatures);
+            self.gateway.crashes.record_abandoned(self.server, signatures);
         }
     }
 }
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -52,7 +52,6 @@
 /// permits for.
 #[derive(Debug)]
 pub(crate) struct ServerLimits {
-    node: NodeId,
     peers: Arc<Peers>,
     clock: Clock,
     statements: Mutex<Statements>,
@@ -63,9 +62,8 @@
 }
 
 /// Creates an empty set of limits.
-pub(crate) fn open(node: NodeId, peers: &Arc<Peers>, clock: Clock) -> ServerLimits {
+pub(crate) fn open(peers: &Arc<Peers>, clock: Clock) -> ServerLimits {
     ServerLimits {
-        node,
         peers: Arc::clone(peers),
         clock,
         statements: Mutex::default(),
@@ -96,7 +94,7 @@
         let cluster = self.peers.cluster();
         let granters = choose_granters(&server, &backend.zone, &cluster);
         for node in granters.in_order() {
-            if node == self.node {
+            if node == self.peers.node() {
                 return self.grant(&server, None, self.role(&granters));
             }
             let (id, mut pending) = self.pending.open();
@@ -158,7 +156,7 @@
             })),
             Audience::Granter => {
                 let granters = choose_granters(&server, &backend.zone, &self.peers.cluster());
-                let granter = granters.granter().filter(|it| *it != self.node);
+                let granter = granters.granter().filter(|it| *it != self.peers.node());
                 let Some(granter) = granter else { return };
                 tokio::spawn(async move { limits.peers.send_to_gateway(granter, &message).await });
             }
@@ -231,7 +229,7 @@
 
     fn role(&self, granters: &Granters) -> GranterRole {
         let now = self.clock.now();
-        granters.role(self.node, |it| lock(&self.silent).is_lost(it, now))
+        granters.role(self.peers.node(), |it| lock(&self.silent).is_lost(it, now))
     }
 
     fn change<R>(&self, change: impl FnOnce(&mut Statements) -> R) -> R {
--- a/crates/gateway/src/server_limits/tests.rs
+++ b/crates/gateway/src/server_limits/tests.rs
@@ -24,7 +24,7 @@
     let listed = nodes.iter().map(|it| (*it, ListedGateway { addr, zone: "a".into() }));
     let nodes: BTreeMap<NodeId, ListedGateway> = listed.collect();
     peers.set_cluster(ClusterView { nodes, ..ClusterView::default() });
-    Arc::new(open(SELF, &peers, clock))
+    Arc::new(open(&peers, clock))
 }
 
 fn respond(limits: &Arc<ServerLimits>, stated: StatedLimit) {
