--- a/crates/state/tests/server_limit_at_size.rs
+++ b/crates/state/tests/server_limit_at_size.rs
@@ -17,6 +17,11 @@
 /// Part of a limit that is used while there are enough requests.
 const MIN_USED: f64 = 0.9;
 
+/// Request for a permit, reply, and statement for the granter.
+const DATAGRAMS_PER_REQUEST: f64 = 3.0;
+/// Begins and ends of limits, and changes between them.
+const CHANGES: f64 = 5.0;
+
 /// A server that states a limit, doubles it, and states none again.
 const PHASES: [Phase; 3] = [
     Phase { from_s: 2, until_s: 22, limit: RequestsPerSecond(4.0) },
@@ -59,15 +64,32 @@
 fn requests_reach_the_server_freely_once_its_limit_has_ended() {
     for gateways in [15, 95] {
         let load = Load { gateways, requests_per_s: 400.0, ..SMALL };
-        let received = cluster::play(&load, Policy::Granter);
+        let received = cluster::play(&load, Policy::Granter).received;
         let served = count(&received, Time::from_millis(42_000), Time::from_millis(46_000));
         assert!(0.9 * 4.0 * load.requests_per_s <= served as f64, "{gateways}: {served}");
     }
 }
 
+#[test]
+fn datagrams_are_bounded_by_the_requests_and_the_changes_of_the_limit() {
+    for (gateways, requests_per_s) in
+        [15, 95, 300, 2_500].into_iter().flat_map(|it| [(it, 20.0), (it, 40.0)])
+    {
+        let load = Load { gateways, requests_per_s, ..SMALL };
+        let played = cluster::play(&load, Policy::Granter);
+        let (busiest, mean) = (played.busiest_datagrams_per_s, played.mean_datagrams_per_s);
+        println!(
+            "{gateways} gateways, {requests_per_s} requests/s: {busiest:.1} datagrams/s at the \
+             busiest, mean {mean:.2}"
+        );
+        let news_per_s = CHANGES * gateways as f64 / load.length_s as f64;
+        assert!(busiest <= DATAGRAMS_PER_REQUEST * requests_per_s + news_per_s, "{load:?}");
+    }
+}
+
 fn check(load: &Load) {
     for policy in [Policy::Granter, Policy::OwnBuckets, Policy::EvenShares] {
-        let received = cluster::play(load, policy);
+        let received = cluster::play(load, policy).received;
         for phase in load.phases {
             let from = Time(Duration::from_secs(phase.from_s) + CONTACT_TIME);
             let until = Time(Duration::from_secs(phase.until_s));
--- a/crates/state/tests/server_limit_at_size/cluster.rs
+++ b/crates/state/tests/server_limit_at_size/cluster.rs
@@ -82,6 +82,17 @@
     denied_until: Time,
 }
 
+/// What a load led to.
+#[derive(Debug)]
+pub(crate) struct Played {
+    /// When requests reached the server, in order.
+    pub(crate) received: Vec<Time>,
+    /// Datagrams a second, sent and received, of the busiest gateway.
+    pub(crate) busiest_datagrams_per_s: f64,
+    /// The same as a mean over the gateways.
+    pub(crate) mean_datagrams_per_s: f64,
+}
+
 struct Cluster<'a> {
     load: &'a Load,
     policy: Policy,
@@ -91,11 +102,13 @@
     listed: Vec<NodeId>,
     events: BinaryHeap<Reverse<(Time, Event)>>,
     received: Vec<Time>,
+    /// Datagrams that each gateway sent or received.
+    datagrams: HashMap<NodeId, u32>,
     rng: StdRng,
 }
 
-/// Plays a load. Returns when requests reached the server.
-pub(crate) fn play(load: &Load, policy: Policy) -> Vec<Time> {
+/// Plays a load.
+pub(crate) fn play(load: &Load, policy: Policy) -> Played {
     let mut rng = StdRng::seed_from_u64(load.seed);
     let nodes: Vec<NodeId> = (0..load.gateways).map(|_| NodeId(rng.random())).collect();
     let mut cluster = Cluster {
@@ -107,6 +120,7 @@
         listed: nodes,
         events: BinaryHeap::new(),
         received: Vec::new(),
+        datagrams: HashMap::new(),
         rng,
     };
     cluster.schedule_next(Time::START, load.requests_per_s, Event::Request);
@@ -119,7 +133,14 @@
         cluster.apply(event, now);
     }
     cluster.received.sort_unstable();
-    cluster.received
+    let length_s = end.0.as_secs_f64();
+    let busiest = cluster.datagrams.values().max().copied().unwrap_or_default();
+    let all: u32 = cluster.datagrams.values().sum();
+    Played {
+        received: cluster.received,
+        busiest_datagrams_per_s: f64::from(busiest) / length_s,
+        mean_datagrams_per_s: f64::from(all) / length_s / load.gateways as f64,
+    }
 }
 
 impl Cluster<'_> {
@@ -214,6 +235,7 @@
         now: Time,
     ) -> Option<Permit> {
         let node = request.from;
+        self.count_datagram(node, granter);
         if !self.running.contains(&granter) || self.is_lost() {
             return None;
         }
@@ -221,6 +243,7 @@
         let statements = &mut self.gateways.get_mut(&granter).unwrap().statements;
         statements.record_report(&self.server, statement);
         let permit = self.take(granter, Some(request), role, now);
+        self.count_datagram(granter, node);
         if self.is_lost() {
             return None;
         }
@@ -273,6 +296,7 @@
         };
         let limit_milli = statement.limit.map(|it| (it.0 * 1_000.0) as u64);
         for receiver in receivers.into_iter().filter(|it| *it != node) {
+            self.count_datagram(node, receiver);
             if self.is_lost() {
                 continue;
             }
@@ -295,6 +319,11 @@
         self.schedule_next(now, self.load.restarts_per_s, Event::Restart);
     }
 
+    fn count_datagram(&mut self, from: NodeId, to: NodeId) {
+        *self.datagrams.entry(from).or_default() += 1;
+        *self.datagrams.entry(to).or_default() += 1;
+    }
+
     fn is_lost(&mut self) -> bool {
         self.rng.random_bool(self.load.loss)
     }
