Test that limits reach gateways and granters, and when a substitute takes over

Removing mechanisms one by one in a copy, these passed all tests: the message of a new limit, later statements to the granter, a substitute that takes the place of a lost granter, and granters in another zone.

--- a/crates/gateway/src/server_limits/tests.rs
+++ b/crates/gateway/src/server_limits/tests.rs
@@ -1,8 +1,12 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use citrongw_coordination::clock;
+use citrongw_fakes::kv::mem;
+use citrongw_protocol::store::Store;
 use citrongw_state::{server_limit::statements::STATEMENT_EXPIRY, unit::RequestsPerSecond};
 
+use tokio::task::JoinHandle;
+
 use super::*;
 use crate::{
     peers::{self, ListedGateway},
@@ -10,6 +14,7 @@
 };
 
 const SELF: NodeId = NodeId(1);
+const OTHER: NodeId = NodeId(2);
 const LIMIT: RequestsPerSecond = RequestsPerSecond(4.0);
 
 fn backend() -> Backend {
@@ -113,3 +118,111 @@
     limits.apply_report(&backend().server(), reported);
     assert!((39..=40).contains(&granted(&limits, 1_000).await));
 }
+
+/// Server that this gateway is the first substitute for, after a silent granter.
+fn server_of_other(limits: &ServerLimits) -> Backend {
+    let cluster = limits.peers.cluster();
+    let mut servers = (0..).map(|it| testing::backend(&format!("h{it}")));
+    let is_of_other =
+        |it: &Backend| choose_granters(&it.server(), &it.zone, &cluster).granter() == Some(OTHER);
+    servers.find(is_of_other).unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn substitute_grants_the_whole_limit_once_the_granter_is_lost() {
+    let limits = open_listed(&[SELF, OTHER]);
+    let server = server_of_other(&limits);
+    limits.record_response(&server, StatedLimit::Rate(LIMIT), limits.clock.now());
+    let granted = async || {
+        let mut granted = 0;
+        for _ in 0..400 {
+            sleep(Duration::from_millis(10)).await;
+            granted += usize::from(limits.acquire(&server).await == Permit::Granted);
+        }
+        granted
+    };
+    // It still hears of the granter, which does not reply.
+    let hearing = async {
+        loop {
+            lock(&limits.silent).record_message(OTHER, limits.clock.now());
+            lock(&limits.silent).record_timeout(OTHER, limits.clock.now());
+            lock(&limits.silent).record_timeout(OTHER, limits.clock.now());
+            sleep(Duration::from_millis(500)).await;
+        }
+    };
+    let as_substitute = tokio::select! {
+        granted = granted() => granted,
+        () = hearing => unreachable!(),
+    };
+    assert!((3..=4).contains(&as_substitute), "{as_substitute} in four seconds");
+    sleep(Duration::from_secs(5)).await;
+    let in_place = granted().await;
+    assert!((15..=20).contains(&in_place), "{in_place} in four seconds");
+}
+
+#[tokio::test(start_paused = true)]
+async fn server_in_a_zone_without_gateways_has_a_granter_in_another() {
+    let limits = open_listed(&[SELF, OTHER]);
+    let server = Backend { zone: "b".into(), ..backend() };
+    let granters = choose_granters(&server.server(), &server.zone, &limits.peers.cluster());
+    assert_eq!(granters.in_order().count(), 2);
+}
+
+/// Two gateways that reach each other, and a server that the second one grants for.
+async fn open_connected() -> ([Arc<ServerLimits>; 2], Backend, Vec<JoinHandle<()>>) {
+    let store: Arc<dyn Store> = Arc::new(mem::open());
+    let clock = clock::open();
+    let gateways = [SELF, OTHER].map(|node| {
+        let peers = Arc::new(peers::open(node, "a".into(), clock));
+        Arc::new(open(&peers, clock))
+    });
+    let (mut nodes, mut tasks) = (BTreeMap::new(), Vec::new());
+    for limits in &gateways {
+        let receiver = Arc::clone(limits);
+        let on_message = move |from, message| match message {
+            PeerMessage::ServerLimit { server, statement } => {
+                receiver.apply_report(&server, statement);
+            }
+            PeerMessage::PermitRequest(request) => receiver.apply_request(from, request),
+            PeerMessage::PermitReply(reply) => receiver.apply_reply(&reply),
+            _ => {}
+        };
+        let (addr, task) = peers::tests::spawn_receiver(&limits.peers, &store, on_message).await;
+        nodes.insert(limits.peers.node(), ListedGateway { addr, zone: "a".into() });
+        tasks.push(task);
+    }
+    for limits in &gateways {
+        limits.peers.set_cluster(ClusterView { nodes: nodes.clone(), ..ClusterView::default() });
+    }
+    let cluster = gateways[0].peers.cluster();
+    let is_granted_by_other =
+        |it: &Backend| choose_granters(&it.server(), &it.zone, &cluster).granter() == Some(OTHER);
+    let mut servers = (0..).map(|it| testing::backend(&format!("h{it}")));
+    let server = servers.find(is_granted_by_other).unwrap();
+    (gateways, server, tasks)
+}
+
+fn stated_at(limits: &ServerLimits, server: &Backend) -> Option<Time> {
+    lock(&limits.statements).newest(&server.server()).map(|it| it.stated_at)
+}
+
+#[tokio::test]
+async fn limit_reaches_the_other_gateways_and_later_statements_their_granter() {
+    let ([first, granter], server, tasks) = open_connected().await;
+    let state = || {
+        let now = first.clock.now();
+        first.record_response(&server, StatedLimit::Rate(LIMIT), now);
+    };
+    state();
+    while !granter.is_limited(&server) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    let before = stated_at(&granter, &server);
+    while stated_at(&granter, &server) == before {
+        sleep(Duration::from_millis(100)).await;
+        state();
+    }
+    let permit = first.acquire(&server).await;
+    assert!(matches!(permit, Permit::Denied { .. }), "the bucket of the granter is empty");
+    tasks.iter().for_each(JoinHandle::abort);
+}
