Notice the end of large responses whose length is known

The log called a complete response of over 64 KB "caller left", and its success was not recorded, so that a later crash blamed its prompt.

Cause: the end was taken from the poll after the last bytes, which the HTTP server does not make once the declared length is sent. It is taken from the body itself.

--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -193,27 +193,44 @@
     on_end: impl FnOnce(Result<(), Cause>) + Send + 'static,
 ) -> impl stream::Stream<Item = io::Result<Bytes>> + Send + 'static {
     stream::unfold(Some((Some(buffered), rest, on_end)), move |state| async move {
-        let (mut buffered, mut rest, on_end) = state?;
-        if let Some(buffered) = buffered.take() {
-            return Some((Ok(buffered), Some((None, rest, on_end))));
+        let (buffered, mut rest, on_end) = state?;
+        let data = match buffered {
+            Some(buffered) => Ok(Some(buffered)),
+            None => next_data(&mut rest.body, deadline).await,
+        };
+        match data {
+            // The server polls no further once a response of known length is sent.
+            Ok(Some(data)) if rest.body.is_end_stream() => {
+                on_end(Ok(()));
+                Some((Ok(data), None))
+            }
+            Ok(Some(data)) => Some((Ok(data), Some((None, rest, on_end)))),
+            Ok(None) => {
+                on_end(Ok(()));
+                None
+            }
+            Err(cause) => {
+                on_end(Err(cause));
+                Some((Err(io::Error::other(cause.to_string())), None))
+            }
         }
-        let cause = loop {
-            match timeout_at(deadline, rest.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    return Some((Ok(data), Some((None, rest, on_end))));
-                }
-                Ok(None) => {
-                    on_end(Ok(()));
-                    return None;
+    })
+}
+
+/// Reads the next data of a body; none at its end.
+async fn next_data(body: &mut PooledBody, deadline: Instant) -> Result<Option<Bytes>, Cause> {
+    loop {
+        match timeout_at(deadline, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
                 }
-                Ok(Some(Err(_))) => break Cause::Interrupted,
-                Err(_) => break Cause::DeadlinePassed,
             }
-        };
-        on_end(Err(cause));
-        Some((Err(io::Error::other(cause.to_string())), None))
-    })
+            Ok(Some(Err(_))) => return Err(Cause::Interrupted),
+            Ok(None) => return Ok(None),
+            Err(_) => return Err(Cause::DeadlinePassed),
+        }
+    }
 }
 
 /// Builds the response for the caller.
