Log who reported the death that begins a quarantine, and who lists a culprit

The logs could not tell a gateway that found a culprit by its own request from one that learned of it from others, nor whether any gateway listed the culprit for those that start later.

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -27,7 +27,7 @@
     },
     id::{Fingerprint, ServerIncarnation},
 };
-use derive_more::Debug;
+use derive_more::{Debug, Display};
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -55,6 +55,17 @@
 /// Number of signatures of a request that are sent: as many as a datagram holds
 /// beside its other fields.
 const MAX_SIGNATURES: usize = 32;
+/// Who reported the death of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum DeathSource {
+    /// This gateway, whose request was in flight.
+    #[display("own request")]
+    OwnRequest,
+    /// Another gateway.
+    #[display("gateway")]
+    Gateway,
+}
+
 /// Interval between removals of expired suspicions.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -157,7 +168,7 @@
         death: &ServerIncarnation,
         signatures: &[Fingerprint],
     ) {
-        self.add_death(death, signatures);
+        self.add_death(death, signatures, DeathSource::Gateway);
         self.record_death(death);
     }
 
@@ -181,12 +192,17 @@
     }
 
     /// Records a death. Returns the culprit if this makes it known.
-    fn add_death(&self, death: &ServerIncarnation, signatures: &[Fingerprint]) -> Option<Culprit> {
+    fn add_death(
+        &self,
+        death: &ServerIncarnation,
+        signatures: &[Fingerprint],
+        source: DeathSource,
+    ) -> Option<Culprit> {
         let now = self.clock.now();
         let has_succeeded = |it| self.has_succeeded(it);
         let culprit = self.change(|it| it.add_death(death, signatures, has_succeeded, now));
         if let Some(culprit) = &culprit {
-            tracing::warn!(%culprit, %death, "quarantine of requests that crash servers began");
+            tracing::warn!(%culprit, %death, %source, "quarantine of requests that crash servers began");
         }
         culprit
     }
@@ -283,7 +299,7 @@
             signatures.retain(|it| !self.has_succeeded(*it));
             // All gateways have to see the same ones, or their culprits differ.
             signatures.truncate(MAX_SIGNATURES);
-            let culprit = self.add_death(&death, &signatures);
+            let culprit = self.add_death(&death, &signatures, DeathSource::OwnRequest);
             let message = PeerMessage::Crash { death: death.clone(), signatures };
             self.peers.broadcast(&message).await;
             if let Some(culprit) = culprit {
--- a/crates/gateway/src/crash_watch/listed_culprits.rs
+++ b/crates/gateway/src/crash_watch/listed_culprits.rs
@@ -40,6 +40,7 @@
         while is_culprit() {
             match self.write(culprit).await {
                 Ok(Some(lease)) => {
+                    tracing::info!(%culprit, %lease, "culprit is listed");
                     lock(&self.leases).insert(culprit.clone(), lease);
                     return self.retain(|it| it != culprit || is_culprit()).await;
                 }
