List the culprits of crashes that no other gateway has listed

Callers of a service whose servers a repeated request crashes saw it go down again after a restart or a return of the key-value service.

Cause: only the gateway that published the third death of a culprit wrote it to the key-value service, once. A gateway that learned of the third death from another listed nothing, although the publisher may have ended or may lack an earlier death, and nobody wrote an entry again that was lost. Every gateway now checks at random intervals whether what it knows is listed, and writes what is not, until the quarantine ends. This also replaces the retries of the first write.

culprit_that_other_gateways_found_is_listed_if_none_of_them_does and culprit_is_listed_again_after_its_entry_was_lost_and_no_longer_than_it_is_known failed before (0 entries, 1 expected).

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -66,8 +66,11 @@
     Gateway,
 }
 
-/// Interval between removals of expired suspicions.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Shortest interval between checks of whether the culprits are listed: a change of the
+/// list has reached all gateways by then.
+const MIN_LISTING_INTERVAL: Duration = Duration::from_secs(2);
+/// Largest random time added to the interval, so that one gateway writes first.
+const LISTING_JITTER: Duration = Duration::from_secs(4);
 
 /// Requests whose exchanges were interrupted, and what is suspected of having crashed
 /// their servers.
@@ -100,12 +103,13 @@
     }
 }
 
-/// Drops expired suspicions; never returns.
-pub(crate) async fn expire(watch: Arc<CrashWatch>) {
+/// Drops expired suspicions and keeps the culprits listed; never returns.
+pub(crate) async fn maintain(watch: Arc<CrashWatch>) {
     loop {
-        sleep(EXPIRY_INTERVAL).await;
+        sleep(MIN_LISTING_INTERVAL + LISTING_JITTER.mul_f64(rand::random())).await;
         watch.change(|it| it.expire(watch.clock.now()));
         lock(&watch.evidence).expire(watch.clock.now());
+        watch.list_missing_culprits().await;
     }
 }
 
@@ -305,12 +309,30 @@
             if let Some(culprit) = culprit {
                 let watch = Arc::clone(&self);
                 tokio::spawn(async move {
-                    watch.listed.add(&culprit, || watch.is_culprit(&culprit)).await;
+                    watch.listed.add(&culprit, || watch.quarantine_left(&culprit)).await;
                 });
             }
         }
     }
 
+    /// Lists the culprits that no gateway has listed: the one that found them may have
+    /// ended or not know all deaths, or the key-value service may have lost the entry.
+    async fn list_missing_culprits(self: &Arc<Self>) {
+        let known: Vec<Culprit> = lock(&self.suspicions).culprits().cloned().collect();
+        if known.is_empty() {
+            return;
+        }
+        let cluster = self.peers.cluster();
+        for culprit in known.iter().filter(|it| !cluster.culprits.contains(*it)) {
+            self.listed.add(culprit, || self.quarantine_left(culprit)).await;
+        }
+    }
+
+    /// Time until the quarantine of a culprit ends; none if it has ended.
+    fn quarantine_left(&self, culprit: &Culprit) -> Option<Duration> {
+        lock(&self.suspicions).quarantine_left(culprit, self.clock.now())
+    }
+
     fn is_culprit(&self, culprit: &Culprit) -> bool {
         lock(&self.suspicions).culprits().any(|it| it == culprit)
     }
--- a/crates/gateway/src/crash_watch/listed_culprits.rs
+++ b/crates/gateway/src/crash_watch/listed_culprits.rs
@@ -9,16 +9,13 @@
 
 use bytes::Bytes;
 use citrongw_protocol::store::{Change, Expected, LeaseId, Store, StoreResult, Write, WriteResult};
-use citrongw_state::crash_suspicion::shared_parts::{Culprit, QUARANTINE_TIME};
+use citrongw_state::crash_suspicion::shared_parts::Culprit;
 use derive_more::Debug;
-use tokio::time::sleep;
 
-use crate::{backoff, lock::lock, peers::CULPRIT_PREFIX};
+use crate::{lock::lock, peers::CULPRIT_PREFIX};
 
-/// First delay before a culprit is written again.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Longest delay before a culprit is written again.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Shortest time to live of an entry, which the key-value service accepts.
+const MIN_LEASE_TIME: Duration = Duration::from_secs(1);
 
 /// Entries that this gateway wrote.
 #[derive(Debug)]
@@ -34,23 +31,25 @@
 }
 
 impl ListedCulprits {
-    /// Writes an entry, with retries while `is_culprit`.
-    pub(super) async fn add(&self, culprit: &Culprit, is_culprit: impl Fn() -> bool) {
-        let mut backoff = backoff::open(RETRY_DELAY, MAX_RETRY_DELAY);
-        while is_culprit() {
-            match self.write(culprit).await {
-                Ok(Some(lease)) => {
-                    tracing::info!(%culprit, %lease, "culprit is listed");
-                    lock(&self.leases).insert(culprit.clone(), lease);
-                    return self.retain(|it| it != culprit || is_culprit()).await;
-                }
-                // Another gateway wrote it.
-                Ok(None) => return,
-                Err(error) => {
-                    tracing::warn!(%error, %culprit, dependency = "store", "could not write a culprit");
-                }
+    /// Writes an entry that ends with the quarantine. `quarantine_left` returns no time
+    /// once the culprit is cleared.
+    pub(super) async fn add(
+        &self,
+        culprit: &Culprit,
+        quarantine_left: impl Fn() -> Option<Duration>,
+    ) {
+        let Some(left) = quarantine_left() else { return };
+        match self.write(culprit, left).await {
+            Ok(Some(lease)) => {
+                tracing::info!(%culprit, %lease, "culprit is listed");
+                lock(&self.leases).insert(culprit.clone(), lease);
+                self.retain(|it| it != culprit || quarantine_left().is_some()).await;
+            }
+            // Another gateway wrote it.
+            Ok(None) => {}
+            Err(error) => {
+                tracing::warn!(%error, %culprit, dependency = "store", "could not write a culprit");
             }
-            sleep(backoff.next_delay()).await;
         }
     }
 
@@ -71,8 +70,8 @@
     }
 
     /// Returns the lease of the new entry, or none if there was one already.
-    async fn write(&self, culprit: &Culprit) -> StoreResult<Option<LeaseId>> {
-        let lease = self.store.grant_lease(QUARANTINE_TIME).await?;
+    async fn write(&self, culprit: &Culprit, left: Duration) -> StoreResult<Option<LeaseId>> {
+        let lease = self.store.grant_lease(left.max(MIN_LEASE_TIME)).await?;
         let write = Write {
             key: format!("{CULPRIT_PREFIX}{}", culprit.digest()).into(),
             expected: Expected::Absent,
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -2,9 +2,9 @@
 
 use citrongw_coordination::clock;
 use citrongw_fakes::kv::mem::{self, MemStore};
-use citrongw_protocol::store::{Key, Store};
+use citrongw_protocol::store::{Change, Expected, Key, Store, Write};
 use citrongw_state::{
-    crash_suspicion::shared_parts::DEATHS_TO_QUARANTINE,
+    crash_suspicion::shared_parts::{DEATHS_TO_QUARANTINE, QUARANTINE_TIME},
     id::{Incarnation, NodeId, ServerIncarnation},
 };
 use futures::{FutureExt, future::BoxFuture};
@@ -157,6 +157,41 @@
     assert_eq!(listed(&store), 0);
 }
 
+#[tokio::test(start_paused = true)]
+async fn culprit_that_other_gateways_found_is_listed_if_none_of_them_does() {
+    let store = mem::open();
+    let watch = open_watch(1, &store, report(1));
+    let task = tokio::spawn(maintain(Arc::clone(&watch)));
+    quarantine(&watch, &[BAD]);
+    sleep(QUARANTINE_TIME / 10).await;
+    assert_eq!(listed(&store), 1);
+    task.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn culprit_is_listed_again_after_its_entry_was_lost_and_no_longer_than_it_is_known() {
+    let store = mem::open();
+    let watch = open_watch(1, &store, report(1));
+    let task = tokio::spawn(maintain(Arc::clone(&watch)));
+    quarantine(&watch, &[BAD]);
+    sleep(QUARANTINE_TIME / 2).await;
+    store.inspect(|core| {
+        core.list(&Key::from(CULPRIT_PREFIX)).entries.into_iter().for_each(|it| {
+            core.compare_and_swap(Write {
+                expected: Expected::Revision(it.revision),
+                key: it.key,
+                change: Change::Delete,
+                lease: None,
+            });
+        })
+    });
+    sleep(QUARANTINE_TIME / 4).await;
+    assert_eq!(listed(&store), 1);
+    sleep(QUARANTINE_TIME / 2).await;
+    assert_eq!(listed(&store), 0);
+    task.abort();
+}
+
 #[tokio::test]
 async fn death_and_success_reach_the_other_gateways() {
     let store = mem::open();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -162,7 +162,7 @@
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
     tasks.extend(peers::spawn(&gateway.peers, store, addr, on_message));
-    tasks.push(tokio::spawn(crash_watch::expire(Arc::clone(&gateway.crashes))));
+    tasks.push(tokio::spawn(crash_watch::maintain(Arc::clone(&gateway.crashes))));
     tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
     tasks.push(metered_store::spawn_report(store_calls));
     tasks.push(control::campaign::spawn(&gateway));
--- a/crates/state/src/crash_suspicion/shared_parts.rs
+++ b/crates/state/src/crash_suspicion/shared_parts.rs
@@ -171,6 +171,12 @@
         self.culprits.keys()
     }
 
+    /// Time until the quarantine of a culprit ends; none if it is no culprit.
+    pub fn quarantine_left(&self, culprit: &Culprit, now: Time) -> Option<Duration> {
+        let since = self.culprits.get(culprit)?;
+        QUARANTINE_TIME.checked_sub(now.since(*since)).filter(|it| !it.is_zero())
+    }
+
     /// Whether any signature is suspected.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty() && self.culprits.is_empty()
