Recognise repeats of a large body that crashes servers

Callers of a service saw all its servers go down, one after the other, under one repeated call whose body is over the limit of the buffer.

Cause: only a buffered body had a hash, so the call had no signature and its deaths were counted against nothing. The start of a streamed body is hashed before it is sent, with the declared length.

--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -2,6 +2,7 @@
 //! again. A larger one is streamed as it arrives, so that the memory of a request
 //! is bounded.
 
+use blake3::{Hash, Hasher};
 use bytes::{Bytes, BytesMut};
 use citrongw_protocol::code::ResultCode;
 use citrongw_transport::http_client::{BodyProgress, RequestBody, StreamedBody};
@@ -18,7 +19,12 @@
     /// The whole body is buffered.
     Buffered(Bytes),
     /// The body is streamed as it arrives and can be sent only once.
-    Streamed(StreamedBody),
+    Streamed {
+        /// The body.
+        body: StreamedBody,
+        /// Hash of its start and its declared length.
+        start_hash: Hash,
+    },
 }
 
 /// Reads a body to its end, or up to the limit of the buffer.
@@ -40,8 +46,16 @@
             return Err(ResultCode::TooLarge);
         }
     }
+    // How much is buffered beyond the limit depends on how the body arrived.
+    let start_hash = hash_start(&buffered[..MAX_BUFFERED_BYTES], declared_length);
     let rest = Limited::new(body, max_bytes - buffered.len());
-    Ok(CallBody::Streamed(StreamedBody::new(buffered.freeze(), rest)))
+    Ok(CallBody::Streamed { body: StreamedBody::new(buffered.freeze(), rest), start_hash })
+}
+
+fn hash_start(start: &[u8], declared_length: u64) -> Hash {
+    let mut hasher = Hasher::new();
+    hasher.update(&declared_length.to_le_bytes()).update(start);
+    hasher.finalize()
 }
 
 impl CallBody {
@@ -49,7 +63,16 @@
     pub(super) fn to_request_body(&self) -> RequestBody {
         match self {
             Self::Buffered(body) => Full::new(body.clone()).into(),
-            Self::Streamed(body) => RequestBody::Streamed(body.clone()),
+            Self::Streamed { body, .. } => RequestBody::Streamed(body.clone()),
+        }
+    }
+
+    /// Hash by which a repeat of the body is recognised. That of a streamed body covers
+    /// its start and its declared length.
+    pub(super) fn hash(&self) -> Hash {
+        match self {
+            Self::Buffered(body) => blake3::hash(body),
+            Self::Streamed { start_hash, .. } => *start_hash,
         }
     }
 
@@ -63,7 +86,7 @@
     pub(super) fn can_be_sent(&self) -> bool {
         match self {
             Self::Buffered(_) => true,
-            Self::Streamed(body) => body.progress() == BodyProgress::NotStarted,
+            Self::Streamed { body, .. } => body.progress() == BodyProgress::NotStarted,
         }
     }
 
@@ -71,7 +94,7 @@
     pub(super) fn is_too_large(&self) -> bool {
         match self {
             Self::Buffered(_) => false,
-            Self::Streamed(body) => body.progress() == BodyProgress::TooLarge,
+            Self::Streamed { body, .. } => body.progress() == BodyProgress::TooLarge,
         }
     }
 }
--- a/crates/gateway/src/relay/signatures.rs
+++ b/crates/gateway/src/relay/signatures.rs
@@ -6,7 +6,7 @@
 
 use citrongw_state::id::{Fingerprint, OrganisationId, PlainServiceId};
 
-use super::{body::CallBody, call::Call};
+use super::call::Call;
 
 /// Digests of one request.
 #[derive(Debug, Clone, Default)]
@@ -35,20 +35,17 @@
 /// All digests of a request. That of its content is computed once it is needed.
 pub(super) fn all_of(call: &Call) -> Vec<Fingerprint> {
     let mut all = call.signatures.shared_parts.clone();
-    if let CallBody::Buffered(body) = &call.body {
-        let content = call.signatures.content.get_or_init(|| {
-            let organisation = call.holder.as_ref().map(|it| &it.organisation);
-            let body = blake3::hash(body).to_hex();
-            digest(&[
-                call.service.as_str(),
-                call.method.as_str(),
-                call.uri.path_and_query().map_or("/", |it| it.as_str()),
-                organisation.map_or("", OrganisationId::as_str),
-                &body,
-            ])
-        });
-        all.push(*content);
-    }
+    let content = call.signatures.content.get_or_init(|| {
+        let organisation = call.holder.as_ref().map(|it| &it.organisation);
+        digest(&[
+            call.service.as_str(),
+            call.method.as_str(),
+            call.uri.path_and_query().map_or("/", |it| it.as_str()),
+            organisation.map_or("", OrganisationId::as_str),
+            &call.body.hash().to_hex(),
+        ])
+    });
+    all.push(*content);
     all
 }
 
