Order configurations by their version, and revisions by the era of the store

Callers got 404 on routes that had been added and confirmed after the key-value service came back from an older copy.

Cause: a configuration was applied only if its revision was higher than the active one's. The counter of the service goes back with the copy, so newer versions were ignored, without a log line, until it had passed the old one; digests of the list reader and watches relied on it in the same way. Pages and watches of two eras are not joined. Of configurations the operators' version decides first, so that an older one in the copy is not applied.

--- a/crates/bench/src/control_world/store.rs
+++ b/crates/bench/src/control_world/store.rs
@@ -49,7 +49,7 @@
             return None;
         }
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::new(self.revision);
         self.records.insert(write.domain.clone(), (Arc::clone(&write.record), revision));
         Some(revision)
     }
--- a/crates/bench/src/formation/scale.rs
+++ b/crates/bench/src/formation/scale.rs
@@ -120,7 +120,7 @@
             record.loads.push(load);
         }
         let domain: FabricDomainId = of_domain[0].domain.clone();
-        records.insert(domain, (Arc::new(record), Revision(number as u64 + 1)));
+        records.insert(domain, (Arc::new(record), Revision::new(number as u64 + 1)));
     }
     Fleet { config, records, listed }
 }
--- a/crates/citrongw/src/caller/directory/tests.rs
+++ b/crates/citrongw/src/caller/directory/tests.rs
@@ -15,7 +15,7 @@
         "profiles": [{ "id": "p", "model": "m", "limit_in_flight": limit }],
     }))
     .unwrap();
-    VersionedConfig { revision: Revision(revision), config }
+    VersionedConfig { revision: Revision::new(revision), config }
 }
 
 #[test]
--- a/crates/citrongw/src/metrics.rs
+++ b/crates/citrongw/src/metrics.rs
@@ -200,7 +200,7 @@
         }
         let status = crate::admin::status(shared);
         self.nodes.set(i64::from(status.nodes));
-        let revision = status.config_revision.map_or(0, |it| it.0);
+        let revision = status.config_revision.map_or(0, |it| it.number);
         self.config_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
         self.ready.set(i64::from(status.ready));
         let config = shared.config.load_full();
--- a/crates/coordination/src/claims/shard/tests.rs
+++ b/crates/coordination/src/claims/shard/tests.rs
@@ -50,12 +50,12 @@
 
 fn entry_of(revision: u64, table: &ClaimTable) -> Option<Entry> {
     let (key, value) = (ShardId(0).key(), claim::encode(table).unwrap());
-    Some(Entry { key, value, revision: Revision(revision) })
+    Some(Entry { key, value, revision: Revision::new(revision) })
 }
 
 fn read_done(revision: u64, entry: Option<Entry>) -> Event {
     let entries = entry.into_iter().collect();
-    Event::ReadDone(Ok(Snapshot { revision: Revision(revision), entries }))
+    Event::ReadDone(Ok(Snapshot { revision: Revision::new(revision), entries }))
 }
 
 fn written(actions: &[Action]) -> (Expected, ClaimTable) {
@@ -65,7 +65,7 @@
 }
 
 fn committed(revision: u64) -> Event {
-    Event::WriteDone(Ok(WriteResult::Committed(Revision(revision))))
+    Event::WriteDone(Ok(WriteResult::Committed(Revision::new(revision))))
 }
 
 /// A shard whose write of a claim of key 1 by attempt 1 got no response.
@@ -92,7 +92,7 @@
     let won = |attempt| Action::ReportVerdict(AttemptId(attempt), Verdict::Won);
     assert_eq!(actions[..2], [won(1), won(2)]);
     let (expected, table) = written(&actions[2..]);
-    assert_eq!((expected, table.len()), (Expected::Revision(Revision(5)), 3));
+    assert_eq!((expected, table.len()), (Expected::Revision(Revision::new(5)), 3));
 }
 
 #[test]
--- a/crates/coordination/src/config/document/tests.rs
+++ b/crates/coordination/src/config/document/tests.rs
@@ -20,9 +20,9 @@
         change: ChangeId(revision.into()),
         operator: "maria".into(),
         at_unix_ms: 0,
-        from: from.map(Revision),
+        from: from.map(Revision::new),
         replaces_lost: None,
-        revision: Some(Revision(revision)),
+        revision: Some(Revision::new(revision)),
     };
     let mut before = None;
     let mut history = Vec::new();
@@ -30,10 +30,12 @@
         history.push(record(before, *it));
         before = Some(*it);
     }
-    let made =
-        ChangeRecord { replaces_lost: replaces_lost.map(Revision), ..record(before, revision) };
+    let made = ChangeRecord {
+        replaces_lost: replaces_lost.map(Revision::new),
+        ..record(before, revision)
+    };
     let config = config(u32::try_from(revision).unwrap());
-    StoredConfig { revision: Revision(revision), made: Some(made), config, history }
+    StoredConfig { revision: Revision::new(revision), made: Some(made), config, history }
 }
 
 #[test]
--- a/crates/coordination/src/config/held_config.rs
+++ b/crates/coordination/src/config/held_config.rs
@@ -279,11 +279,11 @@
         }
         for (zone, record) in &self.records {
             hasher.update(zone.as_str().as_bytes());
-            hasher.update(&record.revision.0.to_le_bytes());
+            hasher.update(&record.revision.number.to_le_bytes());
         }
         let mut digest = [0; 8];
         hasher.finalize_xof().fill(&mut digest);
-        let config = self.document.as_ref().map_or(Revision(0), |it| it.version.revision);
+        let config = self.document.as_ref().map_or(Revision::new(0), |it| it.version.revision);
         self.token = ConfigToken { config, digest: u64::from_le_bytes(digest) };
         self.majority_at = None;
         if self.token.config != before {
--- a/crates/coordination/src/config/holders/tests.rs
+++ b/crates/coordination/src/config/holders/tests.rs
@@ -9,7 +9,7 @@
     let ids = |ids: &[u64]| ids.iter().copied().map(NodeId).collect();
     VersionedNodeRecord {
         zone: zone.into(),
-        revision: Revision(1),
+        revision: Revision::new(1),
         record: NodeRecord {
             attempt: AttemptId(0),
             members: ids(members),
--- a/crates/coordination/src/control/summary/tests.rs
+++ b/crates/coordination/src/control/summary/tests.rs
@@ -82,7 +82,7 @@
         ),
     ];
     for (record, phase, cause, stranded) in cases {
-        let records: Records = [("a".into(), (Arc::new(record), Revision(1)))].into();
+        let records: Records = [("a".into(), (Arc::new(record), Revision::new(1)))].into();
         let view = ControlView::default();
         update_summary(&view, &records, &[listed()], Time::from_millis(1_000));
         update_summary(&view, &records, &[listed()], Time::from_millis(11_000));
--- a/crates/coordination/src/membership/driver.rs
+++ b/crates/coordination/src/membership/driver.rs
@@ -16,10 +16,7 @@
     record::CONFIG_KEY,
     store::{Change, Expected, Store, StoreResult, Write, WriteResult},
 };
-use citrongw_state::{
-    id::{NodeId, Revision},
-    time::Time,
-};
+use citrongw_state::{id::NodeId, time::Time};
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{sync::broadcast::error::RecvError, task::JoinHandle, time::MissedTickBehavior};
 
@@ -214,7 +211,7 @@
 async fn watch_config(shared: Arc<Shared>) {
     let store = Arc::clone(&shared.deps.store);
     let is_reader = || shared.lock().is_store_reader();
-    let from = || Revision(shared.lock().held_config().token().config.0 + 1);
+    let from = || shared.lock().held_config().token().config.next();
     watch::run(store, is_reader, from, || shared.deps.gate.request_refresh()).await;
 }
 
--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -120,7 +120,7 @@
             GossipItem::Cleared(it) => (Key::Cleared(it.fingerprint), Rank::Urgent, 0),
             GossipItem::StopNode(node) => (Key::Stop(*node), Rank::Urgent, 0),
             GossipItem::DomainChanged(it) => {
-                (Key::Domain(it.domain.clone()), Rank::Records, it.revision.0)
+                (Key::Domain(it.domain.clone()), Rank::Records, it.revision.number)
             }
             // Demand is aggregated and sent as sums, see `demand`.
             GossipItem::Demand(_) => return false,
--- a/crates/coordination/src/record_watch.rs
+++ b/crates/coordination/src/record_watch.rs
@@ -191,7 +191,7 @@
 async fn watch_once(watch: &RecordWatch) -> StoreResult<()> {
     let (revision, _) = read_all(watch).await?;
     watch.cell.counters.watches.fetch_add(1, Ordering::Relaxed);
-    let from = Revision(revision.0 + 1);
+    let from = revision.next();
     let mut events = watch.store.watch(DOMAIN_PREFIX.into(), from).await?;
     while is_watcher(&watch.nodes) {
         let Ok(Some(event)) = tokio::time::timeout(WATCH_SILENCE, events.next()).await else {
--- a/crates/coordination/src/store_guard/tests.rs
+++ b/crates/coordination/src/store_guard/tests.rs
@@ -55,9 +55,9 @@
     let (_, guard, _) = guarded();
     let mut watches = Vec::new();
     for _ in 0..MAX_WATCHES {
-        watches.push(guard.watch("key".into(), Revision(0)).await.ok());
+        watches.push(guard.watch("key".into(), Revision::new(0)).await.ok());
     }
-    assert!(guard.watch("key".into(), Revision(0)).await.is_err());
+    assert!(guard.watch("key".into(), Revision::new(0)).await.is_err());
     assert_eq!(guard.counters().snapshot().open_watches, MAX_WATCHES);
     watches.clear();
     assert_eq!(guard.counters().snapshot().open_watches, 0);
--- a/crates/coordination/tests/claim_histories/node.rs
+++ b/crates/coordination/tests/claim_histories/node.rs
@@ -304,14 +304,14 @@
     fn write(&mut self, world: &mut World, mut write: Write) {
         self.base = match write.expected {
             citrongw_protocol::store::Expected::Revision(revision) => Some(revision),
-            citrongw_protocol::store::Expected::Absent => Some(Revision(0)),
+            citrongw_protocol::store::Expected::Absent => Some(Revision::new(0)),
         };
         match world.policy {
             Policy::DropOpenClaims => self.drop_open_claims(world.now, &mut write),
             Policy::ClaimByRead => {
-                let reply = StoreReply::Write(Ok(WriteResult::Committed(Revision(
-                    self.base.map_or(1, |it| it.0 + 1),
-                ))));
+                let reply = StoreReply::Write(Ok(WriteResult::Committed(
+                    self.base.unwrap_or_default().next(),
+                )));
                 let event = NodeEvent::Store(self.origin(), reply);
                 world.schedule(Duration::ZERO, Delivery::Node(self.idx, event));
             }
@@ -332,7 +332,7 @@
             StoreReply::Write(Err(StoreError::NoResponse))
                 if world.policy == Policy::TrustLostReply =>
             {
-                let revision = Revision(self.base.map_or(1, |it| it.0 + 1));
+                let revision = self.base.unwrap_or_default().next();
                 StoreReply::Write(Ok(WriteResult::Committed(revision)))
             }
             reply => reply,
--- a/crates/fakes/src/kv/core.rs
+++ b/crates/fakes/src/kv/core.rs
@@ -6,11 +6,15 @@
 use citrongw_protocol::store::{
     Change, Entry, Expected, Key, LeaseId, Snapshot, WatchEvent, Write, WriteResult,
 };
-use citrongw_state::{id::Revision, time::Time};
+use citrongw_state::{
+    id::{Revision, StoreEra},
+    time::Time,
+};
 
 /// State of the key-value service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct KvCore {
+    era: StoreEra,
     revision: u64,
     entries: BTreeMap<Key, Stored>,
     log: Vec<WatchEvent>,
@@ -22,13 +26,13 @@
     pub writes: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Stored {
     entry: Entry,
     lease: Option<LeaseId>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
     expires_at: Time,
@@ -37,7 +41,23 @@
 impl KvCore {
     /// Revision of the last change.
     pub fn revision(&self) -> Revision {
-        Revision(self.revision)
+        Revision::of_era(self.era, self.revision)
+    }
+
+    /// Era of the service.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Comes back from a copy of an earlier state, in a new era. What was written since
+    /// is gone, leases too, and the counter goes back.
+    pub fn restore(&mut self, copy: KvCore) {
+        let era = StoreEra(self.era.0 + 1);
+        let (reads, writes) = (self.reads, self.writes);
+        *self = KvCore { era, reads, writes, log: Vec::new(), ..copy };
+        for stored in self.entries.values_mut() {
+            stored.entry.revision.era = era;
+        }
     }
 
     /// Reads one key.
@@ -64,7 +84,10 @@
         let found = self.entries.get(&write.key).map(|it| &it.entry);
         let as_expected = match write.expected {
             Expected::Absent => found.is_none(),
-            Expected::Revision(revision) => found.is_some_and(|it| it.revision == revision),
+            Expected::Revision(revision) => {
+                // Like the platform's service, this one does not know the era of a call.
+                found.is_some_and(|it| it.revision.number == revision.number)
+            }
         };
         if !as_expected {
             return WriteResult::Conflict(found.cloned());
@@ -80,13 +103,13 @@
     pub fn grant_lease(&mut self, ttl: Duration, now: Time) -> LeaseId {
         self.next_lease += 1;
         self.leases.insert(self.next_lease, Lease { ttl, expires_at: now + ttl });
-        LeaseId(self.next_lease)
+        LeaseId { era: self.era, id: self.next_lease }
     }
 
     /// Renews a lease. Returns false if it has expired.
     pub fn renew_lease(&mut self, id: LeaseId, now: Time) -> bool {
         self.expire_leases(now);
-        let Some(lease) = self.leases.get_mut(&id.0) else { return false };
+        let Some(lease) = self.leases.get_mut(&id.id) else { return false };
         lease.expires_at = now + lease.ttl;
         true
     }
@@ -96,13 +119,13 @@
         let expired: Vec<i64> =
             self.leases.iter().filter(|(_, it)| it.expires_at <= now).map(|(id, _)| *id).collect();
         for id in expired {
-            self.end_lease(LeaseId(id));
+            self.end_lease(LeaseId::new(id));
         }
     }
 
     /// Removes a lease with its keys.
     pub fn end_lease(&mut self, id: LeaseId) {
-        self.leases.remove(&id.0);
+        self.leases.remove(&id.id);
         let of_lease = |stored: &&Stored| stored.lease == Some(id);
         let keys: Vec<Key> =
             self.entries.values().filter(of_lease).map(|it| it.entry.key.clone()).collect();
--- a/crates/fakes/src/kv/mem.rs
+++ b/crates/fakes/src/kv/mem.rs
@@ -163,9 +163,13 @@
 
 impl Watch {
     /// Waits for the next events; a watch delivers no events while the service is down.
+    /// None ends the watch, also when the service has come back in another era.
     async fn next_batch(&mut self) -> Option<Vec<WatchEvent>> {
         loop {
             self.changed_rx.mark_unchanged();
+            if self.store.inspect(|core| core.era()) != self.from.era {
+                return None;
+            }
             if lock(&self.store.shared.behaviour).fault != Fault::Down {
                 let (events, seen) =
                     self.store.inspect(|core| core.events(&self.prefix, self.seen, self.from));
--- a/crates/fakes/src/kv/server.rs
+++ b/crates/fakes/src/kv/server.rs
@@ -73,7 +73,7 @@
 async fn txn(store: MemStore, body: Value) -> CallResult {
     let compare = &body["compare"][0];
     let expected = match compare["target"].as_str() {
-        Some("MOD") => Expected::Revision(Revision(read_number(&compare["mod_revision"]))),
+        Some("MOD") => Expected::Revision(Revision::new(read_number(&compare["mod_revision"]))),
         _ => Expected::Absent,
     };
     let put = &body["success"][0]["request_put"];
@@ -82,7 +82,7 @@
     } else {
         Change::Delete
     };
-    let lease = put["lease"].as_str().and_then(|id| id.parse().ok()).map(LeaseId);
+    let lease = put["lease"].as_str().and_then(|id| id.parse().ok()).map(LeaseId::new);
     let write = Write { key: read_key(&compare["key"]), expected, change, lease };
     let res = store.compare_and_swap(write).await?;
     let revision = store.inspect(|core| core.revision());
@@ -103,23 +103,23 @@
 async fn grant(store: MemStore, body: Value) -> CallResult {
     let ttl_s = read_number(&body["TTL"]);
     let lease = store.grant_lease(Duration::from_secs(ttl_s)).await?;
-    Ok(json!({ "ID": lease.0.to_string(), "TTL": ttl_s.to_string() }))
+    Ok(json!({ "ID": lease.id.to_string(), "TTL": ttl_s.to_string() }))
 }
 
 async fn keepalive(store: MemStore, body: Value) -> CallResult {
-    let lease = LeaseId(i64::try_from(read_number(&body["ID"])).unwrap_or_default());
+    let lease = LeaseId::new(i64::try_from(read_number(&body["ID"])).unwrap_or_default());
     let ttl = match store.renew_lease(lease).await {
         Ok(()) => "1",
         Err(StoreError::Refused { .. }) => "0",
         Err(error) => return Err(error),
     };
-    Ok(json!({ "result": { "ID": lease.0.to_string(), "TTL": ttl } }))
+    Ok(json!({ "result": { "ID": lease.id.to_string(), "TTL": ttl } }))
 }
 
 async fn watch(store: MemStore, mut req: Request) -> viz::Result<Response> {
     let body: Value = req.json().await?;
     let create = &body["create_request"];
-    let from = Revision(read_number(&create["start_revision"]));
+    let from = Revision::new(read_number(&create["start_revision"]));
     let events = match store.watch(read_key(&create["key"]), from).await {
         Ok(events) => events,
         Err(error) => return Ok(error_response(&error)),
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -223,7 +223,7 @@
             step::next_plan(plan, &hosts, &config, &mut self.control_state, now, new_replica_id);
         if let Some(next) = next {
             let revision = self.write_plan(next, Some(*revision)).await?;
-            tracing::info!(domain = %self.domain, revision = revision.0, "record of a domain changed");
+            tracing::info!(domain = %self.domain, %revision, "record of a domain changed");
         }
         let now = gateway.clock.now();
         // The lease may have expired during the write.
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -66,6 +66,7 @@
     announced: Mutex<AnnouncedReplicas>,
     list_tx: mpsc::Sender<(NodeId, ListMessage)>,
     list_rx: Mutex<Option<mpsc::Receiver<(NodeId, ListMessage)>>>,
+    newest_config_read: Mutex<Revision>,
     /// Highest revision of the configuration that the list reader reported.
     reader_config_tx: watch::Sender<Revision>,
     /// When a message of the list reader last arrived, in milliseconds of this
@@ -87,7 +88,8 @@
         announced: Mutex::default(),
         list_tx,
         list_rx: Mutex::new(Some(list_rx)),
-        reader_config_tx: watch::channel(Revision(0)).0,
+        newest_config_read: Mutex::default(),
+        reader_config_tx: watch::channel(Revision::new(0)).0,
         reader_last_seen_ms: AtomicU64::new(u64::MAX),
         has_traffic: AtomicBool::new(false),
         config_changed: Notify::new(),
@@ -95,17 +97,34 @@
 }
 
 impl RoutingState {
-    /// Activates a configuration, unless the active one is as new or newer.
+    /// Activates a configuration, unless the active one is as new or newer. The
+    /// operators' versions only grow, whereas the key-value service may come back from a
+    /// copy that has an older one.
     pub fn set_config(&self, config: GatewayConfig) {
+        {
+            let mut newest_read = lock(&self.newest_config_read);
+            *newest_read = config.revision.max(*newest_read);
+        }
         let current = self.active_config.load();
-        if current.as_ref().is_some_and(|it| config.revision <= it.revision) {
+        let version = |it: &GatewayConfig| (it.version, it.revision);
+        if let Some(active) = current.as_ref().filter(|it| version(&config) <= version(it)) {
+            if active.revision < config.revision {
+                tracing::warn!(
+                    version = config.version,
+                    active = active.version,
+                    era = config.revision.era.0,
+                    revision = config.revision.number,
+                    "configuration is older than the active one"
+                );
+            }
             return;
         }
         let before = current.as_ref().map(|it| it.version);
         tracing::info!(
             version = config.version,
             before,
-            revision = config.revision.0,
+            era = config.revision.era.0,
+            revision = config.revision.number,
             routes = config.routes.len(),
             "configuration in force"
         );
@@ -116,9 +135,10 @@
         self.config_changed.notify_one();
     }
 
-    /// Revision of the active configuration, or 0 if there is none.
+    /// Newest revision at which this gateway has read the configuration, or 0 if it has
+    /// not. The version that was read is in force, or one after it.
     fn config_revision(&self) -> Revision {
-        self.active_config.load().as_ref().map_or(Revision(0), |it| it.revision)
+        *lock(&self.newest_config_read)
     }
 
     /// Whether any request of a caller has arrived yet.
--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -101,7 +101,7 @@
     /// Reads the configuration and follows a watch until the watch ends or the
     /// reader takes over.
     async fn watch(&self) -> Result<(), StoreError> {
-        let from = Revision(self.read().await?.0 + 1);
+        let from = self.read().await?.next();
         let mut events = self.adapter.store.watch(self.adapter.codec.config_key(), from).await?;
         while let Some(event) = events.next().await {
             match event? {
@@ -155,8 +155,8 @@
         let res = read.await;
         let found = res.as_ref().ok().and_then(|it| it.entries.first());
         tracing::info!(
-            published = published.map(|it| it.0),
-            revision = found.map(|it| it.revision.0),
+            published = published.map(|it| it.number),
+            revision = found.map(|it| it.revision.number),
             bytes = found.map(|it| it.value.len()),
             error = res.as_ref().err().map(ToString::to_string),
             took_ms = self.clock.now().since(started_at).as_millis(),
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -91,7 +91,7 @@
         peers: Arc::clone(peers),
         clock,
         table: InstanceTable::default(),
-        revision: Revision(0),
+        revision: Revision::new(0),
         read_at: None,
         history: ChangeHistory::default(),
         requested_missing_at: None,
--- a/crates/gateway/src/feed/instances/tests.rs
+++ b/crates/gateway/src/feed/instances/tests.rs
@@ -70,8 +70,8 @@
     /// Change without entries for the current list, as the reader sends it.
     fn current_change(&self, revision: u64) -> ListChange {
         let state = ReaderState {
-            revision: Revision(revision),
-            config_revision: Revision(0),
+            revision: Revision::new(revision),
+            config_revision: Revision::new(0),
             cluster_digest: 0,
         };
         let view = self.routing.instances.load();
--- a/crates/gateway/src/feed/unreadable/tests.rs
+++ b/crates/gateway/src/feed/unreadable/tests.rs
@@ -11,7 +11,7 @@
     let entry = |key: &str, revision| Entry {
         key: key.into(),
         value: Bytes::new(),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     };
     for _ in 0..3 {
         unreadable.add(&entry("a/1", 7), &error);
--- a/crates/gateway/src/listing/tests.rs
+++ b/crates/gateway/src/listing/tests.rs
@@ -2,7 +2,11 @@
 use crate::testing::{entry, view};
 
 fn at(revision: u64) -> ReaderState {
-    ReaderState { revision: Revision(revision), config_revision: Revision(1), cluster_digest: 0 }
+    ReaderState {
+        revision: Revision::new(revision),
+        config_revision: Revision::new(1),
+        cluster_digest: 0,
+    }
 }
 
 /// Applies all changes in order and returns the result of the last.
@@ -13,7 +17,7 @@
 ) -> (ApplyOutcome, InstancesView) {
     let mut last = (ApplyOutcome::Diverged, view.clone());
     for change in changes {
-        last = apply(&last.1, Revision(revision), change, Time::from_millis(5));
+        last = apply(&last.1, Revision::new(revision), change, Time::from_millis(5));
         if last.0 != ApplyOutcome::Current {
             break;
         }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -23,7 +23,7 @@
     Entry {
         key: key.into(),
         value: Bytes::from(value.to_owned()),
-        revision: citrongw_state::id::Revision(1),
+        revision: citrongw_state::id::Revision::new(1),
     }
 }
 
@@ -157,8 +157,8 @@
 
 fn change() -> ListChange {
     ListChange {
-        revision: citrongw_state::id::Revision(5),
-        config_revision: citrongw_state::id::Revision(1),
+        revision: citrongw_state::id::Revision::new(5),
+        config_revision: citrongw_state::id::Revision::new(1),
         cluster_digest: 0,
         digest: 7,
         changed: Vec::new(),
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -36,7 +36,7 @@
     let services = [engine, plain].map(|it| (it.id.clone(), Arc::new(it)));
     GatewayConfig {
         version: 1,
-        revision: Revision(1),
+        revision: Revision::new(1),
         routes: RouteTable::default(),
         services: HashMap::from(services),
         keys: None,
@@ -85,7 +85,7 @@
     let known = entries.into_iter().map(|entry| {
         let known = KnownInstance {
             entry: Arc::new(entry),
-            revision: Revision(1),
+            revision: Revision::new(1),
             changed_at: Time::START,
         };
         (known.entry.id.clone(), known)
--- a/crates/protocol/src/config_record/tests.rs
+++ b/crates/protocol/src/config_record/tests.rs
@@ -18,7 +18,7 @@
         change: ChangeId(7),
         operator: "maria".into(),
         at_unix_ms: 1,
-        from: Some(Revision(3)),
+        from: Some(Revision::new(3)),
         replaces_lost: None,
         revision: None,
     };
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use citrongw_state::id::Revision;
+use citrongw_state::id::{Revision, StoreEra};
 use derive_more::{AsRef, Display, Error, From};
 use futures::{future::BoxFuture, stream::BoxStream};
 use serde::{Deserialize, Serialize};
@@ -27,9 +27,23 @@
     }
 }
 
-/// Id of a lease of the key-value service.
+/// Id of a lease of the key-value service within an era. An id may be granted again in
+/// a later one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
-pub struct LeaseId(pub i64);
+#[display("{id}")]
+pub struct LeaseId {
+    /// Era in which the lease was granted.
+    pub era: StoreEra,
+    /// Id of the lease.
+    pub id: i64,
+}
+
+impl LeaseId {
+    /// Lease of a service that never came back from a copy.
+    pub const fn new(id: i64) -> Self {
+        Self { era: StoreEra(0), id }
+    }
+}
 
 /// Value of a key with the revision of its last write.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -3,9 +3,13 @@
 //! Names given by operators or by the platform are text. Identifiers that this
 //! system generates are numbers, which keeps messages between nodes small.
 
+mod revision;
+
 use derive_more::{AsRef, Display, From, FromStr};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
+pub use self::revision::Revision;
+
 macro_rules! text_id {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
@@ -136,8 +140,9 @@
     Epoch(u64, "{}");
     /// Start of a process on an instance; different for each start.
     Incarnation(u64, "{}");
-    /// Revision number of the key-value service.
-    Revision(u64, "{}");
+    /// Number of the copy that the key-value service last came back from. It grows
+    /// with each return, and revisions of an earlier era may be given out again.
+    StoreEra(u64, "{}");
 }
 
 /// One start of a backend server on an instance.
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
@@ -79,6 +79,28 @@
     }
 }
 
+/// Response that is read to its end. The body of an error response may be incomplete.
+#[derive(Debug, Clone)]
+pub struct BufferedResponse {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Headers of the response.
+    pub headers: HeaderMap,
+    /// Body of the response.
+    pub body: Bytes,
+}
+
+impl BufferedResponse {
+    /// Decodes a JSON body. A status that is not a success is an error.
+    pub fn into_json<R: DeserializeOwned>(self) -> Result<R, HttpError> {
+        if !self.status.is_success() {
+            let body = String::from_utf8_lossy(&self.body).into_owned();
+            return Err(HttpError::Status { status: self.status.as_u16(), body });
+        }
+        serde_json::from_slice(&self.body).map_err(|_| HttpError::InvalidResponse)
+    }
+}
+
 /// HTTP client with a connection pool. Clones share the pool.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -156,23 +178,52 @@
         self.exchange_json(empty_request(Method::GET, addr, path)?, timeouts).await
     }
 
+    /// Posts JSON and returns the response, which may be large, whatever its status.
+    pub async fn post_large<T: Serialize>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &T,
+        timeouts: ResponseTimeouts,
+    ) -> Result<BufferedResponse, HttpError> {
+        self.exchange(json_request(addr, path, body)?, timeouts).await
+    }
+
+    /// Gets a resource and returns the response, which may be large, whatever its
+    /// status.
+    pub async fn get_large(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        timeouts: ResponseTimeouts,
+    ) -> Result<BufferedResponse, HttpError> {
+        self.exchange(empty_request(Method::GET, addr, path)?, timeouts).await
+    }
+
     async fn exchange_json<R: DeserializeOwned>(
         &self,
         request: Request<Full<Bytes>>,
         timeouts: ResponseTimeouts,
     ) -> Result<R, HttpError> {
+        self.exchange(request, timeouts).await?.into_json()
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeouts: ResponseTimeouts,
+    ) -> Result<BufferedResponse, HttpError> {
         let sent = time::timeout(timeouts.head, self.send(request)).await;
         let response = sent.unwrap_or(Err(HttpError::Interrupted))?;
-        let status = response.status();
-        let read = read_with_pauses(response.into_body(), timeouts.pause);
-        let read = time::timeout(timeouts.body, read).await;
+        let (head, body) = response.into_parts();
+        let read = time::timeout(timeouts.body, read_with_pauses(body, timeouts.pause)).await;
         let read = read.unwrap_or(Err(HttpError::Interrupted));
-        if !status.is_success() {
+        let body = match head.status.is_success() {
+            true => read?,
             // The status is known although its body may have broken off.
-            let body = String::from_utf8_lossy(&read.unwrap_or_default()).into_owned();
-            return Err(HttpError::Status { status: status.as_u16(), body });
-        }
-        serde_json::from_slice(&read?).map_err(|_| HttpError::InvalidResponse)
+            false => read.unwrap_or_default(),
+        };
+        Ok(BufferedResponse { status: head.status, headers: head.headers, body: body.freeze() })
     }
 
     /// Posts JSON and returns the response status, success or not, within
--- a/crates/transport/src/store_client.rs
+++ b/crates/transport/src/store_client.rs
@@ -76,14 +76,14 @@
         async move {
             let body = json!({ "TTL": ttl.as_secs().max(1).to_string() });
             let response = self.call("/v3/lease/grant", body).await?;
-            read_number(&response["ID"]).map(LeaseId)
+            read_number(&response["ID"]).map(LeaseId::new)
         }
         .boxed()
     }
 
     fn renew_lease(&self, lease: LeaseId) -> BoxFuture<'_, StoreResult<()>> {
         async move {
-            let body = json!({ "ID": lease.0.to_string() });
+            let body = json!({ "ID": lease.id.to_string() });
             let response = self.call("/v3/lease/keepalive", body).await?;
             match read_number(&response["result"]["TTL"]) {
                 Ok(ttl) if 0 < ttl => Ok(()),
@@ -136,7 +136,7 @@
         Change::Put(value) => {
             let mut put = json!({ "key": key, "value": encode(value) });
             if let Some(lease) = write.lease {
-                put["lease"] = lease.0.to_string().into();
+                put["lease"] = lease.id.to_string().into();
             }
             json!({ "request_put": put })
         }
@@ -211,7 +211,7 @@
 }
 
 fn header_revision(response: &Value) -> StoreResult<Revision> {
-    read_number(&response["header"]["revision"]).map(Revision)
+    read_number(&response["header"]["revision"]).map(Revision::new)
 }
 
 fn read_entries(kvs: &Value) -> StoreResult<Vec<Entry>> {
@@ -221,7 +221,7 @@
 fn read_entry(kv: &Value) -> StoreResult<Entry> {
     let key = String::from_utf8(decode(&kv["key"])?).map_err(|_| StoreError::NoResponse)?;
     let value = Bytes::from(decode(&kv["value"])?);
-    let revision = Revision(read_number(&kv["mod_revision"])?);
+    let revision = Revision::new(read_number(&kv["mod_revision"])?);
     Ok(Entry { key: key.into(), value, revision })
 }
 
