Let what was known override the instance list of a restored store

A gateway whose key-value service came back from a copy dropped servers that had registered since the copy, and sent requests to servers that it knew to have left or to be leaving.

Cause: missing entries were kept only after an outage of 2.5 s, and entries of the copy counted as news. The first list of a new era is now taken for what it is: until the instances could have written again, 2.5 s, an entry that was not written since does not bring back an instance that had left or end its leaving, and missing ones are kept however short the outage was. A read of an earlier era that comes late is ignored.

--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -206,7 +206,7 @@
         let prefix = self.adapter.codec.instances_prefix();
         self.unreadable
             .retain(&prefix, |key| snapshot.entries.iter().any(|entry| entry.key == *key));
-        self.table.apply(read_at, entries).clone()
+        self.table.apply(read_at, snapshot.revision.era, entries).clone()
     }
 
     /// Handles a message and those that are queued behind it. The backend servers
@@ -247,7 +247,7 @@
                 self.history.add(listing::digest(self.table.view()), change);
                 self.requested_missing_at = None;
                 self.revision = change.revision;
-                self.table.replace(view);
+                self.table.replace(change.revision.era, view);
                 true
             }
             ApplyOutcome::Diverged => {
--- a/crates/gateway/src/instance_table.rs
+++ b/crates/gateway/src/instance_table.rs
@@ -3,6 +3,11 @@
 //! Entries that expire during an outage of the platform's service reappear
 //! shortly after it if the instance is alive. So an entry that is missing right
 //! after an outage is kept until it could have reappeared, unless it was listed since.
+//!
+//! The service may also come back from a copy, in a new era. Until the instances could
+//! have written again, what was known before overrides the entries of the copy:
+//! instances that left stay away, those that were leaving are leaving, and missing ones
+//! are kept.
 
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map},
@@ -11,7 +16,7 @@
 };
 
 use citrongw_state::{
-    id::{InstanceId, Revision},
+    id::{Incarnation, InstanceId, Revision, StoreEra},
     time::Time,
 };
 
@@ -24,6 +29,10 @@
 /// the interval between two reads.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which an instance that left the list is remembered: longer than a copy of
+/// the platform's service is old.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
+
 /// Instance as last listed.
 #[derive(Debug, Clone)]
 pub struct KnownInstance {
@@ -49,10 +58,30 @@
 pub struct InstanceTable {
     view: InstancesView,
     has_read: bool,
+    era: StoreEra,
     keep_missing_until: Time,
     /// Instances that were listed since the last outage, while missing entries are
     /// kept. Their entries did not expire in it.
     listed_since_outage: BTreeSet<InstanceId>,
+    /// Starts of instances that left the list, and when.
+    departed: BTreeMap<InstanceId, (Incarnation, Time)>,
+    copy: Option<RestoredCopy>,
+}
+
+/// List as first read after the key-value service came back from a copy.
+#[derive(Debug)]
+struct RestoredCopy {
+    /// Until when what was known before overrides entries of the copy.
+    until: Time,
+    /// Revision of each entry.
+    revisions: BTreeMap<InstanceId, Revision>,
+}
+
+impl RestoredCopy {
+    /// Whether an entry was not written since the copy was first read.
+    fn contains(&self, entry: &InstanceEntry, revision: Revision) -> bool {
+        self.revisions.get(&entry.id) == Some(&revision)
+    }
 }
 
 impl InstanceTable {
@@ -61,29 +90,55 @@
         &self.view
     }
 
-    /// Replaces the view by one that another gateway read.
-    pub fn replace(&mut self, view: InstancesView) {
+    /// Replaces the view by one that another gateway read in this era.
+    pub fn replace(&mut self, era: StoreEra, view: InstancesView) {
         self.has_read = true;
-        self.view = view;
+        if self.era < era {
+            self.era = era;
+            self.copy = None;
+        }
+        let old = std::mem::replace(&mut self.view, view).instances;
+        self.record_departed(old);
     }
 
-    /// Applies one read of the list that was requested at `read_at`.
+    /// Applies one read of the list that was requested at `read_at` and given in `era`.
     pub fn apply(
         &mut self,
         read_at: Time,
+        era: StoreEra,
         entries: Vec<(InstanceEntry, Revision)>,
     ) -> &InstancesView {
-        if self.has_read && OUTAGE_AFTER < read_at.since(self.view.read_at) {
+        if era < self.era {
+            // The response was delayed until after the service was restored.
+            return &self.view;
+        }
+        let is_restored = self.has_read && self.era < era;
+        let is_after_outage = OUTAGE_AFTER < read_at.since(self.view.read_at);
+        if self.has_read && (is_restored || is_after_outage) {
             self.keep_missing_until = read_at + REAPPEAR_TIME;
             self.listed_since_outage.clear();
         }
+        if is_restored {
+            let revisions = entries.iter().map(|(entry, revision)| (entry.id.clone(), *revision));
+            let until = read_at + REAPPEAR_TIME;
+            self.copy = Some(RestoredCopy { until, revisions: revisions.collect() });
+        }
+        self.copy = self.copy.take().filter(|it| read_at < it.until);
         let keeps_missing = read_at < self.keep_missing_until;
         self.has_read = true;
+        self.era = era;
         let mut old = std::mem::take(&mut self.view.instances);
         let mut new = BTreeMap::new();
         for (entry, revision) in entries {
+            let is_copied = self.copy.as_ref().is_some_and(|it| it.contains(&entry, revision));
+            if is_copied && self.has_departed(&entry) {
+                continue;
+            }
             let known = match old.remove(&entry.id) {
                 Some(known) if known.revision == revision => known,
+                Some(known) if is_copied && known.entry.incarnation == entry.incarnation => {
+                    merge_copy(known, entry)
+                }
                 _ => KnownInstance { entry: Arc::new(entry), revision, changed_at: read_at },
             };
             if keeps_missing {
@@ -92,18 +147,51 @@
             new.insert(known.entry.id.clone(), known);
         }
         if keeps_missing {
+            let mut removed = BTreeMap::new();
             for (id, known) in old {
                 if self.listed_since_outage.contains(&id) {
-                    continue;
-                }
-                if let btree_map::Entry::Vacant(vacant) = new.entry(id) {
+                    removed.insert(id, known);
+                } else if let btree_map::Entry::Vacant(vacant) = new.entry(id) {
                     vacant.insert(known);
                 }
             }
+            old = removed;
         }
         self.view = InstancesView { read_at, instances: new };
+        self.record_departed(old);
         &self.view
     }
+
+    /// Whether this start of an instance left the list before the service was restored.
+    fn has_departed(&self, entry: &InstanceEntry) -> bool {
+        self.departed
+            .get(&entry.id)
+            .is_some_and(|(incarnation, _)| *incarnation == entry.incarnation)
+    }
+
+    /// Records which of the instances that were listed before are not any more.
+    fn record_departed(&mut self, old: BTreeMap<InstanceId, KnownInstance>) {
+        let read_at = self.view.read_at;
+        for (id, known) in old {
+            if !self.view.instances.contains_key(&id) {
+                self.departed.insert(id, (known.entry.incarnation, read_at));
+            }
+        }
+        let listed = &self.view.instances;
+        self.departed.retain(|id, (_, at)| {
+            !listed.contains_key(id) && read_at.since(*at) < DEPARTED_RETENTION
+        });
+    }
+}
+
+/// Entry of an instance that was known before the service was restored: the known state
+/// is newer than the copy, unless the instance has begun to leave since.
+fn merge_copy(known: KnownInstance, copied: InstanceEntry) -> KnownInstance {
+    if known.entry.leaving || !copied.leaving {
+        return known;
+    }
+    let entry = InstanceEntry { leaving: true, ..InstanceEntry::clone(&known.entry) };
+    KnownInstance { entry: Arc::new(entry), ..known }
 }
 
 #[cfg(test)]
