Register again when the key-value service comes back from a copy

After the return of a service from an older copy gateways were missing in the list of gateways for up to 3.3 s, so that datagrams did not reach them and the others took too large a share of the retry budgets; a lease of before could renew or end that of another; and culprits were forgotten.

Cause: leases and their keys are gone with what was written since the copy, ids are granted again, and each user of the service relied on the next refusal. One client now keeps the eras apart: it refuses calls that rely on an earlier era, drops responses of one that come late, and tells who waits for a new era, also from the messages of the list reader. Gateways register again at once, over an entry of their own in the copy. What the list lacks in a new era counts until it could have been written again: gateways 4.5 s, owners 2 s, culprits 12 s, which are listed again.

gateway_registers_again_as_soon_as_it_knows_of_the_new_era and the cases of store_era failed to compile before, as nothing knew of eras.

--- a/crates/fakes/src/kv/core.rs
+++ b/crates/fakes/src/kv/core.rs
@@ -126,7 +126,7 @@
     /// Removes a lease with its keys.
     pub fn end_lease(&mut self, id: LeaseId) {
         self.leases.remove(&id.id);
-        let of_lease = |stored: &&Stored| stored.lease == Some(id);
+        let of_lease = |stored: &&Stored| stored.lease.is_some_and(|it| it.id == id.id);
         let keys: Vec<Key> =
             self.entries.values().filter(of_lease).map(|it| it.entry.key.clone()).collect();
         for key in keys {
--- a/crates/gateway/src/control/ownership.rs
+++ b/crates/gateway/src/control/ownership.rs
@@ -6,11 +6,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use citrongw_protocol::store::{Change, Expected, LeaseId, Store, StoreResult, Write, WriteResult};
+use citrongw_protocol::store::{LeaseId, Store, StoreResult};
 use citrongw_state::{id::NodeId, ownership, time::Time};
 
 use super::plan::DomainKey;
+use crate::leased_key;
 
 /// Time to live of an owner's lease after its last renewal.
 pub(super) const LEASE_TIME: Duration = Duration::from_millis(1_600);
@@ -72,17 +72,7 @@
     domain: &DomainKey,
     node: NodeId,
 ) -> StoreResult<Option<LeaseId>> {
-    let lease = store.grant_lease(LEASE_TIME).await?;
-    let write = Write {
-        key: domain.owner_key(),
-        expected: Expected::Absent,
-        change: Change::Put(Bytes::from(node.to_string())),
-        lease: Some(lease),
-    };
-    match store.compare_and_swap(write).await? {
-        WriteResult::Committed(_) => Ok(Some(lease)),
-        WriteResult::Conflict(_) => Ok(None),
-    }
+    leased_key::claim(store, domain.owner_key(), node.to_string(), LEASE_TIME).await
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -23,7 +23,7 @@
 use citrongw_state::{
     crash_suspicion::{
         RecentSuccesses,
-        shared_parts::{Culprit, SharedPartSuspicions},
+        shared_parts::{Culprit, QUARANTINE_TIME, SharedPartSuspicions},
     },
     id::{Fingerprint, ServerIncarnation},
 };
@@ -318,6 +318,10 @@
     /// Lists the culprits that no gateway has listed: the one that found them may have
     /// ended or not know all deaths, or the key-value service may have lost the entry.
     async fn list_missing_culprits(self: &Arc<Self>) {
+        for culprit in self.peers.lost_culprits() {
+            let left = || self.quarantine_left(&culprit).or(Some(QUARANTINE_TIME));
+            self.listed.add(&culprit, left).await;
+        }
         let known: Vec<Culprit> = lock(&self.suspicions).culprits().cloned().collect();
         if known.is_empty() {
             return;
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -1,8 +1,11 @@
 use std::collections::BTreeMap;
 
 use citrongw_coordination::clock;
-use citrongw_fakes::kv::mem::{self, MemStore};
-use citrongw_protocol::store::{Change, Expected, Key, Store, Write};
+use citrongw_fakes::kv::{
+    core::KvCore,
+    mem::{self, MemStore},
+};
+use citrongw_protocol::store::{Key, Store};
 use citrongw_state::{
     crash_suspicion::shared_parts::{DEATHS_TO_QUARANTINE, QUARANTINE_TIME},
     id::{Incarnation, NodeId, ServerIncarnation},
@@ -175,16 +178,7 @@
     let task = tokio::spawn(maintain(Arc::clone(&watch)));
     quarantine(&watch, &[BAD]);
     sleep(QUARANTINE_TIME / 2).await;
-    store.inspect(|core| {
-        core.list(&Key::from(CULPRIT_PREFIX)).entries.into_iter().for_each(|it| {
-            core.compare_and_swap(Write {
-                expected: Expected::Revision(it.revision),
-                key: it.key,
-                change: Change::Delete,
-                lease: None,
-            });
-        })
-    });
+    store.inspect(|core| core.restore(KvCore::default()));
     sleep(QUARANTINE_TIME / 4).await;
     assert_eq!(listed(&store), 1);
     sleep(QUARANTINE_TIME / 2).await;
--- a/crates/gateway/src/instance_table.rs
+++ b/crates/gateway/src/instance_table.rs
@@ -137,7 +137,7 @@
             let known = match old.remove(&entry.id) {
                 Some(known) if known.revision == revision => known,
                 Some(known) if is_copied && known.entry.incarnation == entry.incarnation => {
-                    merge_copy(known, entry)
+                    merge_copy(known, &entry)
                 }
                 _ => KnownInstance { entry: Arc::new(entry), revision, changed_at: read_at },
             };
@@ -186,7 +186,7 @@
 
 /// Entry of an instance that was known before the service was restored: the known state
 /// is newer than the copy, unless the instance has begun to leave since.
-fn merge_copy(known: KnownInstance, copied: InstanceEntry) -> KnownInstance {
+fn merge_copy(known: KnownInstance, copied: &InstanceEntry) -> KnownInstance {
     if known.entry.leaving || !copied.leaving {
         return known;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway_config;
 pub mod instance;
 pub mod instance_table;
+mod leased_key;
 pub mod listing;
 mod lock;
 pub mod log;
@@ -27,5 +28,6 @@
 pub mod peers;
 pub mod relay;
 mod server_limits;
+pub mod store_era;
 #[cfg(test)]
 mod testing;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -39,6 +39,7 @@
     peers::{self, Peers, message::PeerMessage},
     relay,
     server_limits::{self, ServerLimits},
+    store_era::{self, NewestEra},
 };
 
 /// Time between the last responses and the end of the grace period at a shutdown.
@@ -58,6 +59,8 @@
     pub clock: Clock,
     /// Adapter to the platform.
     pub adapter: Adapter,
+    /// Newest era of the key-value service.
+    pub era: NewestEra,
     /// Configuration, instances and backend servers.
     pub routing: Arc<RoutingState>,
     /// HTTP client for the backend servers.
@@ -103,7 +106,8 @@
     let metrics = metrics::open();
     let store_calls = metrics.store_calls();
     let store = metered_store::open(adapter.store, subjects(&*adapter.codec), store_calls.clone());
-    let adapter = Adapter { store, ..adapter };
+    let era = store_era::open();
+    let adapter = Adapter { store: store_era::wrap(store, era.clone()), ..adapter };
     let peers = Arc::new(peers::open(node, settings.zone.clone(), clock));
     let crashes = Arc::new(crash_watch::open(&adapter, &peers, clock));
     let gateway = Arc::new(Gateway {
@@ -112,6 +116,7 @@
         settings,
         clock,
         adapter,
+        era,
         routing,
         http: http_client::open(),
         retries,
@@ -139,6 +144,7 @@
     let peer_loads = Arc::clone(&gateway.peer_loads);
     let crashes = Arc::clone(&gateway.crashes);
     let limits = Arc::clone(&gateway.limits);
+    let era = gateway.era.clone();
     let on_message = move |from, message| {
         limits.record_message(from);
         match message {
@@ -148,7 +154,10 @@
             PeerMessage::ZoneLoad { zone, report } => {
                 peer_loads.record(ReportSource::Zone(zone), report, clock.now());
             }
-            PeerMessage::List(change) => routing.queue_change(from, change, clock.now()),
+            PeerMessage::List(change) => {
+                era.record(change.revision.era);
+                routing.queue_change(from, change, clock.now());
+            }
             PeerMessage::ListMissing { digest } => routing.queue_missing(from, digest),
             PeerMessage::Crash { death, signatures } => crashes.apply_crash(&death, &signatures),
             PeerMessage::Cleared { signatures } => crashes.apply_cleared(&signatures),
@@ -161,7 +170,7 @@
         }
     };
     let (store, addr) = (&gateway.adapter.store, gateway.settings.peer_addr);
-    tasks.extend(peers::spawn(&gateway.peers, store, addr, on_message));
+    tasks.extend(peers::spawn(&gateway.peers, store, &gateway.era, addr, on_message));
     tasks.push(tokio::spawn(crash_watch::maintain(Arc::clone(&gateway.crashes))));
     tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
     tasks.push(metered_store::spawn_report(store_calls));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,8 @@
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::{Key, LeaseId, Store, StoreError, StoreResult};
 use citrongw_state::{
-    id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
+    crash_suspicion::shared_parts::Culprit,
+    id::{AvailabilityZone, Epoch, NodeId, ReplicaId, StoreEra},
     time::Time,
 };
 use citrongw_transport::{
@@ -34,7 +35,7 @@
     cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
 };
-use crate::{control::plan::DomainKey, listing::ListChange, lock::lock};
+use crate::{control::plan::DomainKey, listing::ListChange, lock::lock, store_era::NewestEra};
 
 /// Prefix of all keys that are attached to the lease of a process.
 pub const LIVE_PREFIX: &str = "citrongw/live/";
@@ -68,6 +69,18 @@
 /// with a margin.
 const REPORTER_EXPIRY: Duration = Duration::from_millis(1_200);
 
+/// List before the key-value service last came back from a copy.
+#[derive(Debug, Default)]
+struct RestoredCluster {
+    /// Newest era in which the list was read.
+    era: Option<StoreEra>,
+    /// When the list was first read in that era.
+    since: Time,
+    before: ClusterView,
+    /// Culprits that no gateway has listed again yet.
+    lost_culprits: Vec<Culprit>,
+}
+
 /// Link to the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -80,6 +93,7 @@
     #[debug(skip)]
     endpoint: OnceCell<PeerUdp<PeerMessage>>,
     suspect_reported_at: Mutex<HashMap<ReplicaEpoch, Time>>,
+    restored: Mutex<RestoredCluster>,
     /// Owners that announced themselves, and when.
     announced_owners: Mutex<HashMap<Key, (NodeId, Time)>>,
     /// Digest of the reader's list of gateways, and when it was received.
@@ -101,6 +115,7 @@
         registration: Mutex::default(),
         endpoint: OnceCell::new(),
         suspect_reported_at: Mutex::default(),
+        restored: Mutex::default(),
         announced_owners: Mutex::default(),
         reader_digest: Mutex::default(),
         digest_differs: Notify::new(),
@@ -161,6 +176,31 @@
         fresh.is_some_and(|(digest, _)| digest == self.cluster.load().digest())
     }
 
+    /// Applies a read of the list in an era of the key-value service. In a new era it
+    /// lacks what was registered since the copy, which is kept until it can be
+    /// registered again.
+    pub(crate) fn apply_read(&self, era: StoreEra, mut read: ClusterView) {
+        let now = self.clock.now();
+        {
+            let mut restored = lock(&self.restored);
+            if restored.era.is_some_and(|it| it < era) {
+                restored.since = now;
+                restored.before = ClusterView::clone(&self.cluster());
+            }
+            restored.era = restored.era.max(Some(era));
+            let listed = read.culprits.clone();
+            read.add_missing(&restored.before, now.since(restored.since));
+            restored.lost_culprits = read.culprits.difference(&listed).cloned().collect();
+        }
+        self.set_cluster(read);
+    }
+
+    /// Culprits that were listed before the key-value service came back from a copy and
+    /// are not any more.
+    pub(crate) fn lost_culprits(&self) -> Vec<Culprit> {
+        lock(&self.restored).lost_culprits.clone()
+    }
+
     /// Replaces the list by a newly read one and adds announced owners for which
     /// the read may be too old.
     pub(crate) fn set_cluster(&self, mut cluster: ClusterView) {
@@ -315,10 +355,11 @@
 pub fn spawn(
     peers: &Arc<Peers>,
     store: &Arc<dyn Store>,
+    era: &NewestEra,
     addr: SocketAddr,
     on_message: impl Fn(NodeId, PeerMessage) + Send + 'static,
 ) -> Vec<JoinHandle<()>> {
-    let registering = register_self(Arc::clone(peers), Arc::clone(store), addr);
+    let registering = register_self(Arc::clone(peers), Arc::clone(store), era.clone(), addr);
     let reading = poll_cluster(Arc::clone(peers), Arc::clone(store));
     let receiving = receive(Arc::clone(peers), Arc::clone(store), addr, on_message);
     vec![tokio::spawn(registering), tokio::spawn(reading), tokio::spawn(receiving)]
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -13,10 +13,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use citrongw_protocol::store::{
-    Change, Entry, Expected, Key, Store, StoreError, StoreResult, Write, WriteResult,
-};
+use citrongw_protocol::store::{Entry, Key, Store, StoreError, StoreResult};
 use citrongw_state::{
     crash_suspicion::shared_parts::Culprit,
     id::{AvailabilityZone, NodeId},
@@ -24,7 +21,7 @@
 use derive_more::Display;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::{backoff, lock::lock};
+use crate::{backoff, leased_key, lock::lock, store_era::NewestEra};
 
 use super::{CULPRIT_PREFIX, LIVE_PREFIX, OWNER_PREFIX, Peers, REGISTER_RETRY_DELAY};
 
@@ -41,7 +38,17 @@
 const CLUSTER_POLL_INTERVAL: Duration = Duration::from_millis(700);
 /// Largest random delay before a read that all gateways would otherwise make at
 /// the same time.
-const MAX_JITTER_MS: u64 = 200;
+pub(super) const MAX_JITTER: Duration = Duration::from_millis(200);
+
+/// Time for which gateways count that an older copy of the key-value service lacks: a
+/// gateway that only notices by the renewal of its lease has registered again by then.
+pub(super) const CARRIED_NODE_TIME: Duration = Duration::from_millis(4_500);
+/// Time for which owners count that an older copy lacks: they notice by the renewals
+/// of their leases, and acquire their domains again.
+pub(super) const CARRIED_OWNER_TIME: Duration = Duration::from_millis(2_000);
+/// Time for which culprits count that an older copy lacks: the gateways that know them
+/// have listed them again by then.
+pub(super) const CARRIED_CULPRIT_TIME: Duration = Duration::from_secs(12);
 
 /// Gateway in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
@@ -84,6 +91,24 @@
         self.nodes.iter().filter(move |(_, it)| it.zone == *zone).map(|(node, _)| *node)
     }
 
+    /// Adds what this read lacks of an earlier one that an older copy of the key-value
+    /// service replaced `age` ago.
+    pub(super) fn add_missing(&mut self, before: &Self, age: Duration) {
+        if age < CARRIED_NODE_TIME {
+            for (node, listed) in &before.nodes {
+                self.nodes.entry(*node).or_insert_with(|| listed.clone());
+            }
+        }
+        if age < CARRIED_OWNER_TIME {
+            for (key, owner) in &before.owners {
+                self.owners.entry(key.clone()).or_insert(*owner);
+            }
+        }
+        if age < CARRIED_CULPRIT_TIME {
+            self.culprits.extend(before.culprits.iter().cloned());
+        }
+    }
+
     /// Digest of the list, equal on all gateways of one build.
     pub fn digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
@@ -93,11 +118,22 @@
 }
 
 /// Keeps this gateway registered in the list.
-pub(super) async fn register_self(peers: Arc<Peers>, store: Arc<dyn Store>, addr: SocketAddr) {
+pub(super) async fn register_self(
+    peers: Arc<Peers>,
+    store: Arc<dyn Store>,
+    era: NewestEra,
+    addr: SocketAddr,
+) {
     let mut backoff = backoff::open(REGISTER_RETRY_DELAY, MAX_REGISTER_RETRY_DELAY);
     loop {
-        match register_until_expired(&peers, &*store, addr).await {
-            Ok(()) => backoff.reset(),
+        match register_until_expired(&peers, &*store, &era, addr).await {
+            Ok(Ended::Conflict) => backoff.reset(),
+            Ok(Ended::NewEra) => {
+                backoff.reset();
+                // All gateways register again at the same time.
+                sleep(MAX_JITTER.mul_f64(rand::random())).await;
+                continue;
+            }
             Err(error) => {
                 tracing::info!(%error, "could not keep the gateway registered among its peers");
             }
@@ -106,28 +142,30 @@
     }
 }
 
+/// Why a registration ended.
+enum Ended {
+    /// Another value is registered.
+    Conflict,
+    /// The key-value service came back from a copy, in which it may be missing.
+    NewEra,
+}
+
 async fn register_until_expired(
     peers: &Peers,
     store: &dyn Store,
+    era: &NewestEra,
     addr: SocketAddr,
-) -> StoreResult<()> {
-    let lease = store.grant_lease(NODE_LEASE_TIME).await?;
+) -> StoreResult<Ended> {
     let listed = ListedGateway { addr, zone: peers.zone.clone() };
-    let write = Write {
-        key: format!("{NODE_PREFIX}{}", peers.node).into(),
-        expected: Expected::Absent,
-        change: Change::Put(Bytes::from(listed.to_string())),
-        lease: Some(lease),
-    };
-    // The entry of an earlier lease is deleted when that lease expires. The
-    // caller retries until then.
-    if let WriteResult::Conflict(_) = store.compare_and_swap(write).await? {
-        store.end_lease(lease).await?;
-        return Ok(());
-    }
+    let key = format!("{NODE_PREFIX}{}", peers.node).into();
+    let claimed = leased_key::claim(store, key, listed.to_string(), NODE_LEASE_TIME).await?;
+    let Some(lease) = claimed else { return Ok(Ended::Conflict) };
     *lock(&peers.registration) = Some(lease);
     loop {
-        sleep(NODE_RENEW_INTERVAL).await;
+        tokio::select! {
+            () = sleep(NODE_RENEW_INTERVAL) => {}
+            () = era.wait_after(lease.era) => return Ok(Ended::NewEra),
+        }
         match store.renew_lease(lease).await {
             Ok(()) => {}
             Err(StoreError::Refused { reason }) => {
@@ -148,14 +186,14 @@
             // The other gateways are notified at the same time, so each waits for
             // a random delay.
             () = peers.digest_differs.notified() => {
-                sleep(Duration::from_millis(rand::random_range(0..MAX_JITTER_MS))).await;
+                sleep(MAX_JITTER.mul_f64(rand::random())).await;
             }
         }
         if !peers.is_reader() && peers.is_current() {
             continue;
         }
         match store.list_stale(LIVE_PREFIX.into()).await {
-            Ok(snapshot) => peers.set_cluster(decode(&snapshot.entries)),
+            Ok(snapshot) => peers.apply_read(snapshot.revision.era, decode(&snapshot.entries)),
             Err(error) => tracing::debug!(%error, "could not read the list of peers"),
         }
     }
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -4,9 +4,12 @@
 use citrongw_coordination::clock;
 use citrongw_fakes::kv::mem;
 use citrongw_protocol::store::Entry;
-use citrongw_state::id::InstanceId;
+use citrongw_state::id::{Fingerprint, InstanceId};
 
 mod resend;
+mod restored;
+
+use crate::store_era;
 
 use super::{
     cluster_view::{NODE_LEASE_TIME, NODE_PREFIX, decode},
@@ -47,7 +50,7 @@
     let peers = Arc::new(open(NodeId(1), ZONE.into(), clock::open()));
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
     let shared: Arc<dyn Store> = Arc::new(store.clone());
-    let task = tokio::spawn(register_self(Arc::clone(&peers), shared, addr));
+    let task = tokio::spawn(register_self(Arc::clone(&peers), shared, store_era::open(), addr));
     let listed = || store.inspect(|core| core.list(&NODE_PREFIX.into()).entries.len());
     tokio::time::sleep(NODE_LEASE_TIME * 3).await;
     assert_eq!(listed(), 1, "the lease is renewed");
