Keep the replicas of a domain whose record a restored store lacks

Callers' streams broke when the key-value service came back from a copy: the owner of a domain read the older record and formed its replicas anew.

Cause: the owner lost its lease with the copy, released the domain, and whoever acquired it started from the record in the copy. The owner now acquires its domain again as soon as it knows of the new era, sends no order until it has, and writes the record as it last knew it if the one of the new era is not ahead.

owner_of_a_domain_restores_its_record_and_keeps_its_replicas failed before: one replica of other members, and epoch 4 in place of 1.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -13,13 +13,14 @@
 use tokio::{
     sync::mpsc,
     task::JoinSet,
-    time::{MissedTickBehavior, interval, timeout},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 
 use super::{
     campaign::listed_domains,
     lease::{self, RenewedLease},
     loads::WeightLoadBudget,
+    ownership,
     plan::{DomainKey, DomainPlan},
     reports::Reports,
     step::{self, ControlState, Hosts, StepConfig},
@@ -43,6 +44,12 @@
 /// Timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Maximum number of attempts to acquire a domain again after the key-value service came
+/// back from a copy.
+const MAX_ACQUIRE_ATTEMPTS: usize = 4;
+/// Delay between these attempts.
+const ACQUIRE_RETRY_DELAY: Duration = Duration::from_millis(150);
+
 /// Result of a task that polled an instance or sent an order.
 enum Outcome {
     Report {
@@ -64,6 +71,9 @@
     domain: DomainKey,
     lease: RenewedLease,
     plan: Option<(DomainPlan, Revision)>,
+    /// Plan as last written, which the record may lack after the key-value service came
+    /// back from a copy.
+    last_known: Option<(DomainPlan, Revision)>,
     /// Whether the domain had no plan when this node became the owner.
     is_new_domain: bool,
     control_state: ControlState,
@@ -91,6 +101,7 @@
             domain,
             lease,
             plan: None,
+            last_known: None,
             is_new_domain: false,
             control_state: ControlState::default(),
             reports: Reports::default(),
@@ -105,11 +116,18 @@
     pub(super) async fn run(mut self) {
         let mut ticks = interval(STEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let era = self.gateway.era.clone();
         let mut suspension = SuspensionDetector::new(self.gateway.clock.now());
         loop {
             let changed = tokio::select! {
                 _ = ticks.tick() => true,
                 Some(replica) = self.suspects_rx.recv() => self.handle_suspect(replica),
+                () = era.wait_after(self.lease.era()) => {
+                    if !self.acquire_again().await {
+                        break;
+                    }
+                    true
+                }
                 Some(done) = self.tasks.join_next(), if !self.tasks.is_empty() => match done {
                     Ok(outcome) => self.handle_outcome(outcome),
                     Err(error) => {
@@ -149,6 +167,31 @@
         }
     }
 
+    /// Acquires the domain again after the key-value service came back from a copy,
+    /// which may lack the lease and the last changes of the record. False if another node
+    /// owns the domain.
+    async fn acquire_again(&mut self) -> bool {
+        let gateway = Arc::clone(&self.gateway);
+        for _ in 0..MAX_ACQUIRE_ATTEMPTS {
+            let requested_at = gateway.clock.now();
+            let store = &gateway.adapter.store;
+            match ownership::acquire(&**store, &self.domain, gateway.node).await {
+                Ok(Some(lease)) => {
+                    tracing::info!(domain = %self.domain, era = lease.era.0, "acquired a domain again in a new era");
+                    self.lease = lease::start_renewal(lease, store, gateway.clock, requested_at);
+                    self.plan = None;
+                    return true;
+                }
+                Ok(None) => return false,
+                Err(error) => {
+                    tracing::info!(domain = %self.domain, %error, "could not acquire a domain again");
+                    sleep(ACQUIRE_RETRY_DELAY).await;
+                }
+            }
+        }
+        false
+    }
+
     /// Records the outcome of a task. True if a step is due.
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         match outcome {
@@ -326,16 +369,28 @@
     /// another.
     async fn read_plan(&mut self) -> StoreResult<(DomainPlan, Revision)> {
         let store = &self.gateway.adapter.store;
-        let entry = store.get(self.domain.plan_key()).await?.into_entry();
-        let (mut plan, revision) = match entry {
+        let read = store.get(self.domain.plan_key()).await?;
+        let era = read.revision.era;
+        let (mut plan, revision) = match read.into_entry() {
             Some(entry) => {
-                let plan: DomainPlan = serde_json::from_slice(&entry.value).map_err(|error| {
+                let stored: DomainPlan = serde_json::from_slice(&entry.value).map_err(|error| {
                     StoreError::Refused { reason: format!("record cannot be read: {error}") }
                 })?;
-                (plan, Some(entry.revision))
+                (stored, Some(entry.revision))
             }
             None => (DomainPlan::default(), None),
         };
+        if let Some((known, known_at)) = self.last_known.clone()
+            && known_at.era < era
+            && plan.epoch <= known.epoch
+        {
+            let revision = self.write_plan(known.clone(), revision).await?;
+            tracing::info!(
+                domain = %self.domain, epoch = %known.epoch, stored = %plan.epoch, %revision,
+                "record of a domain restored"
+            );
+            return Ok((known, revision));
+        }
         if plan.owner == self.gateway.node
             && let Some(revision) = revision
         {
@@ -365,6 +420,7 @@
         };
         match self.gateway.adapter.store.compare_and_swap(write).await? {
             WriteResult::Committed(revision) => {
+                self.last_known = Some((plan.clone(), revision));
                 self.plan = Some((plan, revision));
                 Ok(revision)
             }
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -10,7 +10,7 @@
 
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::{LeaseId, Store, StoreResult};
-use citrongw_state::time::Time;
+use citrongw_state::{id::StoreEra, time::Time};
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
@@ -46,6 +46,11 @@
 }
 
 impl RenewedLease {
+    /// Era in which the lease was granted.
+    pub(super) fn era(&self) -> StoreEra {
+        self.id.era
+    }
+
     /// Whether the lease is valid by this node's clock, less the margin.
     pub(super) fn is_valid(&self) -> bool {
         let until = Time::from_millis(self.valid_until_ms.load(Ordering::Relaxed));
