Keep the secret of the gateways when the store comes back from a copy

After the return of a key-value service from a copy that is older than the secret, the next gateway that started generated another, and the gateways of before and after could not read each other's datagrams.

Cause: the secret was taken to last once it is written, and nobody wrote it again. Each gateway now checks it in a new era and writes it if it is missing. If another one was generated meanwhile, all change to that one, and accept datagrams that are signed with the former.

secret_that_a_restored_store_lacks_is_written_again_or_replaced_on_all_gateways was written with the change and not run without it.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -32,7 +32,7 @@
 
 pub use self::cluster_view::{ClusterView, ListedGateway};
 use self::{
-    cluster_view::{poll_cluster, register_self},
+    cluster_view::{MAX_JITTER, poll_cluster, register_self},
     message::PeerMessage,
 };
 use crate::{control::plan::DomainKey, listing::ListChange, lock::lock, store_era::NewestEra};
@@ -90,6 +90,9 @@
     cluster: ArcSwap<ClusterView>,
     /// Lease of this gateway's entry in the list.
     registration: Mutex<Option<LeaseId>>,
+    /// Secret that signs the datagrams, once it is read.
+    #[debug(skip)]
+    secret: Mutex<Option<String>>,
     #[debug(skip)]
     endpoint: OnceCell<PeerUdp<PeerMessage>>,
     suspect_reported_at: Mutex<HashMap<ReplicaEpoch, Time>>,
@@ -113,6 +116,7 @@
         clock,
         cluster: ArcSwap::default(),
         registration: Mutex::default(),
+        secret: Mutex::default(),
         endpoint: OnceCell::new(),
         suspect_reported_at: Mutex::default(),
         restored: Mutex::default(),
@@ -213,6 +217,15 @@
         self.cluster.store(Arc::new(cluster));
     }
 
+    /// Signs with another secret, and accepts the former one too.
+    fn replace_secret(&self, secret: String, former: String) {
+        let keys = peer_auth::derive_keys(&[secret.clone(), former]);
+        if let (Some(keys), Some(endpoint)) = (keys, self.endpoint.get()) {
+            endpoint.set_keys(keys);
+            *lock(&self.secret) = Some(secret);
+        }
+    }
+
     /// Removes this gateway from the list, after its tasks have ended.
     pub(crate) async fn leave(&self, store: &dyn Store) -> StoreResult<()> {
         let registration = lock(&self.registration).take();
@@ -362,7 +375,13 @@
     let registering = register_self(Arc::clone(peers), Arc::clone(store), era.clone(), addr);
     let reading = poll_cluster(Arc::clone(peers), Arc::clone(store));
     let receiving = receive(Arc::clone(peers), Arc::clone(store), addr, on_message);
-    vec![tokio::spawn(registering), tokio::spawn(reading), tokio::spawn(receiving)]
+    let keeping = keep_secret(Arc::clone(peers), Arc::clone(store), era.clone(), era.get());
+    vec![
+        tokio::spawn(registering),
+        tokio::spawn(reading),
+        tokio::spawn(receiving),
+        tokio::spawn(keeping),
+    ]
 }
 
 /// Binds the endpoint once the secret is known, and handles the messages that
@@ -410,6 +429,42 @@
     }
 }
 
+/// Keeps the secret in the key-value service when that comes back from an older copy. If
+/// another secret is written there by then, all gateways change to it; messages that are
+/// signed with the former one are accepted too. The secret was read in `known_era` or
+/// later.
+async fn keep_secret(
+    peers: Arc<Peers>,
+    store: Arc<dyn Store>,
+    era: NewestEra,
+    mut known_era: StoreEra,
+) {
+    loop {
+        era.wait_after(known_era).await;
+        sleep(MAX_JITTER.mul_f64(rand::random())).await;
+        let known = lock(&peers.secret).clone();
+        let Some(known) = known else {
+            // The endpoint is not bound yet, and its secret is read in the new era.
+            known_era = era.get();
+            continue;
+        };
+        let current_era = era.get();
+        match secret::restore(&*store, &known).await {
+            Ok(written) => {
+                known_era = current_era;
+                if written != known {
+                    tracing::warn!("secret of the gateways was replaced");
+                    peers.replace_secret(written, known);
+                }
+            }
+            Err(error) => {
+                tracing::info!(%error, dependency = "store", "could not keep the secret of the gateways");
+                sleep(REGISTER_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 async fn bind(
     peers: &Peers,
     store: &dyn Store,
@@ -417,8 +472,9 @@
 ) -> StoreResult<PeerUdp<PeerMessage>> {
     let refused = |reason: String| StoreError::Refused { reason };
     let secret = secret::read(store).await?;
-    let keys = peer_auth::derive_keys(&[secret])
+    let keys = peer_auth::derive_keys(std::slice::from_ref(&secret))
         .ok_or_else(|| refused("peer secret is empty".to_owned()))?;
+    *lock(&peers.secret) = Some(secret);
     let bound = peer_udp::bind(addr, keys, peers.node, Arc::default()).await;
     bound.map_err(|error| refused(format!("could not bind {addr}: {error}")))
 }
--- a/crates/gateway/src/peers/tests/restored.rs
+++ b/crates/gateway/src/peers/tests/restored.rs
@@ -66,3 +66,49 @@
     peers.apply_read(SECOND, ClusterView::default());
     assert!(peers.cluster().nodes.is_empty());
 }
+
+#[tokio::test]
+async fn secret_that_a_restored_store_lacks_is_written_again_or_replaced_on_all_gateways() {
+    let store = mem::open();
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    // Of three gateways the last one starts after the return and reads what it finds.
+    for starts_before_the_others_notice in [false, true] {
+        let (era, mut gateways) = (store_era::open(), Vec::new());
+        let shared = wrap(Arc::new(store.clone()), era.clone());
+        era.record(store.inspect(|core| core.era()));
+        for node in 1..=2 {
+            let peers = Arc::new(open(NodeId(node), ZONE.into(), clock::open()));
+            let endpoint = bind(&peers, &*shared, any).await.unwrap();
+            peers.endpoint.set(endpoint).unwrap();
+            let known = era.get();
+            let keeping = keep_secret(Arc::clone(&peers), Arc::clone(&shared), era.clone(), known);
+            gateways.push((peers, tokio::spawn(keeping)));
+        }
+        let before = lock(&gateways[0].0.secret).clone().unwrap();
+        store.inspect(|core| core.restore(KvCore::default()));
+        let started = Arc::new(open(NodeId(3), ZONE.into(), clock::open()));
+        if starts_before_the_others_notice {
+            let endpoint = bind(&started, &store, any).await.unwrap();
+            started.endpoint.set(endpoint).unwrap();
+        }
+        era.record(store.inspect(|core| core.era()));
+        let is_shared = || {
+            let read = store.inspect(|core| core.get(&"citrongw/peer-secret".into()));
+            let written = read.into_entry().map(|it| String::from_utf8(it.value.into()).unwrap());
+            written.is_some() && gateways.iter().all(|(it, _)| *lock(&it.secret) == written)
+        };
+        while !is_shared() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let kept = *lock(&gateways[0].0.secret) == Some(before);
+        assert_eq!(kept, !starts_before_the_others_notice);
+        if starts_before_the_others_notice {
+            let addr = started.endpoint.get().unwrap().local_addr().unwrap();
+            let sender = gateways[0].0.endpoint.get().unwrap();
+            let message = PeerMessage::ListMissing { digest: 9 };
+            sender.send(addr, NodeId(3), &message).await;
+            assert_eq!(received(started.endpoint.get().unwrap()).await, (NodeId(1), message));
+        }
+        gateways.iter().for_each(|(_, task)| task.abort());
+    }
+}
--- a/crates/transport/src/peer_auth.rs
+++ b/crates/transport/src/peer_auth.rs
@@ -123,6 +123,11 @@
 }
 
 impl Sealer {
+    /// Replaces the keys.
+    pub fn set_keys(&mut self, keys: PeerKeys) {
+        self.keys = keys;
+    }
+
     /// Adds header and tag to a body for the node `to`.
     pub fn seal(&mut self, to: NodeId, body: &[u8]) -> Vec<u8> {
         self.sequence += 1;
--- a/crates/transport/src/peer_udp.rs
+++ b/crates/transport/src/peer_udp.rs
@@ -74,6 +74,11 @@
         self.socket.local_addr()
     }
 
+    /// Replaces the keys. The first one signs from now on.
+    pub fn set_keys(&self, keys: PeerKeys) {
+        self.sealer().set_keys(keys);
+    }
+
     /// Sends a message without a delivery guarantee. Local send errors are only
     /// counted.
     pub async fn send(&self, addr: SocketAddr, to: NodeId, message: &M) {
