Check the order of configurations over random returns of the store

A gateway reads a configuration, late or in time, while operators change it and the key-value service comes back from copies at random moments. The version in force must never go back, and the newest one must be in force once it is read: 2,000 histories with a fixed seed. Two broken variants are found: the order by revision and era alone, and the former order by number.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -243,3 +243,6 @@
     let instances = instances::open(adapter, routing, peers, unreadable, clock);
     vec![tokio::spawn(config), tokio::spawn(instances.follow())]
 }
+
+#[cfg(test)]
+mod tests;
