Do not serve an older configuration of a copy that a peer knows to be outdated

A gateway that started just after the key-value service came back from a copy served keys that had been revoked and routed by an older version, until the operators had written the newer one again.

Cause: it knew only what the copy held. The list reader now sends the version of its configuration beside the revision. A gateway that has read the service no earlier than the reader and has an older version rejects requests until it reads the newer one.

configuration_of_a_copy_is_not_used_if_the_list_reader_has_a_newer_one failed before (version 7 in force).

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -67,6 +67,8 @@
     list_tx: mpsc::Sender<(NodeId, ListMessage)>,
     list_rx: Mutex<Option<mpsc::Receiver<(NodeId, ListMessage)>>>,
     newest_config_read: Mutex<Revision>,
+    /// Version that is known to exist, from which on a configuration is activated.
+    min_config_version: AtomicU64,
     /// Highest revision of the configuration that the list reader reported.
     reader_config_tx: watch::Sender<Revision>,
     /// When a message of the list reader last arrived, in milliseconds of this
@@ -89,6 +91,7 @@
         list_tx,
         list_rx: Mutex::new(Some(list_rx)),
         newest_config_read: Mutex::default(),
+        min_config_version: AtomicU64::new(0),
         reader_config_tx: watch::channel(Revision::new(0)).0,
         reader_last_seen_ms: AtomicU64::new(u64::MAX),
         has_traffic: AtomicBool::new(false),
@@ -105,6 +108,9 @@
             let mut newest_read = lock(&self.newest_config_read);
             *newest_read = config.revision.max(*newest_read);
         }
+        if config.version < self.min_config_version.load(Ordering::Relaxed) {
+            return;
+        }
         let current = self.active_config.load();
         let version = |it: &GatewayConfig| (it.version, it.revision);
         if let Some(active) = current.as_ref().filter(|it| version(&config) <= version(it)) {
@@ -141,6 +147,32 @@
         *lock(&self.newest_config_read)
     }
 
+    /// Version of the active configuration, or 0 if there is none.
+    fn config_version(&self) -> u64 {
+        self.active_config.load().as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Rejects requests until a newer configuration is read, if the list reader has one
+    /// although this gateway has read the key-value service since: it came back from a
+    /// copy, and what the newer version revoked must not be served.
+    fn drop_outdated_config(&self, change: &ListChange) {
+        let active_version = self.config_version();
+        let is_outdated = active_version < change.config_version
+            && change.config_revision <= self.config_revision();
+        if !is_outdated || self.config_revision() == Revision::default() {
+            return;
+        }
+        self.min_config_version.fetch_max(change.config_version, Ordering::Relaxed);
+        if self.active_config.swap(None).is_some() {
+            tracing::warn!(
+                version = active_version,
+                newer = change.config_version,
+                dependency = "store",
+                "configuration is older than that of the list reader"
+            );
+        }
+    }
+
     /// Whether any request of a caller has arrived yet.
     pub fn has_traffic(&self) -> bool {
         self.has_traffic.load(Ordering::Relaxed)
@@ -171,6 +203,7 @@
             *known_revision = change.config_revision.max(*known_revision);
             is_newer
         });
+        self.drop_outdated_config(&change);
         // If the queue is full, the digest of the next applied change shows that
         // one is missing.
         let _ = self.list_tx.try_send((from, ListMessage::Change(change)));
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -269,7 +269,10 @@
     }
 
     async fn publish_changes(&mut self, before: &InstancesView) {
+        // Read before the revision, which is set first.
+        let config_version = self.routing.config_version();
         let state = ReaderState {
+            config_version,
             revision: self.revision,
             config_revision: self.routing.config_revision(),
             cluster_digest: self.peers.cluster().digest(),
--- a/crates/gateway/src/feed/instances/tests.rs
+++ b/crates/gateway/src/feed/instances/tests.rs
@@ -73,6 +73,7 @@
             revision: Revision::new(revision),
             config_revision: Revision::new(0),
             cluster_digest: 0,
+            config_version: 0,
         };
         let view = self.routing.instances.load();
         listing::changes(&view, &view, state).remove(0)
--- a/crates/gateway/src/feed/tests.rs
+++ b/crates/gateway/src/feed/tests.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// Change of the list as a reader sends it that has this configuration.
+fn change_of(config: Stored) -> ListChange {
+    ListChange {
+        revision: config.1,
+        config_revision: config.1,
+        cluster_digest: 0,
+        digest: 0,
+        changed: Vec::new(),
+        removed: Vec::new(),
+        config_version: config.0,
+    }
+}
+
 fn active_version(routing: &RoutingState) -> u64 {
     routing.active_config.load().as_ref().map_or(0, |it| it.version)
 }
@@ -106,3 +119,28 @@
     let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(60, 1)).tests(2_000);
     check.quickcheck(configuration_only_advances as fn(Vec<Event>) -> bool);
 }
+
+#[test]
+fn configuration_of_a_copy_is_not_used_if_the_list_reader_has_a_newer_one() {
+    let later = |number| Revision::of_era(StoreEra(1), number);
+    let cases = [
+        // The gateway started after the return, and the reader did before it.
+        ((7, later(150)), (9, Revision::new(260)), 0),
+        ((7, later(150)), (9, later(150)), 0),
+        // The gateway has not read the change yet.
+        ((7, later(150)), (9, later(151)), 7),
+        ((7, Revision::new(150)), (9, Revision::new(151)), 7),
+        // The gateway has read a change before the reader.
+        ((9, later(151)), (7, later(150)), 9),
+    ];
+    for (own, of_reader, version) in cases {
+        let routing = open();
+        read(&routing, Some(own));
+        routing.queue_change(NodeId(1), change_of(of_reader), Time::START);
+        assert_eq!(active_version(&routing), version, "{own:?} {of_reader:?}");
+        read(&routing, Some(own));
+        assert_eq!(active_version(&routing), version, "{own:?} {of_reader:?}");
+        read(&routing, Some((9, later(160))));
+        assert_eq!(active_version(&routing), 9);
+    }
+}
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -52,6 +52,8 @@
     pub changed: Vec<InstanceEntry>,
     /// Instances that are no longer listed.
     pub removed: Vec<InstanceId>,
+    /// Version of the active configuration of the reader.
+    pub config_version: u64,
 }
 
 /// Result of applying a change.
@@ -74,6 +76,8 @@
     pub config_revision: Revision,
     /// Digest of the list of gateways.
     pub cluster_digest: u64,
+    /// Version of the active configuration.
+    pub config_version: u64,
 }
 
 /// Changes that lead from one view to the next, split into messages. Each has the
@@ -87,6 +91,7 @@
         digest: digest(view),
         changed: Vec::new(),
         removed: Vec::new(),
+        config_version: state.config_version,
     };
     let has_changed = |known: &&KnownInstance| {
         old.instances.get(&known.entry.id).is_none_or(|it| it.entry != known.entry)
--- a/crates/gateway/src/listing/tests.rs
+++ b/crates/gateway/src/listing/tests.rs
@@ -6,6 +6,7 @@
         revision: Revision::new(revision),
         config_revision: Revision::new(1),
         cluster_digest: 0,
+        config_version: 0,
     }
 }
 
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -166,6 +166,7 @@
         digest: 7,
         changed: Vec::new(),
         removed: Vec::new(),
+        config_version: 1,
     }
 }
 
