--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,6 +2,7 @@
 
 mod cluster_view;
 pub mod message;
+mod restored_cluster;
 mod secret;
 
 use std::{
@@ -32,8 +33,9 @@
 
 pub use self::cluster_view::{ClusterView, ListedGateway};
 use self::{
-    cluster_view::{MAX_JITTER, poll_cluster, register_self},
+    cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
+    restored_cluster::RestoredCluster,
 };
 use crate::{control::plan::DomainKey, listing::ListChange, lock::lock, store_era::NewestEra};
 
@@ -69,18 +71,6 @@
 /// with a margin.
 const REPORTER_EXPIRY: Duration = Duration::from_millis(1_200);
 
-/// List before the key-value service last came back from a copy.
-#[derive(Debug, Default)]
-struct RestoredCluster {
-    /// Newest era in which the list was read.
-    era: Option<StoreEra>,
-    /// When the list was first read in that era.
-    since: Time,
-    before: ClusterView,
-    /// Culprits that no gateway has listed again yet.
-    lost_culprits: Vec<Culprit>,
-}
-
 /// Link to the other gateways.
 #[derive(Debug)]
 pub struct Peers {
@@ -184,25 +174,15 @@
     /// lacks what was registered since the copy, which is kept until it can be
     /// registered again.
     pub(crate) fn apply_read(&self, era: StoreEra, mut read: ClusterView) {
-        let now = self.clock.now();
-        {
-            let mut restored = lock(&self.restored);
-            if restored.era.is_some_and(|it| it < era) {
-                restored.since = now;
-                restored.before = ClusterView::clone(&self.cluster());
-            }
-            restored.era = restored.era.max(Some(era));
-            let listed = read.culprits.clone();
-            read.add_missing(&restored.before, now.since(restored.since));
-            restored.lost_culprits = read.culprits.difference(&listed).cloned().collect();
-        }
+        let before = self.cluster();
+        lock(&self.restored).apply(&before, era, &mut read, self.clock.now());
         self.set_cluster(read);
     }
 
     /// Culprits that were listed before the key-value service came back from a copy and
     /// are not any more.
     pub(crate) fn lost_culprits(&self) -> Vec<Culprit> {
-        lock(&self.restored).lost_culprits.clone()
+        lock(&self.restored).lost_culprits().to_vec()
     }
 
     /// Replaces the list by a newly read one and adds announced owners for which
@@ -375,7 +355,7 @@
     let registering = register_self(Arc::clone(peers), Arc::clone(store), era.clone(), addr);
     let reading = poll_cluster(Arc::clone(peers), Arc::clone(store));
     let receiving = receive(Arc::clone(peers), Arc::clone(store), addr, on_message);
-    let keeping = keep_secret(Arc::clone(peers), Arc::clone(store), era.clone(), era.get());
+    let keeping = secret::keep(Arc::clone(peers), Arc::clone(store), era.clone(), era.get());
     vec![
         tokio::spawn(registering),
         tokio::spawn(reading),
@@ -429,42 +409,6 @@
     }
 }
 
-/// Keeps the secret in the key-value service when that comes back from an older copy. If
-/// another secret is written there by then, all gateways change to it; messages that are
-/// signed with the former one are accepted too. The secret was read in `known_era` or
-/// later.
-async fn keep_secret(
-    peers: Arc<Peers>,
-    store: Arc<dyn Store>,
-    era: NewestEra,
-    mut known_era: StoreEra,
-) {
-    loop {
-        era.wait_after(known_era).await;
-        sleep(MAX_JITTER.mul_f64(rand::random())).await;
-        let known = lock(&peers.secret).clone();
-        let Some(known) = known else {
-            // The endpoint is not bound yet, and its secret is read in the new era.
-            known_era = era.get();
-            continue;
-        };
-        let current_era = era.get();
-        match secret::restore(&*store, &known).await {
-            Ok(written) => {
-                known_era = current_era;
-                if written != known {
-                    tracing::warn!("secret of the gateways was replaced");
-                    peers.replace_secret(written, known);
-                }
-            }
-            Err(error) => {
-                tracing::info!(%error, dependency = "store", "could not keep the secret of the gateways");
-                sleep(REGISTER_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
 async fn bind(
     peers: &Peers,
     store: &dyn Store,
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -40,16 +40,6 @@
 /// the same time.
 pub(super) const MAX_JITTER: Duration = Duration::from_millis(200);
 
-/// Time for which gateways count that an older copy of the key-value service lacks: a
-/// gateway that only notices by the renewal of its lease has registered again by then.
-pub(super) const CARRIED_NODE_TIME: Duration = Duration::from_millis(4_500);
-/// Time for which owners count that an older copy lacks: they notice by the renewals
-/// of their leases, and acquire their domains again.
-pub(super) const CARRIED_OWNER_TIME: Duration = Duration::from_millis(2_000);
-/// Time for which culprits count that an older copy lacks: the gateways that know them
-/// have listed them again by then.
-pub(super) const CARRIED_CULPRIT_TIME: Duration = Duration::from_secs(12);
-
 /// Gateway in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
 #[display("{addr} {zone}")]
@@ -91,24 +81,6 @@
         self.nodes.iter().filter(move |(_, it)| it.zone == *zone).map(|(node, _)| *node)
     }
 
-    /// Adds what this read lacks of an earlier one that an older copy of the key-value
-    /// service replaced `age` ago.
-    pub(super) fn add_missing(&mut self, before: &Self, age: Duration) {
-        if age < CARRIED_NODE_TIME {
-            for (node, listed) in &before.nodes {
-                self.nodes.entry(*node).or_insert_with(|| listed.clone());
-            }
-        }
-        if age < CARRIED_OWNER_TIME {
-            for (key, owner) in &before.owners {
-                self.owners.entry(key.clone()).or_insert(*owner);
-            }
-        }
-        if age < CARRIED_CULPRIT_TIME {
-            self.culprits.extend(before.culprits.iter().cloned());
-        }
-    }
-
     /// Digest of the list, equal on all gateways of one build.
     pub fn digest(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
--- a/crates/gateway/src/peers/secret.rs
+++ b/crates/gateway/src/peers/secret.rs
@@ -1,9 +1,16 @@
 //! Secret that signs the datagrams between gateways.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use citrongw_protocol::store::{
     Change, Entry, Expected, Store, StoreError, StoreResult, Write, WriteResult,
 };
+use citrongw_state::id::StoreEra;
+use tokio::time::sleep;
+
+use super::{Peers, REGISTER_RETRY_DELAY, cluster_view::MAX_JITTER};
+use crate::{lock::lock, store_era::NewestEra};
 
 /// Key of the secret. The first gateway generates it.
 const SECRET_KEY: &str = "citrongw/peer-secret";
@@ -51,5 +58,41 @@
     }
 }
 
+/// Keeps the secret in the key-value service when that comes back from an older copy. If
+/// another secret is written there by then, all gateways change to it; messages that are
+/// signed with the former one are accepted too. The secret was read in `known_era` or
+/// later.
+pub(super) async fn keep(
+    peers: Arc<Peers>,
+    store: Arc<dyn Store>,
+    era: NewestEra,
+    mut known_era: StoreEra,
+) {
+    loop {
+        era.wait_after(known_era).await;
+        sleep(MAX_JITTER.mul_f64(rand::random())).await;
+        let known = lock(&peers.secret).clone();
+        let Some(known) = known else {
+            // The endpoint is not bound yet, and its secret is read in the new era.
+            known_era = era.get();
+            continue;
+        };
+        let current_era = era.get();
+        match restore(&*store, &known).await {
+            Ok(written) => {
+                known_era = current_era;
+                if written != known {
+                    tracing::warn!("secret of the gateways was replaced");
+                    peers.replace_secret(written, known);
+                }
+            }
+            Err(error) => {
+                tracing::info!(%error, dependency = "store", "could not keep the secret of the gateways");
+                sleep(REGISTER_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/peers/tests/restored.rs
+++ b/crates/gateway/src/peers/tests/restored.rs
@@ -3,8 +3,9 @@
 use citrongw_fakes::kv::core::KvCore;
 
 use super::{
-    super::cluster_view::{
-        CARRIED_CULPRIT_TIME, CARRIED_NODE_TIME, CARRIED_OWNER_TIME, MAX_JITTER,
+    super::{
+        cluster_view::MAX_JITTER,
+        restored_cluster::{CARRIED_CULPRIT_TIME, CARRIED_NODE_TIME, CARRIED_OWNER_TIME},
     },
     *,
 };
@@ -81,7 +82,7 @@
             let endpoint = bind(&peers, &*shared, any).await.unwrap();
             peers.endpoint.set(endpoint).unwrap();
             let known = era.get();
-            let keeping = keep_secret(Arc::clone(&peers), Arc::clone(&shared), era.clone(), known);
+            let keeping = secret::keep(Arc::clone(&peers), Arc::clone(&shared), era.clone(), known);
             gateways.push((peers, tokio::spawn(keeping)));
         }
         let before = lock(&gateways[0].0.secret).clone().unwrap();
