Keep the plan that an owner reads as its own for a return of the store

A domain whose owner had read its record last, after a write without a response, would have restored the plan before that write from memory. The plan that is read counts as known too. Found by reading; no test shows it. Revisions in log lines are numbers again, as before.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -65,7 +65,7 @@
     },
 }
 
-/// Plan of a domain with the revision at which this node wrote it.
+/// Plan of a domain with the revision of the record that held it.
 pub(super) type KnownPlan = (DomainPlan, Revision);
 
 /// Controls one domain while this node owns it.
@@ -74,7 +74,7 @@
     domain: DomainKey,
     lease: RenewedLease,
     plan: Option<(DomainPlan, Revision)>,
-    /// Plan as last written, which the record may lack after the key-value service came
+    /// Plan as last written or read, which the record may lack after the key-value service came
     /// back from a copy.
     last_known: Option<KnownPlan>,
     /// Whether the domain had no plan when this node became the owner.
@@ -117,7 +117,7 @@
     }
 
     /// Controls the domain until the lease is lost or the gateway stops. Returns the last
-    /// plan that this node wrote.
+    /// plan that this node knows.
     pub(super) async fn run(mut self) -> Option<KnownPlan> {
         let mut ticks = interval(STEP_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -272,7 +272,7 @@
             step::next_plan(plan, &hosts, &config, &mut self.control_state, now, new_replica_id);
         if let Some(next) = next {
             let revision = self.write_plan(next, Some(*revision)).await?;
-            tracing::info!(domain = %self.domain, %revision, "record of a domain changed");
+            tracing::info!(domain = %self.domain, revision = revision.number, "record of a domain changed");
         }
         let now = gateway.clock.now();
         // The lease may have expired during the write.
@@ -392,7 +392,7 @@
         {
             let revision = self.write_plan(known.clone(), revision).await?;
             tracing::info!(
-                domain = %self.domain, epoch = %known.epoch, stored = %plan.epoch, %revision,
+                domain = %self.domain, epoch = %known.epoch, stored = %plan.epoch, revision = revision.number,
                 "record of a domain restored"
             );
             return Ok((known, revision));
@@ -400,6 +400,7 @@
         if plan.owner == self.gateway.node
             && let Some(revision) = revision
         {
+            self.last_known = Some((plan.clone(), revision));
             return Ok((plan, revision));
         }
         self.is_new_domain = plan.epoch == Epoch::default();
--- a/crates/gateway/src/feed/unreadable.rs
+++ b/crates/gateway/src/feed/unreadable.rs
@@ -31,7 +31,7 @@
         let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
         if seen.insert(entry.key.clone(), entry.revision) != Some(entry.revision) {
             self.count.inc();
-            let (key, revision) = (&entry.key, entry.revision.to_string());
+            let (key, revision) = (&entry.key, entry.revision.number);
             tracing::warn!(%key, revision, %error, "record cannot be read");
         }
     }
