--- a/crates/fakes/src/kv/core.rs
+++ b/crates/fakes/src/kv/core.rs
@@ -49,12 +49,12 @@
         self.era
     }
 
-    /// Comes back from a copy of an earlier state, in a new era. What was written since
+    /// Restores the state from a backup, in a new era. What was written since the backup
     /// is gone, leases too, and the counter goes back.
-    pub fn restore(&mut self, copy: KvCore) {
+    pub fn restore(&mut self, backup: KvCore) {
         let era = StoreEra(self.era.0 + 1);
         let (reads, writes) = (self.reads, self.writes);
-        *self = KvCore { era, reads, writes, log: Vec::new(), ..copy };
+        *self = KvCore { era, reads, writes, log: Vec::new(), ..backup };
         for stored in self.entries.values_mut() {
             stored.entry.revision.era = era;
         }
--- a/crates/fakes/src/kv/mem.rs
+++ b/crates/fakes/src/kv/mem.rs
@@ -163,7 +163,7 @@
 
 impl Watch {
     /// Waits for the next events; a watch delivers no events while the service is down.
-    /// None ends the watch, also when the service has come back in another era.
+    /// None ends the watch, also when the service was restored in another era.
     async fn next_batch(&mut self) -> Option<Vec<WatchEvent>> {
         loop {
             self.changed_rx.mark_unchanged();
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -44,8 +44,8 @@
 /// Timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Maximum number of attempts to acquire a domain again after the key-value service came
-/// back from a copy.
+/// Maximum number of attempts to acquire a domain again after the key-value service was
+/// restored.
 const MAX_ACQUIRE_ATTEMPTS: usize = 4;
 /// Delay between these attempts.
 const ACQUIRE_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -74,8 +74,8 @@
     domain: DomainKey,
     lease: RenewedLease,
     plan: Option<(DomainPlan, Revision)>,
-    /// Plan as last written or read, which the record may lack after the key-value service came
-    /// back from a copy.
+    /// Plan as last written or read, which the record may lack after the key-value service was
+    /// restored.
     last_known: Option<KnownPlan>,
     /// Whether the domain had no plan when this node became the owner.
     is_new_domain: bool,
@@ -173,8 +173,8 @@
         self.last_known
     }
 
-    /// Acquires the domain again after the key-value service came back from a copy,
-    /// which may lack the lease and the last changes of the record. False if another node
+    /// Acquires the domain again after the key-value service was restored from a
+    /// backup, which may lack the lease and the last changes of the record. False if another node
     /// owns the domain.
     async fn acquire_again(&mut self) -> bool {
         let gateway = Arc::clone(&self.gateway);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -101,8 +101,8 @@
 
 impl RoutingState {
     /// Activates a configuration, unless the active one is as new or newer. The
-    /// operators' versions only grow, whereas the key-value service may come back from a
-    /// copy that has an older one.
+    /// operators' versions only grow, whereas the key-value service may be restored from
+    /// a backup that has an older one.
     pub fn set_config(&self, config: GatewayConfig) {
         {
             let mut newest_read = lock(&self.newest_config_read);
@@ -153,8 +153,8 @@
     }
 
     /// Rejects requests until a newer configuration is read, if the list reader has one
-    /// although this gateway has read the key-value service since: it came back from a
-    /// copy, and what the newer version revoked must not be served.
+    /// although this gateway has read the key-value service since: it was restored from
+    /// a backup, and what the newer version revoked must not be served.
     fn drop_outdated_config(&self, change: &ListChange) {
         let active_version = self.config_version();
         let is_outdated = active_version < change.config_version
--- a/crates/gateway/src/feed/tests.rs
+++ b/crates/gateway/src/feed/tests.rs
@@ -9,7 +9,7 @@
 enum Event {
     /// The operators write the next version.
     Change,
-    /// The service comes back from the copy of some versions ago.
+    /// The service is restored from a backup of some versions ago.
     Restore(u8),
     /// The operators write the newest version again.
     Rewrite,
@@ -121,10 +121,10 @@
 }
 
 #[test]
-fn configuration_of_a_copy_is_not_used_if_the_list_reader_has_a_newer_one() {
+fn configuration_of_a_backup_is_not_used_if_the_list_reader_has_a_newer_one() {
     let later = |number| Revision::of_era(StoreEra(1), number);
     let cases = [
-        // The gateway started after the return, and the reader did before it.
+        // The gateway started after the restore, and the reader did before it.
         ((7, later(150)), (9, Revision::new(260)), 0),
         ((7, later(150)), (9, later(150)), 0),
         // The gateway has not read the change yet.
--- a/crates/gateway/src/instance_table.rs
+++ b/crates/gateway/src/instance_table.rs
@@ -4,8 +4,8 @@
 //! shortly after it if the instance is alive. So an entry that is missing right
 //! after an outage is kept until it could have reappeared, unless it was listed since.
 //!
-//! The service may also come back from a copy, in a new era. Until the instances could
-//! have written again, what was known before overrides the entries of the copy:
+//! The service may also be restored from a backup, in a new era. Until the instances could
+//! have written again, what was known before overrides the entries of the backup:
 //! instances that left stay away, those that were leaving are leaving, and missing ones
 //! are kept.
 
@@ -29,8 +29,8 @@
 /// the interval between two reads.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_500);
 
-/// Time for which an instance that left the list is remembered: longer than a copy of
-/// the platform's service is old.
+/// Time for which an instance that left the list is remembered: longer than a backup
+/// of the platform's service is old.
 const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
 
 /// Instance as last listed.
@@ -65,20 +65,20 @@
     listed_since_outage: BTreeSet<InstanceId>,
     /// Starts of instances that left the list, and when.
     departed: BTreeMap<InstanceId, (Incarnation, Time)>,
-    copy: Option<RestoredCopy>,
+    backup: Option<RestoredBackup>,
 }
 
-/// List as first read after the key-value service came back from a copy.
+/// List as first read after the key-value service was restored.
 #[derive(Debug)]
-struct RestoredCopy {
-    /// Until when what was known before overrides entries of the copy.
+struct RestoredBackup {
+    /// Until when what was known before overrides entries of the backup.
     until: Time,
     /// Revision of each entry.
     revisions: BTreeMap<InstanceId, Revision>,
 }
 
-impl RestoredCopy {
-    /// Whether an entry was not written since the copy was first read.
+impl RestoredBackup {
+    /// Whether an entry was not written since the backup was first read.
     fn contains(&self, entry: &InstanceEntry, revision: Revision) -> bool {
         self.revisions.get(&entry.id) == Some(&revision)
     }
@@ -95,7 +95,7 @@
         self.has_read = true;
         if self.era < era {
             self.era = era;
-            self.copy = None;
+            self.backup = None;
         }
         let old = std::mem::replace(&mut self.view, view).instances;
         self.record_departed(old);
@@ -121,23 +121,23 @@
         if is_restored {
             let revisions = entries.iter().map(|(entry, revision)| (entry.id.clone(), *revision));
             let until = read_at + REAPPEAR_TIME;
-            self.copy = Some(RestoredCopy { until, revisions: revisions.collect() });
+            self.backup = Some(RestoredBackup { until, revisions: revisions.collect() });
         }
-        self.copy = self.copy.take().filter(|it| read_at < it.until);
+        self.backup = self.backup.take().filter(|it| read_at < it.until);
         let keeps_missing = read_at < self.keep_missing_until;
         self.has_read = true;
         self.era = era;
         let mut old = std::mem::take(&mut self.view.instances);
         let mut new = BTreeMap::new();
         for (entry, revision) in entries {
-            let is_copied = self.copy.as_ref().is_some_and(|it| it.contains(&entry, revision));
-            if is_copied && self.has_departed(&entry) {
+            let is_of_backup = self.backup.as_ref().is_some_and(|it| it.contains(&entry, revision));
+            if is_of_backup && self.has_departed(&entry) {
                 continue;
             }
             let known = match old.remove(&entry.id) {
                 Some(known) if known.revision == revision => known,
-                Some(known) if is_copied && known.entry.incarnation == entry.incarnation => {
-                    merge_copy(known, &entry)
+                Some(known) if is_of_backup && known.entry.incarnation == entry.incarnation => {
+                    merge_backup(known, &entry)
                 }
                 _ => KnownInstance { entry: Arc::new(entry), revision, changed_at: read_at },
             };
@@ -185,9 +185,9 @@
 }
 
 /// Entry of an instance that was known before the service was restored: the known state
-/// is newer than the copy, unless the instance has begun to leave since.
-fn merge_copy(known: KnownInstance, copied: &InstanceEntry) -> KnownInstance {
-    if known.entry.leaving || !copied.leaving {
+/// is newer than the backup, unless the instance has begun to leave since.
+fn merge_backup(known: KnownInstance, restored: &InstanceEntry) -> KnownInstance {
+    if known.entry.leaving || !restored.leaving {
         return known;
     }
     let entry = InstanceEntry { leaving: true, ..InstanceEntry::clone(&known.entry) };
--- a/crates/gateway/src/instance_table/tests.rs
+++ b/crates/gateway/src/instance_table/tests.rs
@@ -81,10 +81,10 @@
     let mut table = InstanceTable::default();
     let (a, b) = (entry("a"), entry("b"));
     table.apply(Time::from_millis(1_000), FIRST, listed(FIRST, &[(&a, 8), (&b, 9)]));
-    let copy = || listed(SECOND, &[(&a, 3)]);
-    assert_eq!(ids(table.apply(Time::from_millis(1_500), SECOND, copy())), ["a", "b"]);
-    assert_eq!(ids(table.apply(Time::from_millis(3_900), SECOND, copy())), ["a", "b"]);
-    assert_eq!(ids(table.apply(Time::from_millis(4_100), SECOND, copy())), ["a"]);
+    let backup = || listed(SECOND, &[(&a, 3)]);
+    assert_eq!(ids(table.apply(Time::from_millis(1_500), SECOND, backup())), ["a", "b"]);
+    assert_eq!(ids(table.apply(Time::from_millis(3_900), SECOND, backup())), ["a", "b"]);
+    assert_eq!(ids(table.apply(Time::from_millis(4_100), SECOND, backup())), ["a"]);
     assert_eq!(ids(table.apply(Time::from_millis(4_500), SECOND, Vec::new())), [""; 0]);
 }
 
@@ -96,14 +96,14 @@
 }
 
 #[test]
-fn instance_that_had_left_before_the_store_was_restored_is_not_listed_by_the_copy() {
+fn instance_that_had_left_before_the_store_was_restored_is_not_listed_by_the_backup() {
     let mut table = InstanceTable::default();
     let (a, b) = (entry("a"), entry("b"));
     table.apply(Time::from_millis(500), FIRST, listed(FIRST, &[(&a, 3), (&b, 4)]));
     table.apply(Time::from_millis(1_000), FIRST, listed(FIRST, &[(&a, 3)]));
-    let copy = || listed(SECOND, &[(&a, 3), (&b, 4)]);
-    assert_eq!(ids(table.apply(Time::from_millis(1_500), SECOND, copy())), ["a"]);
-    assert_eq!(ids(table.apply(Time::from_millis(2_000), SECOND, copy())), ["a"]);
+    let backup = || listed(SECOND, &[(&a, 3), (&b, 4)]);
+    assert_eq!(ids(table.apply(Time::from_millis(1_500), SECOND, backup())), ["a"]);
+    assert_eq!(ids(table.apply(Time::from_millis(2_000), SECOND, backup())), ["a"]);
     let again = listed(SECOND, &[(&a, 3), (&b, 9)]);
     assert_eq!(ids(table.apply(Time::from_millis(2_500), SECOND, again)), ["a", "b"]);
 }
@@ -119,16 +119,16 @@
 }
 
 #[test]
-fn state_that_was_known_before_the_store_was_restored_overrides_the_copy() {
+fn state_that_was_known_before_the_store_was_restored_overrides_the_backup() {
     let mut table = InstanceTable::default();
     let leaving = InstanceEntry { leaving: true, ..entry("a") };
     table.apply(Time::from_millis(1_000), FIRST, listed(FIRST, &[(&leaving, 8)]));
-    let copy = || listed(SECOND, &[(&entry("a"), 8)]);
+    let backup = || listed(SECOND, &[(&entry("a"), 8)]);
     let is_leaving = |view: &InstancesView| view.instances[&"a".into()].entry.leaving;
-    assert!(is_leaving(table.apply(Time::from_millis(1_500), SECOND, copy())));
-    assert!(is_leaving(table.apply(Time::from_millis(2_500), SECOND, copy())));
-    let view = table.apply(Time::from_millis(4_100), SECOND, copy());
-    assert!(!is_leaving(view), "what is written counts after the return");
+    assert!(is_leaving(table.apply(Time::from_millis(1_500), SECOND, backup())));
+    assert!(is_leaving(table.apply(Time::from_millis(2_500), SECOND, backup())));
+    let view = table.apply(Time::from_millis(4_100), SECOND, backup());
+    assert!(!is_leaving(view), "what is written counts after the restore");
 }
 
 #[test]
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -171,7 +171,7 @@
     }
 
     /// Applies a read of the list in an era of the key-value service. In a new era it
-    /// lacks what was registered since the copy, which is kept until it can be
+    /// lacks what was registered since the backup, which is kept until it can be
     /// registered again.
     pub(crate) fn apply_read(&self, era: StoreEra, mut read: ClusterView) {
         let before = self.cluster();
@@ -179,8 +179,8 @@
         self.set_cluster(read);
     }
 
-    /// Culprits that were listed before the key-value service came back from a copy and
-    /// are not any more.
+    /// Culprits that were listed before the key-value service was restored and are
+    /// not any more.
     pub(crate) fn lost_culprits(&self) -> Vec<Culprit> {
         lock(&self.restored).lost_culprits().to_vec()
     }
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -118,7 +118,7 @@
 enum Ended {
     /// Another value is registered.
     Conflict,
-    /// The key-value service came back from a copy, in which it may be missing.
+    /// The key-value service was restored from a backup, in which it may be missing.
     NewEra,
 }
 
--- a/crates/gateway/src/peers/restored_cluster.rs
+++ b/crates/gateway/src/peers/restored_cluster.rs
@@ -1,5 +1,5 @@
-//! List of gateways, owners and culprits before the key-value service came back from an
-//! older copy. What the copy lacks counts until it could have been written again.
+//! List of gateways, owners and culprits before the key-value service was restored from a
+//! backup. What the backup lacks counts until it could have been written again.
 
 use std::time::Duration;
 
@@ -7,17 +7,17 @@
 
 use super::ClusterView;
 
-/// Time for which gateways count that an older copy of the key-value service lacks: a
+/// Time for which gateways count that a backup of the key-value service lacks: a
 /// gateway that only notices by the renewal of its lease has registered again by then.
 pub(super) const CARRIED_NODE_TIME: Duration = Duration::from_millis(4_500);
-/// Time for which owners count that an older copy lacks: they notice by the renewals
+/// Time for which owners count that a backup lacks: they notice by the renewals
 /// of their leases, and acquire their domains again.
 pub(super) const CARRIED_OWNER_TIME: Duration = Duration::from_millis(2_000);
-/// Time for which culprits count that an older copy lacks: the gateways that know them
+/// Time for which culprits count that a backup lacks: the gateways that know them
 /// have listed them again by then.
 pub(super) const CARRIED_CULPRIT_TIME: Duration = Duration::from_secs(12);
 
-/// List before the last return.
+/// List before the last restore.
 #[derive(Debug, Default)]
 pub(super) struct RestoredCluster {
     /// Newest era in which the list was read.
--- a/crates/gateway/src/peers/secret.rs
+++ b/crates/gateway/src/peers/secret.rs
@@ -29,7 +29,7 @@
     write_if_absent(store, generated).await
 }
 
-/// Writes a secret again that an older copy of the key-value service may lack. Returns
+/// Writes a secret again that a backup of the key-value service may lack. Returns
 /// the one that is written: a gateway that started meanwhile may have generated another.
 pub(super) async fn restore(store: &dyn Store, secret: &str) -> StoreResult<String> {
     match store.get(SECRET_KEY.into()).await?.into_entry() {
@@ -58,7 +58,7 @@
     }
 }
 
-/// Keeps the secret in the key-value service when that comes back from an older copy. If
+/// Keeps the secret in the key-value service when that is restored from a backup. If
 /// another secret is written there by then, all gateways change to it; messages that are
 /// signed with the former one are accepted too. The secret was read in `known_era` or
 /// later.
--- a/crates/gateway/src/peers/tests/restored.rs
+++ b/crates/gateway/src/peers/tests/restored.rs
@@ -1,4 +1,4 @@
-//! Cases of a key-value service that comes back from an older copy.
+//! Cases of a key-value service that was restored from a backup.
 
 use citrongw_fakes::kv::core::KvCore;
 
@@ -72,7 +72,7 @@
 async fn secret_that_a_restored_store_lacks_is_written_again_or_replaced_on_all_gateways() {
     let store = mem::open();
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    // Of three gateways the last one starts after the return and reads what it finds.
+    // Of three gateways the last one starts after the restore and reads what it finds.
     for starts_before_the_others_notice in [false, true] {
         let (era, mut gateways) = (store_era::open(), Vec::new());
         let shared = wrap(Arc::new(store.clone()), era.clone());
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -1,7 +1,7 @@
-//! Client of the key-value service that notices when the service comes back from an
-//! older copy.
+//! Client of the key-value service that notices when the service was restored from
+//! a backup.
 //!
-//! The service forgets then what was written since the copy, leases too, and may grant
+//! The service forgets then what was written since the backup, leases too, and may grant
 //! the ids of these leases again. Calls that rely on an earlier era are refused here,
 //! before they reach another's lease or record, responses of an earlier era that come
 //! late are dropped, and whoever keeps something in the service learns of the new era.
@@ -33,7 +33,7 @@
         self.era_tx.borrow().unwrap_or_default()
     }
 
-    /// Completes once the service has come back in an era after `era`.
+    /// Completes once the service was restored in an era after `era`.
     pub async fn wait_after(&self, era: StoreEra) {
         let mut era_rx = self.era_tx.subscribe();
         // The sender is part of this value.
@@ -56,7 +56,7 @@
                         era = era.0,
                         before = before.0,
                         dependency = "store",
-                        "key-value service came back from an older copy"
+                        "key-value service was restored from a backup"
                     );
                 }
                 *newest = Some(era);
@@ -130,7 +130,7 @@
             let is_committed = matches!(result, WriteResult::Committed(_));
             let result = self.newest.check(era, result)?;
             if is_committed && relied_on.is_some_and(|it| it < era) {
-                // The service came back in between; the same number may belong to
+                // The service was restored in between; the same number may belong to
                 // another entry or lease. The caller has to read again.
                 return Err(StoreError::NoResponse);
             }
@@ -160,7 +160,7 @@
     fn end_lease(&self, lease: LeaseId) -> BoxFuture<'_, StoreResult<()>> {
         async move {
             if lease.era < self.newest.get() {
-                // It may be another's now. Its own keys end with the copy or by themselves.
+                // It may be another's now. Its own keys end with the backup or by themselves.
                 return Ok(());
             }
             self.inner.end_lease(lease).await
--- a/crates/gateway/src/store_era/tests.rs
+++ b/crates/gateway/src/store_era/tests.rs
@@ -17,19 +17,19 @@
 
 fn restore(store: &MemStore) {
     store.inspect(|core| {
-        let copy = core.clone();
-        core.restore(copy);
+        let backup = core.clone();
+        core.restore(backup);
     });
 }
 
 #[tokio::test(start_paused = true)]
 async fn lease_of_an_earlier_era_neither_renews_nor_ends_that_of_another() {
     let store = mem::open();
-    let copy = store.inspect(|core| core.clone());
+    let backup = store.inspect(|core| core.clone());
     let (first, _) = open_wrapped(&store);
     let (second, _) = open_wrapped(&store);
     let lost = first.grant_lease(TTL).await.unwrap();
-    store.inspect(|core| core.restore(copy));
+    store.inspect(|core| core.restore(backup));
     let granted = second.grant_lease(TTL).await.unwrap();
     assert_eq!(lost.id, granted.id, "the id is granted again");
     second.compare_and_swap(put("k", Expected::Absent, Some(granted))).await.unwrap();
@@ -46,7 +46,7 @@
     let write = wrapped.compare_and_swap(put("k", Expected::Absent, None)).await.unwrap();
     let WriteResult::Committed(revision) = write else { panic!("{write:?}") };
     restore(&store);
-    // The client does not know of the return yet; the number fits by chance.
+    // The client does not know of the restore yet; the number fits by chance.
     let expected = Expected::Revision(revision);
     let unnoticed = wrapped.compare_and_swap(put("k", expected, None)).await;
     assert_eq!(unnoticed, Err(StoreError::NoResponse));
@@ -67,7 +67,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn first_response_begins_no_new_era_and_a_return_does() {
+async fn first_response_begins_no_new_era_and_a_restore_does() {
     let store = mem::open();
     restore(&store);
     let (wrapped, newest) = open_wrapped(&store);
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -39,7 +39,7 @@
 }
 
 impl LeaseId {
-    /// Lease of a service that never came back from a copy.
+    /// Lease of a service that was never restored from a backup.
     pub const fn new(id: i64) -> Self {
         Self { era: StoreEra(0), id }
     }
--- a/crates/state/src/id.rs
+++ b/crates/state/src/id.rs
@@ -140,8 +140,8 @@
     Epoch(u64, "{}");
     /// Start of a process on an instance; different for each start.
     Incarnation(u64, "{}");
-    /// Number of the copy that the key-value service last came back from. It grows
-    /// with each return, and revisions of an earlier era may be given out again.
+    /// Number of times that the key-value service was restored from a backup. It grows
+    /// with each restore, and revisions of an earlier era may be given out again.
     StoreEra(u64, "{}");
 }
 
--- a/crates/state/src/id/revision.rs
+++ b/crates/state/src/id/revision.rs
@@ -1,6 +1,6 @@
 //! Revision of the key-value service.
 //!
-//! The service may come back from an older copy. Its counter goes back then, and the
+//! The service may be restored from an older backup. Its counter goes back then, and the
 //! same numbers are given out again for other changes, in a later era. So a revision
 //! includes its era, and revisions are ordered by it first.
 
@@ -20,7 +20,7 @@
 }
 
 impl Revision {
-    /// Revision of a service that never came back from a copy.
+    /// Revision of a service that was never restored from a backup.
     pub const fn new(number: u64) -> Self {
         Self { era: StoreEra(0), number }
     }
