Keep a culprit listed that a gateway only read before a restore

After a restore of the key-value service, requests that crash servers reached them again at gateways that started later.

Cause: a gateway that knew a culprit from the list alone wrote it again and deleted it with the next success of any request, since its own suspicions lacked it; a second predicate decided what to keep. Such a culprit is now added to the suspicions, and one predicate decides.

culprit_that_was_only_read_is_listed_again_after_a_restore_until_it_succeeds failed before (0 entries after an unrelated success, 1 expected).

--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -23,7 +23,7 @@
 use citrongw_state::{
     crash_suspicion::{
         RecentSuccesses,
-        shared_parts::{Culprit, QUARANTINE_TIME, SharedPartSuspicions},
+        shared_parts::{Culprit, SharedPartSuspicions},
     },
     id::{Fingerprint, ServerIncarnation},
 };
@@ -55,6 +55,12 @@
 /// Number of signatures of a request that are sent: as many as a datagram holds
 /// beside its other fields.
 const MAX_SIGNATURES: usize = 32;
+/// Shortest interval between checks of whether the culprits are listed: a change of the
+/// list has reached all gateways by then.
+const MIN_LISTING_INTERVAL: Duration = Duration::from_secs(2);
+/// Largest random time added to the interval, so that one gateway writes first.
+const LISTING_JITTER: Duration = Duration::from_secs(4);
+
 /// Who reported the death of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 enum DeathSource {
@@ -66,12 +72,6 @@
     Gateway,
 }
 
-/// Shortest interval between checks of whether the culprits are listed: a change of the
-/// list has reached all gateways by then.
-const MIN_LISTING_INTERVAL: Duration = Duration::from_secs(2);
-/// Largest random time added to the interval, so that one gateway writes first.
-const LISTING_JITTER: Duration = Duration::from_secs(4);
-
 /// Requests whose exchanges were interrupted, and what is suspected of having crashed
 /// their servers.
 #[derive(Debug)]
@@ -162,7 +162,7 @@
                 let signatures = part.to_vec();
                 watch.peers.broadcast(&PeerMessage::Cleared { signatures }).await;
             }
-            watch.listed.retain(|it| watch.is_culprit(it)).await;
+            watch.listed.retain(|it| watch.quarantine_left(it).is_some()).await;
         });
     }
 
@@ -184,7 +184,9 @@
         }
         self.clear(signatures);
         let watch = Arc::clone(self);
-        tokio::spawn(async move { watch.listed.retain(|it| watch.is_culprit(it)).await });
+        tokio::spawn(
+            async move { watch.listed.retain(|it| watch.quarantine_left(it).is_some()).await },
+        );
     }
 
     fn has_succeeded(&self, signature: Fingerprint) -> bool {
@@ -318,16 +320,14 @@
     /// Lists the culprits that no gateway has listed: the one that found them may have
     /// ended or not know all deaths, or the key-value service may have lost the entry.
     async fn list_missing_culprits(self: &Arc<Self>) {
-        for culprit in self.peers.lost_culprits() {
-            let left = || self.quarantine_left(&culprit).or(Some(QUARANTINE_TIME));
-            self.listed.add(&culprit, left).await;
+        let lost = self.peers.lost_culprits();
+        for culprit in &lost {
+            self.change(|it| it.add_culprit(culprit.clone(), self.clock.now()));
         }
         let known: Vec<Culprit> = lock(&self.suspicions).culprits().cloned().collect();
-        if known.is_empty() {
-            return;
-        }
         let cluster = self.peers.cluster();
-        for culprit in known.iter().filter(|it| !cluster.culprits.contains(*it)) {
+        let is_listed = |it: &Culprit| cluster.culprits.contains(it) && !lost.contains(it);
+        for culprit in known.iter().filter(|it| !is_listed(it)) {
             self.listed.add(culprit, || self.quarantine_left(culprit)).await;
         }
     }
@@ -337,10 +337,6 @@
         lock(&self.suspicions).quarantine_left(culprit, self.clock.now())
     }
 
-    fn is_culprit(&self, culprit: &Culprit) -> bool {
-        lock(&self.suspicions).culprits().any(|it| it == culprit)
-    }
-
     /// Whether a server has crashed. None if it does not respond: it may only be cut
     /// off, or about to refuse connections.
     async fn has_crashed(&self, server: &ServerIncarnation, addr: SocketAddr) -> Option<bool> {
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -16,7 +16,7 @@
 use crate::{
     adapter::{Order, OrderReply},
     instance::InstanceReport,
-    peers::{self, CULPRIT_PREFIX, ClusterView, ListedGateway},
+    peers::{self, CULPRIT_PREFIX, ClusterView, LIVE_PREFIX, ListedGateway, decode},
     testing::{self, StubCodec},
 };
 
@@ -186,6 +186,35 @@
     task.abort();
 }
 
+#[tokio::test(start_paused = true)]
+async fn culprit_that_was_only_read_is_listed_again_after_a_restore_until_it_succeeds() {
+    let store = mem::open();
+    let watch = open_watch(1, &store, report(1));
+    let task = tokio::spawn(maintain(Arc::clone(&watch)));
+    let read = || {
+        let snapshot = store.inspect(|core| core.list(&Key::from(LIVE_PREFIX)));
+        watch.peers.apply_read(snapshot.revision.era, decode(&snapshot.entries));
+    };
+    let other = open_watch(2, &store, report(2));
+    for number in 0..DEATHS_TO_QUARANTINE {
+        other.record_interrupted(&backend(number), vec![BAD]);
+        settle().await;
+    }
+    read();
+    assert!(is_quarantined(&watch, &[BAD]));
+    store.inspect(|core| core.restore(KvCore::default()));
+    read();
+    sleep(MIN_LISTING_INTERVAL + LISTING_JITTER).await;
+    assert_eq!(listed(&store), 1);
+    watch.apply_cleared(&[SHARED]);
+    settle().await;
+    assert_eq!(listed(&store), 1, "another success does not clear it");
+    watch.apply_cleared(&[BAD]);
+    settle().await;
+    assert_eq!(listed(&store), 0);
+    task.abort();
+}
+
 #[tokio::test]
 async fn death_and_success_reach_the_other_gateways() {
     let store = mem::open();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,6 +31,8 @@
     time::sleep,
 };
 
+#[cfg(test)]
+pub(crate) use self::cluster_view::decode;
 pub use self::cluster_view::{ClusterView, ListedGateway};
 use self::{
     cluster_view::{poll_cluster, register_self},
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -171,7 +171,7 @@
     }
 }
 
-pub(super) fn decode(entries: &[Entry]) -> ClusterView {
+pub(crate) fn decode(entries: &[Entry]) -> ClusterView {
     let mut cluster = ClusterView::default();
     for entry in entries {
         let value = std::str::from_utf8(&entry.value).unwrap_or_default();
--- a/crates/state/src/crash_suspicion/shared_parts.rs
+++ b/crates/state/src/crash_suspicion/shared_parts.rs
@@ -171,6 +171,11 @@
         self.culprits.keys()
     }
 
+    /// Adds a culprit that another gateway found, unless it is known.
+    pub fn add_culprit(&mut self, culprit: Culprit, now: Time) {
+        self.culprits.entry(culprit).or_insert(now);
+    }
+
     /// Time until the quarantine of a culprit ends; none if it is no culprit.
     pub fn quarantine_left(&self, culprit: &Culprit, now: Time) -> Option<Duration> {
         let since = self.culprits.get(culprit)?;
