Log each configuration that is read and not applied

Cause: a configuration below the version that the list reader has was dropped without a line, as the one of the incident had been. Change: the line of the first drop is written for these too.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -108,7 +108,9 @@
             let mut newest_read = lock(&self.newest_config_read);
             *newest_read = config.revision.max(*newest_read);
         }
-        if config.version < self.min_config_version.load(Ordering::Relaxed) {
+        let min_version = self.min_config_version.load(Ordering::Relaxed);
+        if config.version < min_version {
+            log_outdated_config(config.version, min_version);
             return;
         }
         let current = self.active_config.load();
@@ -164,12 +166,7 @@
         }
         self.min_config_version.fetch_max(change.config_version, Ordering::Relaxed);
         if self.active_config.swap(None).is_some() {
-            tracing::warn!(
-                version = active_version,
-                newer = change.config_version,
-                dependency = "store",
-                "configuration is older than that of the list reader"
-            );
+            log_outdated_config(active_version, change.config_version);
         }
     }
 
@@ -261,6 +258,15 @@
     }
 }
 
+fn log_outdated_config(version: u64, newer: u64) {
+    tracing::warn!(
+        version,
+        newer,
+        dependency = "store",
+        "configuration is older than that of the list reader"
+    );
+}
+
 /// Spawns the tasks that follow the configuration and the instance list.
 pub fn spawn(
     adapter: &Adapter,
