Log the pauses that backend servers request, and requests sent in them

Cause: nothing reads Retry-After of a server's 503, and no log line tells whether a server gets requests in a pause that it asked for, or of which kind they are (first attempts, resumed streams, orders). Change: the adapter decodes the header (rules in state/server_pause), a gateway keeps the pauses by incarnation of the server, and logs each pause and each request that is sent in one. No choice depends on it yet. Result: unit tests of the statements, the time and the incarnation pass.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -7,6 +7,7 @@
 use citrongw_state::{
     id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
     server_limit::StatedLimit,
+    server_pause::StatedPause,
 };
 use derive_more::{Debug, Display, Error};
 use futures::future::BoxFuture;
@@ -73,6 +74,8 @@
     pub load: Option<ServerLoad>,
     /// Limit that the backend server states.
     pub limit: StatedLimit,
+    /// Pause that the backend server requests in a rejection.
+    pub pause: StatedPause,
     /// Instance that caused the failure, if it is not the one that the request
     /// was sent to.
     pub at_fault: Option<InstanceId>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod peers;
 pub mod relay;
 mod server_limits;
+mod server_pauses;
 pub mod store_era;
 #[cfg(test)]
 mod testing;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -39,6 +39,7 @@
     peers::{self, Peers, message::PeerMessage},
     relay,
     server_limits::{self, ServerLimits},
+    server_pauses::RequestedPauses,
     store_era::{self, NewestEra},
 };
 
@@ -77,6 +78,8 @@
     pub(crate) crashes: Arc<CrashWatch>,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<ServerLimits>,
+    /// Pauses that backend servers requested.
+    pub(crate) pauses: RequestedPauses,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -123,6 +126,7 @@
         metrics,
         crashes,
         limits: Arc::new(server_limits::open(&peers, clock)),
+        pauses: RequestedPauses::default(),
         peers,
         stopping: AtomicBool::new(false),
     });
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -99,6 +99,13 @@
     let sent_at = gateway.clock.now();
     let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
+    if let Some(left) = gateway.pauses.left(backend, sent_at) {
+        tracing::info!(
+            request = %call.request, attempt = call.meta.attempt, server = %backend.id,
+            left_ms = left.as_millis(), is_resumed = resume_after.is_some(),
+            "request is sent in a pause of its server"
+        );
+    }
     let in_flight = backend.stats.begin_request();
     let sent = gateway.http.send(request).await;
     let now = gateway.clock.now();
@@ -114,6 +121,7 @@
     if call.meta.attempt.is_some() && meta.attempt.is_some() && meta.attempt != call.meta.attempt {
         return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
     }
+    gateway.pauses.record(backend, meta.pause, now);
     // A failure without a limit does not say that there is none.
     if parts.status.is_success() || meta.limit != StatedLimit::None {
         gateway.limits.record_response(backend, meta.limit, sent_at);
