Send a backend server nothing in the pause that it requested

Change: choose::exclusion is the one decision whether a server may be sent a request, for first attempts, retries and resumed streams; a pause excludes it, whatever ends its suspicion, and belongs to the incarnation, not to the epoch of its replica. A request that waited for a connection is withheld if the pause began meanwhile. If all servers are left out, callers are rejected at once with the end of the first pause. A line says why servers are excluded.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -11,13 +11,18 @@
 
 mod leveling;
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use citrongw_state::{
     breaker::BreakerState,
     id::{AvailabilityZone, InstanceId},
+    server_pause::ServerPauses,
     time::Time,
 };
+use derive_more::Display;
 
 use self::leveling::Level;
 use crate::{
@@ -36,6 +41,8 @@
     pub zone: &'a AvailabilityZone,
     /// Servers that earlier attempts of the request were sent to.
     pub tried: &'a [InstanceId],
+    /// Pauses that servers requested.
+    pub pauses: &'a ServerPauses,
     /// Requests in flight that the other nodes reported.
     pub peer_loads: &'a PeerLoads,
     /// Current time of the node's clock.
@@ -67,7 +74,7 @@
     random: impl FnOnce() -> f64,
 ) -> Option<Choice> {
     let peer_loads = criteria.peer_loads.view(criteria.now);
-    let usable = servers.iter().filter(|it| is_usable(it, criteria));
+    let usable = servers.iter().filter(|it| exclusion(it, criteria).is_none());
     let usable: Vec<&Arc<Backend>> = usable.collect();
     let remote_loads = RemoteLoads::new(&usable, criteria, &peer_loads);
     let scored: Vec<Scored<'_>> = usable
@@ -146,11 +153,53 @@
     }
 }
 
-fn is_usable(server: &Backend, criteria: &ChoiceCriteria<'_>) -> bool {
-    !criteria.tried.contains(&server.id)
-        && !server.stats.is_suspect(criteria.now)
-        && server.stats.denied_for(criteria.now).is_none()
-        && !matches!(server.stats.breaker.state(criteria.now), BreakerState::Open { .. })
+/// Why a server gets no request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Exclusion {
+    /// The request was sent there before.
+    #[display("tried")]
+    Tried,
+    /// The server asked this node for a pause.
+    #[display("pausing")]
+    Pausing,
+    /// The granter of the server's permits denied one.
+    #[display("limited")]
+    Limited,
+    /// The server is silent or was not reached.
+    #[display("suspected")]
+    Suspected,
+    /// The circuit breaker of the server is open.
+    #[display("breaker open")]
+    BreakerOpen,
+}
+
+/// Decides whether a server may be sent a request now. All attempts of all requests
+/// are decided here.
+pub fn exclusion(server: &Backend, criteria: &ChoiceCriteria<'_>) -> Option<Exclusion> {
+    if criteria.tried.contains(&server.id) {
+        return Some(Exclusion::Tried);
+    }
+    if criteria.pauses.left(&server.id, server.incarnation, criteria.now).is_some() {
+        return Some(Exclusion::Pausing);
+    }
+    if server.stats.denied_for(criteria.now).is_some() {
+        return Some(Exclusion::Limited);
+    }
+    if server.stats.is_suspect(criteria.now) {
+        return Some(Exclusion::Suspected);
+    }
+    let breaker = server.stats.breaker.state(criteria.now);
+    matches!(breaker, BreakerState::Open { .. }).then_some(Exclusion::BreakerOpen)
+}
+
+/// Reasons why servers get no request, with the number of servers for each.
+pub fn exclusions(servers: &[Arc<Backend>], criteria: &ChoiceCriteria<'_>) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for exclusion in servers.iter().filter_map(|it| exclusion(it, criteria)) {
+        *counts.entry(exclusion.to_string()).or_default() += 1;
+    }
+    let counts: Vec<String> = counts.iter().map(|(why, count)| format!("{why} {count}")).collect();
+    counts.join(", ")
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -27,7 +27,13 @@
 fn chosen(servers: &[Arc<Backend>], tried: &[InstanceId]) -> Option<String> {
     let zone = "a".into();
     let peer_loads = PeerLoads::default();
-    let criteria = ChoiceCriteria { zone: &zone, tried, peer_loads: &peer_loads, now: Time::START };
+    let criteria = ChoiceCriteria {
+        zone: &zone,
+        tried,
+        pauses: &ServerPauses::default(),
+        peer_loads: &peer_loads,
+        now: Time::START,
+    };
     choose(servers, &criteria, || 0.0).map(|it| it.best.server.id.to_string())
 }
 
@@ -65,8 +71,13 @@
     let peer_loads = PeerLoads::default();
     peer_loads.record(ReportSource::Zone("b".into()), report, Time::START);
     let zone = "a".into();
-    let criteria =
-        ChoiceCriteria { zone: &zone, tried: &[], peer_loads: &peer_loads, now: Time::START };
+    let criteria = ChoiceCriteria {
+        zone: &zone,
+        tried: &[],
+        pauses: &ServerPauses::default(),
+        peer_loads: &peer_loads,
+        now: Time::START,
+    };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
     let loads = [choice.best.load.requests, choice.runner_up.unwrap().load.requests];
     assert_eq!(loads, [5.0, 5.0]);
@@ -80,6 +91,7 @@
     let criteria = ChoiceCriteria {
         zone: &zone,
         tried: &[],
+        pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
         now: Time::from_millis(150),
     };
@@ -105,3 +117,29 @@
     assert_eq!(chosen(&servers, &[]).as_deref(), Some("y"));
     assert_eq!(chosen(&servers, &["y".into()]), None);
 }
+
+#[test]
+fn server_in_its_pause_is_excluded_whatever_else_holds() {
+    let server = server("x", "a", 0);
+    let zone = "a".into();
+    let (peer_loads, mut pauses) = (PeerLoads::default(), ServerPauses::default());
+    let pause = Duration::from_secs(2);
+    pauses.record(&server.id, server.incarnation, pause, Time::START, 0.0);
+    let excluded = |at_ms| {
+        let now = Time::from_millis(at_ms);
+        let criteria = ChoiceCriteria {
+            zone: &zone,
+            tried: &[],
+            pauses: &pauses,
+            peer_loads: &peer_loads,
+            now,
+        };
+        exclusion(&server, &criteria)
+    };
+    server.stats.suspect_until(Time::from_millis(9_000));
+    assert_eq!(excluded(0), Some(Exclusion::Pausing));
+    // A response to an earlier request ends the suspicion, not the pause.
+    server.stats.record_received(Time::from_millis(1_000));
+    assert_eq!(excluded(1_999), Some(Exclusion::Pausing));
+    assert_eq!(excluded(2_000), None);
+}
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -18,7 +18,7 @@
     signatures,
 };
 use crate::{
-    choose::{Choice, ChoiceCriteria, choose},
+    choose::{Choice, ChoiceCriteria, choose, exclusions},
     fleet::Backend,
     node::Gateway,
 };
@@ -32,6 +32,10 @@
 /// Shortest value of `Retry-After` when all servers are at their limits, before it is
 /// spread: callers that return sooner find the same tokens taken.
 const MIN_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Largest random extension of that time, as a part of it.
+const LIMITED_SPREAD: f64 = 1.0;
+/// Largest random extension of the time to the end of a pause, as a part of it.
+const PAUSE_SPREAD: f64 = 0.1;
 /// Permits that are requested one after the other for one attempt.
 const MAX_PERMIT_REQUESTS: usize = 4;
 /// Time for which all servers with limits count as denied after that many.
@@ -109,22 +113,50 @@
         self.choose(gateway, call)
     }
 
-    /// Refusal when no server may be chosen. If limits are the reason, the caller may
-    /// return once a permit is due.
+    /// Refusal when no server may be chosen. If limits or pauses are the reason, the
+    /// caller may return once a permit is due or the first pause ends.
     fn refusal_without_server(&self, gateway: &Gateway, call: &Call) -> Refusal {
-        let now = gateway.clock.now();
         let fleet = gateway.routing.fleet.load();
-        let untried = call.servers(&fleet).iter().filter(|it| !self.tried.contains(&it.id));
-        match untried.filter_map(|it| it.stats.denied_for(now)).min() {
-            Some(wait) if !self.may_have_run => {
-                let spread = 1.0 + rand::random::<f64>();
-                let retry_after = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(spread);
-                Refusal::from(ResultCode::ServersLimited).after(retry_after)
+        let servers = call.servers(&fleet);
+        let excluded = self.with_criteria(gateway, |criteria| exclusions(servers, criteria));
+        tracing::info!(
+            request = %call.request, attempt = call.meta.attempt, servers = servers.len(),
+            %excluded, "no server may be sent the request"
+        );
+        match self.first_permitted_after(gateway, servers) {
+            Some((code, wait)) if !self.may_have_run => {
+                let spread = match code {
+                    ResultCode::ServersLimited => LIMITED_SPREAD,
+                    _ => PAUSE_SPREAD,
+                };
+                let extension = 1.0 + spread * rand::random::<f64>();
+                let retry_after = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(extension);
+                Refusal::from(code).after(retry_after)
             }
             Some(_) | None => self.refusal(ResultCode::NoReplica),
         }
     }
 
+    /// Time until the first server that is left out by a limit or a pause may be sent
+    /// requests again.
+    fn first_permitted_after(
+        &self,
+        gateway: &Gateway,
+        servers: &[Arc<Backend>],
+    ) -> Option<(ResultCode, Duration)> {
+        let now = gateway.clock.now();
+        let waits = servers.iter().filter_map(|server| {
+            let denied = server.stats.denied_for(now).filter(|_| !self.tried.contains(&server.id));
+            let paused = gateway.pauses.left(server, now);
+            match (paused, denied) {
+                (None, denied) => denied.map(|it| (ResultCode::ServersLimited, it)),
+                (Some(paused), None) => Some((ResultCode::Overloaded, paused)),
+                (Some(paused), Some(denied)) => Some((ResultCode::Overloaded, paused.max(denied))),
+            }
+        });
+        waits.min_by_key(|(_, wait)| *wait)
+    }
+
     /// Whether a request with an attempt in progress could be sent to another
     /// server.
     pub(super) fn has_another(&self, gateway: &Gateway, call: &Call) -> bool {
@@ -153,14 +185,23 @@
     }
 
     fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
-        let fleet = gateway.routing.fleet.load();
-        let criteria = ChoiceCriteria {
+        self.with_criteria(gateway, |criteria| {
+            choose(call.servers(&gateway.routing.fleet.load()), criteria, rand::random)
+        })
+    }
+
+    fn with_criteria<R>(
+        &self,
+        gateway: &Gateway,
+        decide: impl FnOnce(&ChoiceCriteria<'_>) -> R,
+    ) -> R {
+        decide(&ChoiceCriteria {
             zone: &gateway.settings.zone,
             tried: &self.tried,
+            pauses: &gateway.pauses.load(),
             peer_loads: &gateway.peer_loads,
             now: gateway.clock.now(),
-        };
-        choose(call.servers(&fleet), &criteria, rand::random)
+        })
     }
 
     /// Decides whether to retry after a failed attempt, and waits for the retry
@@ -211,6 +252,9 @@
                     cause = %failed.cause, attempts = self.tried.len(), %reason,
                     budget = budget.retries_left(), "request is not retried"
                 );
+                if failed.cause == Cause::ServerRefused && self.choose(gateway, call).is_none() {
+                    return Err(self.refusal_without_server(gateway, call));
+                }
                 Err(self.refusal(code_of(failed.cause)))
             }
         }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -99,18 +99,14 @@
     let sent_at = gateway.clock.now();
     let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
-    if let Some(left) = gateway.pauses.left(backend, sent_at) {
-        tracing::info!(
-            request = %call.request, attempt = call.meta.attempt, server = %backend.id,
-            left_ms = left.as_millis(), is_resumed = resume_after.is_some(),
-            "request is sent in a pause of its server"
-        );
-    }
     let in_flight = backend.stats.begin_request();
-    let sent = gateway.http.send(request).await;
+    let may_send = || gateway.pauses.left(backend, gateway.clock.now()).is_none();
+    let sent = gateway.http.send_if(request, may_send).await;
     let now = gateway.clock.now();
     let (parts, body) = match sent {
-        Ok(response) => response.into_parts(),
+        Ok(Some(response)) => response.into_parts(),
+        // The server has requested a pause meanwhile.
+        Ok(None) => return Err(AttemptFailure::not_run(Cause::ServerRefused)),
         Err(error) => return Err(connection_failure(gateway, backend, &error, now)),
     };
     backend.stats.record_received(now);
--- a/crates/gateway/src/server_pauses.rs
+++ b/crates/gateway/src/server_pauses.rs
@@ -1,9 +1,9 @@
 //! Pauses that backend servers requested from this gateway. They are kept apart from
 //! the statistics of a server, which end with the epoch of its replica.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, Guard};
 use citrongw_state::{
     server_pause::{ServerPauses, StatedPause},
     time::Time,
@@ -35,8 +35,13 @@
         tracing::info!(server = %server.server(), pause = %stated, "backend server requested a pause");
     }
 
+    /// Pauses as recorded so far.
+    pub(crate) fn load(&self) -> Guard<Arc<ServerPauses>> {
+        self.pauses.load()
+    }
+
     /// Time that is left of the pause of a server, if it has one.
     pub(crate) fn left(&self, server: &Backend, now: Time) -> Option<Duration> {
-        self.pauses.load().left(&server.id, server.incarnation, now)
+        self.load().left(&server.id, server.incarnation, now)
     }
 }
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -14,6 +14,7 @@
 };
 use citrongw_state::{
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
+    server_pause::ServerPauses,
     time::Time,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -317,8 +318,13 @@
 
 /// Index of the replica that a gateway chooses.
 fn chosen(from: &Gateway, now: Time, rng: &mut SmallRng) -> Option<usize> {
-    let criteria =
-        ChoiceCriteria { zone: &from.zone, tried: &[], peer_loads: &from.peer_loads, now };
+    let criteria = ChoiceCriteria {
+        zone: &from.zone,
+        tried: &[],
+        pauses: &ServerPauses::default(),
+        peer_loads: &from.peer_loads,
+        now,
+    };
     let choice = choose(&from.servers, &criteria, || rng.random())?;
     let replica = choice.best.server.replica.as_ref()?;
     Some(replica.replica.0 as usize)
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -121,7 +121,17 @@
         &self,
         request: Request<B>,
     ) -> Result<Response<PooledBody>, HttpError> {
-        self.pool.send(request.map(Into::into)).await
+        self.send_if(request, || true).await?.ok_or(HttpError::NotReached)
+    }
+
+    /// Sends a request like [`Self::send`], or returns none if `may_send` is false once
+    /// a new connection is open, which may take up to a second.
+    pub async fn send_if<B: Into<RequestBody>>(
+        &self,
+        request: Request<B>,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Option<Response<PooledBody>>, HttpError> {
+        self.pool.send(request.map(Into::into), may_send).await
     }
 
     /// Counters of the connection pool.
--- a/crates/transport/src/http_client/pool.rs
+++ b/crates/transport/src/http_client/pool.rs
@@ -81,7 +81,8 @@
     pub(super) async fn send(
         &self,
         mut request: Request<RequestBody>,
-    ) -> Result<Response<PooledBody>, HttpError> {
+        may_send: impl Fn() -> bool,
+    ) -> Result<Option<Response<PooledBody>>, HttpError> {
         let host = self.host(prepare(&mut request)?);
         while let Some(mut connection) = host.take_idle() {
             if connection.sender.ready().await.is_err() {
@@ -90,7 +91,7 @@
             match exchange(connection, &host, request).await {
                 SendOutcome::Responded(response) => {
                     self.counters.reused.fetch_add(1, Ordering::Relaxed);
-                    return Ok(response);
+                    return Ok(Some(response));
                 }
                 SendOutcome::Unwritten(returned) => request = returned,
                 SendOutcome::Interrupted => return Err(HttpError::Interrupted),
@@ -98,8 +99,12 @@
         }
         let connection = connection::open(host.addr).await?;
         self.counters.opened.fetch_add(1, Ordering::Relaxed);
+        if !may_send() {
+            host.put_back(connection);
+            return Ok(None);
+        }
         match exchange(connection, &host, request).await {
-            SendOutcome::Responded(response) => Ok(response),
+            SendOutcome::Responded(response) => Ok(Some(response)),
             SendOutcome::Unwritten(_) => Err(HttpError::NotReached),
             SendOutcome::Interrupted => Err(HttpError::Interrupted),
         }
