Reproduce gateways that are cut from all servers

Change: a fake partition of one gateway (silent, refusing, refusing new connections only), which the HTTP client reaches by a map of addresses, and end-to-end tests with two gateways, listed as known red.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod kv;
 pub mod middlebox;
+pub mod partition;
 pub mod pass_engine;
 pub mod plain_service;
 pub mod platform;
--- a/crates/fakes/src/middlebox.rs
+++ b/crates/fakes/src/middlebox.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -29,6 +29,7 @@
 struct Shared {
     /// Number of the last connection whose state is discarded.
     dropped_up_to: AtomicU64,
+    is_silent: AtomicBool,
     opened: AtomicU64,
 }
 
@@ -43,6 +44,14 @@
         self.shared.dropped_up_to.store(self.opened(), Ordering::SeqCst);
     }
 
+    /// Discards the data of all connections from now on, or only of those that were
+    /// opened so far.
+    pub fn set_silent(&self, is_silent: bool) {
+        if self.shared.is_silent.swap(is_silent, Ordering::SeqCst) && !is_silent {
+            self.discard_connection_state();
+        }
+    }
+
     /// Number of connections accepted so far.
     pub fn opened(&self) -> u64 {
         self.shared.opened.load(Ordering::SeqCst)
@@ -57,7 +66,14 @@
 
 /// Listens on `addr` and forwards connections to `target`.
 pub async fn bind(addr: SocketAddr, target: SocketAddr) -> io::Result<Middlebox> {
-    let listener = TcpListener::bind(addr).await?;
+    bind_now(addr, target)
+}
+
+/// Listens on `addr`, without waiting, and forwards connections to `target`.
+pub fn bind_now(addr: SocketAddr, target: SocketAddr) -> io::Result<Middlebox> {
+    let listener = std::net::TcpListener::bind(addr)?;
+    listener.set_nonblocking(true)?;
+    let listener = TcpListener::from_std(listener)?;
     let local_addr = listener.local_addr()?;
     let shared = Arc::new(Shared::default());
     let accept_task = tokio::spawn(accept(listener, target, Arc::clone(&shared)));
@@ -84,7 +100,10 @@
     shared: Arc<Shared>,
 ) {
     let mut buf = vec![0; 16 * 1024];
-    let is_dropped = || number <= shared.dropped_up_to.load(Ordering::SeqCst);
+    let is_dropped = || {
+        shared.is_silent.load(Ordering::SeqCst)
+            || number <= shared.dropped_up_to.load(Ordering::SeqCst)
+    };
     while let Ok(count @ 1..) = from.read(&mut buf).await {
         if !is_dropped() && to.write_all(&buf[..count]).await.is_err() {
             return;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -9,6 +9,7 @@
     server_limit::StatedLimit,
     server_pause::StatedPause,
 };
+use citrongw_transport::http_client::HttpClient;
 use derive_more::{Debug, Display, Error};
 use futures::future::BoxFuture;
 use http::{HeaderMap, StatusCode};
@@ -219,6 +220,8 @@
     /// Names and encodings on the wire.
     #[debug(skip)]
     pub codec: Arc<dyn Codec>,
+    /// HTTP client for requests to backend servers.
+    pub http: HttpClient,
     /// Client of the instances.
     #[debug(skip)]
     pub instances: Arc<dyn InstanceClient>,
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -66,6 +66,7 @@
     let adapter = Adapter {
         store: Arc::new(store.clone()),
         codec: Arc::new(StubCodec),
+        http: citrongw_transport::http_client::open(),
         instances: Arc::new(instances),
     };
     Arc::new(open(&adapter, &peers, clock))
--- a/crates/gateway/src/feed/config/tests.rs
+++ b/crates/gateway/src/feed/config/tests.rs
@@ -17,6 +17,7 @@
     let adapter = Adapter {
         store: metered_store::open(Arc::new(store.clone()), subjects, calls.clone()),
         codec: Arc::new(StubCodec),
+        http: citrongw_transport::http_client::open(),
         instances: Arc::new(StubInstances),
     };
     let peers = Arc::new(peers::open(NodeId(1), "a".into(), clock));
--- a/crates/gateway/src/feed/instances/tests.rs
+++ b/crates/gateway/src/feed/instances/tests.rs
@@ -42,6 +42,7 @@
     let adapter = Adapter {
         store: metered_store::open(Arc::new(store.clone()), subjects, calls.clone()),
         codec: Arc::new(StubCodec),
+        http: citrongw_transport::http_client::open(),
         instances: Arc::new(StubInstances),
     };
     let routing = Arc::new(feed::open());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,10 +18,7 @@
     id::NodeId,
     retry::window::{self, RetryWindows},
 };
-use citrongw_transport::{
-    http_client::{self, HttpClient},
-    http_server::{self, HttpServer, ServerOptions},
-};
+use citrongw_transport::http_server::{self, HttpServer, ServerOptions};
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
@@ -64,8 +61,6 @@
     pub era: NewestEra,
     /// Configuration, instances and backend servers.
     pub routing: Arc<RoutingState>,
-    /// HTTP client for the backend servers.
-    pub http: HttpClient,
     /// Retry budgets by service.
     pub retries: RetryWindows,
     /// Requests in flight that the other gateways reported.
@@ -121,7 +116,6 @@
         adapter,
         era,
         routing,
-        http: http_client::open(),
         retries,
         metrics,
         crashes,
--- a/crates/gateway/src/peers/tests/resend.rs
+++ b/crates/gateway/src/peers/tests/resend.rs
@@ -49,8 +49,12 @@
         _ => {}
     };
     let (addr, receiver) = spawn_receiver(&peers, &shared, on_message).await;
-    let adapter =
-        Adapter { store: shared, codec: Arc::new(StubCodec), instances: Arc::new(StubInstances) };
+    let adapter = Adapter {
+        store: shared,
+        codec: Arc::new(StubCodec),
+        http: citrongw_transport::http_client::open(),
+        instances: Arc::new(StubInstances),
+    };
     let mut tasks = feed::spawn(&adapter, &routing, &peers, &metrics::open(), clock);
     tasks.push(receiver);
     TestGateway { peers, routing, addr, tasks }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -101,7 +101,7 @@
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
     let in_flight = backend.stats.begin_request();
     let may_send = || gateway.pauses.left(backend, gateway.clock.now()).is_none();
-    let sent = gateway.http.send_if(request, may_send).await;
+    let sent = gateway.adapter.http.send_if(request, may_send).await;
     let now = gateway.clock.now();
     let (parts, body) = match sent {
         Ok(Some(response)) => response.into_parts(),
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -107,9 +107,17 @@
     pool: Arc<pool::Pool>,
 }
 
+/// Maps the address of a server to the one to connect to.
+pub type AddrMap = Arc<dyn Fn(SocketAddr) -> SocketAddr + Send + Sync>;
+
 /// Creates a client with an empty pool.
 pub fn open() -> HttpClient {
-    HttpClient { pool: Arc::new(pool::open()) }
+    open_via(Arc::new(|addr| addr))
+}
+
+/// Creates a client that connects to the mapped addresses.
+pub fn open_via(map: AddrMap) -> HttpClient {
+    HttpClient { pool: Arc::new(pool::open(map)) }
 }
 
 impl HttpClient {
--- a/crates/transport/src/http_client/pool.rs
+++ b/crates/transport/src/http_client/pool.rs
@@ -18,12 +18,13 @@
 };
 
 use arc_swap::ArcSwap;
+use derive_more::Debug;
 use http::{HeaderValue, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::{
-    HttpError, PooledBody, RequestBody,
+    AddrMap, HttpError, PooledBody, RequestBody,
     connection::{self, Connection, IDLE_TIMEOUT},
 };
 
@@ -62,13 +63,15 @@
 /// Connection pool of all addresses.
 #[derive(Debug)]
 pub(super) struct Pool {
+    #[debug(skip)]
+    map: AddrMap,
     hosts: ArcSwap<HashMap<SocketAddr, Arc<Host>>>,
     counters: Arc<PoolCounters>,
 }
 
 /// Creates an empty pool.
-pub(super) fn open() -> Pool {
-    Pool { hosts: ArcSwap::default(), counters: Arc::default() }
+pub(super) fn open(map: AddrMap) -> Pool {
+    Pool { map, hosts: ArcSwap::default(), counters: Arc::default() }
 }
 
 impl Pool {
@@ -97,7 +100,7 @@
                 SendOutcome::Interrupted => return Err(HttpError::Interrupted),
             }
         }
-        let connection = connection::open(host.addr).await?;
+        let connection = connection::open((self.map)(host.addr)).await?;
         self.counters.opened.fetch_add(1, Ordering::Relaxed);
         if !may_send() {
             host.put_back(connection);
