Do not take cut links of a gateway for the death of servers

What callers saw: sound replicas went down at all gateways half a second after some of them were cut from all servers; their owners in the cut announced them as down and wrote new records. Cause: silence was taken for the death of the other side, with no look at whether the gateway's own links were the cause. The same held for the evidence of crashes (a refused connection counted as a death) and for reports of suspected replicas. Change: a failed poll, and a refusal as evidence of a crash, count only if another server is heard meanwhile or responds to a poll at once (gateway/links, state/server_links). If none does, the links are cut: the gateway hands over its domains, acquires none and reports no replicas until it hears a server again, and then forgets the failures that it counted.

--- a/crates/fakes/src/partition.rs
+++ b/crates/fakes/src/partition.rs
@@ -23,6 +23,7 @@
 #[derive(Debug, Default)]
 struct State {
     cut: Option<Cut>,
+    is_armed: bool,
     middleboxes: HashMap<SocketAddr, Middlebox>,
 }
 
@@ -33,6 +34,12 @@
 }
 
 impl Partition {
+    /// Puts middleboxes before the servers. Connections that are open by now stay as they
+    /// are.
+    pub fn arm(&self) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).is_armed = true;
+    }
+
     /// Begins a cut, or ends it.
     pub fn set(&self, cut: Option<Cut>) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -48,6 +55,9 @@
     /// Address to connect to in place of a server's.
     pub fn map(&self, server: SocketAddr) -> SocketAddr {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if !state.is_armed {
+            return server;
+        }
         if matches!(state.cut, Some(Cut::Refuse | Cut::RefuseNew)) {
             // No server listens at this port.
             return SocketAddr::new(server.ip(), 1);
--- a/crates/gateway/src/control/campaign.rs
+++ b/crates/gateway/src/control/campaign.rs
@@ -42,7 +42,7 @@
             }
         }
         let listed = listed_domains(&gateway);
-        if listed.is_empty() || gateway.is_stopping() {
+        if listed.is_empty() || gateway.is_stopping() || gateway.links.is_cut() {
             continue;
         }
         let cluster = gateway.peers.cluster();
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -57,6 +57,8 @@
         incarnation: Incarnation,
         requested_at: Time,
         outcome: Result<InstanceReport, InstanceError>,
+        /// Whether a failure is that of the instance and not of this gateway's links.
+        is_confirmed: bool,
     },
     Order {
         instance: InstanceId,
@@ -149,9 +151,12 @@
                     break;
                 }
             }
-            if !self.lease.is_valid() || self.gateway.is_stopping() {
+            if !self.lease.is_valid() || self.must_hand_over() {
                 break;
             }
+            if self.gateway.links.is_cut() {
+                continue;
+            }
             if changed && let Err(error) = self.step().await {
                 tracing::info!(domain = %self.domain, %error, "step of a domain failed; retrying");
                 self.plan = None;
@@ -159,7 +164,7 @@
         }
         self.gateway.peers.unregister_domain(&self.domain);
         tracing::info!(domain = %self.domain, node = %self.gateway.node, "released ownership of a domain");
-        if self.gateway.is_stopping() {
+        if self.must_hand_over() {
             // Ends the lease before it expires, so that another node takes over
             // sooner.
             match timeout(ORDER_TIMEOUT, self.lease.end()).await {
@@ -173,6 +178,13 @@
         self.last_known
     }
 
+    /// Whether another gateway should own the domain: this one stops, or does not reach
+    /// the instances.
+    fn must_hand_over(&self) -> bool {
+        let is_cut = self.gateway.links.is_cut();
+        self.gateway.is_stopping() || (is_cut && self.gateway.peers.has_others())
+    }
+
     /// Acquires the domain again after the key-value service was restored from a
     /// backup, which may lack the lease and the last changes of the record. False if another node
     /// owns the domain.
@@ -201,9 +213,13 @@
     /// Records the outcome of a task. True if a step is due.
     fn handle_outcome(&mut self, outcome: Outcome) -> bool {
         match outcome {
-            Outcome::Report { instance, incarnation, requested_at, outcome } => {
+            Outcome::Report { instance, incarnation, requested_at, outcome, is_confirmed } => {
                 if let Err(error) = &outcome {
-                    tracing::info!(domain = %self.domain, %instance, %error, "poll of an instance failed");
+                    tracing::info!(domain = %self.domain, %instance, %error, is_confirmed, "poll of an instance failed");
+                }
+                if !is_confirmed {
+                    self.reports.add_unconfirmed(&instance, incarnation);
+                    return false;
                 }
                 self.reports.add(&instance, incarnation, requested_at, outcome)
             }
@@ -366,7 +382,16 @@
                 let outcome = timeout(POLL_TIMEOUT, call).await;
                 let outcome = outcome.unwrap_or(Err(InstanceError::NoResponse));
                 let (instance, incarnation) = (host.id, host.incarnation);
-                Outcome::Report { instance, incarnation, requested_at: now, outcome }
+                let is_confirmed = match outcome {
+                    Ok(_) | Err(InstanceError::InvalidResponse) => {
+                        gateway.links.record_heard();
+                        true
+                    }
+                    Err(InstanceError::NotReached | InstanceError::NoResponse) => {
+                        gateway.links.confirm_silence(&instance, now).await
+                    }
+                };
+                Outcome::Report { instance, incarnation, requested_at: now, outcome, is_confirmed }
             });
         }
     }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Records that a poll failed, which says nothing of the instance.
+    pub(super) fn add_unconfirmed(&mut self, instance: &InstanceId, incarnation: Incarnation) {
+        if let Some(polled) = self.polls.get_mut(&(instance.clone(), incarnation)) {
+            polled.in_flight = false;
+        }
+    }
+
     /// Makes an instance due for a poll at once, unless it was polled just now.
     /// True if it is due.
     pub(super) fn request_poll(
--- a/crates/gateway/src/crash_watch.rs
+++ b/crates/gateway/src/crash_watch.rs
@@ -41,6 +41,7 @@
 use crate::{
     adapter::{Adapter, InstanceClient, InstanceError},
     fleet::Backend,
+    links::LinkWatch,
     lock::lock,
     peers::{Peers, message::PeerMessage},
 };
@@ -78,6 +79,7 @@
 pub(crate) struct CrashWatch {
     #[debug(skip)]
     instances: Arc<dyn InstanceClient>,
+    links: Arc<LinkWatch>,
     listed: ListedCulprits,
     peers: Arc<Peers>,
     clock: Clock,
@@ -89,8 +91,14 @@
 }
 
 /// Creates the watch.
-pub(crate) fn open(adapter: &Adapter, peers: &Arc<Peers>, clock: Clock) -> CrashWatch {
+pub(crate) fn open(
+    adapter: &Adapter,
+    peers: &Arc<Peers>,
+    links: &Arc<LinkWatch>,
+    clock: Clock,
+) -> CrashWatch {
     CrashWatch {
+        links: Arc::clone(links),
         instances: Arc::clone(&adapter.instances),
         listed: listed_culprits::open(&adapter.store),
         peers: Arc::clone(peers),
@@ -247,9 +255,15 @@
         self.carry_out(next, server, backend.addr);
     }
 
-    /// Records that the address of a server refused a connection: the server is dead.
+    /// Records that the address of a server refused a connection: the server is dead,
+    /// unless the links of this gateway are cut.
     pub(crate) fn record_refused(self: &Arc<Self>, backend: &Backend) {
-        self.record_death(&backend.server());
+        let (watch, server, now) = (Arc::clone(self), backend.server(), self.clock.now());
+        tokio::spawn(async move {
+            if watch.links.confirm_silence(&server.instance, now).await {
+                watch.record_death(&server);
+            }
+        });
     }
 
     fn carry_out(self: &Arc<Self>, next: NextStep, server: ServerIncarnation, addr: SocketAddr) {
@@ -340,9 +354,13 @@
     /// Whether a server has crashed. None if it does not respond: it may only be cut
     /// off, or about to refuse connections.
     async fn has_crashed(&self, server: &ServerIncarnation, addr: SocketAddr) -> Option<bool> {
+        let polled_at = self.clock.now();
         match timeout(POLL_TIMEOUT, self.instances.report(addr)).await {
             Ok(Ok(report)) => Some(report.incarnation.is_some_and(|it| it != server.incarnation)),
-            Ok(Err(InstanceError::NotReached)) => Some(true),
+            Ok(Err(InstanceError::NotReached)) => {
+                let is_dead = self.links.confirm_silence(&server.instance, polled_at).await;
+                is_dead.then_some(true)
+            }
             Ok(Err(InstanceError::InvalidResponse)) => Some(false),
             Ok(Err(InstanceError::NoResponse)) | Err(_) => None,
         }
--- a/crates/gateway/src/crash_watch/tests.rs
+++ b/crates/gateway/src/crash_watch/tests.rs
@@ -15,7 +15,9 @@
 use super::{evidence::EVIDENCE_TIME, *};
 use crate::{
     adapter::{Order, OrderReply},
+    feed,
     instance::InstanceReport,
+    links,
     peers::{self, CULPRIT_PREFIX, ClusterView, LIVE_PREFIX, ListedGateway, decode},
     testing::{self, StubCodec},
 };
@@ -69,7 +71,8 @@
         http: citrongw_transport::http_client::open(),
         instances: Arc::new(instances),
     };
-    Arc::new(open(&adapter, &peers, clock))
+    let links = Arc::new(links::open(&adapter.instances, &Arc::new(feed::open()), clock));
+    Arc::new(open(&adapter, &peers, &links, clock))
 }
 
 fn backend(number: usize) -> Backend {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -140,6 +140,12 @@
         self.suspect_until_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Forgets failures at the server and ends a suspicion.
+    fn forgive_failures(&self) {
+        self.breaker.reset();
+        self.suspect_until_ms.store(0, Ordering::Relaxed);
+    }
+
     /// Completes once the server takes no requests any more.
     pub async fn wait_until_down(&self) {
         let notified = self.marked_down.notified();
@@ -252,6 +258,11 @@
         self.pools.values().flat_map(|it| it.replicas.values().flatten())
     }
 
+    /// Forgets the failures of requests at all servers.
+    pub fn forgive_failures(&self) {
+        self.stats.values().for_each(|it| it.forgive_failures());
+    }
+
     /// Builds the next snapshot, which keeps the statistics of servers that are
     /// in both.
     pub fn next(
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,156 @@
+//! Watch over the links of this gateway to the backend servers.
+//!
+//! Whoever finds a server silent asks here whether to believe it: the answer is no if
+//! other servers that are polled at once are silent too. While all are, requests are
+//! relayed through other gateways, and this gateway neither judges nor controls servers.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_coordination::clock::Clock;
+use citrongw_state::{id::InstanceId, server_links::ServerLinks, time::Time};
+use futures::{StreamExt, stream::FuturesUnordered};
+use rand::seq::IteratorRandom;
+use tokio::{
+    sync::{Mutex, Notify},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    adapter::{InstanceClient, InstanceError},
+    feed::RoutingState,
+    instance::InstanceEntry,
+};
+
+/// Servers that are polled to find out whether the links are cut.
+const POLLED_SERVERS: usize = 3;
+/// Timeout of these polls. Responses take milliseconds.
+const POLL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Interval between polls while the links are cut.
+const CUT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time without a byte from any server from which on a failure is checked.
+const CHECKED_SILENCE: Duration = Duration::from_millis(100);
+
+/// Links to the backend servers.
+#[derive(derive_more::Debug)]
+pub(crate) struct LinkWatch {
+    #[debug(skip)]
+    instances: Arc<dyn InstanceClient>,
+    routing: Arc<RoutingState>,
+    clock: Clock,
+    links: ServerLinks,
+    /// Held during the polls of a check, so that one serves all that wait for it.
+    checking: Mutex<()>,
+    cut_began: Notify,
+}
+
+/// Creates the watch of links that are not cut.
+pub(crate) fn open(
+    instances: &Arc<dyn InstanceClient>,
+    routing: &Arc<RoutingState>,
+    clock: Clock,
+) -> LinkWatch {
+    LinkWatch {
+        instances: Arc::clone(instances),
+        routing: Arc::clone(routing),
+        clock,
+        links: ServerLinks::default(),
+        checking: Mutex::default(),
+        cut_began: Notify::new(),
+    }
+}
+
+/// Spawns the task that finds the end of each cut.
+pub(crate) fn spawn(watch: &Arc<LinkWatch>) -> JoinHandle<()> {
+    let watch = Arc::clone(watch);
+    tokio::spawn(async move {
+        loop {
+            watch.cut_began.notified().await;
+            while watch.is_cut() {
+                sleep(CUT_POLL_INTERVAL).await;
+                watch.poll_others(None).await;
+            }
+        }
+    })
+}
+
+impl LinkWatch {
+    /// Whether no server is heard.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.links.is_cut()
+    }
+
+    /// Records that a server was heard.
+    pub(crate) fn record_heard(&self) {
+        if self.links.record_heard(self.clock.now()) {
+            // What was learned of the servers in the cut was about the links.
+            self.routing.fleet.load().forgive_failures();
+            tracing::info!("links to the backend servers work again");
+        }
+    }
+
+    /// Checks the links after a failure at a server, unless any was heard just now.
+    pub(crate) fn record_failure(self: &Arc<Self>, server: &InstanceId) {
+        let since = self.clock.now();
+        if self.is_cut() || self.links.has_heard_since(since - CHECKED_SILENCE) {
+            return;
+        }
+        let (watch, server) = (Arc::clone(self), server.clone());
+        tokio::spawn(async move { watch.confirm_silence(&server, since).await });
+    }
+
+    /// Whether the silence of a server since a time is its own: another one was heard
+    /// meanwhile, or responds to a poll now, or there is no other.
+    pub(crate) async fn confirm_silence(&self, server: &InstanceId, since: Time) -> bool {
+        if self.links.has_heard_since(since) {
+            return true;
+        }
+        let _checking = self.checking.lock().await;
+        if self.links.has_heard_since(since) {
+            return true;
+        }
+        !self.is_cut() && self.poll_others(Some(server)).await
+    }
+
+    /// Polls other servers. False if none responded.
+    async fn poll_others(&self, silent: Option<&InstanceId>) -> bool {
+        let since = self.clock.now();
+        let polled = self.choose_polled(silent);
+        if polled.is_empty() {
+            return true;
+        }
+        let polls = polled.iter().map(|it| timeout(POLL_TIMEOUT, self.instances.report(it.addr)));
+        let mut polls: FuturesUnordered<_> = polls.collect();
+        while let Some(outcome) = polls.next().await {
+            if matches!(outcome, Ok(Ok(_) | Err(InstanceError::InvalidResponse))) {
+                self.record_heard();
+                return true;
+            }
+        }
+        if self.links.record_all_silent(since) {
+            let servers: Vec<&str> = polled.iter().map(|it| it.id.as_str()).collect();
+            tracing::warn!(?servers, "links to the backend servers are cut");
+            self.cut_began.notify_one();
+        }
+        self.links.has_heard_since(since)
+    }
+
+    /// Chooses servers at random, outside the fabric domain of the silent one if there
+    /// are any.
+    fn choose_polled(&self, silent: Option<&InstanceId>) -> Vec<Arc<InstanceEntry>> {
+        let instances = self.routing.instances.load();
+        let domain_of = |it: &InstanceEntry| (it.service.clone(), it.domain.clone());
+        let silent_domain =
+            silent.and_then(|it| instances.instances.get(it)).map(|it| domain_of(&it.entry));
+        let others = || instances.instances.values().filter(|it| Some(&it.entry.id) != silent);
+        let outside = others().filter(|it| Some(domain_of(&it.entry)) != silent_domain);
+        let mut polled = outside.choose_multiple(&mut rand::rng(), POLLED_SERVERS);
+        if polled.is_empty() {
+            polled = others().choose_multiple(&mut rand::rng(), POLLED_SERVERS);
+        }
+        polled.into_iter().map(|it| Arc::clone(&it.entry)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
     control::{self, plan},
     crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
+    links::{self, LinkWatch},
     metered_store::{self, Subjects},
     metrics::{self, Metrics},
     peer_loads::{self, PeerLoads, ReportSource},
@@ -73,6 +74,8 @@
     pub(crate) crashes: Arc<CrashWatch>,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<ServerLimits>,
+    /// Links to the backend servers.
+    pub(crate) links: Arc<LinkWatch>,
     /// Pauses that backend servers requested.
     pub(crate) pauses: RequestedPauses,
     pub(crate) stopping: AtomicBool,
@@ -107,7 +110,8 @@
     let era = store_era::open();
     let adapter = Adapter { store: store_era::wrap(store, era.clone()), ..adapter };
     let peers = Arc::new(peers::open(node, settings.zone.clone(), clock));
-    let crashes = Arc::new(crash_watch::open(&adapter, &peers, clock));
+    let links = Arc::new(links::open(&adapter.instances, &routing, clock));
+    let crashes = Arc::new(crash_watch::open(&adapter, &peers, &links, clock));
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
@@ -120,6 +124,7 @@
         metrics,
         crashes,
         limits: Arc::new(server_limits::open(&peers, clock)),
+        links,
         pauses: RequestedPauses::default(),
         peers,
         stopping: AtomicBool::new(false),
@@ -171,6 +176,7 @@
     tasks.extend(peers::spawn(&gateway.peers, store, &gateway.era, addr, on_message));
     tasks.push(tokio::spawn(crash_watch::maintain(Arc::clone(&gateway.crashes))));
     tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
+    tasks.push(links::spawn(&gateway.links));
     tasks.push(metered_store::spawn_report(store_calls));
     tasks.push(control::campaign::spawn(&gateway));
     tasks.push(tokio::spawn(peer_loads::publish(Arc::clone(&gateway))));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -268,6 +268,11 @@
         if cluster.nodes.contains_key(&self.node) { cluster.nodes.len() } else { ASSUMED_GATEWAYS }
     }
 
+    /// Whether other gateways are listed.
+    pub fn has_others(&self) -> bool {
+        self.cluster.load().nodes.keys().any(|it| *it != self.node)
+    }
+
     /// Whether this gateway is the list reader, which reads the instance list for
     /// all: the owner of the first domain by key. The list of owners may be old, so
     /// this gateway must also control that domain.
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -109,7 +109,7 @@
         Ok(None) => return Err(AttemptFailure::not_run(Cause::ServerRefused)),
         Err(error) => return Err(connection_failure(gateway, backend, &error, now)),
     };
-    backend.stats.record_received(now);
+    record_received(gateway, backend, now);
     let meta = gateway.adapter.codec.decode_response(parts.status, &parts.headers);
     if let Some(load) = meta.load {
         backend.stats.record_load(now, load);
@@ -153,10 +153,20 @@
     Some(request)
 }
 
+/// Records that bytes arrived from a server.
+pub(super) fn record_received(gateway: &Gateway, server: &Backend, now: Time) {
+    server.stats.record_received(now);
+    gateway.links.record_heard();
+}
+
 /// Suspects a server for `duration`, and reports its replica, if any, to the
 /// owner of the domain.
 pub(super) fn mark_suspect(gateway: &Gateway, server: &Backend, duration: Duration) {
     server.stats.suspect_until(gateway.clock.now() + duration);
+    gateway.links.record_failure(&server.id);
+    if gateway.links.is_cut() {
+        return;
+    }
     if let (Some(domain), Some(key)) = (&server.domain, &server.replica) {
         gateway.peers.report_suspect(domain, (key.replica, key.epoch));
     }
@@ -177,7 +187,11 @@
             mark_suspect(gateway, backend, UNREACHED_SUSPICION);
             AttemptFailure::not_run(Cause::NotReached)
         }
-        HttpError::Interrupted | HttpError::InvalidResponse | HttpError::Status { .. } => {
+        HttpError::Interrupted => {
+            gateway.links.record_failure(&backend.id);
+            AttemptFailure::may_have_run(Cause::Interrupted)
+        }
+        HttpError::InvalidResponse | HttpError::Status { .. } => {
             AttemptFailure::may_have_run(Cause::Interrupted)
         }
     }
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -233,7 +233,7 @@
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    self.backend.stats.record_received(gateway.clock.now());
+                    send::record_received(gateway, &self.backend, gateway.clock.now());
                     let Ok(data) = frame.into_data() else { continue };
                     self.splitter.push(&data).map_err(|_| interrupted())?;
                 }
--- a/crates/state/src/breaker.rs
+++ b/crates/state/src/breaker.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Closes the breaker and forgets the failures.
+    pub fn reset(&self) {
+        self.failures.store(0, Ordering::Relaxed);
+        self.probe_at_ms.store(0, Ordering::Relaxed);
+    }
+
     /// Records the result of a request. Returns true if it opened the breaker.
     pub fn record_result(&self, now: Time, succeeded: bool) -> bool {
         if succeeded {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod routing;
 pub mod self_suspicion;
 pub mod server_limit;
+pub mod server_links;
 pub mod server_pause;
 pub mod slow_members;
 pub mod straggler;
