Relay requests through other gateways while no server is in reach

What callers saw: at gateways that were cut from all servers 7 of 405 first attempts were served, at the others 458 of 462; the rest got 503 within milliseconds, or 502 and 504. Cause: a gateway had no way to a server but its own links, although the other gateways were reached all the while. Change: a gateway that hears no server, or reaches none of a request's, sends the request to another gateway on TCP at the peer address (relay/hop). That one serves it as its own, relays it no further, and declines it if it stops, reaches no server either, or serves 128 of others; a declined request goes to another one. Attempts are passed on, at-most-once requests that may have been sent on are not sent again, and promises of 503 and 429 pass unchanged. Cut links are found by polls after 300 ms without a byte from any server while requests wait; streams and idempotent requests that wait then move.

--- a/crates/fakes/src/partition.rs
+++ b/crates/fakes/src/partition.rs
@@ -63,19 +63,20 @@
             return SocketAddr::new(server.ip(), 1);
         }
         let is_silent = state.cut == Some(Cut::Silent);
-        if !state.middleboxes.contains_key(&server) {
-            let addr = SocketAddr::new(server.ip(), 0);
-            match middlebox::bind_now(addr, server) {
-                Ok(middlebox) => {
-                    middlebox.set_silent(is_silent);
-                    state.middleboxes.insert(server, middlebox);
-                }
-                Err(error) => {
-                    tracing::error!(%error, "could not bind a middlebox");
-                    return server;
-                }
+        if let Some(middlebox) = state.middleboxes.get(&server) {
+            return middlebox.local_addr();
+        }
+        match middlebox::bind_now(SocketAddr::new(server.ip(), 0), server) {
+            Ok(middlebox) => {
+                middlebox.set_silent(is_silent);
+                let addr = middlebox.local_addr();
+                state.middleboxes.insert(server, middlebox);
+                addr
+            }
+            Err(error) => {
+                tracing::error!(%error, "could not bind a middlebox");
+                server
             }
         }
-        state.middleboxes[&server].local_addr()
     }
 }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -110,6 +110,10 @@
     /// Sets the headers of a forwarded request.
     fn set_forward(&self, headers: &mut HeaderMap, forward: &ForwardMeta<'_>);
 
+    /// Sets the headers of a request that another gateway sends on: the time that the
+    /// caller still waits, and the event after which a resumed stream continues.
+    fn set_relayed(&self, headers: &mut HeaderMap, remaining: Duration, resume_after: Option<u64>);
+
     /// Decodes status and headers of a backend server's response.
     fn decode_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseMeta;
 }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -173,6 +173,13 @@
     BreakerOpen,
 }
 
+impl Exclusion {
+    /// Whether this node did not reach the server or did not hear it.
+    pub fn is_out_of_reach(self) -> bool {
+        matches!(self, Self::Suspected | Self::BreakerOpen)
+    }
+}
+
 /// Decides whether a server may be sent a request now. All attempts of all requests
 /// are decided here.
 pub fn exclusion(server: &Backend, criteria: &ChoiceCriteria<'_>) -> Option<Exclusion> {
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -20,6 +20,7 @@
         slots: 10,
         replica: Some(ReplicaKey { replica: ReplicaId(1), epoch: Epoch(1) }),
         domain: None,
+        gateway: None,
         stats,
     })
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -18,8 +18,8 @@
 use citrongw_state::{
     breaker::Breaker,
     id::{
-        AvailabilityZone, Epoch, Incarnation, InstanceId, ModelId, PlainServiceId, ReplicaId,
-        ServerIncarnation,
+        AvailabilityZone, Epoch, Incarnation, InstanceId, ModelId, NodeId, PlainServiceId,
+        ReplicaId, ServerIncarnation,
     },
     time::Time,
 };
@@ -215,6 +215,8 @@
     pub replica: Option<ReplicaKey>,
     /// Fabric domain of the instance, if any.
     pub domain: Option<DomainKey>,
+    /// Gateway that the server is, if requests are relayed through it.
+    pub gateway: Option<NodeId>,
     /// State as observed by this node. It is shared with earlier and later
     /// snapshots.
     pub stats: Arc<BackendStats>,
@@ -258,6 +260,11 @@
         self.pools.values().flat_map(|it| it.replicas.values().flatten())
     }
 
+    /// Whether requests of this node are in flight at any server.
+    pub fn has_requests(&self) -> bool {
+        self.stats.values().any(|it| it.in_flight() != 0)
+    }
+
     /// Forgets the failures of requests at all servers.
     pub fn forgive_failures(&self) {
         self.stats.values().for_each(|it| it.forgive_failures());
@@ -371,6 +378,7 @@
                 let service = entry.service.clone();
                 DomainKey { service, domain }
             }),
+            gateway: None,
             stats,
         })
     }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -11,7 +11,7 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::seq::IteratorRandom;
 use tokio::{
-    sync::{Mutex, Notify},
+    sync::{Mutex, watch},
     task::JoinHandle,
     time::{sleep, timeout},
 };
@@ -26,8 +26,11 @@
 const POLLED_SERVERS: usize = 3;
 /// Timeout of these polls. Responses take milliseconds.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
-/// Interval between polls while the links are cut.
-const CUT_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between checks, and between polls while the links are cut.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a byte from any server, while requests wait for them, from which on
+/// servers are polled.
+const MAX_QUIET: Duration = Duration::from_millis(300);
 /// Time without a byte from any server from which on a failure is checked.
 const CHECKED_SILENCE: Duration = Duration::from_millis(100);
 
@@ -41,7 +44,7 @@
     links: ServerLinks,
     /// Held during the polls of a check, so that one serves all that wait for it.
     checking: Mutex<()>,
-    cut_began: Notify,
+    cut_tx: watch::Sender<bool>,
 }
 
 /// Creates the watch of links that are not cut.
@@ -56,18 +59,20 @@
         clock,
         links: ServerLinks::default(),
         checking: Mutex::default(),
-        cut_began: Notify::new(),
+        cut_tx: watch::channel(false).0,
     }
 }
 
-/// Spawns the task that finds the end of each cut.
+/// Spawns the task that finds the beginning and the end of each cut.
 pub(crate) fn spawn(watch: &Arc<LinkWatch>) -> JoinHandle<()> {
     let watch = Arc::clone(watch);
     tokio::spawn(async move {
         loop {
-            watch.cut_began.notified().await;
-            while watch.is_cut() {
-                sleep(CUT_POLL_INTERVAL).await;
+            sleep(CHECK_INTERVAL).await;
+            let quiet_since = watch.clock.now() - MAX_QUIET;
+            let is_waiting = || watch.routing.fleet.load().has_requests();
+            let is_quiet = !watch.links.has_heard_since(quiet_since) && is_waiting();
+            if watch.is_cut() || is_quiet {
                 watch.poll_others(None).await;
             }
         }
@@ -80,11 +85,18 @@
         self.links.is_cut()
     }
 
+    /// Completes once no server is heard.
+    pub(crate) async fn wait_until_cut(&self) {
+        // The sender is part of this watch.
+        let _ = self.cut_tx.subscribe().wait_for(|it| *it).await;
+    }
+
     /// Records that a server was heard.
     pub(crate) fn record_heard(&self) {
         if self.links.record_heard(self.clock.now()) {
             // What was learned of the servers in the cut was about the links.
             self.routing.fleet.load().forgive_failures();
+            self.cut_tx.send_replace(false);
             tracing::info!("links to the backend servers work again");
         }
     }
@@ -130,7 +142,7 @@
         if self.links.record_all_silent(since) {
             let servers: Vec<&str> = polled.iter().map(|it| it.id.as_str()).collect();
             tracing::warn!(?servers, "links to the backend servers are cut");
-            self.cut_began.notify_one();
+            self.cut_tx.send_replace(true);
         }
         self.links.has_heard_since(since)
     }
--- a/crates/gateway/src/links/tests.rs
+++ b/crates/gateway/src/links/tests.rs
@@ -75,10 +75,10 @@
     let task = spawn(&watch);
     assert!(!watch.confirm_silence(&"h1".into(), watch.clock.now()).await);
     assert!(watch.is_cut());
-    sleep(CUT_POLL_INTERVAL * 4).await;
+    sleep((CHECK_INTERVAL + POLL_TIMEOUT) * 4).await;
     assert!(watch.is_cut());
     lock(&instances.responding).extend((1..=8).map(addr));
-    sleep(CUT_POLL_INTERVAL * 4).await;
+    sleep((CHECK_INTERVAL + POLL_TIMEOUT) * 4).await;
     assert!(!watch.is_cut());
     task.abort();
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -35,7 +35,7 @@
     metrics::{self, Metrics},
     peer_loads::{self, PeerLoads, ReportSource},
     peers::{self, Peers, message::PeerMessage},
-    relay,
+    relay::{self, hop::Hops},
     server_limits::{self, ServerLimits},
     server_pauses::RequestedPauses,
     store_era::{self, NewestEra},
@@ -74,6 +74,8 @@
     pub(crate) crashes: Arc<CrashWatch>,
     /// Limits that backend servers state.
     pub(crate) limits: Arc<ServerLimits>,
+    /// Requests relayed through other gateways and for them.
+    pub(crate) hops: Hops,
     /// Links to the backend servers.
     pub(crate) links: Arc<LinkWatch>,
     /// Pauses that backend servers requested.
@@ -95,6 +97,8 @@
     callers: HttpServer,
     ready: HttpServer,
     metrics: HttpServer,
+    /// Listens for requests of other gateways, once its port is free.
+    hops: JoinHandle<HttpServer>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -124,6 +128,7 @@
         metrics,
         crashes,
         limits: Arc::new(server_limits::open(&peers, clock)),
+        hops: relay::hop::open(),
         links,
         pauses: RequestedPauses::default(),
         peers,
@@ -184,7 +189,15 @@
         node = %gateway.node, name = gateway.settings.name, zone = %gateway.settings.zone,
         callers = %callers.local_addr(), "started"
     );
-    Ok(Node { gateway, callers, ready, metrics, tasks })
+    let hops = tokio::spawn(relay::hop::listen(Arc::clone(&gateway)));
+    Ok(Node { gateway, callers, ready, metrics, hops, tasks })
+}
+
+async fn stop_hops(hops: JoinHandle<HttpServer>) {
+    match hops.await {
+        Ok(server) => server.stop().await,
+        Err(error) => tracing::error!(%error, "listening for gateways failed"),
+    }
 }
 
 /// Subjects of the keys in the store, for the counts of calls.
@@ -242,7 +255,13 @@
         let lag = settings.balancer_lag;
         sleep(lag).await;
         let left = settings.grace.saturating_sub(lag + SHUTDOWN_MARGIN);
-        if timeout(left, self.callers.stop()).await.is_err() {
+        let stopped = async {
+            match self.hops.is_finished() {
+                true => drop(tokio::join!(self.callers.stop(), stop_hops(self.hops))),
+                false => self.callers.stop().await,
+            }
+        };
+        if timeout(left, stopped).await.is_err() {
             tracing::warn!("ended while requests were in flight");
         }
         for task in &self.tasks {
--- a/crates/gateway/src/peer_loads/publisher/tests.rs
+++ b/crates/gateway/src/peer_loads/publisher/tests.rs
@@ -14,6 +14,7 @@
         slots: 10,
         replica: Some(ReplicaKey { replica: ReplicaId(replica), epoch: Epoch(1) }),
         domain: None,
+        gateway: None,
         stats: Arc::new(BackendStats::default()),
     })
 }
--- a/crates/gateway/src/peer_loads/tests.rs
+++ b/crates/gateway/src/peer_loads/tests.rs
@@ -14,6 +14,7 @@
         slots: 10,
         replica: Some(key),
         domain: None,
+        gateway: None,
         stats: Arc::new(BackendStats::default()),
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,7 +21,7 @@
     time::Time,
 };
 use citrongw_transport::{
-    peer_auth,
+    peer_auth::{self, PeerKeys},
     peer_udp::{self, PeerUdp, Received},
 };
 use derive_more::Debug;
@@ -199,6 +199,11 @@
         self.cluster.store(Arc::new(cluster));
     }
 
+    /// Keys of the gateways, once the secret is read.
+    pub(crate) fn keys(&self) -> Option<PeerKeys> {
+        Some(self.endpoint.get()?.keys())
+    }
+
     /// Signs with another secret, and accepts the former one too.
     fn replace_secret(&self, secret: String, former: String) {
         let keys = peer_auth::derive_keys(&[secret.clone(), former]);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 mod body;
 mod call;
 mod events;
+pub(crate) mod hop;
 mod log;
 mod plain;
 mod refuse;
@@ -56,24 +57,31 @@
 }
 
 async fn serve(gateway: Arc<Gateway>, req: Request) -> viz::Result<Response> {
+    Ok(serve_with(&gateway, req, Attempts::default()).await)
+}
+
+/// Serves a request of a caller, or of another gateway after these attempts.
+async fn serve_with(gateway: &Arc<Gateway>, req: Request, attempts: Attempts) -> Response {
     let request = new_request_id();
     gateway.routing.record_traffic();
-    let call = match call::read(&gateway, request, req).await {
+    let call = match call::read(gateway, request, req).await {
         Ok(call) => call,
         Err(refusal) => {
             let code = refusal.code;
             let config = gateway.routing.active_config.load().as_ref().map(|it| it.version);
             tracing::info!(%request, %code, config, "request rejected before its body was read");
             gateway.metrics.count_refusal(code);
-            return Ok(refusal.into_response(request));
+            return refusal.into_response(request);
         }
     };
-    gateway.retries.add_request(&call.service, gateway.clock.now());
+    // The gateway that relayed a request has counted it.
+    if !attempts.is_relayed() {
+        gateway.retries.add_request(&call.service, gateway.clock.now());
+    }
     let version = gateway.routing.active_config.load().as_ref().map(|it| it.version);
     let log = RequestLog::open(&call, gateway.clock, version, &gateway.metrics);
-    let attempts = Attempts::default();
     if call::is_stream(&call) {
-        return Ok(stream::serve(&gateway, call, attempts, log).await);
+        return stream::serve(gateway, call, attempts, log).await;
     }
-    Ok(plain::serve(&gateway, call, attempts, log).await)
+    plain::serve(gateway, call, attempts, log).await
 }
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -13,12 +13,13 @@
 
 use super::{
     call::Call,
+    hop,
     refuse::Refusal,
     send::{AttemptFailure, Cause},
     signatures,
 };
 use crate::{
-    choose::{Choice, ChoiceCriteria, choose, exclusions},
+    choose::{Candidate, Choice, ChoiceCriteria, Exclusion, choose, exclusion, exclusions},
     fleet::Backend,
     node::Gateway,
 };
@@ -57,9 +58,28 @@
     may_have_run: bool,
     last_cause: Option<Cause>,
     last_choice: Option<Choice>,
+    /// Whether another gateway relayed the request, so that it is relayed no further.
+    is_relayed: bool,
+    /// Number of gateways that declined the request.
+    declined: u32,
 }
 
 impl Attempts {
+    /// Attempts of a request that another gateway relayed after `sent` of its own.
+    pub(super) fn relayed(sent: u32) -> Self {
+        Self { sent, is_relayed: true, ..Self::default() }
+    }
+
+    /// Whether another gateway relayed the request.
+    pub(super) fn is_relayed(&self) -> bool {
+        self.is_relayed
+    }
+
+    /// Number of servers that the request was sent to and failed at.
+    pub(super) fn sent(&self) -> u32 {
+        self.sent
+    }
+
     /// Number of servers tried so far.
     pub(super) fn count(&self) -> usize {
         self.tried.len()
@@ -84,10 +104,15 @@
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
-        let deadline = gateway.clock.instant(call.deadline());
-        let choice = timeout_at(deadline, self.choose_permitted(gateway, call)).await;
-        let choice = choice.map_err(|_| self.refusal(ResultCode::DeadlinePassed))?;
-        let choice = choice.ok_or_else(|| self.refusal_without_server(gateway, call))?;
+        let choice = match self.choose_relay(gateway, call) {
+            Some(choice) => choice,
+            None => {
+                let deadline = gateway.clock.instant(call.deadline());
+                let choice = timeout_at(deadline, self.choose_permitted(gateway, call)).await;
+                let choice = choice.map_err(|_| self.refusal(ResultCode::DeadlinePassed))?;
+                choice.ok_or_else(|| self.refusal_without_server(gateway, call))?
+            }
+        };
         let server = Arc::clone(&choice.best.server);
         self.tried.push(server.id.clone());
         self.last_choice = Some(choice);
@@ -113,6 +138,35 @@
         self.choose(gateway, call)
     }
 
+    /// Chooses a gateway to relay the request through, if no server is in reach.
+    fn choose_relay(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
+        let max_declined = match gateway.links.is_cut() {
+            true => hop::MAX_DECLINED,
+            false => hop::MAX_DECLINED_IN_TOUCH,
+        };
+        let may_relay = !self.is_relayed
+            && self.declined < max_declined
+            && call.body.can_be_sent()
+            && self.is_out_of_reach(gateway, call);
+        let relay = may_relay.then(|| hop::choose(gateway, &self.tried))??;
+        let load = relay.stats.estimate_load(gateway.clock.now(), 0.0);
+        Some(Choice { best: Candidate { server: relay, load }, runner_up: None })
+    }
+
+    /// Whether the only reason to send the request to none of its servers is that this
+    /// gateway did not reach them.
+    fn is_out_of_reach(&self, gateway: &Gateway, call: &Call) -> bool {
+        if gateway.links.is_cut() {
+            return true;
+        }
+        let fleet = gateway.routing.fleet.load();
+        self.with_criteria(gateway, |criteria| {
+            let excluded: Option<Vec<Exclusion>> =
+                call.servers(&fleet).iter().map(|it| exclusion(it, criteria)).collect();
+            excluded.is_some_and(|it| it.iter().any(|it| it.is_out_of_reach()))
+        })
+    }
+
     /// Refusal when no server may be chosen. If limits or pauses are the reason, the
     /// caller may return once a permit is due or the first pause ends.
     fn refusal_without_server(&self, gateway: &Gateway, call: &Call) -> Refusal {
@@ -133,6 +187,7 @@
                 let retry_after = wait.max(MIN_LIMITED_RETRY_AFTER).mul_f64(extension);
                 Refusal::from(code).after(retry_after)
             }
+            None if self.is_out_of_reach(gateway, call) => self.refusal(ResultCode::NotReached),
             Some(_) | None => self.refusal(ResultCode::NoReplica),
         }
     }
@@ -168,7 +223,13 @@
                 .retries
                 .service_budget(&call.service, gateway.peers.gateway_count(), now)
                 .retries_left()
-            && self.choose(gateway, call).is_some()
+            && !self.is_at_relay()
+            && (self.choose(gateway, call).is_some() || self.choose_relay(gateway, call).is_some())
+    }
+
+    /// Whether the last attempt went to another gateway, which makes all further ones.
+    fn is_at_relay(&self) -> bool {
+        self.last_choice.as_ref().is_some_and(|it| it.best.server.gateway.is_some())
     }
 
     /// Number of attempts in progress whose failure is not counted yet.
@@ -214,10 +275,17 @@
     ) -> Result<(), Refusal> {
         self.last_cause = Some(failed.cause);
         self.may_have_run |= failed.progress != AttemptProgress::NotRun;
-        if failed.cause != Cause::NotReached {
+        if !matches!(failed.cause, Cause::NotReached | Cause::Declined) {
             self.sent += self.in_progress();
         }
         self.counted = self.tried.len();
+        if failed.cause == Cause::Declined {
+            self.declined += 1;
+            return Ok(());
+        }
+        if self.is_at_relay() && failed.progress != AttemptProgress::NotRun {
+            return Err(self.refusal(code_of(failed.cause)));
+        }
         let max_retries = match call.body.can_be_sent() {
             true => call.route.max_attempts.saturating_sub(1),
             false => 0,
@@ -290,7 +358,7 @@
 
 fn code_of(cause: Cause) -> ResultCode {
     match cause {
-        Cause::NotReached => ResultCode::NotReached,
+        Cause::NotReached | Cause::Declined => ResultCode::NotReached,
         Cause::ServerRefused => ResultCode::Overloaded,
         Cause::ReplicaBroken => ResultCode::NoReplica,
         Cause::Interrupted | Cause::MismatchedResponse | Cause::Stalled | Cause::ReplicaDown => {
--- /dev/null
+++ b/crates/gateway/src/relay/hop.rs
@@ -0,0 +1,198 @@
+//! Requests that are relayed through another gateway.
+//!
+//! A gateway that reaches no server of a request sends it, as its caller did, to
+//! another gateway, on the port that the gateways use between them. That gateway serves
+//! it as its own, but relays it no further, and declines it if it reaches no server
+//! either or serves enough of others. A declined request has not run and goes to another
+//! gateway; after any other failure it may have run, and ends.
+
+mod token;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use citrongw_protocol::code::ResultCode;
+use citrongw_state::id::{Incarnation, InstanceId, NodeId};
+use citrongw_transport::{
+    http_client::{self, HttpClient, RequestBody},
+    http_server::{self, ConnectionLimits, HttpServer, ServerOptions},
+};
+use http::{HeaderName, HeaderValue, Request as HttpRequest, StatusCode, Uri, header};
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
+use viz::{Request, Response, Router};
+
+use self::token::HopToken;
+use super::{attempts::Attempts, call::Call, refuse::Refusal};
+use crate::{
+    fleet::{Backend, BackendStats},
+    lock::lock,
+    node::Gateway,
+};
+
+/// Sender of a relayed request and its attempts so far, authenticated.
+const TOKEN: HeaderName = HeaderName::from_static("citrongw-hop");
+/// Set on a response to a request that was declined without running.
+const DECLINED: HeaderName = HeaderName::from_static("citrongw-declined");
+
+/// Gateways that may decline a request before it is refused, while this one hears no
+/// server.
+pub(super) const MAX_DECLINED: u32 = 4;
+/// The same while it hears servers, only none of the request's: the others may not
+/// reach these either.
+pub(super) const MAX_DECLINED_IN_TOUCH: u32 = 1;
+/// Time for which a gateway that declined a request gets no others.
+pub(super) const DECLINED_TIME: Duration = Duration::from_secs(1);
+/// Relayed requests that a gateway serves at once: their buffered bodies fit into the
+/// memory of a small instance beside those of its own callers.
+const MAX_RELAYED: usize = 128;
+/// Idle time of connections between gateways, longer than that of the client.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum size of a head: that of a caller's request, with the token.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Timeout of a head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Delay after a failed attempt to listen.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Marks the head of a response that came through another gateway.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Relayed;
+
+/// Other gateways as relays, and the requests that this one serves for them.
+#[derive(Debug)]
+pub(crate) struct Hops {
+    http: HttpClient,
+    relays: Mutex<Vec<Arc<Backend>>>,
+    serving: AtomicUsize,
+}
+
+/// Creates the state without relays.
+pub(crate) fn open() -> Hops {
+    Hops { http: http_client::open(), relays: Mutex::default(), serving: AtomicUsize::new(0) }
+}
+
+/// Listens for the requests of other gateways. A port that is taken is tried again.
+pub(crate) async fn listen(gateway: Arc<Gateway>) -> HttpServer {
+    let addr = gateway.settings.peer_addr;
+    let limits = ConnectionLimits::default();
+    limits.set(MAX_HEAD_BYTES, HEAD_TIMEOUT, IDLE_TIMEOUT);
+    let options = ServerOptions { limits: Arc::new(limits), ..ServerOptions::default() };
+    let shared = || Arc::clone(&gateway);
+    loop {
+        let (root, rest) = (shared(), shared());
+        let router = Router::new()
+            .any("/", move |req| serve(Arc::clone(&root), req))
+            .any("/*", move |req| serve(Arc::clone(&rest), req));
+        match http_server::bind_with(addr, router, options.clone()).await {
+            Ok(server) => return server,
+            Err(error) => tracing::info!(%error, %addr, "could not listen for gateways yet"),
+        }
+        sleep(LISTEN_RETRY_DELAY).await;
+    }
+}
+
+/// Chooses the less busy of two gateways.
+pub(super) fn choose(gateway: &Gateway, tried: &[InstanceId]) -> Option<Arc<Backend>> {
+    let cluster = gateway.peers.cluster();
+    let now = gateway.clock.now();
+    let mut relays = lock(&gateway.hops.relays);
+    relays.retain(|it| it.gateway.is_some_and(|it| cluster.nodes.contains_key(&it)));
+    for (node, listed) in cluster.nodes.iter().filter(|(node, _)| **node != gateway.node) {
+        if !relays.iter().any(|it| it.gateway == Some(*node)) {
+            relays.push(Arc::new(Backend {
+                id: format!("gateway {node}").into(),
+                incarnation: Incarnation(node.0),
+                addr: listed.addr,
+                zone: listed.zone.clone(),
+                slots: 0,
+                replica: None,
+                domain: None,
+                gateway: Some(*node),
+                stats: Arc::new(BackendStats::default()),
+            }));
+        }
+    }
+    let usable = relays.iter().filter(|it| !tried.contains(&it.id) && !it.stats.is_suspect(now));
+    let pair = usable.choose_multiple(&mut rand::rng(), 2);
+    pair.into_iter().min_by_key(|it| it.stats.in_flight()).cloned()
+}
+
+/// HTTP client for requests to other gateways.
+pub(super) fn http(gateway: &Gateway) -> &HttpClient {
+    &gateway.hops.http
+}
+
+/// Builds the request for a relay. None if the gateways' secret is not known yet.
+pub(super) fn build(
+    gateway: &Gateway,
+    call: &Call,
+    to: (NodeId, SocketAddr),
+    attempts: u32,
+    resume_after: Option<u64>,
+) -> Option<HttpRequest<RequestBody>> {
+    let (to, addr) = to;
+    let path = call.uri.path_and_query().map_or("/", |it| it.as_str());
+    let uri: Uri = format!("http://{addr}{path}").parse().ok()?;
+    let token = HopToken { from: gateway.node, to, attempts };
+    let token = token.sign(&gateway.peers.keys()?, path);
+    let mut request = HttpRequest::new(call.body.to_request_body());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = uri;
+    request.headers_mut().clone_from(&call.headers);
+    let remaining = call.remaining(gateway.clock.now());
+    gateway.adapter.codec.set_relayed(request.headers_mut(), remaining, resume_after);
+    request.headers_mut().insert(TOKEN, HeaderValue::from_str(&token).ok()?);
+    Some(request)
+}
+
+/// Whether a relay declined a request.
+pub(super) fn is_declined(parts: &http::response::Parts) -> bool {
+    parts.headers.contains_key(DECLINED)
+}
+
+/// Guard that counts a relayed request as being served.
+struct Serving<'a>(&'a AtomicUsize);
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a request of another gateway.
+async fn serve(gateway: Arc<Gateway>, mut req: Request) -> viz::Result<Response> {
+    let token = req.headers_mut().remove(TOKEN);
+    let path = req.uri().path_and_query().map_or("/", |it| it.as_str());
+    let token = token.as_ref().and_then(|it| it.to_str().ok());
+    let token = token.and_then(|it| HopToken::verify(it, &gateway.peers.keys()?, path));
+    let Some(token) = token.filter(|it| it.to == gateway.node) else {
+        tracing::info!("request of an unknown gateway was rejected");
+        return Ok(Refusal::from(ResultCode::Unauthorised).into_response(super::new_request_id()));
+    };
+    let before = gateway.hops.serving.fetch_add(1, Ordering::Relaxed);
+    let _serving = Serving(&gateway.hops.serving);
+    if gateway.is_stopping() || gateway.links.is_cut() || MAX_RELAYED <= before {
+        let response = Refusal::from(ResultCode::NotReached).into_response(super::new_request_id());
+        return Ok(decline(response));
+    }
+    let response = super::serve_with(&gateway, req, Attempts::relayed(token.attempts)).await;
+    let code = response.extensions().get::<ResultCode>();
+    Ok(match code {
+        Some(ResultCode::NotReached) => decline(response),
+        _ => response,
+    })
+}
+
+fn decline(mut response: Response) -> Response {
+    debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
+    response.headers_mut().remove(header::RETRY_AFTER);
+    response
+}
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -21,6 +21,7 @@
     attempts::Attempts,
     body::MAX_BUFFERED_BYTES,
     call::{Call, strip_hop_by_hop},
+    hop::Relayed,
     log::RequestLog,
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
@@ -103,7 +104,7 @@
             log.end_with_status(status.as_u16(), &attempts);
         }
         Err(cause) => {
-            if cause == Cause::Interrupted {
+            if cause == Cause::Interrupted && backend.gateway.is_none() {
                 crashes.record_interrupted(&backend, signatures);
             }
             log.end_interrupted(cause, &attempts);
@@ -126,18 +127,23 @@
     loop {
         let server = attempts.next_server(gateway, call).await?;
         let unanswered = unanswered::open(gateway, call, &server);
+        let sent = attempts.sent();
         let exchange = async {
-            let response = send::send(gateway, call, &server, None).await?;
+            let response = send::send(gateway, call, &server, sent, None).await?;
             read_buffered(response).await
         };
-        let may_abandon = call.route.kind.may_rerun()
+        let may_abandon = server.gateway.is_none()
+            && call.route.kind.may_rerun()
             && call.body.is_buffered()
             && attempts.count() < call.route.max_attempts as usize;
         let outcome = if may_abandon {
             let attempt_timeout = call.route.target_latency * ABANDON_FACTOR;
             let limited = async {
                 let stalled = Err(AttemptFailure::may_have_run(Cause::Stalled));
-                timeout(attempt_timeout, exchange).await.unwrap_or(stalled)
+                tokio::select! {
+                    res = timeout(attempt_timeout, exchange) => res.unwrap_or(stalled),
+                    () = gateway.links.wait_until_cut() => stalled,
+                }
             };
             timeout_at(deadline, limited).await
         } else {
@@ -149,7 +155,9 @@
         }
         let failed = match outcome {
             Ok(started)
-                if started.parts.status.is_server_error() && call.route.kind.may_rerun() =>
+                if started.parts.status.is_server_error()
+                    && server.gateway.is_none()
+                    && call.route.kind.may_rerun() =>
             {
                 let failed = AttemptFailure::may_have_run(Cause::ServerError);
                 if attempts.retry(gateway, call, failed).await.is_err() {
@@ -160,7 +168,7 @@
             Ok(started) => return Ok(started),
             Err(failed) => failed,
         };
-        if failed.cause == Cause::Interrupted {
+        if failed.cause == Cause::Interrupted && server.gateway.is_none() {
             gateway.crashes.record_interrupted(&server, signatures::all_of(call));
         }
         attempts.retry(gateway, call, failed).await?;
@@ -236,7 +244,8 @@
 /// Builds the response for the caller.
 fn respond(call: &Call, parts: response::Parts, body: Body) -> Response {
     // These codes promise that the request never runs, but it may have run.
-    let promises_not_run = matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
+    let is_of_server = parts.extensions.get::<Relayed>().is_none();
+    let promises_not_run = is_of_server && matches!(parts.status.as_u16(), 408 | 421 | 429 | 503);
     if promises_not_run && !call.route.kind.may_rerun() {
         return Refusal::from(ResultCode::EngineError).into_response(call.request);
     }
--- a/crates/gateway/src/relay/refuse.rs
+++ b/crates/gateway/src/relay/refuse.rs
@@ -35,6 +35,7 @@
         let mut response = Response::with(Body::Full(Full::from(text)), "application/json");
         *response.status_mut() = StatusCode::from_u16(self.code.http_status())
             .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        response.extensions_mut().insert(self.code);
         if let Some(retry_after) = self.retry_after {
             let text = format!("{:.2}", retry_after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -2,12 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use citrongw_state::{retry::AttemptProgress, server_limit::StatedLimit, time::Time};
+use citrongw_state::{id::NodeId, retry::AttemptProgress, server_limit::StatedLimit, time::Time};
 use citrongw_transport::http_client::{HttpError, PooledBody, RequestBody};
 use derive_more::Display;
 use http::{Request, Uri, response};
 
-use super::call::Call;
+use super::{call::Call, hop};
 use crate::{
     adapter::{ForwardMeta, ResponseMeta},
     fleet::{Backend, InFlight},
@@ -27,6 +27,9 @@
     /// No connection could be made.
     #[display("not reached")]
     NotReached,
+    /// The gateway that the request was relayed to did not take it.
+    #[display("declined")]
+    Declined,
     /// The server reported that it did not run the request.
     #[display("server refused")]
     ServerRefused,
@@ -89,13 +92,55 @@
     pub(super) in_flight: InFlight,
 }
 
-/// Sends a request to a server and waits for the head of the response.
+/// Sends a request through another gateway and waits for the head of the response.
+async fn send_through(
+    gateway: &Gateway,
+    call: &Call,
+    backend: &Arc<Backend>,
+    relay: NodeId,
+    attempts: u32,
+    resume_after: Option<u64>,
+) -> Result<BackendResponse, AttemptFailure> {
+    let declined = || {
+        backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
+        Err(AttemptFailure::not_run(Cause::Declined))
+    };
+    let Some(request) = hop::build(gateway, call, (relay, backend.addr), attempts, resume_after)
+    else {
+        return declined();
+    };
+    let in_flight = backend.stats.begin_request();
+    tracing::info!(
+        request = %call.request, attempt = call.meta.attempt, gateway = %relay, attempts,
+        is_cut = gateway.links.is_cut(), "request is relayed"
+    );
+    match hop::http(gateway).send(request).await {
+        Ok(response) => {
+            let (mut parts, body) = response.into_parts();
+            if hop::is_declined(&parts) {
+                return declined();
+            }
+            backend.stats.record_received(gateway.clock.now());
+            parts.extensions.insert(hop::Relayed);
+            Ok(BackendResponse { parts, body, backend: Arc::clone(backend), in_flight })
+        }
+        Err(HttpError::NotReached | HttpError::ConnectionRefused) => declined(),
+        Err(_) => Err(AttemptFailure::may_have_run(Cause::Interrupted)),
+    }
+}
+
+/// Sends a request to a server and waits for the head of the response. `attempts` is the
+/// number of servers that it was sent to before.
 pub(super) async fn send(
     gateway: &Gateway,
     call: &Call,
     backend: &Arc<Backend>,
+    attempts: u32,
     resume_after: Option<u64>,
 ) -> Result<BackendResponse, AttemptFailure> {
+    if let Some(relay) = backend.gateway {
+        return send_through(gateway, call, backend, relay, attempts, resume_after).await;
+    }
     let sent_at = gateway.clock.now();
     let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
@@ -156,13 +201,18 @@
 /// Records that bytes arrived from a server.
 pub(super) fn record_received(gateway: &Gateway, server: &Backend, now: Time) {
     server.stats.record_received(now);
-    gateway.links.record_heard();
+    if server.gateway.is_none() {
+        gateway.links.record_heard();
+    }
 }
 
 /// Suspects a server for `duration`, and reports its replica, if any, to the
 /// owner of the domain.
 pub(super) fn mark_suspect(gateway: &Gateway, server: &Backend, duration: Duration) {
     server.stats.suspect_until(gateway.clock.now() + duration);
+    if server.gateway.is_some() {
+        return;
+    }
     gateway.links.record_failure(&server.id);
     if gateway.links.is_cut() {
         return;
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -132,7 +132,10 @@
             Ok(Err(response)) => {
                 let failed = AttemptFailure::may_have_run(Cause::ServerError);
                 let is_server_error = response.parts.status.is_server_error();
-                if is_server_error && attempts.retry(gateway, call, failed).await.is_ok() {
+                if is_server_error
+                    && server.gateway.is_none()
+                    && attempts.retry(gateway, call, failed).await.is_ok()
+                {
                     continue;
                 }
                 let left = call.deadline().since(gateway.clock.now());
@@ -144,7 +147,7 @@
             Err(failed) => failed,
         };
         match failed.cause {
-            Cause::Interrupted => {
+            Cause::Interrupted if server.gateway.is_none() => {
                 gateway.crashes.record_interrupted(&server, signatures::all_of(call));
             }
             Cause::Quarantined => return Err(attempts.withdraw()),
@@ -167,7 +170,7 @@
     let sent_at = gateway.clock.now();
     let unanswered = unanswered::open(gateway, call, server);
     let exchange = async {
-        let response = send::send(gateway, call, server, resume_after).await?;
+        let response = send::send(gateway, call, server, attempts.sent(), resume_after).await?;
         if !response.parts.status.is_success() {
             return Ok(Err(response));
         }
@@ -189,11 +192,13 @@
             return res;
         }
         () = sleep_until(deadline) => return Err(AttemptFailure::may_have_run(Cause::DeadlinePassed)),
-        () = wait_for_silence(gateway, server, sent_at, limit) => {
+        // Another gateway watches its servers itself.
+        () = wait_for_silence(gateway, server, sent_at, limit), if server.gateway.is_none() => {
             send::mark_suspect(gateway, server, SILENT_SUSPICION);
             Cause::Stalled
         }
         () = server.stats.wait_until_down() => Cause::ReplicaDown,
+        () = gateway.links.wait_until_cut(), if server.gateway.is_none() => Cause::Stalled,
         // The server drops the request with its connection.
         () = gateway.crashes.wait_until_quarantined(|| signatures::all_of(call)) => {
             return Err(AttemptFailure::may_have_run(Cause::Quarantined));
@@ -299,6 +304,9 @@
                 send::mark_suspect(&gateway, &backend, SILENT_SUSPICION);
                 Err(AttemptFailure::may_have_run(Cause::Stalled))
             }
+            () = gateway.links.wait_until_cut(), if !self.must_wait && backend.gateway.is_none() => {
+                Err(AttemptFailure::may_have_run(Cause::Stalled))
+            }
             () = backend.stats.wait_until_down(), if !self.must_wait => {
                 Err(AttemptFailure::may_have_run(Cause::ReplicaDown))
             }
@@ -310,7 +318,8 @@
 
     fn record_interrupted(&self, cause: Cause) {
         let age = self.gateway.clock.now().since(self.source.opened_at);
-        if cause == Cause::Interrupted && age < CRASH_WINDOW {
+        let is_server = self.source.backend.gateway.is_none();
+        if is_server && cause == Cause::Interrupted && age < CRASH_WINDOW {
             let signatures = signatures::all_of(&self.call);
             self.gateway.crashes.record_interrupted(&self.source.backend, signatures);
         }
--- a/crates/gateway/src/relay/unanswered.rs
+++ b/crates/gateway/src/relay/unanswered.rs
@@ -34,7 +34,7 @@
 
 impl Drop for UnansweredAttempt<'_> {
     fn drop(&mut self) {
-        if !self.is_answered {
+        if !self.is_answered && self.server.gateway.is_none() {
             let signatures = signatures::all_of(self.call);
             self.gateway.crashes.record_abandoned(self.server, signatures);
         }
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -70,6 +70,7 @@
         slots: 8,
         replica: None,
         domain: None,
+        gateway: None,
         stats: Arc::default(),
     }
 }
@@ -125,6 +126,8 @@
 
     fn set_forward(&self, _: &mut HeaderMap, _: &ForwardMeta<'_>) {}
 
+    fn set_relayed(&self, _: &mut HeaderMap, _: Duration, _: Option<u64>) {}
+
     fn decode_response(&self, _: StatusCode, _: &HeaderMap) -> ResponseMeta {
         ResponseMeta::default()
     }
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -288,6 +288,7 @@
             slots: SPEED.slots as u32,
             replica: Some(key(replica)),
             domain: None,
+            gateway: None,
             stats: Arc::new(BackendStats::default()),
         })
     };
--- a/crates/transport/src/peer_auth.rs
+++ b/crates/transport/src/peer_auth.rs
@@ -123,6 +123,11 @@
 }
 
 impl Sealer {
+    /// Keys that messages are signed and verified with.
+    pub fn keys(&self) -> &PeerKeys {
+        &self.keys
+    }
+
     /// Replaces the keys.
     pub fn set_keys(&mut self, keys: PeerKeys) {
         self.keys = keys;
--- a/crates/transport/src/peer_udp.rs
+++ b/crates/transport/src/peer_udp.rs
@@ -74,6 +74,11 @@
         self.socket.local_addr()
     }
 
+    /// Keys that messages are signed and verified with.
+    pub fn keys(&self) -> PeerKeys {
+        self.sealer().keys().clone()
+    }
+
     /// Replaces the keys. The first one signs from now on.
     pub fn set_keys(&self, keys: PeerKeys) {
         self.sealer().set_keys(keys);
