Let quiet connections survive a lost keep-alive probe

Cause: TCP_USER_TIMEOUT also decides when keep-alive probes give up: with 5 s, and a first probe after 10 s, the first lost one closed the connection two seconds later, whatever the number of probes. A sound server may be silent for a second. Change: the timeout is the time that all probes take, 16 s. Silent servers are still left sooner, by the limits of requests. No other socket sets it. Result: the test on the socket's options failed before and passes.

--- a/crates/transport/src/http_client/connection.rs
+++ b/crates/transport/src/http_client/connection.rs
@@ -26,8 +26,12 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Unacknowledged keep-alive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 3;
-/// Maximum time that written bytes may stay unacknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time that written bytes may stay unacknowledged. It also limits the silence
+/// after which lost keep-alive probes close a connection, whatever their number, so it
+/// is the time that all of them take.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(
+    KEEPALIVE_TIME.as_secs() + KEEPALIVE_INTERVAL.as_secs() * KEEPALIVE_PROBES as u64,
+);
 
 /// Open connection that carries one exchange at a time.
 #[derive(Debug)]
@@ -108,7 +112,7 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+pub(super) fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
--- a/crates/transport/src/http_client/tests.rs
+++ b/crates/transport/src/http_client/tests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -269,3 +270,15 @@
     assert_eq!(read_bytes(second.into_body()).await.unwrap(), "own");
     server.await.unwrap();
 }
+
+#[tokio::test]
+async fn lost_keep_alive_probe_does_not_close_a_quiet_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    connection::set_options(&stream).unwrap();
+    let socket = SockRef::from(&stream);
+    let quiet = socket.tcp_keepalive_time().unwrap();
+    let probes = socket.tcp_keepalive_interval().unwrap() * socket.tcp_keepalive_retries().unwrap();
+    // The user timeout ends the probes, whatever their number.
+    assert!(quiet + probes <= socket.tcp_user_timeout().unwrap().unwrap());
+}
