Poll a dozen servers before the links count as cut, and refuse at once without a relay

Where all gateways are cut, requests were tried at silent servers. Change: if three servers are silent, up to nine more are polled; a request that no gateway takes while no server is heard is rejected at once as not run.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -9,7 +9,7 @@
 use citrongw_coordination::clock::Clock;
 use citrongw_state::{id::InstanceId, server_links::ServerLinks, time::Time};
 use futures::{StreamExt, stream::FuturesUnordered};
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use tokio::{
     sync::{Mutex, watch},
     task::JoinHandle,
@@ -22,8 +22,10 @@
     instance::InstanceEntry,
 };
 
-/// Servers that are polled to find out whether the links are cut.
-const POLLED_SERVERS: usize = 3;
+/// Servers that are polled first to find out whether the links are cut.
+const FIRST_POLLED_SERVERS: usize = 3;
+/// Servers that are polled before the links count as cut.
+const MAX_POLLED_SERVERS: usize = 12;
 /// Timeout of these polls. Responses take milliseconds.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval between checks, and between polls while the links are cut.
@@ -124,14 +126,28 @@
         !self.is_cut() && self.poll_others(Some(server)).await
     }
 
-    /// Polls other servers. False if none responded.
+    /// Polls other servers, and if none responds, more of them. False if none does.
     async fn poll_others(&self, silent: Option<&InstanceId>) -> bool {
         let since = self.clock.now();
-        let polled = self.choose_polled(silent);
-        if polled.is_empty() {
+        let others = self.choose_polled(silent);
+        let (first, rest) = others.split_at(others.len().min(FIRST_POLLED_SERVERS));
+        if others.is_empty() || self.poll(first).await {
             return true;
         }
-        let polls = polled.iter().map(|it| timeout(POLL_TIMEOUT, self.instances.report(it.addr)));
+        // A cut of this node from a share of the servers may cover those polled first.
+        if !self.is_cut() && self.poll(rest).await {
+            return true;
+        }
+        if self.links.record_all_silent(since) {
+            tracing::warn!(polled = others.len(), "links to the backend servers are cut");
+            self.cut_tx.send_replace(true);
+        }
+        self.links.has_heard_since(since)
+    }
+
+    /// Polls servers. True if one responds.
+    async fn poll(&self, servers: &[Arc<InstanceEntry>]) -> bool {
+        let polls = servers.iter().map(|it| timeout(POLL_TIMEOUT, self.instances.report(it.addr)));
         let mut polls: FuturesUnordered<_> = polls.collect();
         while let Some(outcome) = polls.next().await {
             if matches!(outcome, Ok(Ok(_) | Err(InstanceError::InvalidResponse))) {
@@ -139,28 +155,22 @@
                 return true;
             }
         }
-        if self.links.record_all_silent(since) {
-            let servers: Vec<&str> = polled.iter().map(|it| it.id.as_str()).collect();
-            tracing::warn!(?servers, "links to the backend servers are cut");
-            self.cut_tx.send_replace(true);
-        }
-        self.links.has_heard_since(since)
+        false
     }
 
-    /// Chooses servers at random, outside the fabric domain of the silent one if there
-    /// are any.
+    /// Chooses servers at random, those outside the fabric domain of the silent one
+    /// first.
     fn choose_polled(&self, silent: Option<&InstanceId>) -> Vec<Arc<InstanceEntry>> {
         let instances = self.routing.instances.load();
         let domain_of = |it: &InstanceEntry| (it.service.clone(), it.domain.clone());
         let silent_domain =
             silent.and_then(|it| instances.instances.get(it)).map(|it| domain_of(&it.entry));
-        let others = || instances.instances.values().filter(|it| Some(&it.entry.id) != silent);
-        let outside = others().filter(|it| Some(domain_of(&it.entry)) != silent_domain);
-        let mut polled = outside.choose_multiple(&mut rand::rng(), POLLED_SERVERS);
-        if polled.is_empty() {
-            polled = others().choose_multiple(&mut rand::rng(), POLLED_SERVERS);
-        }
-        polled.into_iter().map(|it| Arc::clone(&it.entry)).collect()
+        let others = instances.instances.values().filter(|it| Some(&it.entry.id) != silent);
+        let mut polled: Vec<_> = others.map(|it| Arc::clone(&it.entry)).collect();
+        polled.shuffle(&mut rand::rng());
+        polled.sort_by_key(|it| Some(domain_of(it)) == silent_domain);
+        polled.truncate(MAX_POLLED_SERVERS);
+        polled
     }
 }
 
--- a/crates/gateway/src/links/tests.rs
+++ b/crates/gateway/src/links/tests.rs
@@ -62,6 +62,13 @@
     assert!(!watch.is_cut());
 }
 
+#[tokio::test(start_paused = true)]
+async fn links_to_a_share_of_the_servers_are_not_taken_for_all() {
+    let (watch, _) = watch_of(12, &[12]);
+    assert!(watch.confirm_silence(&"h1".into(), watch.clock.now()).await);
+    assert!(!watch.is_cut());
+}
+
 #[tokio::test(start_paused = true)]
 async fn silence_of_the_only_server_is_its_own() {
     let (watch, _) = watch_of(1, &[]);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -193,7 +193,12 @@
     Ok(Node { gateway, callers, ready, metrics, hops, tasks })
 }
 
+/// Stops listening for gateways, if that has begun.
 async fn stop_hops(hops: JoinHandle<HttpServer>) {
+    if !hops.is_finished() {
+        hops.abort();
+        return;
+    }
     match hops.await {
         Ok(server) => server.stop().await,
         Err(error) => tracing::error!(%error, "listening for gateways failed"),
@@ -255,12 +260,7 @@
         let lag = settings.balancer_lag;
         sleep(lag).await;
         let left = settings.grace.saturating_sub(lag + SHUTDOWN_MARGIN);
-        let stopped = async {
-            match self.hops.is_finished() {
-                true => drop(tokio::join!(self.callers.stop(), stop_hops(self.hops))),
-                false => self.callers.stop().await,
-            }
-        };
+        let stopped = async { tokio::join!(self.callers.stop(), stop_hops(self.hops)) };
         if timeout(left, stopped).await.is_err() {
             tracing::warn!("ended while requests were in flight");
         }
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -106,6 +106,7 @@
         }
         let choice = match self.choose_relay(gateway, call) {
             Some(choice) => choice,
+            None if gateway.links.is_cut() => return Err(self.refusal(ResultCode::NotReached)),
             None => {
                 let deadline = gateway.clock.instant(call.deadline());
                 let choice = timeout_at(deadline, self.choose_permitted(gateway, call)).await;
