--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -18,7 +18,7 @@
     pub caller_addr: SocketAddr,
     /// Listen address for the load balancer's readiness checks.
     pub ready_addr: SocketAddr,
-    /// Listen address for datagrams of other gateways.
+    /// Listen address for datagrams and, over TCP, relayed requests of other gateways.
     pub peer_addr: SocketAddr,
     /// Listen address of the metrics endpoint.
     pub metrics_addr: SocketAddr,
