Relay a request after two servers that it did not reach

Cause: a gateway whose open connections go on while new ones are refused hears servers, so its links do not count as cut; a request tried one server after the other, each charged to the retry budget, and was refused once that was spent. Change: after two servers that were not reached, or with a spent budget after one, the request is relayed; a server that the request tried counts as out of reach too.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -42,6 +42,9 @@
 /// Time for which all servers with limits count as denied after that many.
 const DENIAL_TIME: Duration = Duration::from_millis(50);
 
+/// Servers of a request that no connection could be made to before it is relayed.
+const MAX_UNREACHED: u32 = 2;
+
 /// Interval between checks for another server while the current one is silent:
 /// well below the time between events that callers of a stream expect.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -62,6 +65,8 @@
     is_relayed: bool,
     /// Number of gateways that declined the request.
     declined: u32,
+    /// Number of servers that no connection could be made to.
+    unreached: u32,
 }
 
 impl Attempts {
@@ -154,17 +159,20 @@
         Some(Choice { best: Candidate { server: relay, load }, runner_up: None })
     }
 
-    /// Whether the only reason to send the request to none of its servers is that this
-    /// gateway did not reach them.
+    /// Whether this gateway does not reach the servers of the request: it hears none at
+    /// all, did not reach those that it tried, or none is left and some were not reached.
     fn is_out_of_reach(&self, gateway: &Gateway, call: &Call) -> bool {
-        if gateway.links.is_cut() {
+        if gateway.links.is_cut() || MAX_UNREACHED <= self.unreached {
             return true;
         }
         let fleet = gateway.routing.fleet.load();
+        let servers = call.servers(&fleet);
         self.with_criteria(gateway, |criteria| {
-            let excluded: Option<Vec<Exclusion>> =
-                call.servers(&fleet).iter().map(|it| exclusion(it, criteria)).collect();
-            excluded.is_some_and(|it| it.iter().any(|it| it.is_out_of_reach()))
+            let untried = ChoiceCriteria { tried: &[], ..*criteria };
+            let is_unreached =
+                |it: &Arc<Backend>| exclusion(it, &untried).is_some_and(Exclusion::is_out_of_reach);
+            servers.iter().all(|it| exclusion(it, criteria).is_some())
+                && servers.iter().any(is_unreached)
         })
     }
 
@@ -284,6 +292,13 @@
             self.declined += 1;
             return Ok(());
         }
+        if failed.cause == Cause::NotReached {
+            self.unreached += 1;
+            // Nothing has arrived at a server, so this is no retry yet.
+            if self.choose_relay(gateway, call).is_some() {
+                return Ok(());
+            }
+        }
         if self.is_at_relay() && failed.progress != AttemptProgress::NotRun {
             return Err(self.refusal(code_of(failed.cause)));
         }
@@ -321,6 +336,12 @@
                     cause = %failed.cause, attempts = self.tried.len(), %reason,
                     budget = budget.retries_left(), "request is not retried"
                 );
+                if failed.cause == Cause::NotReached {
+                    self.unreached = MAX_UNREACHED;
+                    if self.choose_relay(gateway, call).is_some() {
+                        return Ok(());
+                    }
+                }
                 if failed.cause == Cause::ServerRefused && self.choose(gateway, call).is_none() {
                     return Err(self.refusal_without_server(gateway, call));
                 }
