Decline requests of gateways that the relay cannot verify or route yet

Cause: found by reading the change: a relay that had not read the secret rejected the request with 401, which would have reached the caller; one without a configuration let it fail; and with several threads the end of a cut could be published before its beginning, after which all streams would have moved at once.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -93,12 +93,18 @@
         let _ = self.cut_tx.subscribe().wait_for(|it| *it).await;
     }
 
+    /// Wakes those that wait for a change. The state is read under the channel's lock, so
+    /// that the last of concurrent changes counts.
+    fn publish(&self) {
+        self.cut_tx.send_modify(|it| *it = self.is_cut());
+    }
+
     /// Records that a server was heard.
     pub(crate) fn record_heard(&self) {
         if self.links.record_heard(self.clock.now()) {
             // What was learned of the servers in the cut was about the links.
             self.routing.fleet.load().forgive_failures();
-            self.cut_tx.send_replace(false);
+            self.publish();
             tracing::info!("links to the backend servers work again");
         }
     }
@@ -140,7 +146,7 @@
         }
         if self.links.record_all_silent(since) {
             tracing::warn!(polled = others.len(), "links to the backend servers are cut");
-            self.cut_tx.send_replace(true);
+            self.publish();
         }
         self.links.has_heard_since(since)
     }
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -172,20 +172,21 @@
     let path = req.uri().path_and_query().map_or("/", |it| it.as_str());
     let token = token.as_ref().and_then(|it| it.to_str().ok());
     let token = token.and_then(|it| HopToken::verify(it, &gateway.peers.keys()?, path));
+    let refuse = || Refusal::from(ResultCode::NotReached).into_response(super::new_request_id());
+    // This gateway may not have read the secret yet.
     let Some(token) = token.filter(|it| it.to == gateway.node) else {
-        tracing::info!("request of an unknown gateway was rejected");
-        return Ok(Refusal::from(ResultCode::Unauthorised).into_response(super::new_request_id()));
+        tracing::info!("request without a valid token of a gateway was declined");
+        return Ok(decline(refuse()));
     };
     let before = gateway.hops.serving.fetch_add(1, Ordering::Relaxed);
     let _serving = Serving(&gateway.hops.serving);
     if gateway.is_stopping() || gateway.links.is_cut() || MAX_RELAYED <= before {
-        let response = Refusal::from(ResultCode::NotReached).into_response(super::new_request_id());
-        return Ok(decline(response));
+        return Ok(decline(refuse()));
     }
     let response = super::serve_with(&gateway, req, Attempts::relayed(token.attempts)).await;
     let code = response.extensions().get::<ResultCode>();
     Ok(match code {
-        Some(ResultCode::NotReached) => decline(response),
+        Some(ResultCode::NotReached | ResultCode::NotConfirmed) => decline(response),
         _ => response,
     })
 }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -125,7 +125,10 @@
             Ok(BackendResponse { parts, body, backend: Arc::clone(backend), in_flight })
         }
         Err(HttpError::NotReached | HttpError::ConnectionRefused) => declined(),
-        Err(_) => Err(AttemptFailure::may_have_run(Cause::Interrupted)),
+        Err(_) => {
+            backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
+            Err(AttemptFailure::may_have_run(Cause::Interrupted))
+        }
     }
 }
 
