Show that Server-Leaving in answers is not heeded

A replica that leaves while the store is down says so in its answers, but no code reads the header. The gateway goes on sending it requests until it is gone.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts. They use only the standard library.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+rustc --edition 2024 -O -A dead_code -o target/review/standins review/standins/main.rs
