Show that a declined long request runs with an empty body

A body over 64 KB can be sent once only. If it was relayed through another gateway that declines, because it is stopping, the next attempt sends what is left of the body to a replica.

--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -92,6 +92,22 @@
     }
 }
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+const SIGTERM: i32 = 15;
+
+impl Gateway {
+    /// Begins a planned stop.
+    pub fn terminate(&mut self) {
+        if self.is_running() {
+            // SAFETY: the process is a child that was not waited for yet.
+            unsafe { kill(self.pid() as i32, SIGTERM) };
+        }
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         // The process may have ended already.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod kv;
 mod leaving;
+mod long_body;
 mod record;
 mod replica;
 
@@ -29,6 +30,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let record = Record::open();
     let verdict = match case.as_str() {
+        "long-body" => long_body::run(&record, has_trouble),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub attempt: String,
+    pub body: Vec<u8>,
 }
 
 struct Shared {
@@ -35,6 +36,7 @@
     is_leaving: AtomicBool,
     has_ended: AtomicBool,
     sequence: AtomicU64,
+    running: AtomicU64,
     runs: Mutex<Vec<Run>>,
 }
 
@@ -64,6 +66,7 @@
         is_leaving: AtomicBool::new(false),
         has_ended: AtomicBool::new(false),
         sequence: AtomicU64::new(0),
+        running: AtomicU64::new(0),
         runs: Mutex::default(),
     });
     let (served, record) = (Arc::clone(&shared), record.clone());
@@ -87,7 +90,7 @@
         let reply = |status, body: String| {
             let reply = Reply::new(status, body)
                 .with("X-Request-Attempt-Id", attempt.as_str())
-                .with("X-Server-Load", "1,0,6");
+                .with("X-Server-Load", format!("{},0,6", self.running.load(Ordering::SeqCst)));
             match self.is_leaving.load(Ordering::SeqCst) {
                 true => reply.with("Server-Leaving", "1"),
                 false => reply,
@@ -103,20 +106,27 @@
             ]);
             return reply(200, body.to_string());
         }
+        if !request.is_complete {
+            record.add(&format!("{} gets a part of {attempt} only, and doesn't run it", self.id));
+            return reply(400, String::new());
+        }
         if request.header("x-target-instance") != Some(self.id.as_str()) {
             record.add(&format!("{} answers 421 to {attempt}", self.id));
             return reply(421, String::new());
         }
         record.add(&format!(
-            "{} of {} runs {attempt}: {}, tenant {}",
+            "{} of {} runs {attempt}: {}, tenant {}, {} bytes",
             self.id,
             self.service,
             request.start,
             request.header("x-tenant-name").unwrap_or("none"),
+            request.body.len(),
         ));
-        let run = Run { attempt: attempt.clone() };
+        let run = Run { attempt: attempt.clone(), body: request.body.clone() };
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+        self.running.fetch_add(1, Ordering::SeqCst);
         thread::sleep(self.work);
+        self.running.fetch_sub(1, Ordering::SeqCst);
         reply(200, format!("answer of {} to {attempt}", self.id))
             .with("X-Response-Seal", format!("{}.{attempt}", self.id))
     }
@@ -145,6 +155,11 @@
         self.server.end();
     }
 
+    /// Removes its entry, as the platform does after three heartbeats of silence.
+    pub fn expire(&self) {
+        self.kv.remove(&format!("servers/{}", self.shared.id));
+    }
+
     fn register(&self) -> bool {
         let shared = &self.shared;
         let is_leaving = shared.is_leaving.load(Ordering::SeqCst);
