Show that an entry with fields missing names a replica to use

An entry of another writer that lacks version, cold_left_ms, sequence and born is taken for that of a replica.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,6 +2,7 @@
 //! `standins CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run.
 
+mod foreign_entry;
 mod gateway;
 mod http;
 mod json;
@@ -31,6 +32,7 @@
     let record = Record::open();
     let verdict = match case.as_str() {
         "long-body" => long_body::run(&record, has_trouble),
+        "foreign-entry" => foreign_entry::run(&record, has_trouble),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::Ipv4Addr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -137,6 +137,10 @@
         &self.shared.id
     }
 
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
     /// Runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
