Show that a late join breaks an open group

The epochs of joins to standby groups are only in the owner's memory. A spare that carries out such a join seconds late, after the next owner has made it a member of a group, takes it although the head of its group is open.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# A replica carries out an order to join late, after the next gateway has used it.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review/standins late-join review/2/record.txt
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,11 +2,13 @@
 //! `standins CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case could not run.
 
+mod engine;
 mod foreign_entry;
 mod gateway;
 mod http;
 mod json;
 mod kv;
+mod late_join;
 mod leaving;
 mod long_body;
 mod record;
@@ -33,6 +35,7 @@
     let verdict = match case.as_str() {
         "long-body" => long_body::run(&record, has_trouble),
         "foreign-entry" => foreign_entry::run(&record, has_trouble),
+        "late-join" => late_join::run(&record, has_trouble),
         "leaving" => leaving::run(&record, has_trouble),
         _ => Err(io::Error::other("unknown case")),
     };
