--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -A dead_code -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/standins review/standins/main.rs
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -99,13 +99,7 @@
 }
 
 /// Starts a replica with `model` staged, that registers itself.
-pub fn open(
-    ip: Ipv4Addr,
-    id: &str,
-    kv: &Kv,
-    fleet: &Fleet,
-    record: &Record,
-) -> io::Result<Engine> {
+pub fn open(ip: Ipv4Addr, id: &str, kv: &Kv, fleet: &Fleet, record: &Record) -> io::Result<Engine> {
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let shared = Arc::new(Shared {
         id: id.to_owned(),
@@ -125,12 +119,14 @@
     *shared.addr.lock().unwrap_or_else(PoisonError::into_inner) = server.addr.to_string();
     shared.register();
     let beating = Arc::clone(&shared);
-    thread::spawn(move || loop {
-        thread::sleep(HEARTBEAT);
-        if beating.has_ended.load(Ordering::SeqCst) {
-            return;
+    thread::spawn(move || {
+        loop {
+            thread::sleep(HEARTBEAT);
+            if beating.has_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            beating.register();
         }
-        beating.register();
     });
     Ok(Engine { shared, server })
 }
@@ -288,8 +284,7 @@
                     self.record.add(&breach);
                     self.fleet.lock().1.push(breach);
                 }
-                let group =
-                    Group { name: name.to_owned(), epoch, members, rank, state: "joining" };
+                let group = Group { name: name.to_owned(), epoch, members, rank, state: "joining" };
                 self.fleet.set(&self.id, Some(&group));
                 state.highest_epoch = epoch;
                 state.model = Some(order.get("model").text().to_owned());
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -118,11 +118,8 @@
 pub fn serve(ip: Ipv4Addr, handler: Handler) -> io::Result<Server> {
     let listener = TcpListener::bind((ip, 0))?;
     listener.set_nonblocking(true)?;
-    let server = Server {
-        addr: listener.local_addr()?,
-        has_ended: Arc::default(),
-        streams: Arc::default(),
-    };
+    let server =
+        Server { addr: listener.local_addr()?, has_ended: Arc::default(), streams: Arc::default() };
     let accepting = server.clone();
     thread::spawn(move || {
         while !accepting.has_ended.load(Ordering::SeqCst) {
@@ -183,9 +180,8 @@
             None => break,
         }
     }
-    let is_chunked = message
-        .header("transfer-encoding")
-        .is_some_and(|it| it.eq_ignore_ascii_case("chunked"));
+    let is_chunked =
+        message.header("transfer-encoding").is_some_and(|it| it.eq_ignore_ascii_case("chunked"));
     let length = message.header("content-length").and_then(|it| it.parse::<usize>().ok());
     let read = if is_chunked {
         read_chunks(reader, &mut message.body)
--- a/review/standins/kv.rs
+++ b/review/standins/kv.rs
@@ -64,9 +64,11 @@
         let served = kv.clone();
         kv.addr = http::serve(ip, Arc::new(move |request| served.handle(&request)))?.addr;
         let expired = kv.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(20));
-            expired.expire_leases();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                expired.expire_leases();
+            }
         });
         Ok(kv)
     }
@@ -112,12 +114,6 @@
         true
     }
 
-    /// Keys with a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let data = self.lock();
-        data.items.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
-    }
-
     fn expire_leases(&self) {
         let mut data = self.lock();
         let now = Instant::now();
@@ -162,7 +158,8 @@
         };
         let reply = Reply::new(status, body.to_string());
         // An answer that was under way when the outage began is lost.
-        (!self.is_down()).then(|| reply.with("Content-Type", "application/json").with("Store-Era", "1"))
+        (!self.is_down())
+            .then(|| reply.with("Content-Type", "application/json").with("Store-Era", "1"))
     }
 
     fn watch(&self, request: &Message) -> Option<(u16, Json)> {
@@ -246,7 +243,10 @@
     fn transact(&mut self, body: &Json) -> (u16, Json) {
         let revision_of = |key: &str| self.items.get(key).map_or(0, |it| it.revision);
         let expected = body.get("expected").list();
-        if expected.iter().any(|it| revision_of(it.get("key").text()) != it.get("revision").number()) {
+        if expected
+            .iter()
+            .any(|it| revision_of(it.get("key").text()) != it.get("revision").number())
+        {
             let items = expected.iter().map(|it| {
                 let key = it.get("key").text();
                 let absent = table([("key", key.into()), ("revision", 0.into())]);
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -145,9 +145,8 @@
         return Err(io::Error::other("no answer said that the replica leaves"));
     };
     let ran = leaving.runs();
-    let is_late = |it: &&Sent| {
-        told_at + DRAIN < it.at && ran.iter().any(|run| run.attempt == it.attempt)
-    };
+    let is_late =
+        |it: &&Sent| told_at + DRAIN < it.at && ran.iter().any(|run| run.attempt == it.attempt);
     let late: Vec<&Sent> = sent.iter().filter(is_late).collect();
     let lost = late.iter().filter(|it| it.status != 200).count();
     record.add(&format!(
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -74,12 +74,14 @@
     let replica = Replica { shared, server, kv: kv.clone() };
     replica.register();
     let beating = replica.clone();
-    thread::spawn(move || loop {
-        thread::sleep(HEARTBEAT);
-        if beating.shared.has_ended.load(Ordering::SeqCst) {
-            return;
+    thread::spawn(move || {
+        loop {
+            thread::sleep(HEARTBEAT);
+            if beating.shared.has_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            beating.register();
         }
-        beating.register();
     });
     Ok(replica)
 }
