--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -20,6 +20,8 @@
 };
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Time of a join that loads the model before the first request: a tenth of `load_s`.
+const FIRST_LOAD: Duration = Duration::from_millis(1_200);
 /// Time of a join whose model is staged.
 const WARM: Duration = Duration::from_millis(300);
 /// `form_ms` of the configuration.
@@ -73,6 +75,7 @@
     group: Option<Group>,
     highest_epoch: u64,
     model: Option<String>,
+    is_staged: bool,
     orders: u64,
 }
 
@@ -98,8 +101,15 @@
     server: Server,
 }
 
-/// Starts a replica with `model` staged, that registers itself.
-pub fn open(ip: Ipv4Addr, id: &str, kv: &Kv, fleet: &Fleet, record: &Record) -> io::Result<Engine> {
+/// Starts a replica that registers itself. A host keeps what was staged there before.
+pub fn open(
+    ip: Ipv4Addr,
+    id: &str,
+    is_staged: bool,
+    kv: &Kv,
+    fleet: &Fleet,
+    record: &Record,
+) -> io::Result<Engine> {
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let shared = Arc::new(Shared {
         id: id.to_owned(),
@@ -107,7 +117,7 @@
         kv: kv.clone(),
         record: record.clone(),
         fleet: fleet.clone(),
-        state: Mutex::default(),
+        state: Mutex::new(State { is_staged, ..State::default() }),
         beats: AtomicU64::new(0),
         has_ended: AtomicBool::new(false),
         delays_join: AtomicBool::new(false),
@@ -206,7 +216,10 @@
         let mut fields = vec![
             ("born", self.born.into()),
             ("domain", "d0".into()),
-            ("staged", vec!["m".into()].into()),
+            (
+                "staged",
+                state.is_staged.then(|| "m".into()).into_iter().collect::<Vec<Json>>().into(),
+            ),
             ("models", models.collect::<Vec<Json>>().into()),
         ];
         if let Some(group) = &state.group {
@@ -221,9 +234,13 @@
         fields
     }
 
+    fn is_joining(&self) -> bool {
+        self.lock().group.as_ref().is_some_and(|it| it.state == "joining")
+    }
+
     fn report(&self) -> Json {
         let mut fields = self.fields();
-        fields.extend([("stage", "both".into()), ("busy", false.into())]);
+        fields.extend([("stage", "both".into()), ("busy", self.is_joining().into())]);
         fields.push(("sequence", self.lock().orders.into()));
         Json::Table(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
     }
@@ -290,8 +307,9 @@
                 state.model = Some(order.get("model").text().to_owned());
                 state.orders += 1;
                 state.group = Some(group.clone());
+                let join_time = if state.is_staged { WARM } else { FIRST_LOAD };
                 drop(state);
-                self.change_later(WARM, group, "ready");
+                self.change_later(join_time, group, "ready");
                 202
             }
             "open" if is_of_group => {
@@ -335,6 +353,7 @@
             if state.group.as_ref() == Some(&group) {
                 let changed = Group { state: to, ..group };
                 shared.fleet.set(&shared.id, Some(&changed));
+                state.is_staged = true;
                 state.group = Some(changed);
                 drop(state);
                 shared.record.add(&format!("{} is {to}", shared.id));
--- a/review/standins/foreign_entry.rs
+++ b/review/standins/foreign_entry.rs
@@ -48,7 +48,8 @@
     let folder = gateway::temporary_folder()?;
     let kv = Kv::open(loopback(0))?;
     kv.put("op/config", CONFIG);
-    let open = |id, service| replica::open(loopback(1), id, service, WORK, &kv, record);
+    let open =
+        |id, service| replica::open(loopback(1), id, (service, "cantabria-a"), WORK, &kv, record);
     let (_order, search) = (open("i-order", "orders")?, open("i-search", "searches")?);
     let gateway = gateway::spawn(&folder, "front-1", 2, kv.addr)?;
     // More than `contact_ms`: the machine is in touch.
--- a/review/standins/late_join.rs
+++ b/review/standins/late_join.rs
@@ -80,9 +80,10 @@
     let kv = Kv::open(loopback(0))?;
     kv.put("op/config", CONFIG);
     let fleet = Fleet::default();
-    let open = |id: &str| engine::open(loopback(1), id, &kv, &fleet, record);
+    let open = |id: &str, is_staged| engine::open(loopback(1), id, is_staged, &kv, &fleet, record);
     let ids = ["i-a", "i-b", "i-c", "i-d"];
-    let mut engines: Vec<Engine> = ids.iter().map(|id| open(id)).collect::<io::Result<_>>()?;
+    let mut engines: Vec<Engine> =
+        ids.iter().map(|id| open(id, false)).collect::<io::Result<_>>()?;
     let mut first = gateway::spawn(&folder, "front-1", 2, kv.addr)?;
     wait_until("front-1 owns the domain", || owns(&folder, "front-1"))?;
     let second = gateway::spawn(&folder, "front-2", 3, kv.addr)?;
@@ -98,7 +99,7 @@
     record.add(&format!("{spare_id} crashes"));
     engines[spare].end();
     thread::sleep(DOWN);
-    let back = open(&spare_id)?;
+    let back = open(&spare_id, true)?;
     back.delay_joins(has_trouble);
     engines[spare] = back.clone();
     record.add(&format!("{spare_id} is back"));
--- a/review/standins/leaving.rs
+++ b/review/standins/leaving.rs
@@ -106,8 +106,9 @@
     let folder = gateway::temporary_folder()?;
     let kv = Kv::open(loopback(0))?;
     kv.put("op/config", CONFIG);
-    let open = |id| replica::open(loopback(1), id, "orders", WORK, &kv, record);
-    let (leaving, _staying) = (open("i-leaving")?, open("i-staying")?);
+    let open = |id, zone| replica::open(loopback(1), id, ("orders", zone), WORK, &kv, record);
+    let (leaving, _staying) =
+        (open("i-leaving", "cantabria-b")?, open("i-staying", "cantabria-a")?);
     let gateway = gateway::spawn(&folder, "front-1", 2, kv.addr)?;
     // More than `contact_ms`: the machine is in touch.
     thread::sleep(Duration::from_secs(4));
@@ -134,6 +135,8 @@
     thread::sleep(OUTAGE - LEAVING_AFTER - NOTICE);
     kv.set_down(false);
     record.add("the store is up");
+    // The platform removes it after three heartbeats of silence, once the store is up.
+    leaving.expire();
     for client in clients {
         client.join().map_err(|_| io::Error::other("a client failed"))?;
     }
--- a/review/standins/long_body.rs
+++ b/review/standins/long_body.rs
@@ -113,10 +113,18 @@
     let kv = Kv::open(loopback(0))?;
     kv.put("op/config", CONFIG);
     let replicas = (1..=REPLICAS).map(|number| {
-        replica::open(loopback(1), &format!("i-{number:02}"), "orders", WORK, &kv, record)
+        replica::open(
+            loopback(1),
+            &format!("i-{number:02}"),
+            ("orders", "cantabria-a"),
+            WORK,
+            &kv,
+            record,
+        )
     });
     let replicas: Vec<Replica> = replicas.collect::<io::Result<_>>()?;
-    let _digests = replica::open(loopback(1), "i-digest", "digests", LONG_WORK, &kv, record)?;
+    let _digests =
+        replica::open(loopback(1), "i-digest", ("digests", "cantabria-a"), LONG_WORK, &kv, record)?;
     let gateway = gateway::spawn(&folder, "front-1", 2, kv.addr)?;
     let mut other = gateway::spawn(&folder, "front-2", 3, kv.addr)?;
     // More than `contact_ms`: the machines are in touch.
--- a/review/standins/replica.rs
+++ b/review/standins/replica.rs
@@ -31,6 +31,7 @@
 struct Shared {
     id: String,
     service: String,
+    zone: String,
     work: Duration,
     born: u64,
     is_leaving: AtomicBool,
@@ -52,7 +53,7 @@
 pub fn open(
     ip: Ipv4Addr,
     id: &str,
-    service: &str,
+    (service, zone): (&str, &str),
     work: Duration,
     kv: &Kv,
     record: &Record,
@@ -61,6 +62,7 @@
     let shared = Arc::new(Shared {
         id: id.to_owned(),
         service: service.to_owned(),
+        zone: zone.to_owned(),
         work,
         born: born.as_millis() as u64,
         is_leaving: AtomicBool::new(false),
@@ -172,7 +174,7 @@
         let entry: Json = table([
             ("service", shared.service.as_str().into()),
             ("address", self.server.addr.to_string().as_str().into()),
-            ("zone", "cantabria-a".into()),
+            ("zone", shared.zone.as_str().into()),
             ("version", "v1".into()),
             ("slots", 6.into()),
             ("state", if is_leaving { "draining" } else { "ready" }.into()),
