Send no remainder of a long body after a gateway declined it

Cause: a body over 64 KiB is streamed and can be sent once. Each path to a further attempt had to check that, and the one after a declined relay did not. The HTTP library then declared what was left of the body as its length, so that no server could tell.

A streamed body now gives out an upload only while nothing was read of it, and only the newest upload may read; `next_server` refuses further attempts. The length of an upload is what the caller declared, so one that ends early ends broken; a body of unknown length that met the size limit with a whole read was declared to end there before. A relayed body that can be sent once waits for 100 Continue, so that a gateway declines from the head and the request goes on to a sound server. If the body was sent, the caller gets 503: it never ran.

--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -109,6 +109,9 @@
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
+        if let (Some(cause), false) = (self.last_cause, call.body.can_be_sent()) {
+            return Err(self.refusal(code_of(cause)));
+        }
         let choice = match self.choose_relay(gateway, call) {
             Some(choice) => choice,
             None if gateway.links.is_cut() => return Err(self.refusal(ResultCode::NotReached)),
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -29,8 +29,8 @@
 
 /// Reads a body to its end, or up to the limit of the buffer.
 pub(super) async fn read(mut body: Body, max_bytes: usize) -> Result<CallBody, ResultCode> {
-    let declared_length = hyper::body::Body::size_hint(&body).lower();
-    if (max_bytes as u64) < declared_length {
+    let declared_bytes = hyper::body::Body::size_hint(&body).exact();
+    if declared_bytes.is_some_and(|it| (max_bytes as u64) < it) {
         return Err(ResultCode::TooLarge);
     }
     let mut buffered = BytesMut::new();
@@ -47,23 +47,24 @@
         }
     }
     // How much is buffered beyond the limit depends on how the body arrived.
-    let start_hash = hash_start(&buffered[..MAX_BUFFERED_BYTES], declared_length);
+    let start_hash = hash_start(&buffered[..MAX_BUFFERED_BYTES], declared_bytes);
     let rest = Limited::new(body, max_bytes - buffered.len());
-    Ok(CallBody::Streamed { body: StreamedBody::new(buffered.freeze(), rest), start_hash })
+    let body = StreamedBody::new(buffered.freeze(), rest, declared_bytes);
+    Ok(CallBody::Streamed { body, start_hash })
 }
 
-fn hash_start(start: &[u8], declared_length: u64) -> Hash {
+fn hash_start(start: &[u8], declared_bytes: Option<u64>) -> Hash {
     let mut hasher = Hasher::new();
-    hasher.update(&declared_length.to_le_bytes()).update(start);
+    hasher.update(&declared_bytes.unwrap_or_default().to_le_bytes()).update(start);
     hasher.finalize()
 }
 
 impl CallBody {
-    /// Creates the body of an attempt.
-    pub(super) fn to_request_body(&self) -> RequestBody {
+    /// Begins the body of an attempt. None if part of it was sent before.
+    pub(super) fn begin_attempt(&self) -> Option<RequestBody> {
         match self {
-            Self::Buffered(body) => Full::new(body.clone()).into(),
-            Self::Streamed { body, .. } => RequestBody::Streamed(body.clone()),
+            Self::Buffered(body) => Some(Full::new(body.clone()).into()),
+            Self::Streamed { body, .. } => body.begin_upload().map(RequestBody::Streamed),
         }
     }
 
@@ -84,17 +85,22 @@
     /// Whether the body can be sent: it is buffered, or no part of it was sent
     /// yet.
     pub(super) fn can_be_sent(&self) -> bool {
+        self.progress().is_none_or(|it| it == BodyProgress::NotStarted)
+    }
+
+    /// Read progress of a body that can be sent only once.
+    pub(super) fn progress(&self) -> Option<BodyProgress> {
         match self {
-            Self::Buffered(_) => true,
-            Self::Streamed { body, .. } => body.progress() == BodyProgress::NotStarted,
+            Self::Buffered(_) => None,
+            Self::Streamed { body, .. } => Some(body.progress()),
         }
     }
 
     /// Whether the body exceeded the size limit while it was streamed.
     pub(super) fn is_too_large(&self) -> bool {
-        match self {
-            Self::Buffered(_) => false,
-            Self::Streamed { body, .. } => body.progress() == BodyProgress::TooLarge,
-        }
+        self.progress() == Some(BodyProgress::TooLarge)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -4,7 +4,8 @@
 //! another gateway, on the port that the gateways use between them. That gateway serves
 //! it as its own, but relays it no further, and declines it if it reaches no server
 //! either or serves enough of others. A declined request has not run and goes to another
-//! gateway; after any other failure it may have run, and ends.
+//! gateway; after any other failure it may have run, and ends. A body that can be sent
+//! only once waits until the other gateway has read the head and asks for it.
 
 mod token;
 
@@ -24,12 +25,13 @@
     http_server::{self, ConnectionLimits, HttpServer, ServerOptions},
 };
 use http::{HeaderName, HeaderValue, Request as HttpRequest, StatusCode, Uri, header};
+use hyper::body::Body as _;
 use rand::seq::IteratorRandom;
 use tokio::time::sleep;
 use viz::{Request, Response, Router};
 
 use self::token::HopToken;
-use super::{attempts::Attempts, call::Call, refuse::Refusal};
+use super::{attempts::Attempts, body::MAX_BUFFERED_BYTES, call::Call, refuse::Refusal};
 use crate::{
     fleet::{Backend, BackendStats},
     lock::lock,
@@ -58,6 +60,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Timeout of a head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Value of `Retry-After` when the caller of a relayed request gets its refusal: the time
+/// after which its gateway has found others.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Delay after a failed attempt to listen.
 const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -129,7 +134,8 @@
     &gateway.hops.http
 }
 
-/// Builds the request for a relay. None if the gateways' secret is not known yet.
+/// Builds the request for a relay. None if the gateways' secret is not known yet, or if
+/// part of the body was sent before.
 pub(super) fn build(
     gateway: &Gateway,
     call: &Call,
@@ -142,7 +148,7 @@
     let uri: Uri = format!("http://{addr}{path}").parse().ok()?;
     let token = HopToken { from: gateway.node, to, attempts };
     let token = token.sign(&gateway.peers.keys()?, path);
-    let mut request = HttpRequest::new(call.body.to_request_body());
+    let mut request = HttpRequest::new(call.body.begin_attempt()?);
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = uri;
     request.headers_mut().clone_from(&call.headers);
@@ -172,28 +178,50 @@
     let path = req.uri().path_and_query().map_or("/", |it| it.as_str());
     let token = token.as_ref().and_then(|it| it.to_str().ok());
     let token = token.and_then(|it| HopToken::verify(it, &gateway.peers.keys()?, path));
-    let refuse = || Refusal::from(ResultCode::NotReached).into_response(super::new_request_id());
+    let sender = Sender { may_resend: may_resend(&req) };
+    let refuse = || Refusal::from(ResultCode::NotReached).after(REFUSED_RETRY_AFTER);
+    let refuse = || refuse().into_response(super::new_request_id());
     // This gateway may not have read the secret yet.
     let Some(token) = token.filter(|it| it.to == gateway.node) else {
         tracing::info!("request without a valid token of a gateway was declined");
-        return Ok(decline(refuse()));
+        return Ok(sender.decline(refuse()));
     };
     let before = gateway.hops.serving.fetch_add(1, Ordering::Relaxed);
     let _serving = Serving(&gateway.hops.serving);
     if gateway.is_stopping() || gateway.links.is_cut() || MAX_RELAYED <= before {
-        return Ok(decline(refuse()));
+        return Ok(sender.decline(refuse()));
     }
     let response = super::serve_with(&gateway, req, Attempts::relayed(token.attempts)).await;
     let code = response.extensions().get::<ResultCode>();
     Ok(match code {
-        Some(ResultCode::NotReached | ResultCode::NotConfirmed) => decline(response),
+        Some(ResultCode::NotReached | ResultCode::NotConfirmed) => sender.decline(response),
         _ => response,
     })
 }
 
-fn decline(mut response: Response) -> Response {
-    debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
-    response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
-    response.headers_mut().remove(header::RETRY_AFTER);
-    response
+/// Whether the sender of a relayed request can send its body again after it was declined.
+/// Builds that don't wait until they are asked for a long body send on what is left of it.
+fn may_resend(req: &Request) -> bool {
+    let is_short = req.body().size_hint().upper().is_some_and(|it| it <= MAX_BUFFERED_BYTES as u64);
+    let names_expect = |it: &HeaderValue| it.as_bytes().eq_ignore_ascii_case(b"expect");
+    is_short || req.headers().get_all(header::CONNECTION).iter().any(names_expect)
+}
+
+/// Sender of a relayed request.
+#[derive(Debug, Clone, Copy)]
+struct Sender {
+    may_resend: bool,
+}
+
+impl Sender {
+    /// Marks a refusal as one that the sender may overrule by sending the request
+    /// elsewhere. Otherwise the caller gets it.
+    fn decline(self, mut response: Response) -> Response {
+        debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+        if self.may_resend {
+            response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
+            response.headers_mut().remove(header::RETRY_AFTER);
+        }
+        response
+    }
 }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -102,6 +102,11 @@
     resume_after: Option<u64>,
 ) -> Result<BackendResponse, AttemptFailure> {
     let declined = || {
+        let body = call.body.progress().map(|it| it.to_string());
+        tracing::info!(
+            request = %call.request, attempt = call.meta.attempt, gateway = %relay, body,
+            "gateway declined the request"
+        );
         backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
         Err(AttemptFailure::not_run(Cause::Declined))
     };
@@ -114,7 +119,7 @@
         request = %call.request, attempt = call.meta.attempt, gateway = %relay, attempts,
         is_cut = gateway.links.is_cut(), "request is relayed"
     );
-    match hop::http(gateway).send(request).await {
+    match hop::http(gateway).send_expecting_continue(request).await {
         Ok(response) => {
             let (mut parts, body) = response.into_parts();
             if hop::is_declined(&parts) {
@@ -125,6 +130,8 @@
             Ok(BackendResponse { parts, body, backend: Arc::clone(backend), in_flight })
         }
         Err(HttpError::NotReached | HttpError::ConnectionRefused) => declined(),
+        // The other gateway never got a byte of the body.
+        Err(_) if !call.body.is_buffered() && call.body.can_be_sent() => declined(),
         Err(_) => {
             backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
             Err(AttemptFailure::may_have_run(Cause::Interrupted))
@@ -186,7 +193,7 @@
 ) -> Option<Request<RequestBody>> {
     let path = call.uri.path_and_query().map_or("/", |it| it.as_str());
     let uri: Uri = format!("http://{}{path}", backend.addr).parse().ok()?;
-    let mut request = Request::new(call.body.to_request_body());
+    let mut request = Request::new(call.body.begin_attempt()?);
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = uri;
     request.headers_mut().clone_from(&call.headers);
--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -13,14 +13,15 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::ext::on_informational;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
 pub use self::body::PooledBody;
 pub use self::pool::PoolCounters;
-pub use self::request_body::{BodyProgress, RequestBody, StreamedBody};
+pub use self::request_body::{BodyProgress, RequestBody, StreamedBody, Upload};
 
 /// Maximum size of a response body that is read into memory.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -132,6 +133,28 @@
         self.send_if(request, || true).await?.ok_or(HttpError::NotReached)
     }
 
+    /// Sends a request like [`Self::send`]. A streamed body is sent once the server has
+    /// asked for it, so that a server can decline the request without it.
+    pub async fn send_expecting_continue(
+        &self,
+        mut request: Request<RequestBody>,
+    ) -> Result<Response<PooledBody>, HttpError> {
+        if let RequestBody::Streamed(upload) = request.body() {
+            upload.hold();
+            let upload = upload.handle();
+            on_informational(&mut request, move |it| {
+                if it.status() == StatusCode::CONTINUE {
+                    upload.release();
+                }
+            });
+            let headers = request.headers_mut();
+            headers.insert(header::EXPECT, HeaderValue::from_static("100-continue"));
+            // The expectation concerns only this connection.
+            headers.insert(header::CONNECTION, HeaderValue::from_static("expect"));
+        }
+        self.send(request).await
+    }
+
     /// Sends a request like [`Self::send`], or returns none if `may_send` is false once
     /// a new connection is open, which may take up to a second.
     pub async fn send_if<B: Into<RequestBody>>(
--- a/crates/transport/src/http_client/body.rs
+++ b/crates/transport/src/http_client/body.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Instant;
 
-use super::{connection::Connection, pool::Host};
+use super::{connection::Connection, pool::Host, request_body::UploadHandle};
 
 /// Maximum time for reading the rest of a response whose last event was received.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,15 +25,22 @@
 pub struct PooledBody {
     inner: Incoming,
     connection: Option<Connection>,
+    /// Upload of the exchange, which may not have begun when the response arrives.
+    upload: Option<UploadHandle>,
     host: Arc<Host>,
     last_received_at: Instant,
     ended: bool,
 }
 
 impl PooledBody {
-    pub(super) fn new(inner: Incoming, connection: Option<Connection>, host: Arc<Host>) -> Self {
-        let mut body =
-            Self { inner, connection, host, last_received_at: Instant::now(), ended: false };
+    pub(super) fn new(
+        inner: Incoming,
+        connection: Option<Connection>,
+        upload: Option<UploadHandle>,
+        host: Arc<Host>,
+    ) -> Self {
+        let last_received_at = Instant::now();
+        let mut body = Self { inner, connection, upload, host, last_received_at, ended: false };
         if body.inner.is_end_stream() {
             body.finish();
         }
@@ -104,6 +111,9 @@
 
 impl Drop for PooledBody {
     fn drop(&mut self) {
+        if let Some(upload) = &self.upload {
+            upload.cancel();
+        }
         if !self.ended {
             self.host.record_abandoned(self.last_received_at);
         }
--- a/crates/transport/src/http_client/connection.rs
+++ b/crates/transport/src/http_client/connection.rs
@@ -8,7 +8,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::Instant};
 
-use super::{BodyProgress, HttpError, RequestBody, StreamedBody};
+use super::{HttpError, RequestBody, request_body::UploadHandle};
 
 /// Maximum time of a TCP connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -41,8 +41,8 @@
     pub(super) used_at: Instant,
     /// Maximum idle time, at most `IDLE_TIMEOUT`.
     idle_timeout: Duration,
-    /// Request body of the current exchange if it is streamed.
-    upload: Option<StreamedBody>,
+    /// Upload of the current exchange if its request body is streamed.
+    upload: Option<UploadHandle>,
 }
 
 /// Connects to `addr`.
@@ -80,7 +80,7 @@
     pub(super) fn begin(&mut self, body: &RequestBody) {
         self.upload = match body {
             RequestBody::Buffered(_) => None,
-            RequestBody::Streamed(body) => Some(body.clone()),
+            RequestBody::Streamed(upload) => Some(upload.handle()),
         };
     }
 
@@ -88,7 +88,12 @@
     /// before it has read the body, and would read the next request as the rest
     /// of it.
     pub(super) fn has_sent_all(&self) -> bool {
-        self.upload.as_ref().is_none_or(|it| it.progress() == BodyProgress::Complete)
+        self.upload.as_ref().is_none_or(UploadHandle::is_complete)
+    }
+
+    /// Upload of the current exchange if its request body is streamed.
+    pub(super) fn upload(&self) -> Option<&UploadHandle> {
+        self.upload.as_ref()
     }
 
     /// Limits the idle time to the keep-alive timeout that the server announces.
--- a/crates/transport/src/http_client/pool.rs
+++ b/crates/transport/src/http_client/pool.rs
@@ -26,6 +26,7 @@
 use super::{
     AddrMap, HttpError, PooledBody, RequestBody,
     connection::{self, Connection, IDLE_TIMEOUT},
+    request_body::UploadHandle,
 };
 
 /// Maximum number of idle connections to one address.
@@ -214,14 +215,20 @@
     request: Request<RequestBody>,
 ) -> SendOutcome {
     connection.begin(request.body());
-    let guard = AbandonGuard { host, sent_at: Some(Instant::now()) };
+    let guard =
+        AbandonGuard { host, upload: connection.upload().cloned(), sent_at: Some(Instant::now()) };
     let res = connection.sender.try_send_request(request).await;
-    guard.disarm();
+    let upload = guard.disarm();
     match res {
-        Ok(response) => SendOutcome::Responded(pooled(response, connection, host)),
+        Ok(response) => SendOutcome::Responded(pooled(response, connection, upload, host)),
         Err(mut error) => match error.take_message() {
             Some(request) => SendOutcome::Unwritten(request),
-            None => SendOutcome::Interrupted,
+            None => {
+                if let Some(upload) = upload {
+                    upload.cancel();
+                }
+                SendOutcome::Interrupted
+            }
         },
     }
 }
@@ -229,6 +236,7 @@
 fn pooled(
     response: Response<Incoming>,
     mut connection: Connection,
+    upload: Option<UploadHandle>,
     host: &Arc<Host>,
 ) -> Response<PooledBody> {
     let closes = response
@@ -239,19 +247,21 @@
         connection.apply_keep_alive(response.headers());
         connection
     });
-    response.map(|body| PooledBody::new(body, connection, Arc::clone(host)))
+    response.map(|body| PooledBody::new(body, connection, upload, Arc::clone(host)))
 }
 
 /// Records an abandoned exchange if it is dropped before the response head
 /// arrives.
 struct AbandonGuard<'a> {
     host: &'a Arc<Host>,
+    upload: Option<UploadHandle>,
     sent_at: Option<Instant>,
 }
 
 impl AbandonGuard<'_> {
-    fn disarm(mut self) {
+    fn disarm(mut self) -> Option<UploadHandle> {
         self.sent_at = None;
+        self.upload.take()
     }
 }
 
@@ -260,6 +270,9 @@
         if let Some(sent_at) = self.sent_at {
             self.host.record_abandoned(sent_at);
         }
+        if let Some(upload) = &self.upload {
+            upload.cancel();
+        }
     }
 }
 
