Let no older configuration decide a relayed request

Cause: a gateway that reaches no server relays requests to others, which decide by their own configuration. Neither the token nor the response named it, and a gateway that is cut off stays listed until its lease ends.

The token now states the version of the sender, and a gateway with an older one declines from the head. Responses state theirs; one that is older is left out for 3 s. The version orders configurations, as in set_config: the revision goes back with a restored service.

Former builds ignore the version. As receivers they reject the mark of the token, which is left out once every listed gateway must have renewed its lease under the configuration. As senders they are served only while the configuration was confirmed as the newest within 1.5 s.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -43,6 +43,11 @@
 /// the reader gives. Further ones are dropped and requested again.
 const MAX_QUEUED_MESSAGES: usize = 64;
 
+/// Time after which a configuration may not be the newest any more: longer than the
+/// interval at which each gateway hears the list reader or reads the key-value service,
+/// and shorter than the time in which a new one must be in force.
+const CONFIG_CONFIRMATION_EXPIRY: Duration = Duration::from_millis(1_500);
+
 /// Message about the instance list from another gateway.
 #[derive(Debug)]
 enum ListMessage {
@@ -74,6 +79,12 @@
     /// When a message of the list reader last arrived, in milliseconds of this
     /// node's clock.
     reader_last_seen_ms: AtomicU64,
+    /// Version of the active configuration, and when this node took notice of it.
+    config_in_force: Mutex<Option<(u64, Time)>>,
+    /// When the active configuration was last known to be the newest.
+    config_confirmed_at: Mutex<Option<Time>>,
+    /// Whether the last attempt to follow the configuration failed.
+    is_config_unfollowed: AtomicBool,
     /// Whether a caller's request has arrived yet.
     has_traffic: AtomicBool,
     config_changed: Notify,
@@ -94,6 +105,9 @@
         min_config_version: AtomicU64::new(0),
         reader_config_tx: watch::channel(Revision::new(0)).0,
         reader_last_seen_ms: AtomicU64::new(u64::MAX),
+        config_in_force: Mutex::default(),
+        config_confirmed_at: Mutex::default(),
+        is_config_unfollowed: AtomicBool::new(false),
         has_traffic: AtomicBool::new(false),
         config_changed: Notify::new(),
     }
@@ -150,10 +164,39 @@
     }
 
     /// Version of the active configuration, or 0 if there is none.
-    fn config_version(&self) -> u64 {
+    pub(crate) fn config_version(&self) -> u64 {
         self.active_config.load().as_ref().map_or(0, |it| it.version)
     }
 
+    /// Records since when the active configuration is in force.
+    fn record_config_change(&self, now: Time) {
+        let version = self.config_version();
+        let mut in_force = lock(&self.config_in_force);
+        if in_force.is_none_or(|(known, _)| known != version) {
+            *in_force = Some((version, now));
+        }
+    }
+
+    /// Time since the active configuration came into force.
+    pub(crate) fn config_in_force_for(&self, now: Time) -> Duration {
+        let in_force = *lock(&self.config_in_force);
+        let since = in_force.filter(|(version, _)| *version == self.config_version());
+        since.map_or(Duration::ZERO, |(_, since)| now.since(since))
+    }
+
+    /// Records that a configuration newer than the active one would be known by now.
+    fn confirm_config(&self, now: Time) {
+        if !self.is_config_unfollowed.load(Ordering::Relaxed) {
+            *lock(&self.config_confirmed_at) = Some(now);
+        }
+    }
+
+    /// Whether the active configuration was the newest one a moment ago.
+    pub(crate) fn is_config_confirmed(&self, now: Time) -> bool {
+        let confirmed_at = *lock(&self.config_confirmed_at);
+        confirmed_at.is_some_and(|at| now.since(at) < CONFIG_CONFIRMATION_EXPIRY)
+    }
+
     /// Rejects requests until a newer configuration is read, if the list reader has one
     /// although this gateway has read the key-value service since: it was restored from
     /// a backup, and what the newer version revoked must not be served.
@@ -201,6 +244,9 @@
             is_newer
         });
         self.drop_outdated_config(&change);
+        if change.config_version <= self.config_version() {
+            *lock(&self.config_confirmed_at) = Some(now);
+        }
         // If the queue is full, the digest of the next applied change shows that
         // one is missing.
         let _ = self.list_tx.try_send((from, ListMessage::Change(change)));
--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -5,7 +5,10 @@
 //! configuration when theirs is older. A gateway that receives nothing from the
 //! reader watches the store itself.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::{Entry, Snapshot, StoreError, StoreResult, WatchEvent};
@@ -44,6 +47,7 @@
         } else {
             follower.watch().await
         };
+        follower.routing.is_config_unfollowed.store(followed.is_err(), Ordering::Relaxed);
         let Err(error) = followed else {
             backoff.reset();
             continue;
@@ -102,6 +106,7 @@
     /// reader takes over.
     async fn watch(&self) -> Result<(), StoreError> {
         let from = self.read().await?.next();
+        self.routing.is_config_unfollowed.store(false, Ordering::Relaxed);
         let mut events = self.adapter.store.watch(self.adapter.codec.config_key(), from).await?;
         while let Some(event) = events.next().await {
             match event? {
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -114,7 +114,10 @@
             tokio::select! {
                 _ = ticks.tick() => self.read_if_due().await,
                 Some(message) = list_rx.recv() => self.handle(message, &mut list_rx).await,
-                () = routing.config_changed.notified() => self.publish_config_revision().await,
+                () = routing.config_changed.notified() => {
+                    routing.record_config_change(self.clock.now());
+                    self.publish_config_revision().await;
+                }
             }
         }
     }
@@ -180,6 +183,7 @@
                     tracing::info!(dependency = "store", "instance list is readable again");
                 }
                 self.is_store_reachable = true;
+                self.routing.confirm_config(read_at);
                 self.revision = snapshot.revision;
                 let view = self.apply_snapshot(read_at, &snapshot);
                 self.routing.set_instances(view);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -31,6 +31,7 @@
     time::sleep,
 };
 
+pub(crate) use self::cluster_view::NODE_LEASE_TIME;
 #[cfg(test)]
 pub(crate) use self::cluster_view::decode;
 pub use self::cluster_view::{ClusterView, ListedGateway};
@@ -94,6 +95,8 @@
     /// Digest of the reader's list of gateways, and when it was received.
     reader_digest: Mutex<Option<(u64, Time)>>,
     digest_differs: Notify,
+    /// When the list of gateways was last read.
+    listed_at: Mutex<Option<Time>>,
     /// Reporter of each other zone, and when it last sent the zone's load.
     zone_reporters: Mutex<HashMap<AvailabilityZone, (NodeId, Time)>>,
     /// Senders to the controllers of the domains that this gateway owns.
@@ -115,6 +118,7 @@
         announced_owners: Mutex::default(),
         reader_digest: Mutex::default(),
         digest_differs: Notify::new(),
+        listed_at: Mutex::default(),
         zone_reporters: Mutex::default(),
         suspect_txs: Mutex::default(),
     }
@@ -172,12 +176,21 @@
         fresh.is_some_and(|(digest, _)| digest == self.cluster.load().digest())
     }
 
+    /// Whether the list of gateways was read recently, or equals that of the list reader.
+    pub(crate) fn is_list_current(&self) -> bool {
+        let listed_at = *lock(&self.listed_at);
+        let now = self.clock.now();
+        self.is_current() || listed_at.is_some_and(|at| now.since(at) < READER_DIGEST_EXPIRY)
+    }
+
     /// Applies a read of the list in an era of the key-value service. In a new era it
     /// lacks what was registered since the backup, which is kept until it can be
     /// registered again.
     pub(crate) fn apply_read(&self, era: StoreEra, mut read: ClusterView) {
         let before = self.cluster();
-        lock(&self.restored).apply(&before, era, &mut read, self.clock.now());
+        let now = self.clock.now();
+        lock(&self.restored).apply(&before, era, &mut read, now);
+        *lock(&self.listed_at) = Some(now);
         self.set_cluster(read);
     }
 
--- a/crates/gateway/src/peers/cluster_view.rs
+++ b/crates/gateway/src/peers/cluster_view.rs
@@ -28,7 +28,7 @@
 pub(super) const NODE_PREFIX: &str = "citrongw/live/node/";
 /// Time to live of a gateway's entry: a gateway that ended is listed for this
 /// long.
-pub(super) const NODE_LEASE_TIME: Duration = Duration::from_secs(10);
+pub(crate) const NODE_LEASE_TIME: Duration = Duration::from_secs(10);
 /// Interval between renewals of the lease: a third of its time to live.
 const NODE_RENEW_INTERVAL: Duration = Duration::from_millis(3_300);
 /// Longest delay between attempts to register: a fraction of the time after which
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -6,10 +6,15 @@
 //! either or serves enough of others. A declined request has not run and goes to another
 //! gateway; after any other failure it may have run, and ends. A body that can be sent
 //! only once waits until the other gateway has read the head and asks for it.
+//!
+//! Both gateways route by configurations of their own. [`config_check`] keeps a request
+//! from being decided by an older one than that of the gateway that its caller uses.
 
+mod config_check;
 mod token;
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -30,7 +35,10 @@
 use tokio::time::sleep;
 use viz::{Request, Response, Router};
 
-use self::token::HopToken;
+use self::{
+    config_check::KnownConfig,
+    token::{AcceptedBy, HopToken},
+};
 use super::{attempts::Attempts, body::MAX_BUFFERED_BYTES, call::Call, refuse::Refusal};
 use crate::{
     fleet::{Backend, BackendStats},
@@ -40,6 +48,9 @@
 
 /// Sender of a relayed request and its attempts so far, authenticated.
 const TOKEN: HeaderName = HeaderName::from_static("citrongw-hop");
+/// Version of the configuration of a gateway that a request was relayed to. Former builds
+/// don't set it.
+const CONFIG: HeaderName = HeaderName::from_static("citrongw-config");
 /// Set on a response to a request that was declined without running.
 const DECLINED: HeaderName = HeaderName::from_static("citrongw-declined");
 
@@ -50,7 +61,10 @@
 /// reach these either.
 pub(super) const MAX_DECLINED_IN_TOUCH: u32 = 1;
 /// Time for which a gateway that declined a request gets no others.
-pub(super) const DECLINED_TIME: Duration = Duration::from_secs(1);
+const DECLINED_TIME: Duration = Duration::from_secs(1);
+/// Time for which a gateway with an older configuration than this one gets no requests:
+/// longer than one that reaches the key-value service takes to catch up.
+const OUTDATED_TIME: Duration = Duration::from_secs(3);
 /// Relayed requests that a gateway serves at once: their buffered bodies fit into the
 /// memory of a small instance beside those of its own callers.
 const MAX_RELAYED: usize = 128;
@@ -75,12 +89,19 @@
 pub(crate) struct Hops {
     http: HttpClient,
     relays: Mutex<Vec<Arc<Backend>>>,
+    /// Gateways of former builds, which have not stated their configuration.
+    former_builds: Mutex<HashSet<NodeId>>,
     serving: AtomicUsize,
 }
 
 /// Creates the state without relays.
 pub(crate) fn open() -> Hops {
-    Hops { http: http_client::open(), relays: Mutex::default(), serving: AtomicUsize::new(0) }
+    Hops {
+        http: http_client::open(),
+        relays: Mutex::default(),
+        former_builds: Mutex::default(),
+        serving: AtomicUsize::new(0),
+    }
 }
 
 /// Listens for the requests of other gateways. A port that is taken is tried again.
@@ -124,11 +145,28 @@
             }));
         }
     }
-    let usable = relays.iter().filter(|it| !tried.contains(&it.id) && !it.stats.is_suspect(now));
+    let mut former_builds = lock(&gateway.hops.former_builds);
+    former_builds.retain(|it| cluster.nodes.contains_key(it));
+    let is_shared = known_config(gateway).is_shared();
+    let has_config =
+        |it: &Backend| is_shared || it.gateway.is_some_and(|node| !former_builds.contains(&node));
+    let usable = relays
+        .iter()
+        .filter(|it| !tried.contains(&it.id) && !it.stats.is_suspect(now) && has_config(it));
     let pair = usable.choose_multiple(&mut rand::rng(), 2);
     pair.into_iter().min_by_key(|it| it.stats.in_flight()).cloned()
 }
 
+fn known_config(gateway: &Gateway) -> KnownConfig {
+    let (now, routing) = (gateway.clock.now(), &gateway.routing);
+    KnownConfig {
+        version: routing.config_version(),
+        in_force_for: routing.config_in_force_for(now),
+        is_confirmed: routing.is_config_confirmed(now),
+        is_list_current: gateway.peers.is_list_current(),
+    }
+}
+
 /// HTTP client for requests to other gateways.
 pub(super) fn http(gateway: &Gateway) -> &HttpClient {
     &gateway.hops.http
@@ -146,8 +184,13 @@
     let (to, addr) = to;
     let path = call.uri.path_and_query().map_or("/", |it| it.as_str());
     let uri: Uri = format!("http://{addr}{path}").parse().ok()?;
-    let token = HopToken { from: gateway.node, to, attempts };
-    let token = token.sign(&gateway.peers.keys()?, path);
+    let known = known_config(gateway);
+    let token = HopToken { from: gateway.node, to, attempts, config: Some(known.version) };
+    let accepted_by = match known.is_shared() {
+        true => AcceptedBy::All,
+        false => AcceptedBy::CheckingConfig,
+    };
+    let token = token.sign(&gateway.peers.keys()?, path, accepted_by);
     let mut request = HttpRequest::new(call.body.begin_attempt()?);
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = uri;
@@ -158,9 +201,32 @@
     Some(request)
 }
 
-/// Whether a relay declined a request.
-pub(super) fn is_declined(parts: &http::response::Parts) -> bool {
-    parts.headers.contains_key(DECLINED)
+/// Removes what a relay says to this gateway from a response. True if it declined the
+/// request.
+pub(super) fn take_declined(
+    gateway: &Gateway,
+    relay: &Backend,
+    parts: &mut http::response::Parts,
+) -> bool {
+    let stated = parts.headers.remove(CONFIG);
+    let stated = stated.and_then(|it| it.to_str().ok()?.parse::<u64>().ok());
+    if let Some(node) = relay.gateway {
+        let mut former_builds = lock(&gateway.hops.former_builds);
+        match stated {
+            Some(_) => former_builds.remove(&node),
+            None => former_builds.insert(node),
+        };
+    }
+    let is_declined = parts.headers.remove(DECLINED).is_some();
+    if is_declined && stated.is_some_and(|it| it < gateway.routing.config_version()) {
+        relay.stats.suspect_until(gateway.clock.now() + OUTDATED_TIME);
+    }
+    is_declined
+}
+
+/// Records that a relay declined a request, or failed.
+pub(super) fn suspect(gateway: &Gateway, relay: &Backend) {
+    relay.stats.suspect_until(gateway.clock.now() + DECLINED_TIME);
 }
 
 /// Guard that counts a relayed request as being served.
@@ -178,24 +244,35 @@
     let path = req.uri().path_and_query().map_or("/", |it| it.as_str());
     let token = token.as_ref().and_then(|it| it.to_str().ok());
     let token = token.and_then(|it| HopToken::verify(it, &gateway.peers.keys()?, path));
-    let sender = Sender { may_resend: may_resend(&req) };
+    let known = known_config(&gateway);
+    let sender = Sender {
+        may_resend: may_resend(&req),
+        states_config: token.as_ref().is_none_or(|it| it.config.is_some()),
+    };
     let refuse = || Refusal::from(ResultCode::NotReached).after(REFUSED_RETRY_AFTER);
     let refuse = || refuse().into_response(super::new_request_id());
     // This gateway may not have read the secret yet.
     let Some(token) = token.filter(|it| it.to == gateway.node) else {
         tracing::info!("request without a valid token of a gateway was declined");
-        return Ok(sender.decline(refuse()));
+        return Ok(sender.decline(refuse(), known));
     };
+    if !known.may_serve(token.config) {
+        tracing::info!(
+            gateway = %token.from, config = known.version, stated = token.config,
+            is_confirmed = known.is_confirmed, "request of a gateway with another configuration was declined"
+        );
+        return Ok(sender.decline(refuse(), known));
+    }
     let before = gateway.hops.serving.fetch_add(1, Ordering::Relaxed);
     let _serving = Serving(&gateway.hops.serving);
     if gateway.is_stopping() || gateway.links.is_cut() || MAX_RELAYED <= before {
-        return Ok(sender.decline(refuse()));
+        return Ok(sender.decline(refuse(), known));
     }
     let response = super::serve_with(&gateway, req, Attempts::relayed(token.attempts)).await;
     let code = response.extensions().get::<ResultCode>();
     Ok(match code {
-        Some(ResultCode::NotReached | ResultCode::NotConfirmed) => sender.decline(response),
-        _ => response,
+        Some(ResultCode::NotReached | ResultCode::NotConfirmed) => sender.decline(response, known),
+        _ => sender.answer(response, known),
     })
 }
 
@@ -210,18 +287,29 @@
 /// Sender of a relayed request.
 #[derive(Debug, Clone, Copy)]
 struct Sender {
+    /// Whether it can send the body again after this gateway declined the request.
     may_resend: bool,
+    /// Whether it states its configuration, and reads that of this gateway.
+    states_config: bool,
 }
 
 impl Sender {
     /// Marks a refusal as one that the sender may overrule by sending the request
     /// elsewhere. Otherwise the caller gets it.
-    fn decline(self, mut response: Response) -> Response {
+    fn decline(self, mut response: Response, known: KnownConfig) -> Response {
         debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
         if self.may_resend {
             response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
             response.headers_mut().remove(header::RETRY_AFTER);
         }
+        self.answer(response, known)
+    }
+
+    /// States the configuration of this gateway. A former build would pass that on.
+    fn answer(self, mut response: Response, known: KnownConfig) -> Response {
+        if self.states_config {
+            response.headers_mut().insert(CONFIG, known.version.into());
+        }
         response
     }
 }
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -107,7 +107,7 @@
             request = %call.request, attempt = call.meta.attempt, gateway = %relay, body,
             "gateway declined the request"
         );
-        backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
+        hop::suspect(gateway, backend);
         Err(AttemptFailure::not_run(Cause::Declined))
     };
     let Some(request) = hop::build(gateway, call, (relay, backend.addr), attempts, resume_after)
@@ -122,7 +122,7 @@
     match hop::http(gateway).send_expecting_continue(request).await {
         Ok(response) => {
             let (mut parts, body) = response.into_parts();
-            if hop::is_declined(&parts) {
+            if hop::take_declined(gateway, backend, &mut parts) {
                 return declined();
             }
             backend.stats.record_received(gateway.clock.now());
@@ -133,7 +133,7 @@
         // The other gateway never got a byte of the body.
         Err(_) if !call.body.is_buffered() && call.body.can_be_sent() => declined(),
         Err(_) => {
-            backend.stats.suspect_until(gateway.clock.now() + hop::DECLINED_TIME);
+            hop::suspect(gateway, backend);
             Err(AttemptFailure::may_have_run(Cause::Interrupted))
         }
     }
