Record every epoch before an order with it leaves

Cause: epochs of standby joins, and the floor after a refusal, were in the owner's memory only. The next owner gave out the same ones, so that nothing refused the late join.

The record's epoch is now the highest that may have been given out. The next owner continues above.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -411,10 +411,14 @@
             }
             None => (DomainPlan::default(), None),
         };
+        self.control_state.add_read(&plan, era);
         if let Some((known, known_at)) = self.last_known.clone()
             && known_at.era < era
             && plan.epoch <= known.epoch
         {
+            let mut known = known;
+            self.control_state.add_read(&known, era);
+            known.reserve_epochs(self.control_state.epoch_floor());
             let revision = self.write_plan(known.clone(), revision).await?;
             tracing::info!(
                 domain = %self.domain, epoch = %known.epoch, stored = %plan.epoch, revision = revision.number,
@@ -430,6 +434,7 @@
         }
         self.is_new_domain = plan.epoch == Epoch::default();
         plan.owner = self.gateway.node;
+        plan.reserve_epochs(self.control_state.epoch_floor());
         let revision = self.write_plan(plan.clone(), revision).await?;
         Ok((plan, revision))
     }
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -8,6 +8,11 @@
 //! head of its old one cannot be open any more: the head reported that it left,
 //! closed or broke, or its process ended, or it has been unreachable for long
 //! enough to have broken by itself.
+//!
+//! An order may be carried out seconds late, under the next owner. Instances refuse one
+//! whose epoch is lower than what they have seen, so no order leaves before its epoch is in
+//! the domain's record: each write of the plan reserves some for the joins of spares, and
+//! the next owner continues above all of them.
 
 mod control_state;
 mod host;
@@ -69,6 +74,9 @@
     }
     dissolve(&mut next, hosts, config, control_state, now);
     form(&mut next, hosts, config, control_state, now, &mut new_replica_id);
+    if next != *plan || plan.epoch <= control_state.epoch_floor() {
+        next.reserve_epochs(control_state.epoch_floor());
+    }
     (next != *plan).then_some(next)
 }
 
@@ -103,6 +111,7 @@
     }
     let replacements: Vec<PlannedMember> = spares.into_iter().map(planned_member).collect();
     let epoch = next_epoch(next, hosts, control_state);
+    control_state.raise_epoch_floor(epoch);
     let replica = &mut next.replicas[idx];
     for (rank, replacement) in ranks.iter().zip(replacements) {
         replica.members[*rank] = replacement;
@@ -163,7 +172,7 @@
     next: &mut DomainPlan,
     hosts: &Hosts,
     config: &StepConfig<'_>,
-    control_state: &ControlState,
+    control_state: &mut ControlState,
     now: Time,
     new_replica_id: &mut impl FnMut() -> ReplicaId,
 ) {
@@ -182,6 +191,7 @@
         }
         let members = spares.into_iter().take(spec.size).map(planned_member).collect();
         let epoch = next_epoch(next, hosts, control_state);
+        control_state.raise_epoch_floor(epoch);
         next.epoch = epoch;
         next.replicas.push(PlannedReplica { id: new_replica_id(), epoch, model, members });
     }
--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -6,12 +6,16 @@
 };
 
 use citrongw_state::{
-    id::{Epoch, Incarnation, InstanceId, ModelId, ReplicaId},
+    id::{Epoch, Incarnation, InstanceId, ModelId, ReplicaId, StoreEra},
     time::Time,
 };
 
 use super::host::{Host, Hosts};
-use crate::{adapter::Order, instance::MemberState};
+use crate::{
+    adapter::Order,
+    control::plan::{self, DomainPlan},
+    instance::MemberState,
+};
 
 /// Bit that marks standby replicas, whose ids are digests. Ids of other replicas
 /// are random numbers below it.
@@ -45,8 +49,11 @@
     pub(super) opens_at: HashMap<(ReplicaId, Epoch), Time>,
     /// Replica epochs that a member refused to join.
     pub(super) refused: HashSet<(ReplicaId, Epoch)>,
-    /// Epoch that new joins must exceed, because a spare refused an older one.
+    /// Epoch that new joins must exceed: the last one that was given out, or that a spare
+    /// may have seen.
     pub(super) epoch_floor: Epoch,
+    /// Lowest epoch in the era of the key-value service.
+    first_epoch: Epoch,
     /// When each replica became incomplete.
     pub(super) incomplete_since: HashMap<(ReplicaId, Epoch), Time>,
     /// When the close of each replica was first ordered.
@@ -119,8 +126,25 @@
             return;
         }
         self.standbys.retain(|(id, _), _| id != instance);
-        let doubled = epoch.0.saturating_mul(2).min(MAX_EPOCH_FLOOR);
-        self.epoch_floor = self.epoch_floor.max(epoch).max(Epoch(doubled));
+        let in_era = epoch.0.saturating_sub(self.first_epoch.0);
+        let doubled = epoch.0.saturating_add(in_era).min(MAX_EPOCH_FLOOR);
+        self.raise_epoch_floor(epoch.max(Epoch(doubled)));
+    }
+
+    /// Records a read of the plan in an era of the key-value service: its epochs may all
+    /// have been given out.
+    pub fn add_read(&mut self, plan: &DomainPlan, era: StoreEra) {
+        self.first_epoch = plan::first_epoch(era);
+        self.raise_epoch_floor(plan.epoch_floor(era));
+    }
+
+    /// Last epoch that was given out, or that an instance may have seen.
+    pub fn epoch_floor(&self) -> Epoch {
+        self.epoch_floor
+    }
+
+    pub(super) fn raise_epoch_floor(&mut self, epoch: Epoch) {
+        self.epoch_floor = self.epoch_floor.max(epoch);
     }
 
     /// Records that an instance did not begin to load weights. An instance that
@@ -173,17 +197,27 @@
         self.standbys.get(&(host.id.clone(), host.incarnation))
     }
 
-    /// Assigns a standby replica to a spare.
-    pub(super) fn begin_standby(&mut self, host: &Host, model: &ModelId, epoch: Epoch) -> Standby {
+    /// Assigns a standby replica to a spare. None while the record, which has epochs up
+    /// to `recorded`, reserves no more: an order with an epoch that is in no record could
+    /// be carried out late, after the next owner has given the spare another one.
+    pub(super) fn begin_standby(
+        &mut self,
+        host: &Host,
+        model: &ModelId,
+        recorded: Epoch,
+    ) -> Option<Standby> {
         // The spare would refuse an epoch below one that it has seen.
-        let epoch = self.epoch_floor.max(epoch);
-        let last_epoch = host.membership.map_or(epoch, |it| it.epoch.max(epoch));
-        let replica = standby_replica(host);
-        let standby = Standby { replica, epoch: last_epoch.next(), model: model.clone() };
+        let seen = host.membership.map_or(Epoch::default(), |it| it.epoch);
+        self.raise_epoch_floor(seen);
+        let epoch = self.epoch_floor.next();
+        if recorded < epoch {
+            return None;
+        }
         // The report of the spare may still lack this epoch at the next join.
-        self.epoch_floor = self.epoch_floor.max(standby.epoch);
+        self.raise_epoch_floor(epoch);
+        let standby = Standby { replica: standby_replica(host), epoch, model: model.clone() };
         self.standbys.insert((host.id.clone(), host.incarnation), standby.clone());
-        standby
+        Some(standby)
     }
 
     /// Whether the instance is in no replica, or only in its standby replica.
--- a/crates/gateway/src/control/step/spares.rs
+++ b/crates/gateway/src/control/step/spares.rs
@@ -114,10 +114,8 @@
                 }
             }
             (None, Some(model)) => {
-                due.push((
-                    host,
-                    control_state.begin_standby(host, &model, plan.epoch).join_order(host),
-                ));
+                let standby = control_state.begin_standby(host, &model, plan.epoch);
+                due.extend(standby.map(|it| (host, it.join_order(host))));
             }
             (None, None) => {}
         }
@@ -148,13 +146,14 @@
             .find(|(model, target)| counts.get(*model).copied().unwrap_or_default() < **target);
         let Some((&model, _)) = lacking else { break };
         *counts.entry(model).or_default() += 1;
-        due.push((
-            host,
-            match !is_unlimited && control_state.needs_staging(host, model) {
-                true => Order::Stage { model: model.clone() },
-                false => control_state.begin_standby(host, model, plan.epoch).join_order(host),
-            },
-        ));
+        let order = match !is_unlimited && control_state.needs_staging(host, model) {
+            true => Some(Order::Stage { model: model.clone() }),
+            false => {
+                let standby = control_state.begin_standby(host, model, plan.epoch);
+                standby.map(|it| it.join_order(host))
+            }
+        };
+        due.extend(order.map(|it| (host, it)));
     }
     due
 }
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -1,3 +1,4 @@
+mod epochs;
 mod staging;
 mod test_domain;
 
@@ -12,6 +13,9 @@
     testing::{engine, model},
 };
 
+/// Record whose epochs are never used up.
+const RECORDED: Epoch = Epoch(u64::MAX);
+
 #[test]
 fn empty_domain_forms_its_layout_and_keeps_its_spares_warm() {
     let mut domain = open(7);
@@ -369,11 +373,12 @@
 fn epochs_grow_however_often_a_spare_refuses() {
     let mut domain = open(7);
     domain.run(4);
-    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
+    let spare = domain.spares()[0].clone();
     let mut control_state = ControlState::default();
-    let mut last = Epoch(0);
+    let mut last = domain.plan.epoch;
+    control_state.raise_epoch_floor(last);
     for refusals in 0..100 {
-        let standby = control_state.begin_standby(&spare, &"l".into(), planned);
+        let standby = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
         assert!(last < standby.epoch, "epoch {} after {refusals} refusals", standby.epoch);
         last = standby.epoch;
         control_state.add_refused(&spare.id, standby.replica, standby.epoch);
@@ -384,10 +389,10 @@
 fn spare_that_changes_its_model_joins_under_another_epoch_although_its_report_is_old() {
     let mut domain = open(7);
     domain.run(4);
-    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
+    let spare = domain.spares()[0].clone();
     let mut control_state = ControlState::default();
-    let first = control_state.begin_standby(&spare, &"l".into(), planned);
-    let second = control_state.begin_standby(&spare, &"s".into(), planned);
+    let first = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
+    let second = control_state.begin_standby(&spare, &"s".into(), RECORDED).unwrap();
     assert!(first.epoch < second.epoch);
 }
 
@@ -395,10 +400,10 @@
 fn refusal_of_a_join_that_a_later_one_overtook_changes_nothing() {
     let mut domain = open(7);
     domain.run(4);
-    let (spare, planned) = (domain.spares()[0].clone(), domain.plan.epoch);
+    let spare = domain.spares()[0].clone();
     let mut control_state = ControlState::default();
-    let first = control_state.begin_standby(&spare, &"l".into(), planned);
-    let second = control_state.begin_standby(&spare, &"s".into(), planned);
+    let first = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
+    let second = control_state.begin_standby(&spare, &"s".into(), RECORDED).unwrap();
     control_state.add_refused(&spare.id, first.replica, first.epoch);
     assert_eq!(control_state.standby(&spare), Some(&second));
 }
--- a/crates/gateway/src/control/step/tests/test_domain.rs
+++ b/crates/gateway/src/control/step/tests/test_domain.rs
@@ -87,6 +87,9 @@
         self.budget.refill(self.now, 100.0, !self.has_traffic);
         let due = orders(&self.plan, &self.hosts, &config, control_state, &mut self.budget, now);
         for (id, _, order) in due {
+            if let Order::Join { epoch, .. } = &order {
+                assert!(*epoch <= self.plan.epoch, "{order} is in no record: {:?}", self.plan);
+            }
             self.carry_out(id.as_str(), &order);
             self.sent.push((id.to_string(), order));
         }
