--- a/crates/gateway/src/control/plan.rs
+++ b/crates/gateway/src/control/plan.rs
@@ -114,12 +114,12 @@
     pub(super) fn epoch_floor(&self, era: StoreEra) -> Epoch {
         let is_of_former_build = !self.has_all_epochs && *self != Self::default();
         let unrecorded = if is_of_former_build { FORMER_BUILD_EPOCHS } else { 0 };
-        Epoch(self.epoch.0 + unrecorded).max(first_epoch(era))
+        Epoch(self.epoch.0.saturating_add(unrecorded)).max(first_epoch(era))
     }
 
     /// Reserves epochs after `last`, the last one that was given out.
     pub(super) fn reserve_epochs(&mut self, last: Epoch) {
-        self.epoch = self.epoch.max(Epoch(last.0 + RESERVED_EPOCHS));
+        self.epoch = self.epoch.max(Epoch(last.0.saturating_add(RESERVED_EPOCHS)));
         self.has_all_epochs = true;
     }
 
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -157,6 +157,7 @@
     pair.into_iter().min_by_key(|it| it.stats.in_flight()).cloned()
 }
 
+/// What this gateway knows of its configuration.
 fn known_config(gateway: &Gateway) -> KnownConfig {
     let (now, routing) = (gateway.clock.now(), &gateway.routing);
     KnownConfig {
@@ -201,7 +202,7 @@
     Some(request)
 }
 
-/// Removes what a relay says to this gateway from a response. True if it declined the
+/// Takes what a relay says to this gateway out of a response. True if it declined the
 /// request.
 pub(super) fn take_declined(
     gateway: &Gateway,
@@ -272,7 +273,7 @@
     let code = response.extensions().get::<ResultCode>();
     Ok(match code {
         Some(ResultCode::NotReached | ResultCode::NotConfirmed) => sender.decline(response, known),
-        _ => sender.answer(response, known),
+        _ => sender.forward(response, known),
     })
 }
 
@@ -302,11 +303,18 @@
             response.headers_mut().insert(DECLINED, HeaderValue::from_static("1"));
             response.headers_mut().remove(header::RETRY_AFTER);
         }
-        self.answer(response, known)
+        self.state_config(response, known)
+    }
+
+    /// Marks a response that the sender passes on.
+    fn forward(self, mut response: Response, known: KnownConfig) -> Response {
+        // A backend server may have set it.
+        response.headers_mut().remove(DECLINED);
+        self.state_config(response, known)
     }
 
     /// States the configuration of this gateway. A former build would pass that on.
-    fn answer(self, mut response: Response, known: KnownConfig) -> Response {
+    fn state_config(self, mut response: Response, known: KnownConfig) -> Response {
         if self.states_config {
             response.headers_mut().insert(CONFIG, known.version.into());
         }
