--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -13,9 +13,6 @@
     testing::{engine, model},
 };
 
-/// Record whose epochs are never used up.
-const RECORDED: Epoch = Epoch(u64::MAX);
-
 #[test]
 fn empty_domain_forms_its_layout_and_keeps_its_spares_warm() {
     let mut domain = open(7);
@@ -224,15 +221,6 @@
     assert_eq!(domain.sent[0], (spare, expected));
 }
 
-#[test]
-fn epoch_exceeds_all_epochs_that_instances_have_seen() {
-    let mut domain = open(7);
-    let seen = Membership { replica: None, epoch: Epoch(500), rank: 0, state: MemberState::Ready };
-    domain.host("h6").membership = Some(seen);
-    domain.step();
-    assert!(Epoch(500) < domain.plan.epoch);
-}
-
 #[test]
 fn loads_are_rate_limited() {
     let mut domain = open(7);
@@ -346,64 +334,3 @@
     after.sort();
     assert_eq!(after, before, "the members are unchanged");
 }
-
-#[test]
-fn spare_that_refuses_an_epoch_gets_a_higher_one() {
-    let mut domain = open(7);
-    domain.run(4);
-    let spare = domain.spares()[0].clone();
-    let (id, membership) = (spare.id.clone(), spare.membership.unwrap());
-    domain.control_state.add_refused(&id, membership.replica.unwrap(), membership.epoch);
-    domain.host(id.as_str()).membership = None;
-    domain.sent.clear();
-    domain.step();
-    let joined = domain.sent.iter().find_map(|(to, order)| match order {
-        Order::Join { epoch, .. } if *to == id.to_string() => Some(*epoch),
-        _ => None,
-    });
-    assert!(Epoch(membership.epoch.0 * 2) < joined.unwrap());
-    // The epoch of a replica that takes the spare must be higher too.
-    let lost = domain.members("l")[1].clone();
-    domain.host(&lost).liveness = Liveness::Refusing;
-    domain.run(2);
-    assert!(joined.unwrap() < domain.plan.epoch);
-}
-
-#[test]
-fn epochs_grow_however_often_a_spare_refuses() {
-    let mut domain = open(7);
-    domain.run(4);
-    let spare = domain.spares()[0].clone();
-    let mut control_state = ControlState::default();
-    let mut last = domain.plan.epoch;
-    control_state.raise_epoch_floor(last);
-    for refusals in 0..100 {
-        let standby = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
-        assert!(last < standby.epoch, "epoch {} after {refusals} refusals", standby.epoch);
-        last = standby.epoch;
-        control_state.add_refused(&spare.id, standby.replica, standby.epoch);
-    }
-}
-
-#[test]
-fn spare_that_changes_its_model_joins_under_another_epoch_although_its_report_is_old() {
-    let mut domain = open(7);
-    domain.run(4);
-    let spare = domain.spares()[0].clone();
-    let mut control_state = ControlState::default();
-    let first = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
-    let second = control_state.begin_standby(&spare, &"s".into(), RECORDED).unwrap();
-    assert!(first.epoch < second.epoch);
-}
-
-#[test]
-fn refusal_of_a_join_that_a_later_one_overtook_changes_nothing() {
-    let mut domain = open(7);
-    domain.run(4);
-    let spare = domain.spares()[0].clone();
-    let mut control_state = ControlState::default();
-    let first = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
-    let second = control_state.begin_standby(&spare, &"s".into(), RECORDED).unwrap();
-    control_state.add_refused(&spare.id, first.replica, first.epoch);
-    assert_eq!(control_state.standby(&spare), Some(&second));
-}
--- a/crates/gateway/src/control/step/tests/epochs.rs
+++ b/crates/gateway/src/control/step/tests/epochs.rs
@@ -6,8 +6,11 @@
     test_domain::{TestDomain, open},
     *,
 };
+use crate::control::step::control_state::Standby;
 
 const ERA: StoreEra = StoreEra(0);
+/// Record whose epochs are never used up.
+const RECORDED: Epoch = Epoch(u64::MAX);
 
 /// Highest epoch of the joins that were sent.
 fn highest_sent(domain: &TestDomain) -> Epoch {
@@ -32,6 +35,14 @@
     domain.host(&lost).liveness = Liveness::Refusing;
 }
 
+/// Gives a spare standby replicas of two models, one after the other.
+fn begin_two_standbys(spare: &Host) -> (ControlState, Standby, Standby) {
+    let mut control_state = ControlState::default();
+    let first = control_state.begin_standby(spare, &"l".into(), RECORDED).unwrap();
+    let second = control_state.begin_standby(spare, &"s".into(), RECORDED).unwrap();
+    (control_state, first, second)
+}
+
 /// Restarts a spare, whose next standby join is sent and has no effect.
 fn restart_spare_without_effect(domain: &mut TestDomain) -> String {
     let spares = domain.spares();
@@ -120,3 +131,69 @@
     }
     assert!((1..=3).contains(&writes), "{writes} writes for 128 joins");
 }
+
+#[test]
+fn epoch_exceeds_all_epochs_that_instances_have_seen() {
+    let mut domain = open(7);
+    let seen = Membership { replica: None, epoch: Epoch(500), rank: 0, state: MemberState::Ready };
+    domain.host("h6").membership = Some(seen);
+    domain.step();
+    assert!(Epoch(500) < domain.plan.epoch);
+}
+
+#[test]
+fn spare_that_refuses_an_epoch_gets_a_higher_one() {
+    let mut domain = open(7);
+    domain.run(4);
+    let spare = domain.spares()[0].clone();
+    let (id, membership) = (spare.id.clone(), spare.membership.unwrap());
+    domain.control_state.add_refused(&id, membership.replica.unwrap(), membership.epoch);
+    domain.host(id.as_str()).membership = None;
+    domain.sent.clear();
+    domain.step();
+    let joined = domain.sent.iter().find_map(|(to, order)| match order {
+        Order::Join { epoch, .. } if *to == id.to_string() => Some(*epoch),
+        _ => None,
+    });
+    assert!(Epoch(membership.epoch.0 * 2) < joined.unwrap());
+    // The epoch of a replica that takes the spare must be higher too.
+    let lost = domain.members("l")[1].clone();
+    domain.host(&lost).liveness = Liveness::Refusing;
+    domain.run(2);
+    assert!(joined.unwrap() < domain.plan.epoch);
+}
+
+#[test]
+fn epochs_grow_however_often_a_spare_refuses() {
+    let mut domain = open(7);
+    domain.run(4);
+    let spare = domain.spares()[0].clone();
+    let mut control_state = ControlState::default();
+    let mut last = domain.plan.epoch;
+    control_state.raise_epoch_floor(last);
+    for refusals in 0..100 {
+        let standby = control_state.begin_standby(&spare, &"l".into(), RECORDED).unwrap();
+        assert!(last < standby.epoch, "epoch {} after {refusals} refusals", standby.epoch);
+        last = standby.epoch;
+        control_state.add_refused(&spare.id, standby.replica, standby.epoch);
+    }
+}
+
+#[test]
+fn spare_that_changes_its_model_joins_under_another_epoch_although_its_report_is_old() {
+    let mut domain = open(7);
+    domain.run(4);
+    let spare = domain.spares()[0].clone();
+    let (_, first, second) = begin_two_standbys(&spare);
+    assert!(first.epoch < second.epoch);
+}
+
+#[test]
+fn refusal_of_a_join_that_a_later_one_overtook_changes_nothing() {
+    let mut domain = open(7);
+    domain.run(4);
+    let spare = domain.spares()[0].clone();
+    let (mut control_state, first, second) = begin_two_standbys(&spare);
+    control_state.add_refused(&spare.id, first.replica, first.epoch);
+    assert_eq!(control_state.standby(&spare), Some(&second));
+}
