Read the configuration by cheap reads while the gateways start

Each of 122 gateways read the configuration twice and polled a watch twice before the list reader was elected, although the reader then publishes the same version to all of them: a third of all priced calls before the first request. Without requests, and in the first five seconds, a gateway now reads it once in full and then by reads that may be old until the reader appears.

--- a/crates/gateway/src/feed/config.rs
+++ b/crates/gateway/src/feed/config.rs
@@ -3,7 +3,8 @@
 //! The list reader, the gateway that reads the instance list for all, waits on a
 //! watch and sends its configuration revision to the others. They read the
 //! configuration when theirs is older. A gateway that receives nothing from the
-//! reader watches the store itself.
+//! reader watches the store itself, except while the gateways start: until they have
+//! elected a reader, a watch of each would only show them the same first version.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -12,7 +13,7 @@
 
 use citrongw_coordination::clock::Clock;
 use citrongw_protocol::store::{Entry, Snapshot, StoreError, StoreResult, WatchEvent};
-use citrongw_state::id::Revision;
+use citrongw_state::{id::Revision, time::Time};
 use futures::StreamExt;
 use tokio::time::{sleep, timeout};
 
@@ -28,6 +29,11 @@
 /// reader published. It spreads their reads, and is a small part of the time in
 /// which a configuration must be in force.
 const MAX_READ_DELAY_MS: u64 = 300;
+/// Time after the start in which a gateway without requests expects the list reader to
+/// appear: more than the first election of an owner takes.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
+/// Interval between cheap reads of the configuration in that time.
+const STARTUP_READ_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval between checks of whether the list reader is still active.
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -44,6 +50,8 @@
     loop {
         let followed = if follower.has_reader() {
             follower.wait_for_update().await
+        } else if follower.expects_reader() {
+            follower.wait_for_reader().await
         } else {
             follower.watch().await
         };
@@ -82,6 +90,33 @@
         self.peers.is_reader() || (is_silent && self.peers.is_substitute_reader())
     }
 
+    /// Whether the gateways are likely to be starting together, without requests yet.
+    fn expects_reader(&self) -> bool {
+        let is_starting = self.clock.now() < Time::START + STARTUP_TIME;
+        is_starting && !self.routing.has_traffic() && !self.peers.is_reader()
+    }
+
+    /// Reads the configuration until the list reader appears. Only the first read has to be
+    /// the newest, and later ones may be old: a gateway that restarts alone hears the reader within one interval,
+    /// and with it whether its configuration is the newest.
+    async fn wait_for_reader(&self) -> Result<(), StoreError> {
+        if self.routing.config_revision() == Revision::default() {
+            self.read().await?;
+        }
+        self.routing.is_config_unfollowed.store(false, Ordering::Relaxed);
+        loop {
+            sleep(STARTUP_READ_INTERVAL).await;
+            if self.has_reader() || !self.expects_reader() {
+                return Ok(());
+            }
+            let key = self.adapter.codec.config_key();
+            let snapshot = self.adapter.store.list_stale(key.clone()).await?;
+            if let Some(entry) = snapshot.entries.iter().find(|it| it.key == key) {
+                self.apply(entry);
+            }
+        }
+    }
+
     /// Waits for `delay`, or until the reader publishes a configuration.
     async fn wait_before_retry(&self, delay: Duration) {
         let mut reader_config_rx = self.routing.reader_config_tx.subscribe();
