Send nothing new to servers that state that they are leaving

The first such response to a request now ends new attempts at that start of the server, at this gateway and, by a message, at the others; the owner of its domain replaces it at once.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -77,6 +77,8 @@
     pub limit: StatedLimit,
     /// Pause that the backend server requests in a rejection.
     pub pause: StatedPause,
+    /// Whether the backend server states that it is leaving.
+    pub is_leaving: bool,
     /// Instance that caused the failure, if it is not the one that the request
     /// was sent to.
     pub at_fault: Option<InstanceId>,
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -54,6 +54,7 @@
             | PeerMessage::PermitReply(_)
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
+            | PeerMessage::ServerLeaving { .. }
             | PeerMessage::ZoneLoad { .. } => false,
         }
     }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,6 +19,7 @@
 use citrongw_state::{
     breaker::BreakerState,
     id::{AvailabilityZone, InstanceId},
+    leaving_servers::LeavingServers,
     server_pause::ServerPauses,
     time::Time,
 };
@@ -43,6 +44,8 @@
     pub tried: &'a [InstanceId],
     /// Pauses that servers requested.
     pub pauses: &'a ServerPauses,
+    /// Servers that stated that they are leaving.
+    pub leaving: &'a LeavingServers,
     /// Requests in flight that the other nodes reported.
     pub peer_loads: &'a PeerLoads,
     /// Current time of the node's clock.
@@ -162,6 +165,9 @@
     /// The server asked this node for a pause.
     #[display("pausing")]
     Pausing,
+    /// The server stated that it is leaving.
+    #[display("leaving")]
+    Leaving,
     /// The granter of the server's permits denied one.
     #[display("limited")]
     Limited,
@@ -186,6 +192,9 @@
     if criteria.tried.contains(&server.id) {
         return Some(Exclusion::Tried);
     }
+    if criteria.leaving.contains(&server.id, server.incarnation) {
+        return Some(Exclusion::Leaving);
+    }
     if criteria.pauses.left(&server.id, server.incarnation, criteria.now).is_some() {
         return Some(Exclusion::Pausing);
     }
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -32,6 +32,7 @@
         zone: &zone,
         tried,
         pauses: &ServerPauses::default(),
+        leaving: &LeavingServers::default(),
         peer_loads: &peer_loads,
         now: Time::START,
     };
@@ -76,6 +77,7 @@
         zone: &zone,
         tried: &[],
         pauses: &ServerPauses::default(),
+        leaving: &LeavingServers::default(),
         peer_loads: &peer_loads,
         now: Time::START,
     };
@@ -93,6 +95,7 @@
         zone: &zone,
         tried: &[],
         pauses: &ServerPauses::default(),
+        leaving: &LeavingServers::default(),
         peer_loads: &peer_loads,
         now: Time::from_millis(150),
     };
@@ -132,6 +135,7 @@
             zone: &zone,
             tried: &[],
             pauses: &pauses,
+            leaving: &LeavingServers::default(),
             peer_loads: &peer_loads,
             now,
         };
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -279,7 +279,11 @@
         }
         let now = gateway.clock.now();
         let plan = self.plan.as_ref().map(|(plan, _)| plan);
-        let hosts = self.reports.hosts(&gateway.routing.instances.load(), &self.domain, plan);
+        let mut hosts = self.reports.hosts(&gateway.routing.instances.load(), &self.domain, plan);
+        let departures = gateway.departures.load();
+        for host in hosts.values_mut() {
+            host.leaving |= departures.contains(&host.id, host.incarnation);
+        }
         self.poll_due(&hosts, now);
         let config = StepConfig { engine, stall_time: gateway.settings.stall_time };
         let Some((plan, revision)) = &self.plan else { return Ok(()) };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -284,6 +284,7 @@
             | PeerMessage::ServerLimit { .. }
             | PeerMessage::PermitRequest(_)
             | PeerMessage::PermitReply(_)
+            | PeerMessage::ServerLeaving { .. }
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod instance;
 pub mod instance_table;
 mod leased_key;
+mod leaving_servers;
 mod links;
 pub mod listing;
 mod lock;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
     control::{self, plan},
     crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
+    leaving_servers::StatedDepartures,
     links::{self, LinkWatch},
     metered_store::{self, Subjects},
     metrics::{self, Metrics},
@@ -80,6 +81,8 @@
     pub(crate) links: Arc<LinkWatch>,
     /// Pauses that backend servers requested.
     pub(crate) pauses: RequestedPauses,
+    /// Backend servers that stated that they are leaving.
+    pub(crate) departures: Arc<StatedDepartures>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -131,6 +134,7 @@
         hops: relay::hop::open(),
         links,
         pauses: RequestedPauses::default(),
+        departures: Arc::default(),
         peers,
         stopping: AtomicBool::new(false),
     });
@@ -152,6 +156,7 @@
     let peer_loads = Arc::clone(&gateway.peer_loads);
     let crashes = Arc::clone(&gateway.crashes);
     let limits = Arc::clone(&gateway.limits);
+    let departures = Arc::clone(&gateway.departures);
     let era = gateway.era.clone();
     let on_message = move |from, message| {
         limits.record_message(from);
@@ -174,6 +179,9 @@
             }
             PeerMessage::PermitRequest(request) => limits.apply_request(from, request),
             PeerMessage::PermitReply(reply) => limits.apply_reply(&reply),
+            PeerMessage::ServerLeaving { server } => {
+                departures.record(&server, "gateway", clock.now());
+            }
             message => routing.apply_message(&message, clock.now()),
         }
     };
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -90,6 +90,11 @@
     PermitRequest(PermitRequest),
     /// From the granter.
     PermitReply(PermitReply),
+    /// A backend server stated that it is leaving.
+    ServerLeaving {
+        /// Server that stated it.
+        server: ServerIncarnation,
+    },
 }
 
 /// Limit of a server, as one gateway reports it to another.
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -272,6 +272,7 @@
             zone: &gateway.settings.zone,
             tried: &self.tried,
             pauses: &gateway.pauses.load(),
+            leaving: &gateway.departures.load(),
             peer_loads: &gateway.peer_loads,
             now: gateway.clock.now(),
         })
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -12,6 +12,7 @@
     adapter::{ForwardMeta, ResponseMeta},
     fleet::{Backend, InFlight},
     node::Gateway,
+    peers::message::PeerMessage,
 };
 
 /// Time that a replica which reports a lost member gets no requests. By then its
@@ -155,12 +156,15 @@
     let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
     let in_flight = backend.stats.begin_request();
-    let may_send = || gateway.pauses.left(backend, gateway.clock.now()).is_none();
+    let may_send = || {
+        gateway.pauses.left(backend, gateway.clock.now()).is_none()
+            && !gateway.departures.load().contains(&backend.id, backend.incarnation)
+    };
     let sent = gateway.adapter.http.send_if(request, may_send).await;
     let now = gateway.clock.now();
     let (parts, body) = match sent {
         Ok(Some(response)) => response.into_parts(),
-        // The server has requested a pause meanwhile.
+        // The server has requested a pause meanwhile, or is leaving.
         Ok(None) => return Err(AttemptFailure::not_run(Cause::ServerRefused)),
         Err(error) => return Err(connection_failure(gateway, backend, &error, now)),
     };
@@ -173,6 +177,9 @@
         return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
     }
     gateway.pauses.record(backend, meta.pause, now);
+    if meta.is_leaving {
+        record_leaving(gateway, backend, now);
+    }
     // A failure without a limit does not say that there is none.
     if parts.status.is_success() || meta.limit != StatedLimit::None {
         gateway.limits.record_response(backend, meta.limit, sent_at);
@@ -208,6 +215,17 @@
     Some(request)
 }
 
+/// Records that a server stated that it is leaving, and tells the other gateways: the owner
+/// of its domain replaces it before the list of instances shows that it leaves.
+fn record_leaving(gateway: &Gateway, backend: &Backend, now: Time) {
+    let server = backend.server();
+    if !gateway.departures.record(&server, "response", now) {
+        return;
+    }
+    let peers = Arc::clone(&gateway.peers);
+    tokio::spawn(async move { peers.broadcast(&PeerMessage::ServerLeaving { server }).await });
+}
+
 /// Records that bytes arrived from a server.
 pub(super) fn record_received(gateway: &Gateway, server: &Backend, now: Time) {
     server.stats.record_received(now);
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -14,6 +14,7 @@
 };
 use citrongw_state::{
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
+    leaving_servers::LeavingServers,
     server_pause::ServerPauses,
     time::Time,
 };
@@ -323,6 +324,7 @@
         zone: &from.zone,
         tried: &[],
         pauses: &ServerPauses::default(),
+        leaving: &LeavingServers::default(),
         peer_loads: &from.peer_loads,
         now,
     };
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hash;
 pub mod hedge;
 pub mod id;
+pub mod leaving_servers;
 pub mod lifecycle;
 pub mod limit;
 pub mod objective;
