Ask permits for cold servers, and choose them no more than warm ones

Gateways now take a server as cold when it newly takes requests, when its entry or a response states so, when its zone returns, and after it refused connections. Each attempt at it needs a permit; a request waits for at most two exchanges that time out, then a share decides. In the choice a cold server is at least as loaded as the mean of the warm ones, and owners put a warm member first. Times of entries travel beside the list in a message of their own, so that the digest of the list stays the same. Without cold_start_s and cold_per_s, or without the two settings, nothing is taken as cold.

--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
+use citrongw_state::{cold_server::ColdBounds, id::AvailabilityZone, retry::window::RetryLimits};
 
 use super::reader::{self, Fault, Reader};
 use crate::error::Result;
@@ -36,6 +36,9 @@
     pub grace: Duration,
     /// Limits of retries, shared by all gateways.
     pub retries: RetryLimits,
+    /// How far requests may exceed what a cold server tolerates; none if cold servers are
+    /// not limited.
+    pub cold: Option<ColdBounds>,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
     /// Log level, or a list of `target=level`.
@@ -74,6 +77,7 @@
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_millis(2_500)),
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
         retries: read_retries(reader),
+        cold: read_cold(reader),
         max_connections: reader.count("callers", "max-connections", 1_024),
         log_level: reader.log_level("log", "level", "info"),
     }
@@ -97,5 +101,15 @@
     RetryLimits { ratio, slack, window }
 }
 
+/// Reads the bounds for cold servers, which need both figures.
+fn read_cold(reader: &mut Reader<'_>) -> Option<ColdBounds> {
+    let mut number = |key| {
+        let parse = |it: &str| it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it);
+        reader.optional("cold-servers", key, "a number from 0", parse)
+    };
+    let (overage, slack) = (number("overage"), number("slack"));
+    Some(ColdBounds { overage: overage?, slack: slack? })
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -80,6 +80,8 @@
     /// Instance that caused the failure, if it is not the one that the request
     /// was sent to.
     pub at_fault: Option<InstanceId>,
+    /// Time until the backend server is warm, if it states that.
+    pub cold_left: Option<Duration>,
 }
 
 /// A record of the platform could not be decoded.
@@ -104,6 +106,11 @@
     /// Decodes an instance entry.
     fn decode_instance(&self, entry: &Entry) -> Result<InstanceEntry, CodecError>;
 
+    /// Decodes the time until an instance is warm, if its entry states that.
+    fn decode_cold_left(&self, _entry: &Entry) -> Option<Duration> {
+        None
+    }
+
     /// Decodes the headers of a caller's request.
     fn decode_request(&self, headers: &HeaderMap) -> RequestMeta;
 
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -52,6 +52,8 @@
             | PeerMessage::ServerLimit { .. }
             | PeerMessage::PermitRequest(_)
             | PeerMessage::PermitReply(_)
+            | PeerMessage::ColdServers(_)
+            | PeerMessage::ColdPermitRequest(_)
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
             | PeerMessage::ZoneLoad { .. } => false,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -9,6 +9,7 @@
 //! Stale Load Information", 1999). With fresh reports this is the least loaded
 //! server; with old ones it approaches a random server.
 
+mod cold;
 mod leveling;
 
 use std::{
@@ -91,13 +92,16 @@
         .collect();
     let arrivals = peer_loads.expected_arrivals(scored.iter().map(|it| &**it.server));
     drop(peer_loads);
-    let levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
+    let mut levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
+    let is_cold = scored.iter().map(|it| it.server.stats.cold.left(criteria.now).is_some());
+    cold::raise_levels(&mut levels, is_cold);
     let best = leveling::pick(&levels, arrivals, random())?;
-    let others = scored.iter().enumerate().filter(|(idx, _)| *idx != best).map(|(_, it)| it);
-    let runner_up = others.min_by(|a, b| a.level.load_share.total_cmp(&b.level.load_share));
+    let others = scored.iter().zip(&levels).enumerate().filter(|(idx, _)| *idx != best);
+    let runner_up =
+        others.map(|(_, it)| it).min_by(|(_, a), (_, b)| a.load_share.total_cmp(&b.load_share));
     Some(Choice {
         best: scored[best].to_candidate(),
-        runner_up: runner_up.map(Scored::to_candidate),
+        runner_up: runner_up.map(|(it, _)| it.to_candidate()),
     })
 }
 
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -279,7 +279,8 @@
         }
         let now = gateway.clock.now();
         let plan = self.plan.as_ref().map(|(plan, _)| plan);
-        let hosts = self.reports.hosts(&gateway.routing.instances.load(), &self.domain, plan);
+        let mut hosts = self.reports.hosts(&gateway.routing.instances.load(), &self.domain, plan);
+        gateway.routing.cold.mark_hosts(hosts.values_mut());
         self.poll_due(&hosts, now);
         let config = StepConfig { engine, stall_time: gateway.settings.stall_time };
         let Some((plan, revision)) = &self.plan else { return Ok(()) };
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -173,6 +173,7 @@
                 liveness: polled.liveness(),
                 leaving: entry.leaving,
                 is_listed,
+                is_cold: false,
                 staged: entry.staged.clone(),
                 membership: entry.membership,
             };
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -121,13 +121,17 @@
     next.epoch = epoch;
 }
 
-/// Puts a member that stays first, preferably the current head.
+/// Puts a member that stays first, preferably a warm one, and of these the current head.
 fn choose_head(replica: &mut PlannedReplica, replaced: &[usize], hosts: &Hosts) {
     let stays = |rank: &usize| {
         let host = find_host(hosts, &replica.members[*rank]);
         !replaced.contains(rank) && host.is_some_and(Host::can_lead)
     };
-    if let Some(head) = (0..replica.members.len()).find(stays) {
+    let is_warm =
+        |rank: &usize| find_host(hosts, &replica.members[*rank]).is_some_and(|it| !it.is_cold);
+    let ranks = 0..replica.members.len();
+    let warm = ranks.clone().find(|it| stays(it) && is_warm(it));
+    if let Some(head) = warm.or_else(|| ranks.clone().find(stays)) {
         replica.members.swap(0, head);
     }
 }
@@ -189,7 +193,13 @@
         if spares.len() < spec.size {
             continue;
         }
-        let members = spares.into_iter().take(spec.size).map(planned_member).collect();
+        spares.truncate(spec.size);
+        // A cold head would tolerate few requests.
+        let head = spares.iter().position(|it| !it.is_cold && it.can_lead());
+        if let (Some(head), true) = (head, spares.first().is_some_and(|it| it.is_cold)) {
+            spares.swap(0, head);
+        }
+        let members = spares.into_iter().map(planned_member).collect();
         let epoch = next_epoch(next, hosts, control_state);
         control_state.raise_epoch_floor(epoch);
         next.epoch = epoch;
--- a/crates/gateway/src/control/step/host.rs
+++ b/crates/gateway/src/control/step/host.rs
@@ -39,6 +39,8 @@
     /// Whether the platform lists the instance. An instance that responds but is
     /// not listed is cut off from the platform, or leaves without notice.
     pub is_listed: bool,
+    /// Whether the instance has just started and tolerates few requests.
+    pub is_cold: bool,
     /// Models whose weights are on the instance.
     pub staged: Vec<ModelId>,
     /// Replica that the instance is a member of, if any.
--- a/crates/gateway/src/control/step/tests/test_domain.rs
+++ b/crates/gateway/src/control/step/tests/test_domain.rs
@@ -60,6 +60,7 @@
             liveness: Liveness::Alive,
             leaving: false,
             is_listed: true,
+            is_cold: false,
             staged: Vec::new(),
             membership: None,
         };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,6 +2,7 @@
 //! instances, read from the platform's key-value service or received from other
 //! gateways.
 
+mod cold_entries;
 mod config;
 mod instances;
 mod unreadable;
@@ -15,9 +16,9 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use citrongw_coordination::clock::Clock;
+use citrongw_coordination::clock::{self, Clock};
 use citrongw_state::{
-    id::{NodeId, Revision},
+    id::{AvailabilityZone, NodeId, Revision, ServerIncarnation},
     time::Time,
 };
 use citrongw_transport::http_server::ConnectionLimits;
@@ -30,7 +31,8 @@
 use crate::{
     adapter::Adapter,
     announced_replicas::AnnouncedReplicas,
-    fleet::{Fleet, ReplicaKey},
+    cold_watch::{self, ColdMetrics, ColdWatch},
+    fleet::{Backend, Fleet, ReplicaKey},
     gateway_config::GatewayConfig,
     instance_table::InstancesView,
     listing::{ListChange, READER_SILENCE},
@@ -88,10 +90,17 @@
     /// Whether a caller's request has arrived yet.
     has_traffic: AtomicBool,
     config_changed: Notify,
+    /// Servers that are taken as cold.
+    pub(crate) cold: ColdWatch,
 }
 
-/// Creates an empty state.
+/// Creates an empty state of a gateway that takes no server as cold.
 pub fn open() -> RoutingState {
+    open_with(cold_watch::open(None, ColdMetrics::default(), clock::open()))
+}
+
+/// Creates an empty state.
+pub(crate) fn open_with(cold: ColdWatch) -> RoutingState {
     let (list_tx, list_rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
     RoutingState {
         active_config: ArcSwapOption::empty(),
@@ -110,6 +119,7 @@
         is_config_unfollowed: AtomicBool::new(false),
         has_traffic: AtomicBool::new(false),
         config_changed: Notify::new(),
+        cold,
     }
 }
 
@@ -284,6 +294,8 @@
             | PeerMessage::ServerLimit { .. }
             | PeerMessage::PermitRequest(_)
             | PeerMessage::PermitReply(_)
+            | PeerMessage::ColdServers(_)
+            | PeerMessage::ColdPermitRequest(_)
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
@@ -295,10 +307,50 @@
         self.rebuild();
     }
 
+    /// Records the times until servers are warm, as they state themselves.
+    pub(crate) fn record_cold(&self, stated: impl Iterator<Item = (ServerIncarnation, Duration)>) {
+        self.cold.record_stated(stated);
+        self.set_cold_limits();
+    }
+
+    /// Records that the servers of a zone take requests again after its evacuation.
+    pub fn record_returned(&self, zone: &AvailabilityZone) {
+        self.cold.record_returned(zone, &self.fleet.load());
+        self.set_cold_limits();
+    }
+
+    /// Records the time until a server is warm, as it states in a response.
+    pub(crate) fn record_cold_left(&self, backend: &Backend, left: Duration, now: Time) {
+        if !left.is_zero() || backend.stats.cold.left(now).is_some() {
+            self.record_cold(std::iter::once((backend.server(), left)));
+        }
+    }
+
+    /// Records that a server refused a connection.
+    pub(crate) fn record_refused(&self, backend: &Backend) {
+        if self.cold.record_refused(backend) {
+            self.set_cold_limits();
+        }
+    }
+
+    /// Records a response of a server.
+    pub(crate) fn record_response(&self, backend: &Backend) {
+        if self.cold.record_response(backend) {
+            self.set_cold_limits();
+        }
+    }
+
+    fn set_cold_limits(&self) {
+        if let Some(config) = &*self.active_config.load() {
+            self.cold.set_limits(config, &self.fleet.load());
+        }
+    }
+
     fn rebuild(&self) {
         if let Some(config) = &*self.active_config.load() {
             let announced = lock(&self.announced).clone();
             let fleet = self.fleet.load().next(config, &self.instances.load(), &announced);
+            self.cold.record_fleet(config, &fleet, self.has_traffic());
             self.fleet.store(Arc::new(fleet));
         }
     }
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -14,7 +14,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::{ListMessage, RoutingState, unreadable::UnreadableRecords};
+use super::{ListMessage, RoutingState, cold_entries::ColdEntries, unreadable::UnreadableRecords};
 use crate::{
     adapter::Adapter,
     instance_table::{InstanceTable, InstancesView},
@@ -75,6 +75,7 @@
     is_store_reachable: bool,
     source: ListSource,
     unreadable: UnreadableRecords,
+    cold_entries: ColdEntries,
 }
 
 /// Creates the feed.
@@ -98,6 +99,7 @@
         is_store_reachable: true,
         source: ListSource::Alone,
         unreadable,
+        cold_entries: ColdEntries::default(),
     }
 }
 
@@ -140,6 +142,7 @@
             let before = self.table.view().clone();
             if self.read().await {
                 self.publish_changes(&before).await;
+                self.cold_entries.publish(&self.routing, &self.peers).await;
             }
             return;
         }
@@ -207,6 +210,9 @@
             Some((decoded.ok()?, entry.revision))
         });
         let entries: Vec<_> = entries.collect();
+        if self.routing.cold.is_enabled() {
+            self.cold_entries.record(&self.routing, &*self.adapter.codec, snapshot, &entries);
+        }
         let prefix = self.adapter.codec.instances_prefix();
         self.unreadable
             .retain(&prefix, |key| snapshot.entries.iter().any(|entry| entry.key == *key));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,8 @@
 //! member is open and every other member is listed under the same replica and
 //! epoch.
 
+mod cold;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -26,6 +28,7 @@
 
 use tokio::sync::Notify;
 
+use self::cold::ColdState;
 use crate::{
     adapter::ServerLoad,
     announced_replicas::AnnouncedReplicas,
@@ -64,6 +67,8 @@
     last_received_ms: AtomicU64,
     suspect_until_ms: AtomicU64,
     denied_until_ms: AtomicU64,
+    /// Whether the server is cold.
+    pub cold: ColdState,
     is_down: AtomicBool,
     marked_down: Notify,
 }
--- a/crates/gateway/src/gateway_config.rs
+++ b/crates/gateway/src/gateway_config.rs
@@ -3,7 +3,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use citrongw_state::id::{ModelId, OrganisationId, PlainServiceId, Revision};
+use citrongw_state::{
+    cold_server::ColdStart,
+    id::{ModelId, OrganisationId, PlainServiceId, Revision},
+};
 use citrongw_transport::http_server::ConnectionLimits;
 use derive_more::Display;
 
@@ -173,6 +176,8 @@
     pub id: PlainServiceId,
     /// Engine, if the service serves models.
     pub engine: Option<EngineSpec>,
+    /// Cold phase of its servers after their start, if they have one.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Organisation that holds API keys.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod announced_replicas;
 mod backoff;
 pub mod choose;
+pub mod cold_watch;
 pub mod control;
 mod crash_watch;
 pub mod feed;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::{log, metered_store::StoreCalls};
+use crate::{cold_watch::ColdMetrics, log, metered_store::StoreCalls};
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS_S: [f64; 12] = [0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -43,6 +43,7 @@
     log_lines_dropped: Gauge,
     store_calls: StoreCalls,
     unreadable_records: Counter,
+    cold: ColdMetrics,
 }
 
 fn histogram() -> Histogram {
@@ -90,6 +91,8 @@
         "Records of the platform that could not be read, once a change",
         unreadable_records.clone(),
     );
+    let cold = ColdMetrics::default();
+    cold.register(&mut registry);
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -99,6 +102,7 @@
         log_lines_dropped,
         store_calls,
         unreadable_records,
+        cold,
     }
 }
 
@@ -131,6 +135,11 @@
         self.store_calls.clone()
     }
 
+    /// Metrics of cold servers.
+    pub fn cold(&self) -> ColdMetrics {
+        self.cold.clone()
+    }
+
     /// Counter of records that could not be decoded.
     pub fn unreadable_records(&self) -> Counter {
         self.unreadable_records.clone()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
 
 use crate::{
     adapter::{Adapter, Codec},
+    cold_watch,
     control::{self, plan},
     crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
@@ -105,10 +106,11 @@
 /// Spawns a gateway. The load balancer polls `ready_path`.
 pub async fn spawn(settings: Settings, adapter: Adapter, ready_path: &str) -> Result<Node> {
     let clock = clock::open();
-    let routing = Arc::new(feed::open());
     let node = NodeId(rand::random());
     let retries = window::open(settings.retries);
     let metrics = metrics::open();
+    let cold = cold_watch::open(settings.cold, metrics.cold(), clock);
+    let routing = Arc::new(feed::open_with(cold));
     let store_calls = metrics.store_calls();
     let store = metered_store::open(adapter.store, subjects(&*adapter.codec), store_calls.clone());
     let era = store_era::open();
@@ -125,9 +127,9 @@
         era,
         routing,
         retries,
+        limits: Arc::new(server_limits::open(&peers, metrics.cold(), clock)),
         metrics,
         crashes,
-        limits: Arc::new(server_limits::open(&peers, clock)),
         hops: relay::hop::open(),
         links,
         pauses: RequestedPauses::default(),
@@ -174,6 +176,10 @@
             }
             PeerMessage::PermitRequest(request) => limits.apply_request(from, request),
             PeerMessage::PermitReply(reply) => limits.apply_reply(&reply),
+            PeerMessage::ColdPermitRequest(request) => limits.apply_cold_request(from, request),
+            PeerMessage::ColdServers(stated) => {
+                routing.record_cold(stated.into_iter().map(|it| (it.server, it.left)));
+            }
             message => routing.apply_message(&message, clock.now()),
         }
     };
@@ -181,6 +187,9 @@
     tasks.extend(peers::spawn(&gateway.peers, store, &gateway.era, addr, on_message));
     tasks.push(tokio::spawn(crash_watch::maintain(Arc::clone(&gateway.crashes))));
     tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
+    if gateway.routing.cold.is_enabled() {
+        tasks.push(tokio::spawn(cold_watch::log_changes(Arc::clone(&gateway.routing))));
+    }
     tasks.push(links::spawn(&gateway.links));
     tasks.push(metered_store::spawn_report(store_calls));
     tasks.push(control::campaign::spawn(&gateway));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -306,6 +306,11 @@
         self.cluster.load().gateways_of(&self.zone).next() == Some(self.node)
     }
 
+    /// Zone of this gateway.
+    pub(crate) fn zone(&self) -> &AvailabilityZone {
+        &self.zone
+    }
+
     /// Sends a message to all other gateways.
     pub async fn broadcast(&self, message: &PeerMessage) {
         self.send_to(message, |_| true).await;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use citrongw_state::{
+    cold_server::ColdLimit,
     id::{
         AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
         ReplicaId, ServerIncarnation,
@@ -90,6 +91,10 @@
     PermitRequest(PermitRequest),
     /// From the granter.
     PermitReply(PermitReply),
+    /// From the reader of the instance list: servers that state that they are cold.
+    ColdServers(Vec<ColdStatement>),
+    /// To the granter of a cold server, which replies with `PermitReply`.
+    ColdPermitRequest(ColdPermitRequest),
 }
 
 /// Limit of a server, as one gateway reports it to another.
@@ -124,6 +129,29 @@
     pub statement: ReportedStatement,
 }
 
+/// Time until a server is warm, as it states itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdStatement {
+    /// Server that states it.
+    pub server: ServerIncarnation,
+    /// Time until the server is warm.
+    pub left: Duration,
+}
+
+/// Request for a permit for one attempt at a cold server. The granter need not know that
+/// the server is cold.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ColdPermitRequest {
+    /// Id of the request at its sender.
+    pub id: u64,
+    /// Server that the attempt is for.
+    pub server: ServerIncarnation,
+    /// Zone of the server.
+    pub zone: AvailabilityZone,
+    /// Limit of the server.
+    pub limit: ColdLimit,
+}
+
 /// Reply to a request for a permit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PermitReply {
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -172,6 +172,10 @@
     if call.meta.attempt.is_some() && meta.attempt.is_some() && meta.attempt != call.meta.attempt {
         return Err(AttemptFailure::may_have_run(Cause::MismatchedResponse));
     }
+    gateway.routing.record_response(backend);
+    if let Some(left) = meta.cold_left {
+        gateway.routing.record_cold_left(backend, left, now);
+    }
     gateway.pauses.record(backend, meta.pause, now);
     // A failure without a limit does not say that there is none.
     if parts.status.is_success() || meta.limit != StatedLimit::None {
@@ -241,6 +245,7 @@
     backend.stats.breaker.record_result(now, false);
     if *error == HttpError::ConnectionRefused {
         gateway.crashes.record_refused(backend);
+        gateway.routing.record_refused(backend);
     }
     match error {
         HttpError::NotReached | HttpError::ConnectionRefused => {
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -6,6 +6,7 @@
 //! The exchange is two datagrams; while the granter is silent, a substitute grants a
 //! part of the limit, and a gateway that reaches neither uses its even share.
 
+mod cold;
 mod pending;
 
 use std::{
@@ -30,8 +31,9 @@
 };
 use tokio::time::{sleep, timeout};
 
-use self::pending::PendingPermits;
+use self::{cold::ColdPermits, pending::PendingPermits};
 use crate::{
+    cold_watch::ColdMetrics,
     fleet::Backend,
     lock::lock,
     peers::{
@@ -59,10 +61,11 @@
     buckets: Mutex<HashMap<ServerIncarnation, PermitBucket>>,
     silent: Mutex<SilentGateways>,
     pending: PendingPermits,
+    cold: ColdPermits,
 }
 
 /// Creates an empty set of limits.
-pub(crate) fn open(peers: &Arc<Peers>, clock: Clock) -> ServerLimits {
+pub(crate) fn open(peers: &Arc<Peers>, metrics: ColdMetrics, clock: Clock) -> ServerLimits {
     ServerLimits {
         peers: Arc::clone(peers),
         clock,
@@ -71,6 +74,7 @@
         buckets: Mutex::default(),
         silent: Mutex::default(),
         pending: PendingPermits::default(),
+        cold: ColdPermits::new(metrics),
     }
 }
 
@@ -82,13 +86,22 @@
         limits.change(|it| it.expire(now));
         lock(&limits.buckets).retain(|_, it| now.since(it.updated_at()) < BUCKET_RETENTION);
         lock(&limits.silent).expire(now);
+        limits.cold.expire(now);
     }
 }
 
 impl ServerLimits {
-    /// Requests a permit for one attempt at a server. A server without a limit needs
-    /// none.
+    /// Requests a permit for one attempt at a server. A server that is warm and has no
+    /// limit needs none.
     pub(crate) async fn acquire(&self, backend: &Backend) -> Permit {
+        match self.acquire_cold(backend).await {
+            Permit::Granted => self.acquire_limited(backend).await,
+            denied => denied,
+        }
+    }
+
+    /// Requests a permit for one attempt at a server that states a limit.
+    async fn acquire_limited(&self, backend: &Backend) -> Permit {
         let Some(statement) = self.limit_of(backend) else { return Permit::Granted };
         let server = backend.server();
         let cluster = self.peers.cluster();
@@ -117,7 +130,7 @@
 
     /// Whether attempts at a server need a permit.
     pub(crate) fn is_limited(&self, backend: &Backend) -> bool {
-        self.limit_of(backend).is_some()
+        self.limit_of(backend).is_some() || backend.stats.cold.left(self.clock.now()).is_some()
     }
 
     /// Statement of a server that has a limit.
--- a/crates/gateway/src/server_limits/tests.rs
+++ b/crates/gateway/src/server_limits/tests.rs
@@ -13,23 +13,23 @@
     testing,
 };
 
-const SELF: NodeId = NodeId(1);
-const OTHER: NodeId = NodeId(2);
+pub(super) const SELF: NodeId = NodeId(1);
+pub(super) const OTHER: NodeId = NodeId(2);
 const LIMIT: RequestsPerSecond = RequestsPerSecond(4.0);
 
-fn backend() -> Backend {
+pub(super) fn backend() -> Backend {
     testing::backend("h0")
 }
 
 /// Limits of a gateway in a list of these gateways. No message leaves it.
-fn open_listed(nodes: &[NodeId]) -> Arc<ServerLimits> {
+pub(super) fn open_listed(nodes: &[NodeId]) -> Arc<ServerLimits> {
     let clock = clock::open();
     let peers = Arc::new(peers::open(SELF, "a".into(), clock));
     let addr = SocketAddr::from(([127, 0, 0, 1], 9));
     let listed = nodes.iter().map(|it| (*it, ListedGateway { addr, zone: "a".into() }));
     let nodes: BTreeMap<NodeId, ListedGateway> = listed.collect();
     peers.set_cluster(ClusterView { nodes, ..ClusterView::default() });
-    Arc::new(open(&peers, clock))
+    Arc::new(open(&peers, ColdMetrics::default(), clock))
 }
 
 fn respond(limits: &Arc<ServerLimits>, stated: StatedLimit) {
@@ -169,12 +169,12 @@
 }
 
 /// Two gateways that reach each other, and a server that the second one grants for.
-async fn open_connected() -> ([Arc<ServerLimits>; 2], Backend, Vec<JoinHandle<()>>) {
+pub(super) async fn open_connected() -> ([Arc<ServerLimits>; 2], Backend, Vec<JoinHandle<()>>) {
     let store: Arc<dyn Store> = Arc::new(mem::open());
     let clock = clock::open();
     let gateways = [SELF, OTHER].map(|node| {
         let peers = Arc::new(peers::open(node, "a".into(), clock));
-        Arc::new(open(&peers, clock))
+        Arc::new(open(&peers, ColdMetrics::default(), clock))
     });
     let (mut nodes, mut tasks) = (BTreeMap::new(), Vec::new());
     for limits in &gateways {
@@ -185,6 +185,7 @@
             }
             PeerMessage::PermitRequest(request) => receiver.apply_request(from, request),
             PeerMessage::PermitReply(reply) => receiver.apply_reply(&reply),
+            PeerMessage::ColdPermitRequest(request) => receiver.apply_cold_request(from, request),
             _ => {}
         };
         let (addr, task) = peers::tests::spawn_receiver(&limits.peers, &store, on_message).await;
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -31,8 +31,8 @@
 }
 
 pub(crate) fn gateway_config(engine: EngineSpec) -> GatewayConfig {
-    let engine = ServiceSpec { id: "engine".into(), engine: Some(engine) };
-    let plain = ServiceSpec { id: "plain".into(), engine: None };
+    let engine = ServiceSpec { id: "engine".into(), engine: Some(engine), cold_start: None };
+    let plain = ServiceSpec { id: "plain".into(), engine: None, cold_start: None };
     let services = [engine, plain].map(|it| (it.id.clone(), Arc::new(it)));
     GatewayConfig {
         version: 1,
--- a/crates/state/src/cold_server/tracker.rs
+++ b/crates/state/src/cold_server/tracker.rs
@@ -17,9 +17,8 @@
 const RETURN_TIME: Duration = Duration::from_secs(10);
 /// Longest remaining time that counts. A server states seconds.
 const MAX_LEFT: Duration = Duration::from_secs(600);
-/// Difference between two ends of one cold phase that is not logged or published: the
-/// server's statement may be that old when it is read.
-pub const END_TOLERANCE: Duration = Duration::from_millis(500);
+/// Difference between a stated end and the derived one that is not published.
+const END_TOLERANCE: Duration = Duration::from_millis(500);
 /// End of a cold phase whose begin is not known yet.
 const UNKNOWN_END: Time = Time(Duration::MAX);
 
@@ -172,6 +171,14 @@
         self.known.get(server).map(Known::cold_until).filter(|it| now < *it)
     }
 
+    /// Servers that state a later end than a gateway derives that saw their start, each
+    /// with the time until it is warm.
+    pub fn statements(&self, now: Time) -> Vec<(ServerIncarnation, Duration)> {
+        let is_news = |it: &Known| it.warm_at.max(now) + END_TOLERANCE < it.stated_until;
+        let stated = self.known.iter().filter(|(_, it)| is_news(it));
+        stated.map(|(server, it)| (server.clone(), it.stated_until.since(now))).collect()
+    }
+
     /// Number of servers that are cold and take requests.
     pub fn cold_count(&self, now: Time) -> usize {
         let is_cold = |it: &&Known| it.serving == Serving::Now && now < it.cold_until();
