--- a/crates/gateway/src/feed/cold_entries.rs
+++ b/crates/gateway/src/feed/cold_entries.rs
@@ -1,9 +1,12 @@
 //! Times until servers are warm, which are read and published beside the instance list:
 //! they change all the time, whereas the list must be equal on all gateways.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
-use citrongw_protocol::store::{Key, Snapshot};
+use citrongw_protocol::store::{Entry, Key, Snapshot};
 use citrongw_state::id::{Revision, ServerIncarnation};
 
 use super::RoutingState;
@@ -22,43 +25,43 @@
 /// Entries whose statements were read.
 #[derive(Debug, Default)]
 pub(super) struct ColdEntries {
-    /// Revision of each entry that states a time.
-    read: HashMap<Key, Revision>,
-    /// Whether the last read had a statement that was not read before.
+    /// Revision of each entry.
+    known: HashMap<Key, Revision>,
+    /// Statements that are not recorded yet.
+    stated: Vec<(ServerIncarnation, Duration)>,
+    /// Whether statements were recorded that are not published yet.
     has_news: bool,
 }
 
 impl ColdEntries {
-    /// Records the statements of entries that were written since the last read. The time
-    /// in an entry counts from its first read.
-    pub(super) fn record(
+    /// Reads the statement of an entry that was written since the last read. The time in
+    /// an entry counts from its first read.
+    pub(super) fn read(
         &mut self,
         routing: &RoutingState,
         codec: &dyn Codec,
-        snapshot: &Snapshot,
-        decoded: &[(InstanceEntry, Revision)],
+        entry: &Entry,
+        decoded: &InstanceEntry,
     ) {
-        let mut known = std::mem::take(&mut self.read);
-        let mut lefts: HashMap<Revision, Duration> = HashMap::new();
-        let mut stated: Vec<(ServerIncarnation, Duration)> = Vec::new();
-        for entry in &snapshot.entries {
-            let before = known.remove(&entry.key);
-            if before == Some(entry.revision) {
-                self.read.insert(entry.key.clone(), entry.revision);
-            } else if let Some(left) = codec.decode_cold_left(entry) {
-                self.read.insert(entry.key.clone(), entry.revision);
-                lefts.insert(entry.revision, left);
-            }
+        if !routing.cold.is_enabled() || self.known.get(&entry.key) == Some(&entry.revision) {
+            return;
         }
-        for (entry, revision) in decoded {
-            if let Some(left) = lefts.get(revision) {
-                let (instance, incarnation) = (entry.id.clone(), entry.incarnation);
-                stated.push((ServerIncarnation { instance, incarnation }, *left));
-            }
+        self.known.insert(entry.key.clone(), entry.revision);
+        if let Some(left) = codec.decode_cold_left(entry) {
+            let (instance, incarnation) = (decoded.id.clone(), decoded.incarnation);
+            self.stated.push((ServerIncarnation { instance, incarnation }, left));
+        }
+    }
+
+    /// Records the statements of a list that was read.
+    pub(super) fn record(&mut self, routing: &RoutingState, snapshot: &Snapshot) {
+        if self.known.len() > snapshot.entries.len() {
+            let listed: HashSet<&Key> = snapshot.entries.iter().map(|it| &it.key).collect();
+            self.known.retain(|key, _| listed.contains(key));
         }
-        self.has_news = !stated.is_empty();
-        if self.has_news {
-            routing.record_cold(stated.into_iter());
+        if !self.stated.is_empty() {
+            self.has_news = true;
+            routing.record_cold(std::mem::take(&mut self.stated).into_iter());
         }
     }
 
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -206,13 +206,12 @@
         let entries = snapshot.entries.iter().filter_map(|entry| {
             // An entry that cannot be decoded is left out.
             let decoded = self.adapter.codec.decode_instance(entry);
-            let decoded = decoded.inspect_err(|error| self.unreadable.add(entry, error));
-            Some((decoded.ok()?, entry.revision))
+            let decoded = decoded.inspect_err(|error| self.unreadable.add(entry, error)).ok()?;
+            self.cold_entries.read(&self.routing, &*self.adapter.codec, entry, &decoded);
+            Some((decoded, entry.revision))
         });
         let entries: Vec<_> = entries.collect();
-        if self.routing.cold.is_enabled() {
-            self.cold_entries.record(&self.routing, &*self.adapter.codec, snapshot, &entries);
-        }
+        self.cold_entries.record(&self.routing, snapshot);
         let prefix = self.adapter.codec.instances_prefix();
         self.unreadable
             .retain(&prefix, |key| snapshot.entries.iter().any(|entry| entry.key == *key));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,7 +28,7 @@
 
 use tokio::sync::Notify;
 
-use self::cold::ColdState;
+pub use self::cold::ColdState;
 use crate::{
     adapter::ServerLoad,
     announced_replicas::AnnouncedReplicas,
--- a/crates/gateway/src/fleet/cold.rs
+++ b/crates/gateway/src/fleet/cold.rs
@@ -23,7 +23,7 @@
 
 impl ColdState {
     /// Sets when the server is warm; none if it is now.
-    pub(crate) fn set(&self, limit: ColdLimit, until: Option<Time>) {
+    pub fn set(&self, limit: ColdLimit, until: Option<Time>) {
         *lock(&self.limit) = Some(limit);
         self.until_ms.store(until.map_or(0, millis), Ordering::Relaxed);
     }
@@ -34,13 +34,13 @@
     }
 
     /// Time until the server is warm; none if it is now.
-    pub(crate) fn left(&self, now: Time) -> Option<Duration> {
+    pub fn left(&self, now: Time) -> Option<Duration> {
         let left_ms = self.until_ms.load(Ordering::Relaxed).saturating_sub(millis(now));
         (left_ms != 0).then(|| Duration::from_millis(left_ms))
     }
 
     /// Limit while the server is cold, and the time until it is warm.
-    pub(crate) fn limit(&self, now: Time) -> Option<(ColdLimit, Duration)> {
+    pub fn limit(&self, now: Time) -> Option<(ColdLimit, Duration)> {
         let left = self.left(now)?;
         Some(((*lock(&self.limit))?, left))
     }
--- a/crates/state/src/cold_server.rs
+++ b/crates/state/src/cold_server.rs
@@ -18,7 +18,7 @@
 use crate::unit::RequestsPerSecond;
 
 /// Part of what a cold server tolerates that its granter grants.
-const GRANTER_PART: f64 = 0.75;
+const GRANTER_PART: f64 = 0.9;
 /// Part that a substitute grants while some gateways may still reach the granter.
 const SUBSTITUTE_PART: f64 = 0.2;
 /// Requests that the bound allows in a second for each that is granted on average. A
