--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -101,11 +101,16 @@
     RetryLimits { ratio, slack, window }
 }
 
-/// Reads the bounds for cold servers, which need both figures.
+/// Reads the bounds for cold servers, which need both figures. A template may have no
+/// figure for a key: its value is then empty, or still the placeholder.
 fn read_cold(reader: &mut Reader<'_>) -> Option<ColdBounds> {
+    let is_absent = |it: &str| it.is_empty() || it.starts_with("{{");
     let mut number = |key| {
-        let parse = |it: &str| it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it);
-        reader.optional("cold-servers", key, "a number from 0", parse)
+        let parse = |it: &str| match is_absent(it) {
+            true => Some(None),
+            false => it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it).map(Some),
+        };
+        reader.optional("cold-servers", key, "a number from 0", parse).flatten()
     };
     let (overage, slack) = (number("overage"), number("slack"));
     Some(ColdBounds { overage: overage?, slack: slack? })
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -41,3 +41,22 @@
     let sample = include_str!("../../../../../contrib/gateway.ini");
     assert_eq!(parse(sample).map(|_| ()), Ok(()));
 }
+
+/// Cold servers are limited only if a deployment states both figures; a template without
+/// them must not keep the gateway from starting.
+#[test]
+fn bounds_for_cold_servers_need_both_figures() {
+    let cold = |text: &str| {
+        let settings = parse(&format!("{SAMPLE}\n[cold-servers]\n{text}"));
+        settings.map(|it| it.cold)
+    };
+    assert_eq!(cold("overage = 1.5\nslack = 5"), Ok(Some(ColdBounds { overage: 1.5, slack: 5.0 })));
+    for text in
+        ["", "overage = 1.5", "slack = 5", "overage =\nslack = 5", "overage = {{a.b}}\nslack = 5"]
+    {
+        assert_eq!(cold(text), Ok(None), "{text}");
+    }
+    for text in ["overage = -1", "slack = much", "overage = inf"] {
+        assert!(cold(text).is_err(), "{text}");
+    }
+}
--- a/crates/gateway/src/feed/cold_entries.rs
+++ b/crates/gateway/src/feed/cold_entries.rs
@@ -84,3 +84,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -144,7 +144,9 @@
                 server.stats.deny_until(until);
             }
         }
-        self.choose(gateway, call)
+        // A server may have become cold meanwhile.
+        let choice = self.choose(gateway, call);
+        choice.filter(|it| !gateway.limits.is_limited(&it.best.server))
     }
 
     /// Chooses a gateway to relay the request through, if no server is in reach.
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -94,7 +94,8 @@
     InstancesView { read_at: Time::START, instances: known.collect() }
 }
 
-/// Codec of instance entries whose value is the instance's id.
+/// Codec of instance entries whose value is the instance's id, and after a blank the time
+/// until it is warm, in milliseconds.
 #[derive(Debug)]
 pub(crate) struct StubCodec;
 
@@ -117,7 +118,15 @@
     }
 
     fn decode_instance(&self, read: &Entry) -> Result<InstanceEntry, CodecError> {
-        Ok(entry(&String::from_utf8_lossy(&read.value), "engine"))
+        let text = String::from_utf8_lossy(&read.value);
+        let id = text.split_once(' ').map_or(&*text, |(id, _)| id);
+        Ok(entry(id, "engine"))
+    }
+
+    fn decode_cold_left(&self, read: &Entry) -> Option<Duration> {
+        let text = String::from_utf8_lossy(&read.value);
+        let left_ms = text.split_once(' ')?.1.parse().ok()?;
+        Some(Duration::from_millis(left_ms))
     }
 
     fn decode_request(&self, _: &HeaderMap) -> RequestMeta {
