Describe cold servers, and bound the wait for their permits

Granters of a whole zone may be silent at once; a request that asked four of them in turn would have waited for 0.4 s. After 0.1 s it now asks for no further permit of a cold server. The choice with a permit is in a file of its own.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 //! epoch.
 
 mod cold;
+mod iter;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -356,12 +357,6 @@
         pool.replicas.entry(open.model.clone()).or_default().push(backend);
     }
 
-    /// Statistics of the backend servers of a replica.
-    pub fn replica_stats(&self, key: &ReplicaKey) -> impl Iterator<Item = &Arc<BackendStats>> {
-        let of_replica = self.stats.iter().filter(|((_, _, it), _)| it.as_ref() == Some(key));
-        of_replica.map(|(_, stats)| stats)
-    }
-
     fn backend(
         &mut self,
         old: &Self,
--- a/crates/gateway/src/fleet/cold.rs
+++ b/crates/gateway/src/fleet/cold.rs
@@ -2,15 +2,15 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
+        Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use citrongw_state::{cold_server::ColdLimit, id::PlainServiceId, time::Time};
+use citrongw_state::{cold_server::ColdLimit, time::Time};
 
-use super::{Backend, Fleet, millis};
+use super::millis;
 use crate::lock::lock;
 
 /// Whether a backend server is cold, read for each choice.
@@ -50,13 +50,3 @@
         self.until_ms.load(Ordering::Relaxed) == u64::MAX
     }
 }
-
-impl Fleet {
-    /// Servers of all services.
-    pub(crate) fn servers(&self) -> impl Iterator<Item = (&PlainServiceId, &Arc<Backend>)> {
-        self.pools.iter().flat_map(|(service, pool)| {
-            let servers = pool.servers.iter().chain(pool.replicas.values().flatten());
-            servers.map(move |it| (service, it))
-        })
-    }
-}
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -1,5 +1,7 @@
 //! Attempts of one request: choice of the next server, and decisions on retries.
 
+mod permitted;
+
 use std::{sync::Arc, time::Duration};
 
 use citrongw_protocol::code::ResultCode;
@@ -7,7 +9,6 @@
     crash_suspicion::shared_parts::QUARANTINE_TIME,
     id::InstanceId,
     retry::{self, AttemptProgress, FailedAttempt},
-    server_limit::permits::Permit,
 };
 use tokio::time::{sleep, timeout_at};
 
@@ -37,11 +38,6 @@
 const LIMITED_SPREAD: f64 = 1.0;
 /// Largest random extension of the time to the end of a pause, as a part of it.
 const PAUSE_SPREAD: f64 = 0.1;
-/// Permits that are requested one after the other for one attempt.
-const MAX_PERMIT_REQUESTS: usize = 4;
-/// Time for which all servers with limits count as denied after that many.
-const DENIAL_TIME: Duration = Duration::from_millis(50);
-
 /// Servers of a request that no connection could be made to before it is relayed.
 const MAX_UNREACHED: u32 = 2;
 
@@ -128,27 +124,6 @@
         Ok(server)
     }
 
-    /// Chooses a server that has no limit, or that the attempt has a permit for.
-    async fn choose_permitted(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
-        for _ in 0..MAX_PERMIT_REQUESTS {
-            let choice = self.choose(gateway, call)?;
-            let server = &choice.best.server;
-            match gateway.limits.acquire(server).await {
-                Permit::Granted => return Some(choice),
-                Permit::Denied { wait } => server.stats.deny_until(gateway.clock.now() + wait),
-            }
-        }
-        let until = gateway.clock.now() + DENIAL_TIME;
-        for server in call.servers(&gateway.routing.fleet.load()) {
-            if gateway.limits.is_limited(server) {
-                server.stats.deny_until(until);
-            }
-        }
-        // A server may have become cold meanwhile.
-        let choice = self.choose(gateway, call);
-        choice.filter(|it| !gateway.limits.is_limited(&it.best.server))
-    }
-
     /// Chooses a gateway to relay the request through, if no server is in reach.
     fn choose_relay(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         let max_declined = match gateway.links.is_cut() {
