Grant few permits for cold servers while the list of gateways changes

Gateways read a change of their list up to a second apart. When a zone returns with its gateways, the granters of its servers move there, and the former and the new granter would both have granted nine tenths of what a cold server tolerates: by their rates up to 51 requests in one second, of 44 allowed. A gateway now grants a fifth until it has been the first granter in all lists of the last 1.5 s.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -189,6 +189,7 @@
     tasks.push(tokio::spawn(server_limits::expire(Arc::clone(&gateway.limits))));
     if gateway.routing.cold.is_enabled() {
         tasks.push(tokio::spawn(cold_watch::log_changes(Arc::clone(&gateway.routing))));
+        tasks.push(tokio::spawn(server_limits::follow_cluster(Arc::clone(&gateway.limits))));
     }
     tasks.push(links::spawn(&gateway.links));
     tasks.push(metered_store::spawn_report(store_calls));
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -8,6 +8,7 @@
 
 mod cold;
 mod pending;
+mod recent_views;
 
 use std::{
     collections::HashMap,
@@ -44,6 +45,9 @@
 
 /// Interval between removals of old entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval between checks of the list of gateways, well below the time in which they
+/// read a change.
+const CLUSTER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which the bucket of a server that no request was made for is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_secs(60);
 /// Timeout of a request for a permit: far above a round trip within a region, and far
@@ -78,6 +82,14 @@
     }
 }
 
+/// Follows the list of gateways; never returns.
+pub(crate) async fn follow_cluster(limits: Arc<ServerLimits>) {
+    loop {
+        limits.record_cluster();
+        sleep(CLUSTER_CHECK_INTERVAL).await;
+    }
+}
+
 /// Drops old entries; never returns.
 pub(crate) async fn expire(limits: Arc<ServerLimits>) {
     loop {
--- a/crates/gateway/src/server_limits/cold.rs
+++ b/crates/gateway/src/server_limits/cold.rs
@@ -10,7 +10,7 @@
         ColdLimit,
         permits::{self as cold_permits, ColdGranter, ColdShare, MAX_ASKED},
     },
-    id::{NodeId, ServerIncarnation},
+    id::{AvailabilityZone, NodeId, ServerIncarnation},
     server_limit::{
         granters::SilentGateways,
         permits::{self, Permit, PermitBucket, PermitRequestId},
@@ -19,7 +19,9 @@
 };
 use tokio::time::timeout;
 
-use super::{BUCKET_RETENTION, PERMIT_TIMEOUT, ServerLimits, choose_granters};
+use super::{
+    BUCKET_RETENTION, PERMIT_TIMEOUT, ServerLimits, choose_granters, recent_views::RecentViews,
+};
 use crate::{
     cold_watch::ColdMetrics,
     fleet::Backend,
@@ -35,6 +37,7 @@
     /// Gateways that did not reply to requests for these permits. Those of former builds
     /// never do.
     silent: Mutex<SilentGateways>,
+    views: Mutex<RecentViews>,
     metrics: ColdMetrics,
 }
 
@@ -96,10 +99,10 @@
         let server = backend.server();
         let cluster = self.peers.cluster();
         let granters = choose_granters(&server, &backend.zone, &cluster);
-        for (position, node) in granters.in_order().take(MAX_ASKED).enumerate() {
+        for node in granters.in_order().take(MAX_ASKED) {
             if node == self.peers.node() {
-                let now = self.clock.now();
-                let permit = self.cold.grant(&server, None, limit, granter_at(position), now);
+                let granter = self.cold_granter(&server, &backend.zone);
+                let permit = self.cold.grant(&server, None, limit, granter, self.clock.now());
                 return ("granter", permit);
             }
             if lock(&self.cold.silent).is_silent(node, self.clock.now()) {
@@ -121,6 +124,21 @@
         ("share", self.cold.take_share(&server, limit, gateways, self.clock.now()))
     }
 
+    /// Records the list of gateways.
+    pub(super) fn record_cluster(&self) {
+        lock(&self.cold.views).record(&self.peers.cluster(), self.clock.now());
+    }
+
+    /// Part that this gateway grants of a server's limit. One that others still take for
+    /// the granter, or only some yet, grants no more than a substitute.
+    fn cold_granter(&self, server: &ServerIncarnation, zone: &AvailabilityZone) -> ColdGranter {
+        self.record_cluster();
+        match lock(&self.cold.views).is_granter(self.peers.node(), server, zone) {
+            true => ColdGranter::Granter,
+            false => ColdGranter::Substitute,
+        }
+    }
+
     fn record_cold_timeout(&self, node: NodeId) {
         if lock(&self.cold.silent).record_timeout(node, self.clock.now()) {
             tracing::info!(%node, "granter of permits for cold servers does not respond");
@@ -130,21 +148,14 @@
     /// Decides on another gateway's request for a permit, and replies.
     pub(crate) fn apply_cold_request(self: &Arc<Self>, from: NodeId, request: ColdPermitRequest) {
         let ColdPermitRequest { id, server, zone, limit } = request;
-        let granters = choose_granters(&server, &zone, &self.peers.cluster());
-        let position = usize::from(granters.granter() != Some(self.peers.node()));
+        let granter = self.cold_granter(&server, &zone);
         let request = PermitRequestId { from, number: id };
-        let now = self.clock.now();
-        let permit = self.cold.grant(&server, Some(request), limit, granter_at(position), now);
+        let permit = self.cold.grant(&server, Some(request), limit, granter, self.clock.now());
         let reply = PeerMessage::PermitReply(PermitReply { id, server, permit, statement: None });
         let limits = Arc::clone(self);
         tokio::spawn(async move { limits.peers.send_to_gateway(from, &reply).await });
     }
 }
 
-/// Part of the gateway at this position of a server's granters.
-fn granter_at(position: usize) -> ColdGranter {
-    if position == 0 { ColdGranter::Granter } else { ColdGranter::Substitute }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/server_limits/cold/tests.rs
+++ b/crates/gateway/src/server_limits/cold/tests.rs
@@ -33,6 +33,8 @@
 #[tokio::test(start_paused = true)]
 async fn lone_gateway_grants_what_a_cold_server_tolerates_until_it_is_warm() {
     let limits = open_listed(&[SELF]);
+    limits.record_cluster();
+    sleep(Duration::from_secs(2)).await;
     let backend = backend();
     set_cold(&limits, &backend, Duration::from_secs(2));
     for _ in 0..2 {
@@ -42,6 +44,20 @@
     assert_eq!(granted_in_1s(&limits, &backend).await, 500, "the server is warm");
 }
 
+/// Until all gateways have read a change of their list, some ask another granter.
+#[tokio::test(start_paused = true)]
+async fn gateway_that_has_just_become_the_granter_grants_the_part_of_a_substitute() {
+    let limits = open_listed(&[SELF]);
+    limits.record_cluster();
+    let backend = backend();
+    set_cold(&limits, &backend, Duration::from_secs(10));
+    let granted = granted_in_1s(&limits, &backend).await;
+    assert!((4..=6).contains(&granted), "{granted}");
+    sleep(Duration::from_secs(1)).await;
+    let granted = granted_in_1s(&limits, &backend).await;
+    assert!((18..=26).contains(&granted), "{granted}");
+}
+
 /// A request must not wait for each of the granters in turn.
 #[tokio::test(start_paused = true)]
 async fn request_waits_for_two_silent_granters_at_most() {
