--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -284,6 +284,7 @@
         for host in hosts.values_mut() {
             host.leaving |= departures.contains(&host.id, host.incarnation);
         }
+        gateway.routing.cold.mark_hosts(hosts.values_mut());
         self.poll_due(&hosts, now);
         let config = StepConfig { engine, stall_time: gateway.settings.stall_time };
         let Some((plan, revision)) = &self.plan else { return Ok(()) };
--- a/crates/gateway/src/feed/instances.rs
+++ b/crates/gateway/src/feed/instances.rs
@@ -14,7 +14,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::{ListMessage, RoutingState, unreadable::UnreadableRecords};
+use super::{ListMessage, RoutingState, cold_entries::ColdEntries, unreadable::UnreadableRecords};
 use crate::{
     adapter::Adapter,
     instance_table::{InstanceTable, InstancesView},
@@ -75,6 +75,7 @@
     is_store_reachable: bool,
     source: ListSource,
     unreadable: UnreadableRecords,
+    cold_entries: ColdEntries,
 }
 
 /// Creates the feed.
@@ -98,6 +99,7 @@
         is_store_reachable: true,
         source: ListSource::Alone,
         unreadable,
+        cold_entries: ColdEntries::default(),
     }
 }
 
@@ -140,6 +142,7 @@
             let before = self.table.view().clone();
             if self.read().await {
                 self.publish_changes(&before).await;
+                self.cold_entries.publish(&self.routing, &self.peers).await;
             }
             return;
         }
@@ -203,10 +206,12 @@
         let entries = snapshot.entries.iter().filter_map(|entry| {
             // An entry that cannot be decoded is left out.
             let decoded = self.adapter.codec.decode_instance(entry);
-            let decoded = decoded.inspect_err(|error| self.unreadable.add(entry, error));
-            Some((decoded.ok()?, entry.revision))
+            let decoded = decoded.inspect_err(|error| self.unreadable.add(entry, error)).ok()?;
+            self.cold_entries.read(&self.routing, &*self.adapter.codec, entry, &decoded);
+            Some((decoded, entry.revision))
         });
         let entries: Vec<_> = entries.collect();
+        self.cold_entries.record(&self.routing, snapshot);
         let prefix = self.adapter.codec.instances_prefix();
         self.unreadable
             .retain(&prefix, |key| snapshot.entries.iter().any(|entry| entry.key == *key));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,9 @@
 //! member is open and every other member is listed under the same replica and
 //! epoch.
 
+mod cold;
+mod iter;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -26,6 +29,7 @@
 
 use tokio::sync::Notify;
 
+pub use self::cold::ColdState;
 use crate::{
     adapter::ServerLoad,
     announced_replicas::AnnouncedReplicas,
@@ -64,6 +68,8 @@
     last_received_ms: AtomicU64,
     suspect_until_ms: AtomicU64,
     denied_until_ms: AtomicU64,
+    /// Whether the server is cold.
+    pub cold: ColdState,
     is_down: AtomicBool,
     marked_down: Notify,
 }
@@ -351,12 +357,6 @@
         pool.replicas.entry(open.model.clone()).or_default().push(backend);
     }
 
-    /// Statistics of the backend servers of a replica.
-    pub fn replica_stats(&self, key: &ReplicaKey) -> impl Iterator<Item = &Arc<BackendStats>> {
-        let of_replica = self.stats.iter().filter(|((_, _, it), _)| it.as_ref() == Some(key));
-        of_replica.map(|(_, stats)| stats)
-    }
-
     fn backend(
         &mut self,
         old: &Self,
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -6,7 +6,9 @@
 //! The exchange is two datagrams; while the granter is silent, a substitute grants a
 //! part of the limit, and a gateway that reaches neither uses its even share.
 
+mod cold;
 mod pending;
+mod recent_views;
 
 use std::{
     collections::HashMap,
@@ -30,8 +32,9 @@
 };
 use tokio::time::{sleep, timeout};
 
-use self::pending::PendingPermits;
+use self::{cold::ColdPermits, pending::PendingPermits};
 use crate::{
+    cold_watch::ColdMetrics,
     fleet::Backend,
     lock::lock,
     peers::{
@@ -42,6 +45,9 @@
 
 /// Interval between removals of old entries.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval between checks of the list of gateways, well below the time in which they
+/// read a change.
+const CLUSTER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which the bucket of a server that no request was made for is dropped.
 const BUCKET_RETENTION: Duration = Duration::from_secs(60);
 /// Timeout of a request for a permit: far above a round trip within a region, and far
@@ -59,10 +65,11 @@
     buckets: Mutex<HashMap<ServerIncarnation, PermitBucket>>,
     silent: Mutex<SilentGateways>,
     pending: PendingPermits,
+    cold: ColdPermits,
 }
 
 /// Creates an empty set of limits.
-pub(crate) fn open(peers: &Arc<Peers>, clock: Clock) -> ServerLimits {
+pub(crate) fn open(peers: &Arc<Peers>, metrics: ColdMetrics, clock: Clock) -> ServerLimits {
     ServerLimits {
         peers: Arc::clone(peers),
         clock,
@@ -71,6 +78,15 @@
         buckets: Mutex::default(),
         silent: Mutex::default(),
         pending: PendingPermits::default(),
+        cold: ColdPermits::new(metrics),
+    }
+}
+
+/// Follows the list of gateways; never returns.
+pub(crate) async fn follow_cluster(limits: Arc<ServerLimits>) {
+    loop {
+        limits.record_cluster();
+        sleep(CLUSTER_CHECK_INTERVAL).await;
     }
 }
 
@@ -82,13 +98,22 @@
         limits.change(|it| it.expire(now));
         lock(&limits.buckets).retain(|_, it| now.since(it.updated_at()) < BUCKET_RETENTION);
         lock(&limits.silent).expire(now);
+        limits.cold.expire(now);
     }
 }
 
 impl ServerLimits {
-    /// Requests a permit for one attempt at a server. A server without a limit needs
-    /// none.
+    /// Requests a permit for one attempt at a server. A server that is warm and has no
+    /// limit needs none.
     pub(crate) async fn acquire(&self, backend: &Backend) -> Permit {
+        match self.acquire_cold(backend).await {
+            Permit::Granted => self.acquire_limited(backend).await,
+            denied => denied,
+        }
+    }
+
+    /// Requests a permit for one attempt at a server that states a limit.
+    async fn acquire_limited(&self, backend: &Backend) -> Permit {
         let Some(statement) = self.limit_of(backend) else { return Permit::Granted };
         let server = backend.server();
         let cluster = self.peers.cluster();
@@ -117,7 +142,7 @@
 
     /// Whether attempts at a server need a permit.
     pub(crate) fn is_limited(&self, backend: &Backend) -> bool {
-        self.limit_of(backend).is_some()
+        self.limit_of(backend).is_some() || backend.stats.cold.left(self.clock.now()).is_some()
     }
 
     /// Statement of a server that has a limit.
