Evacuate availability zones and keep requests in their home regions

Nothing read the operators' request to evacuate a zone, and requests reached servers in every region.

Each gateway keeps the set of evacuated zones with the revision of the key-value service at which it was read. The list reader reads it at the interval of the instance list and publishes each read; a substitute in each zone and then each gateway read for themselves when it is silent. A gateway whose own read has news tells all others directly, and a gateway that the service refuses asks others, also when it is not listed any more. No gateway serves before it has a set that was read after its start. The choice of a server leaves out evacuated zones and servers outside the home regions of the route and the organisation; owners give no orders in an evacuated zone.

--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
-use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
+use citrongw_state::{
+    home::ZoneRegions,
+    id::{AvailabilityZone, Region},
+    retry::window::RetryLimits,
+};
 
 use super::reader::{self, Fault, Reader};
 use crate::error::Result;
@@ -14,6 +18,10 @@
     pub name: String,
     /// Availability zone of the gateway.
     pub zone: AvailabilityZone,
+    /// Region of the gateway, if it is known.
+    pub region: Option<Region>,
+    /// Region of each zone.
+    pub zone_regions: ZoneRegions,
     /// Listen address for callers.
     pub caller_addr: SocketAddr,
     /// Listen address for the load balancer's readiness checks.
@@ -61,9 +69,15 @@
 
 fn read(reader: &mut Reader<'_>) -> Settings {
     let stall = reader.positive_duration("control", "stall-time", Duration::from_secs(6));
+    let zone_regions = read_zone_regions(reader);
+    let zone = reader.name("node", "zone").into();
+    let region = reader.text("node", "region", "");
+    let region = Some(region.trim()).filter(|it| !it.is_empty()).map(Region::from);
     Settings {
         name: reader.name("node", "name"),
-        zone: reader.name("node", "zone").into(),
+        region: region.or_else(|| zone_regions.region_of(&zone).cloned()),
+        zone_regions,
+        zone,
         caller_addr: reader.addr("node", "caller-addr"),
         ready_addr: reader.addr("node", "ready-addr"),
         peer_addr: reader.addr("node", "peer-addr"),
@@ -79,6 +93,12 @@
     }
 }
 
+fn read_zone_regions(reader: &mut Reader<'_>) -> ZoneRegions {
+    let allowed = "zone=region pairs with commas between them";
+    let read = reader.optional("node", "zone-regions", allowed, |it| it.parse().ok());
+    read.unwrap_or_default()
+}
+
 /// Default ratio of retries to requests: one in ten, the same as in the node's own
 /// retry budget.
 const DEFAULT_RATIO: f64 = 0.1;
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -41,3 +41,21 @@
     let sample = include_str!("../../../../../contrib/gateway.ini");
     assert_eq!(parse(sample).map(|_| ()), Ok(()));
 }
+
+/// Guards against a gateway that does not start without regions, and against one that
+/// takes another region for its own.
+#[test]
+fn regions_are_optional() {
+    let with = |lines: &str| parse(&SAMPLE.replace("zone = a\n", lines));
+    let settings = with("zone = zone-a\n").unwrap();
+    assert_eq!((settings.region, settings.zone_regions), (None, Default::default()));
+    let map = "zone-regions = {\"zone-a\": \"north\", \"zone-b\": \"south\"}\n";
+    let settings = with(&format!("zone = zone-a\n{map}")).unwrap();
+    assert_eq!(settings.region, Some("north".into()), "from the map");
+    assert_eq!(settings.zone_regions.region_of(&"zone-b".into()), Some(&"south".into()));
+    let settings = with(&format!("zone = zone-a\nregion = south\n{map}")).unwrap();
+    assert_eq!(settings.region, Some("south".into()));
+    let settings = with("zone = zone-a\nregion =\nzone-regions =\n").unwrap();
+    assert_eq!(settings.region, None);
+    assert!(with("zone = zone-a\nzone-regions = north\n").is_err());
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,7 +5,7 @@
 
 use citrongw_protocol::store::{Entry, Key, Store};
 use citrongw_state::{
-    id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
+    id::{AvailabilityZone, Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
     server_limit::StatedLimit,
     server_pause::StatedPause,
 };
@@ -104,6 +104,12 @@
     /// Decodes an instance entry.
     fn decode_instance(&self, entry: &Entry) -> Result<InstanceEntry, CodecError>;
 
+    /// Prefix of the keys that put availability zones under evacuation.
+    fn evacuations_prefix(&self) -> Key;
+
+    /// Decodes the zone that a key below that prefix puts under evacuation.
+    fn decode_evacuation(&self, key: &Key) -> Result<AvailabilityZone, CodecError>;
+
     /// Decodes the headers of a caller's request.
     fn decode_request(&self, headers: &HeaderMap) -> RequestMeta;
 
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -54,6 +54,8 @@
             | PeerMessage::PermitReply(_)
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
+            | PeerMessage::Evacuations(_)
+            | PeerMessage::EvacuationsRequest { .. }
             | PeerMessage::ZoneLoad { .. } => false,
         }
     }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -18,6 +18,8 @@
 
 use citrongw_state::{
     breaker::BreakerState,
+    evacuation::EvacuatedZones,
+    home::Homes,
     id::{AvailabilityZone, InstanceId},
     server_pause::ServerPauses,
     time::Time,
@@ -45,6 +47,10 @@
     pub pauses: &'a ServerPauses,
     /// Requests in flight that the other nodes reported.
     pub peer_loads: &'a PeerLoads,
+    /// Zones whose servers get no requests.
+    pub evacuated: &'a EvacuatedZones,
+    /// Regions to which the request is confined; none if it may reach all.
+    pub homes: Option<Homes<'a>>,
     /// Current time of the node's clock.
     pub now: Time,
 }
@@ -159,6 +165,12 @@
     /// The request was sent there before.
     #[display("tried")]
     Tried,
+    /// The zone of the server is under evacuation.
+    #[display("evacuated")]
+    Evacuated,
+    /// The server is outside the home regions of the request.
+    #[display("outside home")]
+    OutsideHome,
     /// The server asked this node for a pause.
     #[display("pausing")]
     Pausing,
@@ -178,6 +190,11 @@
     pub fn is_out_of_reach(self) -> bool {
         matches!(self, Self::Suspected | Self::BreakerOpen)
     }
+
+    /// Whether operators keep the request from the server, whatever its state.
+    pub fn is_by_operators(self) -> bool {
+        matches!(self, Self::Evacuated | Self::OutsideHome)
+    }
 }
 
 /// Decides whether a server may be sent a request now. All attempts of all requests
@@ -186,6 +203,12 @@
     if criteria.tried.contains(&server.id) {
         return Some(Exclusion::Tried);
     }
+    if criteria.evacuated.contains(&server.zone) {
+        return Some(Exclusion::Evacuated);
+    }
+    if criteria.homes.is_some_and(|it| !it.allows(&server.zone)) {
+        return Some(Exclusion::OutsideHome);
+    }
     if criteria.pauses.left(&server.id, server.incarnation, criteria.now).is_some() {
         return Some(Exclusion::Pausing);
     }
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -1,6 +1,9 @@
 use std::{net::SocketAddr, time::Duration};
 
-use citrongw_state::id::{Epoch, ReplicaId};
+use citrongw_state::{
+    home::ZoneRegions,
+    id::{Epoch, Region, ReplicaId, Revision},
+};
 
 use super::*;
 use crate::{
@@ -33,6 +36,8 @@
         tried,
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         now: Time::START,
     };
     choose(servers, &criteria, || 0.0).map(|it| it.best.server.id.to_string())
@@ -77,6 +82,8 @@
         tried: &[],
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         now: Time::START,
     };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
@@ -94,6 +101,8 @@
         tried: &[],
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         now: Time::from_millis(150),
     };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
@@ -133,6 +142,8 @@
             tried: &[],
             pauses: &pauses,
             peer_loads: &peer_loads,
+            evacuated: &EvacuatedZones::default(),
+            homes: None,
             now,
         };
         exclusion(&server, &criteria)
@@ -144,3 +155,55 @@
     assert_eq!(excluded(1_999), Some(Exclusion::Pausing));
     assert_eq!(excluded(2_000), None);
 }
+
+/// Guards against requests that reach servers in zones under evacuation, and against
+/// relaying them because these servers count as unreachable.
+#[test]
+fn servers_of_an_evacuated_zone_are_not_chosen() {
+    let servers = [server("x", "b", 0), server("y", "a", 9)];
+    servers[0].stats.suspect_until(Time::from_millis(9_000));
+    let evacuated = EvacuatedZones {
+        revision: Revision::new(1),
+        zones: ["b"].map(AvailabilityZone::from).into(),
+    };
+    let zone = "a".into();
+    let criteria = ChoiceCriteria {
+        zone: &zone,
+        tried: &[],
+        pauses: &ServerPauses::default(),
+        peer_loads: &PeerLoads::default(),
+        evacuated: &evacuated,
+        homes: None,
+        now: Time::START,
+    };
+    let chosen =
+        |servers: &[_]| choose(servers, &criteria, || 0.0).map(|it| it.best.server.id.to_string());
+    assert_eq!(chosen(&servers).as_deref(), Some("y"));
+    assert_eq!(chosen(&servers[..1]), None);
+    let why = exclusion(&servers[0], &criteria).unwrap();
+    assert_eq!(why, Exclusion::Evacuated);
+    assert!(!why.is_out_of_reach());
+    assert_eq!(exclusions(&servers, &criteria), "evacuated 1");
+}
+
+/// Guards against requests that leave the home regions of their route.
+#[test]
+fn servers_outside_the_home_regions_are_not_chosen() {
+    let servers = [server("x", "b", 0), server("y", "a", 9)];
+    let (regions, route): (ZoneRegions, _) =
+        ("a=north,b=south".parse().unwrap(), [Region::from("north")]);
+    let zone = "b".into();
+    let criteria = ChoiceCriteria {
+        zone: &zone,
+        tried: &[],
+        pauses: &ServerPauses::default(),
+        peer_loads: &PeerLoads::default(),
+        evacuated: &EvacuatedZones::default(),
+        homes: Some(Homes { regions: &regions, route: &route, organisation: &[] }),
+        now: Time::START,
+    };
+    let choice = choose(&servers, &criteria, || 0.0).unwrap();
+    assert_eq!(choice.best.server.id.as_str(), "y");
+    assert!(choice.runner_up.is_none());
+    assert_eq!(exclusions(&servers, &criteria), "outside home 1");
+}
--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -1,13 +1,17 @@
 //! Task that controls one domain while this node owns it.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use citrongw_protocol::store::{
     Change, Expected, LeaseId, StoreError, StoreResult, Write, WriteResult,
 };
 use citrongw_state::{
-    id::{AttemptId, Epoch, Incarnation, InstanceId, ReplicaId, Revision},
+    id::{AttemptId, AvailabilityZone, Epoch, Incarnation, InstanceId, ReplicaId, Revision},
     time::Time,
 };
 use tokio::{
@@ -89,6 +93,10 @@
     suspects_rx: mpsc::Receiver<ReplicaEpoch>,
     /// Replicas that take requests, as last published to the other gateways.
     published_up: HashSet<ReplicaEpoch>,
+    /// Zones of the domain's instances, as last listed.
+    zones: BTreeSet<AvailabilityZone>,
+    /// Whether the domain is in a zone under evacuation.
+    is_evacuated: bool,
 }
 
 impl DomainController {
@@ -115,6 +123,8 @@
             tasks: JoinSet::new(),
             suspects_rx,
             published_up: HashSet::new(),
+            zones: BTreeSet::new(),
+            is_evacuated: false,
         }
     }
 
@@ -281,7 +291,12 @@
         let plan = self.plan.as_ref().map(|(plan, _)| plan);
         let hosts = self.reports.hosts(&gateway.routing.instances.load(), &self.domain, plan);
         self.poll_due(&hosts, now);
-        let config = StepConfig { engine, stall_time: gateway.settings.stall_time };
+        self.update_evacuated();
+        let config = StepConfig {
+            engine,
+            stall_time: gateway.settings.stall_time,
+            is_evacuated: self.is_evacuated,
+        };
         let Some((plan, revision)) = &self.plan else { return Ok(()) };
         let new_replica_id = || ReplicaId(rand::random::<u32>().into());
         let next =
@@ -300,6 +315,35 @@
         Ok(())
     }
 
+    /// Determines whether any instance of the domain is in a zone under evacuation. A
+    /// domain of which none is listed any more is in the zones where it was.
+    fn update_evacuated(&mut self) {
+        let listed = self.gateway.routing.instances.load();
+        let entries = listed.instances.values().map(|it| &it.entry);
+        let zones: BTreeSet<AvailabilityZone> = entries
+            .filter(|it| it.domain.as_ref() == Some(&self.domain.domain))
+            .filter(|it| it.service == self.domain.service)
+            .map(|it| it.zone.clone())
+            .collect();
+        if !zones.is_empty() {
+            self.zones = zones;
+        }
+        let evacuated = self.gateway.routing.evacuations.zones();
+        let is_evacuated = self.zones.iter().any(|it| evacuated.contains(it));
+        if is_evacuated != self.is_evacuated {
+            self.is_evacuated = is_evacuated;
+            let revision = evacuated.revision.number;
+            match is_evacuated {
+                true => {
+                    tracing::info!(domain = %self.domain, revision, "control of an evacuated domain is suspended");
+                }
+                false => {
+                    tracing::info!(domain = %self.domain, revision, "control of a domain continues")
+                }
+            }
+        }
+    }
+
     /// Polls the members of a suspected replica at once. True if at least one
     /// poll is due.
     fn handle_suspect(&mut self, (replica, epoch): ReplicaEpoch) -> bool {
--- a/crates/gateway/src/control/step.rs
+++ b/crates/gateway/src/control/step.rs
@@ -53,6 +53,9 @@
     pub engine: &'a EngineSpec,
     /// Time after which a replica that lost a member breaks without an order.
     pub stall_time: Duration,
+    /// Whether the domain is in a zone under evacuation. Its replicas and spares stay as
+    /// they are then, so that it returns without loading weights.
+    pub is_evacuated: bool,
 }
 
 /// Returns the next plan, or none if the plan does not change.
@@ -65,6 +68,10 @@
     mut new_replica_id: impl FnMut() -> ReplicaId,
 ) -> Option<DomainPlan> {
     control_state.update_hosts(hosts, now);
+    if config.is_evacuated {
+        control_state.suspend_repairs();
+        return None;
+    }
     let mut next = plan.clone();
     if next.layout.is_empty() {
         next.layout = layout::layout(&config.engine.models, hosts.len());
--- a/crates/gateway/src/control/step/control_state.rs
+++ b/crates/gateway/src/control/step/control_state.rs
@@ -178,6 +178,13 @@
         self.known = known;
     }
 
+    /// Begins repairs anew once the domain is controlled again: spares and the requests of
+    /// closing replicas get their full time then.
+    pub(super) fn suspend_repairs(&mut self) {
+        self.incomplete_since.clear();
+        self.closing_since.clear();
+    }
+
     /// Whether no instance was added within the settle time.
     pub(super) fn is_settled(&self, now: Time) -> bool {
         self.last_added_at.is_some_and(|at| SETTLE_TIME <= now.since(at))
--- a/crates/gateway/src/control/step/orders.rs
+++ b/crates/gateway/src/control/step/orders.rs
@@ -36,6 +36,9 @@
     now: Time,
 ) -> Vec<(InstanceId, SocketAddr, Order)> {
     control_state.expire_sent(now);
+    if config.is_evacuated {
+        return Vec::new();
+    }
     let mut due = Vec::new();
     for replica in &plan.replicas {
         match choose_repair(plan, replica, hosts, control_state) {
--- a/crates/gateway/src/control/step/tests.rs
+++ b/crates/gateway/src/control/step/tests.rs
@@ -1,4 +1,5 @@
 mod epochs;
+mod evacuation;
 mod staging;
 mod test_domain;
 
@@ -224,7 +225,7 @@
 #[test]
 fn loads_are_rate_limited() {
     let mut domain = open(7);
-    let config = StepConfig { engine: &domain.engine, stall_time: STALL };
+    let config = StepConfig { engine: &domain.engine, stall_time: STALL, is_evacuated: false };
     let new_replica_id = || ReplicaId(1);
     let plan = next_plan(
         &domain.plan,
--- a/crates/gateway/src/control/step/tests/test_domain.rs
+++ b/crates/gateway/src/control/step/tests/test_domain.rs
@@ -19,6 +19,8 @@
     /// Whether requests have arrived, so that loads take their full time and are
     /// limited.
     pub(super) has_traffic: bool,
+    /// Whether the zone of the domain is under evacuation.
+    pub(super) is_evacuated: bool,
     /// Loads in progress, and when each is done.
     staging: Vec<(InstanceId, ModelId, Time)>,
     /// Loads that belong to a join, which the next join ends.
@@ -41,6 +43,7 @@
         now: Time::START,
         next_replica: 1,
         has_traffic: false,
+        is_evacuated: false,
         staging: Vec::new(),
         joining: Vec::new(),
         sent: Vec::new(),
@@ -72,7 +75,8 @@
 
     pub(super) fn step(&mut self) {
         self.end_loads();
-        let config = StepConfig { engine: &self.engine, stall_time: STALL };
+        let config =
+            StepConfig { engine: &self.engine, stall_time: STALL, is_evacuated: self.is_evacuated };
         let next_replica = &mut self.next_replica;
         let new_replica_id = || {
             *next_replica += 1;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,6 +3,7 @@
 //! gateways.
 
 mod config;
+mod evacuations;
 mod instances;
 mod unreadable;
 
@@ -26,6 +27,8 @@
     task::JoinHandle,
 };
 
+pub use self::evacuations::KnownEvacuations;
+pub(crate) use self::evacuations::spawn as spawn_evacuations;
 use self::unreadable::UnreadableRecords;
 use crate::{
     adapter::Adapter,
@@ -66,6 +69,8 @@
     pub instances: ArcSwap<InstancesView>,
     /// Backend servers.
     pub fleet: ArcSwap<Fleet>,
+    /// Availability zones under evacuation.
+    pub evacuations: KnownEvacuations,
     /// Limits of callers' connections according to the configuration.
     pub caller_limits: Arc<ConnectionLimits>,
     announced: Mutex<AnnouncedReplicas>,
@@ -97,6 +102,7 @@
         active_config: ArcSwapOption::empty(),
         instances: ArcSwap::default(),
         fleet: ArcSwap::default(),
+        evacuations: KnownEvacuations::default(),
         caller_limits: Arc::default(),
         announced: Mutex::default(),
         list_tx,
@@ -284,6 +290,8 @@
             | PeerMessage::ServerLimit { .. }
             | PeerMessage::PermitRequest(_)
             | PeerMessage::PermitReply(_)
+            | PeerMessage::Evacuations(_)
+            | PeerMessage::EvacuationsRequest { .. }
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -64,6 +64,7 @@
     last_received_ms: AtomicU64,
     suspect_until_ms: AtomicU64,
     denied_until_ms: AtomicU64,
+    taking_since_ms: AtomicU64,
     is_down: AtomicBool,
     marked_down: Notify,
 }
@@ -140,6 +141,18 @@
         self.suspect_until_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Records that the server takes requests again after an evacuation.
+    pub fn set_taking_since(&self, now: Time) {
+        self.taking_since_ms.store(millis(now).max(1), Ordering::Relaxed);
+    }
+
+    /// Since when the server takes requests again after an evacuation; none if it was not
+    /// evacuated.
+    pub fn taking_since(&self) -> Option<Time> {
+        let since_ms = self.taking_since_ms.load(Ordering::Relaxed);
+        (since_ms != 0).then(|| Time::from_millis(since_ms))
+    }
+
     /// Forgets failures at the server and ends a suspicion.
     fn forgive_failures(&self) {
         self.breaker.reset();
@@ -260,6 +273,15 @@
         self.pools.values().flat_map(|it| it.replicas.values().flatten())
     }
 
+    /// Servers of a zone.
+    pub fn servers_in<'a>(
+        &'a self,
+        zone: &'a AvailabilityZone,
+    ) -> impl Iterator<Item = &'a Arc<Backend>> {
+        let plain = self.pools.values().flat_map(|it| &it.servers);
+        plain.chain(self.replicas()).filter(move |it| it.zone == *zone)
+    }
+
     /// Whether requests of this node are in flight at any server.
     pub fn has_requests(&self) -> bool {
         self.stats.values().any(|it| it.in_flight() != 0)
--- a/crates/gateway/src/fleet/tests.rs
+++ b/crates/gateway/src/fleet/tests.rs
@@ -89,3 +89,14 @@
     stats.mark_up();
     assert!(wait().await.is_err());
 }
+
+/// Guards against a server that counts as returned from an evacuation without one, and
+/// against a return that later snapshots forget.
+#[test]
+fn return_after_an_evacuation_is_kept_with_the_server() {
+    let stats = BackendStats::default();
+    assert_eq!(stats.taking_since(), None);
+    stats.set_taking_since(Time::from_millis(7_000));
+    stats.mark_up();
+    assert_eq!(stats.taking_since(), Some(Time::from_millis(7_000)));
+}
--- a/crates/gateway/src/gateway_config.rs
+++ b/crates/gateway/src/gateway_config.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use citrongw_state::id::{ModelId, OrganisationId, PlainServiceId, Revision};
+use citrongw_state::id::{ModelId, OrganisationId, PlainServiceId, Region, Revision};
 use citrongw_transport::http_server::ConnectionLimits;
 use derive_more::Display;
 
@@ -74,6 +74,8 @@
     pub max_attempts: u32,
     /// Whether a request needs an API key.
     pub needs_key: bool,
+    /// Regions whose servers the requests may reach; any if there are none.
+    pub home_regions: Vec<Region>,
 }
 
 impl Route {
@@ -182,6 +184,8 @@
     pub organisation: OrganisationId,
     /// Priority of the requests, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions whose servers the requests may reach; any if there are none.
+    pub home_regions: Vec<Region>,
 }
 
 /// One version of the configuration.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Counters and latency histograms in the OpenMetrics text form.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use citrongw_protocol::code::ResultCode;
+use citrongw_state::id::AvailabilityZone;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -30,6 +31,11 @@
     code: u16,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ZoneLabels {
+    zone: String,
+}
+
 type ServiceHistograms = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one gateway. Clones share the values.
@@ -43,6 +49,7 @@
     log_lines_dropped: Gauge,
     store_calls: StoreCalls,
     unreadable_records: Counter,
+    evacuated_zones: Family<ZoneLabels, Gauge>,
 }
 
 fn histogram() -> Histogram {
@@ -90,6 +97,12 @@
         "Records of the platform that could not be read, once a change",
         unreadable_records.clone(),
     );
+    let evacuated_zones = Family::default();
+    registry.register(
+        "evacuated_zone_requests",
+        "Requests in flight at servers of each zone under evacuation",
+        evacuated_zones.clone(),
+    );
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -99,6 +112,7 @@
         log_lines_dropped,
         store_calls,
         unreadable_records,
+        evacuated_zones,
     }
 }
 
@@ -136,6 +150,15 @@
         self.unreadable_records.clone()
     }
 
+    /// Sets the requests in flight at each zone under evacuation.
+    pub(crate) fn set_evacuated_zones(&self, requests: &BTreeMap<AvailabilityZone, u32>) {
+        self.evacuated_zones.clear();
+        for (zone, requests) in requests {
+            let labels = ZoneLabels { zone: zone.to_string() };
+            self.evacuated_zones.get_or_create(&labels).set(i64::from(*requests));
+        }
+    }
+
     /// Metrics page in the OpenMetrics text format.
     pub fn page(&self) -> String {
         let dropped = i64::try_from(log::dropped_lines()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -88,6 +88,11 @@
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
     }
+
+    /// Whether this gateway knows the zones under evacuation, and may serve.
+    pub(crate) fn knows_evacuations(&self) -> bool {
+        self.routing.evacuations.is_known(self.era.get(), self.clock.now())
+    }
 }
 
 /// Running gateway.
@@ -148,11 +153,13 @@
     let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
     let mut tasks =
         feed::spawn(&gateway.adapter, &gateway.routing, &gateway.peers, &gateway.metrics, clock);
+    tasks.push(feed::spawn_evacuations(&gateway));
     let routing = Arc::clone(&gateway.routing);
     let peer_loads = Arc::clone(&gateway.peer_loads);
     let crashes = Arc::clone(&gateway.crashes);
     let limits = Arc::clone(&gateway.limits);
     let era = gateway.era.clone();
+    let peers = Arc::clone(&gateway.peers);
     let on_message = move |from, message| {
         limits.record_message(from);
         match message {
@@ -172,6 +179,18 @@
             PeerMessage::ServerLimit { server, statement } => {
                 limits.apply_report(&server, statement);
             }
+            PeerMessage::Evacuations(update) => {
+                era.record(update.evacuated.revision.era);
+                routing.apply_evacuations(update, from, clock.now());
+            }
+            PeerMessage::EvacuationsRequest { reply_to } => {
+                if let Some(update) = routing.evacuations.fresh(clock.now()) {
+                    let peers = Arc::clone(&peers);
+                    tokio::spawn(
+                        async move { peers.reply_evacuations(from, reply_to, update).await },
+                    );
+                }
+            }
             PeerMessage::PermitRequest(request) => limits.apply_request(from, request),
             PeerMessage::PermitReply(reply) => limits.apply_reply(&reply),
             message => routing.apply_message(&message, clock.now()),
@@ -210,6 +229,7 @@
     vec![
         (codec.config_key(), "configuration"),
         (codec.instances_prefix(), "instances"),
+        (codec.evacuations_prefix(), "evacuations"),
         (peers::OWNER_PREFIX.into(), "owners"),
         (peers::LIVE_PREFIX.into(), "gateways"),
         (plan::PREFIX.into(), "replicas"),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other gateways: their addresses, and the datagrams exchanged with them.
 
 mod cluster_view;
+mod evacuation_updates;
 pub mod message;
 mod restored_cluster;
 mod secret;
@@ -37,7 +38,7 @@
 pub use self::cluster_view::{ClusterView, ListedGateway};
 use self::{
     cluster_view::{poll_cluster, register_self},
-    message::PeerMessage,
+    message::{EvacuationUpdate, PeerMessage},
     restored_cluster::RestoredCluster,
 };
 use crate::{control::plan::DomainKey, listing::ListChange, lock::lock, store_era::NewestEra};
@@ -334,17 +335,23 @@
     /// the reader sends do not grow with the gateways of other zones. A zone
     /// without a known reporter gets the change directly.
     pub async fn publish_change(&self, change: &ListChange) {
+        let (direct, forwarded) =
+            (PeerMessage::List(change.clone()), PeerMessage::ListForZone(change.clone()));
+        self.publish(&direct, &forwarded).await;
+    }
+
+    /// Sends `forwarded` to the reporters of other zones, and `direct` to the gateways of
+    /// this zone and of those without a known reporter.
+    async fn publish(&self, direct: &PeerMessage, forwarded: &PeerMessage) {
         let now = self.clock.now();
         let reporters: HashMap<AvailabilityZone, NodeId> = lock(&self.zone_reporters)
             .iter()
             .filter(|(_, (_, at))| now.since(*at) < REPORTER_EXPIRY)
             .map(|(zone, (node, _))| (zone.clone(), *node))
             .collect();
-        let message = PeerMessage::List(change.clone());
-        self.send_to(&message, |it| !reporters.contains_key(&it.zone)).await;
-        let forwarded = PeerMessage::ListForZone(change.clone());
+        self.send_to(direct, |it| !reporters.contains_key(&it.zone)).await;
         for reporter in reporters.into_values() {
-            self.send_to_gateway(reporter, &forwarded).await;
+            self.send_to_gateway(reporter, forwarded).await;
         }
     }
 
@@ -429,6 +436,12 @@
                 lock(&peers.zone_reporters).insert(zone.clone(), (from, peers.clock.now()));
                 on_message(from, PeerMessage::ZoneLoad { zone, report });
             }
+            PeerMessage::Evacuations(update) if update.must_forward => {
+                let update = EvacuationUpdate { must_forward: false, ..update };
+                let message = PeerMessage::Evacuations(update);
+                peers.send_to_zone(&peers.zone, &message).await;
+                on_message(from, message);
+            }
             message => on_message(from, message),
         }
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,9 +1,10 @@
 //! Messages between gateways. Except for the loads, they are hints that save time: the
 //! platform's lists or polls of the instances show the same a little later.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use citrongw_state::{
+    evacuation::EvacuatedZones,
     id::{
         AvailabilityZone, Epoch, FabricDomainId, Fingerprint, InstanceId, ModelId, PlainServiceId,
         ReplicaId, ServerIncarnation,
@@ -90,6 +91,25 @@
     PermitRequest(PermitRequest),
     /// From the granter.
     PermitReply(PermitReply),
+    /// From a gateway that read the zones under evacuation, or knows a recent read.
+    Evacuations(EvacuationUpdate),
+    /// From a gateway that the key-value service refuses, to any other: requests the
+    /// zones under evacuation.
+    EvacuationsRequest {
+        /// Address for the reply. The sender may not be listed any more.
+        reply_to: SocketAddr,
+    },
+}
+
+/// Zones under evacuation, as one gateway sends them to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationUpdate {
+    /// Zones that were read.
+    pub evacuated: EvacuatedZones,
+    /// Time since they were requested from the key-value service.
+    pub age: Duration,
+    /// Whether the receiver sends the update on to the gateways of its zone.
+    pub must_forward: bool,
 }
 
 /// Limit of a server, as one gateway reports it to another.
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -6,6 +6,7 @@
 use citrongw_protocol::store::Entry;
 use citrongw_state::id::{Fingerprint, InstanceId};
 
+mod evacuations;
 mod resend;
 mod restored;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,7 +42,7 @@
 async fn check_ready(gateway: Arc<Gateway>) -> viz::Result<Response> {
     let code = if gateway.stopping.load(Ordering::Relaxed) {
         ResultCode::Stopping
-    } else if gateway.routing.active_config.load().is_none() {
+    } else if gateway.routing.active_config.load().is_none() || !gateway.knows_evacuations() {
         ResultCode::NotConfirmed
     } else {
         let mut response = Response::new(Body::Empty);
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -35,6 +35,12 @@
 const MIN_LIMITED_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Largest random extension of that time, as a part of it.
 const LIMITED_SPREAD: f64 = 1.0;
+/// Shortest value of `Retry-After` when the servers of a request are in zones under
+/// evacuation, before it is spread. When operators take a zone back is not known; callers
+/// must not return in the same moment, nor far too often.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// Largest random extension of that time, as a part of it.
+const EVACUATED_SPREAD: f64 = 1.0;
 /// Largest random extension of the time to the end of a pause, as a part of it.
 const PAUSE_SPREAD: f64 = 0.1;
 /// Permits that are requested one after the other for one attempt.
@@ -157,7 +163,8 @@
             && self.declined < max_declined
             && call.body.can_be_sent()
             && self.is_out_of_reach(gateway, call);
-        let relay = may_relay.then(|| hop::choose(gateway, &self.tried))??;
+        let homes = call.homes(&gateway.settings.zone_regions);
+        let relay = may_relay.then(|| hop::choose(gateway, &self.tried, homes))??;
         let load = relay.stats.estimate_load(gateway.clock.now(), 0.0);
         Some(Choice { best: Candidate { server: relay, load }, runner_up: None })
     }
@@ -170,7 +177,7 @@
         }
         let fleet = gateway.routing.fleet.load();
         let servers = call.servers(&fleet);
-        self.with_criteria(gateway, |criteria| {
+        self.with_criteria(gateway, call, |criteria| {
             let untried = ChoiceCriteria { tried: &[], ..*criteria };
             let is_unreached =
                 |it: &Arc<Backend>| exclusion(it, &untried).is_some_and(Exclusion::is_out_of_reach);
@@ -184,12 +191,12 @@
     fn refusal_without_server(&self, gateway: &Gateway, call: &Call) -> Refusal {
         let fleet = gateway.routing.fleet.load();
         let servers = call.servers(&fleet);
-        let excluded = self.with_criteria(gateway, |criteria| exclusions(servers, criteria));
+        let excluded = self.with_criteria(gateway, call, |criteria| exclusions(servers, criteria));
         tracing::info!(
             request = %call.request, attempt = call.meta.attempt, servers = servers.len(),
             %excluded, "no server may be sent the request"
         );
-        match self.first_permitted_after(gateway, servers) {
+        match self.first_permitted_after(gateway, call, servers) {
             Some((code, wait)) if !self.may_have_run => {
                 let spread = match code {
                     ResultCode::ServersLimited => LIMITED_SPREAD,
@@ -200,6 +207,11 @@
                 Refusal::from(code).after(retry_after)
             }
             None if self.is_out_of_reach(gateway, call) => self.refusal(ResultCode::NotReached),
+            None if !self.may_have_run && has_evacuated(gateway, servers) => {
+                let extension = 1.0 + EVACUATED_SPREAD * rand::random::<f64>();
+                let retry_after = EVACUATED_RETRY_AFTER.mul_f64(extension);
+                Refusal::from(ResultCode::NoReplica).after(retry_after)
+            }
             Some(_) | None => self.refusal(ResultCode::NoReplica),
         }
     }
@@ -209,10 +221,19 @@
     fn first_permitted_after(
         &self,
         gateway: &Gateway,
+        call: &Call,
         servers: &[Arc<Backend>],
     ) -> Option<(ResultCode, Duration)> {
         let now = gateway.clock.now();
-        let waits = servers.iter().filter_map(|server| {
+        // The end of a limit or a pause does not help where operators exclude the server.
+        let allowed: Vec<&Arc<Backend>> = self.with_criteria(gateway, call, |criteria| {
+            let untried = ChoiceCriteria { tried: &[], ..*criteria };
+            let is_allowed = |it: &&Arc<Backend>| {
+                !exclusion(it, &untried).is_some_and(Exclusion::is_by_operators)
+            };
+            servers.iter().filter(is_allowed).collect()
+        });
+        let waits = allowed.into_iter().filter_map(|server| {
             let denied = server.stats.denied_for(now).filter(|_| !self.tried.contains(&server.id));
             let paused = gateway.pauses.left(server, now);
             match (paused, denied) {
@@ -258,7 +279,7 @@
     }
 
     fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
-        self.with_criteria(gateway, |criteria| {
+        self.with_criteria(gateway, call, |criteria| {
             choose(call.servers(&gateway.routing.fleet.load()), criteria, rand::random)
         })
     }
@@ -266,6 +287,7 @@
     fn with_criteria<R>(
         &self,
         gateway: &Gateway,
+        call: &Call,
         decide: impl FnOnce(&ChoiceCriteria<'_>) -> R,
     ) -> R {
         decide(&ChoiceCriteria {
@@ -273,6 +295,8 @@
             tried: &self.tried,
             pauses: &gateway.pauses.load(),
             peer_loads: &gateway.peer_loads,
+            evacuated: &gateway.routing.evacuations.zones(),
+            homes: Some(call.homes(&gateway.settings.zone_regions)),
             now: gateway.clock.now(),
         })
     }
@@ -381,6 +405,12 @@
     }
 }
 
+/// Whether any of the servers is in a zone under evacuation.
+fn has_evacuated(gateway: &Gateway, servers: &[Arc<Backend>]) -> bool {
+    let evacuated = gateway.routing.evacuations.zones();
+    servers.iter().any(|it| evacuated.contains(&it.zone))
+}
+
 fn code_of(cause: Cause) -> ResultCode {
     match cause {
         Cause::NotReached | Cause::Declined => ResultCode::NotReached,
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -5,6 +5,7 @@
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::{
     config::CallClass,
+    home::{Homes, ZoneRegions},
     id::{PlainServiceId, RequestId},
     time::Time,
 };
@@ -24,7 +25,8 @@
     node::Gateway,
 };
 
-/// Value of `Retry-After` while this node has no configuration yet.
+/// Value of `Retry-After` while this node has no configuration yet, or does not know the
+/// zones under evacuation.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Request of a caller with its route.
@@ -84,6 +86,12 @@
         urgency::of(holder_priority.unwrap_or(self.route.priority), timeliness)
     }
 
+    /// Regions to which the request is confined.
+    pub(super) fn homes<'a>(&'a self, regions: &'a ZoneRegions) -> Homes<'a> {
+        let organisation = self.holder.as_ref().map_or(&[][..], |it| &it.home_regions);
+        Homes { regions, route: &self.route.home_regions, organisation }
+    }
+
     /// Backend servers that may take the request.
     pub(super) fn servers<'a>(&self, fleet: &'a Fleet) -> &'a [Arc<Backend>] {
         let Some(pool) = fleet.pool(&self.service) else { return &[] };
@@ -106,6 +114,9 @@
     let Some(config) = gateway.routing.active_config.load_full() else {
         return Err(Refusal::from(ResultCode::NotConfirmed).after(NO_CONFIG_RETRY_AFTER));
     };
+    if !gateway.knows_evacuations() {
+        return Err(Refusal::from(ResultCode::NotConfirmed).after(NO_CONFIG_RETRY_AFTER));
+    }
     let (parts, body) = req.into_parts();
     let mut meta = gateway.adapter.codec.decode_request(&parts.headers);
     let host = parts.headers.get(header::HOST).and_then(|it| it.to_str().ok());
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -24,7 +24,10 @@
 };
 
 use citrongw_protocol::code::ResultCode;
-use citrongw_state::id::{Incarnation, InstanceId, NodeId};
+use citrongw_state::{
+    home::Homes,
+    id::{Incarnation, InstanceId, NodeId},
+};
 use citrongw_transport::{
     http_client::{self, HttpClient, RequestBody},
     http_server::{self, ConnectionLimits, HttpServer, ServerOptions},
@@ -124,8 +127,13 @@
     }
 }
 
-/// Chooses the less busy of two gateways.
-pub(super) fn choose(gateway: &Gateway, tried: &[InstanceId]) -> Option<Arc<Backend>> {
+/// Chooses the less busy of two gateways in a home region of the request or the region of
+/// this gateway, which its caller uses.
+pub(super) fn choose(
+    gateway: &Gateway,
+    tried: &[InstanceId],
+    homes: Homes<'_>,
+) -> Option<Arc<Backend>> {
     let cluster = gateway.peers.cluster();
     let now = gateway.clock.now();
     let mut relays = lock(&gateway.hops.relays);
@@ -150,9 +158,13 @@
     let is_shared = known_config(gateway).is_shared();
     let has_config =
         |it: &Backend| is_shared || it.gateway.is_some_and(|node| !former_builds.contains(&node));
-    let usable = relays
-        .iter()
-        .filter(|it| !tried.contains(&it.id) && !it.stats.is_suspect(now) && has_config(it));
+    let own_region = gateway.settings.region.as_ref();
+    let usable = relays.iter().filter(|it| {
+        !tried.contains(&it.id)
+            && !it.stats.is_suspect(now)
+            && has_config(it)
+            && homes.allows_relay(&it.zone, own_region)
+    });
     let pair = usable.choose_multiple(&mut rand::rng(), 2);
     pair.into_iter().min_by_key(|it| it.stats.in_flight()).cloned()
 }
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use citrongw_state::{
-    id::{Epoch, Incarnation, ReplicaId, Revision},
+    id::{AvailabilityZone, Epoch, Incarnation, ReplicaId, Revision},
     time::Time,
 };
 
@@ -101,6 +101,8 @@
 impl StubCodec {
     /// Prefix of the keys of instances.
     pub(crate) const INSTANCES: &str = "instances/";
+    /// Prefix of the keys of zones under evacuation.
+    pub(crate) const EVACUATIONS: &str = "evacuations/";
 }
 
 impl Codec for StubCodec {
@@ -120,6 +122,15 @@
         Ok(entry(&String::from_utf8_lossy(&read.value), "engine"))
     }
 
+    fn evacuations_prefix(&self) -> Key {
+        Self::EVACUATIONS.into()
+    }
+
+    fn decode_evacuation(&self, key: &Key) -> Result<AvailabilityZone, CodecError> {
+        let zone = key.as_str().strip_prefix(Self::EVACUATIONS).filter(|it| !it.is_empty());
+        zone.map(Into::into).ok_or_else(|| CodecError { message: "no zone".to_owned() })
+    }
+
     fn decode_request(&self, _: &HeaderMap) -> RequestMeta {
         RequestMeta::default()
     }
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -13,6 +13,7 @@
     },
 };
 use citrongw_state::{
+    evacuation::EvacuatedZones,
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     server_pause::ServerPauses,
     time::Time,
@@ -324,6 +325,8 @@
         tried: &[],
         pauses: &ServerPauses::default(),
         peer_loads: &from.peer_loads,
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         now,
     };
     let choice = choose(&from.servers, &criteria, || rng.random())?;
