--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -188,7 +188,7 @@
 
 /// Guards against requests that leave the home regions of their route.
 #[test]
-fn servers_outside_the_home_regions_are_not_chosen() {
+fn servers_outside_the_homes_are_not_chosen() {
     let servers = [server("x", "b", 0), server("y", "a", 9)];
     let (regions, route): (ZoneRegions, _) =
         ("a=north,b=south".parse().unwrap(), [Region::from("north")]);
--- a/crates/gateway/src/gateway_config.rs
+++ b/crates/gateway/src/gateway_config.rs
@@ -75,7 +75,7 @@
     /// Whether a request needs an API key.
     pub needs_key: bool,
     /// Regions whose servers the requests may reach; any if there are none.
-    pub home_regions: Vec<Region>,
+    pub homes: Vec<Region>,
 }
 
 impl Route {
@@ -185,7 +185,7 @@
     /// Priority of the requests, which overrides that of the route.
     pub priority: Option<u8>,
     /// Regions whose servers the requests may reach; any if there are none.
-    pub home_regions: Vec<Region>,
+    pub homes: Vec<Region>,
 }
 
 /// One version of the configuration.
--- a/crates/gateway/src/gateway_config/tests.rs
+++ b/crates/gateway/src/gateway_config/tests.rs
@@ -13,7 +13,7 @@
         targets: Vec::new(),
         max_attempts: 1,
         needs_key: true,
-        home_regions: Vec::new(),
+        homes: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -88,8 +88,8 @@
 
     /// Regions to which the request is confined.
     pub(super) fn homes<'a>(&'a self, regions: &'a ZoneRegions) -> Homes<'a> {
-        let organisation = self.holder.as_ref().map_or(&[][..], |it| &it.home_regions);
-        Homes { regions, route: &self.route.home_regions, organisation }
+        let organisation = self.holder.as_ref().map_or(&[][..], |it| &it.homes);
+        Homes { regions, route: &self.route.homes, organisation }
     }
 
     /// Backend servers that may take the request.
