--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -333,13 +333,10 @@
         if is_evacuated != self.is_evacuated {
             self.is_evacuated = is_evacuated;
             let revision = evacuated.revision.number;
-            match is_evacuated {
-                true => {
-                    tracing::info!(domain = %self.domain, revision, "control of an evacuated domain is suspended");
-                }
-                false => {
-                    tracing::info!(domain = %self.domain, revision, "control of a domain continues")
-                }
+            if is_evacuated {
+                tracing::info!(domain = %self.domain, revision, "control of an evacuated domain is suspended");
+            } else {
+                tracing::info!(domain = %self.domain, revision, "control of a domain continues");
             }
         }
     }
--- a/crates/gateway/src/feed/evacuations.rs
+++ b/crates/gateway/src/feed/evacuations.rs
@@ -137,8 +137,15 @@
     async fn follow(mut self) {
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let newest_era = self.gateway.era.clone();
+        let mut era = newest_era.get();
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                _ = ticks.tick() => {}
+                // Nothing is served until the set of the new era is known.
+                () = newest_era.wait_after(era) => {}
+            }
+            era = newest_era.get();
             self.read_if_due().await;
             self.ask_if_due().await;
             self.report_requests();
@@ -147,6 +154,11 @@
 
     fn role(&self) -> ReadRole {
         let peers = &self.gateway.peers;
+        let known_era = self.gateway.routing.evacuations.zones().revision.era;
+        if known_era < self.gateway.era.get() && !peers.has_others() {
+            // No other gateway reads the new era.
+            return ReadRole::Substitute;
+        }
         match (peers.is_reader(), peers.is_substitute_reader()) {
             (true, _) => ReadRole::Reader,
             (false, true) => ReadRole::Substitute,
--- a/crates/state/src/evacuation.rs
+++ b/crates/state/src/evacuation.rs
@@ -188,12 +188,14 @@
         let since_read = now.since(read_at) + tolerance;
         let silence = known.silence(now);
         let is_silent = |limit| silence.is_none_or(|it| limit <= it);
-        if role == ReadRole::Reader
-            || (role == ReadRole::Substitute && is_silent(SUBSTITUTE_SILENCE))
-        {
-            return READER_INTERVAL <= since_read;
+        let awaited_since = known.awaited_since(era, now);
+        let is_substitute = role == ReadRole::Substitute
+            && (awaited_since.is_some() || is_silent(SUBSTITUTE_SILENCE));
+        if role == ReadRole::Reader || is_substitute {
+            let is_first_of_era = awaited_since.is_some_and(|since| read_at < since);
+            return is_first_of_era || READER_INTERVAL <= since_read;
         }
-        if let Some(since) = known.awaited_since(era, now) {
+        if let Some(since) = awaited_since {
             let is_next = read_at < since || OWN_INTERVAL <= since_read;
             return is_next && NEW_ERA_DELAY <= now.since(since);
         }
