Merge the evacuation of availability zones and homes

On a restore of the key-value service the last known set holds until that of the new era is known, so that no requests are rejected for it and the test of restores stays as it was. Servers of a zone that returns are taken as cold.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -5,7 +5,7 @@
 
 use citrongw_protocol::store::{Entry, Key, Store};
 use citrongw_state::{
-    id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
+    id::{AvailabilityZone, Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
     server_limit::StatedLimit,
     server_pause::StatedPause,
 };
@@ -112,6 +112,11 @@
     fn decode_cold_left(&self, _entry: &Entry) -> Option<Duration> {
         None
     }
+    /// Prefix of the keys that put availability zones under evacuation.
+    fn evacuations_prefix(&self) -> Key;
+
+    /// Decodes the zone that a key below that prefix puts under evacuation.
+    fn decode_evacuation(&self, key: &Key) -> Result<AvailabilityZone, CodecError>;
 
     /// Decodes the headers of a caller's request.
     fn decode_request(&self, headers: &HeaderMap) -> RequestMeta;
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -57,6 +57,8 @@
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
             | PeerMessage::ServerLeaving { .. }
+            | PeerMessage::Evacuations(_)
+            | PeerMessage::EvacuationsRequest { .. }
             | PeerMessage::ZoneLoad { .. } => false,
         }
     }
--- a/crates/gateway/src/cold_watch/tests.rs
+++ b/crates/gateway/src/cold_watch/tests.rs
@@ -1,7 +1,12 @@
 use std::sync::Arc;
 
 use citrongw_coordination::clock;
-use citrongw_state::{cold_server::ColdStart, id::Incarnation, unit::RequestsPerSecond};
+use citrongw_state::{
+    cold_server::ColdStart,
+    evacuation::EvacuatedZones,
+    id::{Incarnation, NodeId, Revision},
+    unit::RequestsPerSecond,
+};
 use tokio::time::advance;
 
 use super::*;
@@ -9,7 +14,7 @@
     feed,
     gateway_config::ServiceSpec,
     instance::InstanceEntry,
-    peers::message::{OpenReplica, PeerMessage},
+    peers::message::{EvacuationUpdate, OpenReplica, PeerMessage},
     testing,
 };
 
@@ -128,8 +133,13 @@
     let listed = Arc::clone(&routing.fleet.load().pool(&"plain".into()).unwrap().servers[0]);
     routing.record_cold_left(&listed, Duration::ZERO, routing.cold.clock.now());
     assert_eq!(left(), None);
-    routing.record_returned(&"a".into());
-    assert_eq!(left(), Some(DURATION));
+    for (number, zones) in [(1, vec!["a".into()]), (2, vec![])] {
+        let (revision, zones) = (Revision::new(number), zones.into_iter().collect());
+        let evacuated = EvacuatedZones { revision, zones };
+        let update = EvacuationUpdate { evacuated, age: Duration::ZERO, must_forward: false };
+        routing.apply_evacuations(update, NodeId(1), routing.cold.clock.now());
+    }
+    assert_eq!(left(), Some(DURATION), "after the evacuation of its zone");
     assert_eq!(routing.cold.statements(), [], "others see the return themselves");
     advance(DURATION).await;
     routing.record_refused(&listed);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,6 +4,7 @@
 
 mod cold_entries;
 mod config;
+mod evacuations;
 mod instances;
 mod unreadable;
 
@@ -27,6 +28,8 @@
     task::JoinHandle,
 };
 
+pub use self::evacuations::KnownEvacuations;
+pub(crate) use self::evacuations::spawn as spawn_evacuations;
 use self::unreadable::UnreadableRecords;
 use crate::{
     adapter::Adapter,
@@ -68,6 +71,8 @@
     pub instances: ArcSwap<InstancesView>,
     /// Backend servers.
     pub fleet: ArcSwap<Fleet>,
+    /// Availability zones under evacuation.
+    pub evacuations: KnownEvacuations,
     /// Limits of callers' connections according to the configuration.
     pub caller_limits: Arc<ConnectionLimits>,
     announced: Mutex<AnnouncedReplicas>,
@@ -106,6 +111,7 @@
         active_config: ArcSwapOption::empty(),
         instances: ArcSwap::default(),
         fleet: ArcSwap::default(),
+        evacuations: KnownEvacuations::default(),
         caller_limits: Arc::default(),
         announced: Mutex::default(),
         list_tx,
@@ -297,6 +303,8 @@
             | PeerMessage::ServerLeaving { .. }
             | PeerMessage::ColdServers(_)
             | PeerMessage::ColdPermitRequest(_)
+            | PeerMessage::Evacuations(_)
+            | PeerMessage::EvacuationsRequest { .. }
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
@@ -315,7 +323,7 @@
     }
 
     /// Records that the servers of a zone take requests again after its evacuation.
-    pub fn record_returned(&self, zone: &AvailabilityZone) {
+    fn record_returned(&self, zone: &AvailabilityZone) {
         self.cold.record_returned(zone, &self.fleet.load());
         self.set_cold_limits();
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -266,6 +266,15 @@
         self.pools.values().flat_map(|it| it.replicas.values().flatten())
     }
 
+    /// Servers of a zone.
+    pub fn servers_in<'a>(
+        &'a self,
+        zone: &'a AvailabilityZone,
+    ) -> impl Iterator<Item = &'a Arc<Backend>> {
+        let plain = self.pools.values().flat_map(|it| &it.servers);
+        plain.chain(self.replicas()).filter(move |it| it.zone == *zone)
+    }
+
     /// Whether requests of this node are in flight at any server.
     pub fn has_requests(&self) -> bool {
         self.stats.values().any(|it| it.in_flight() != 0)
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -13,6 +13,7 @@
     },
 };
 use citrongw_state::{
+    evacuation::EvacuatedZones,
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
     leaving_servers::LeavingServers,
     server_pause::ServerPauses,
@@ -326,6 +327,8 @@
         pauses: &ServerPauses::default(),
         leaving: &LeavingServers::default(),
         peer_loads: &from.peer_loads,
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         now,
     };
     let choice = choose(&from.servers, &criteria, || rng.random())?;
--- a/crates/gateway/tests/cold_zone_at_size/fleet.rs
+++ b/crates/gateway/tests/cold_zone_at_size/fleet.rs
@@ -22,6 +22,7 @@
         ColdBounds, ColdLimit, ColdStart,
         permits::{self as cold_permits, ColdGranter},
     },
+    evacuation::EvacuatedZones,
     id::{AvailabilityZone, Epoch, Incarnation, NodeId, ReplicaId},
     leaving_servers::LeavingServers,
     server_limit::permits::{self, Permit, PermitBucket},
@@ -228,6 +229,8 @@
         tried: &[],
         pauses: &ServerPauses::default(),
         leaving: &LeavingServers::default(),
+        evacuated: &EvacuatedZones::default(),
+        homes: None,
         peer_loads: &gateway.peer_loads,
         now,
     };
