Reject requests early while a pool of servers is full

Under a burst, requests that cannot be in time fill the servers' queues and keep the next ones late. With reject-early on, a gateway rejects a first try with code 2011 before it is sent, with a probability that rises with the wait that the load of the whole pool implies and sooner for lower priorities; a late request waits at the gateway until the pool has a free slot or it has to be sent. The times are learned from responses. The default is off.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_history;
 pub mod control_world;
 pub mod crash;
+pub mod early_rejection;
 pub mod formation;
 pub mod memory;
 pub mod model;
--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -36,6 +36,8 @@
     pub grace: Duration,
     /// Limits of retries, shared by all gateways.
     pub retries: RetryLimits,
+    /// Whether requests that would be late are rejected before they are sent.
+    pub reject_early: bool,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
     /// Log level, or a list of `target=level`.
@@ -74,11 +76,22 @@
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_millis(2_500)),
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
         retries: read_retries(reader),
+        reject_early: read_switch(reader, "admission", "reject-early"),
         max_connections: reader.count("callers", "max-connections", 1_024),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
 
+/// Reads a setting that is off unless it is `on`.
+fn read_switch<'a>(reader: &mut Reader<'a>, section: &'a str, key: &'a str) -> bool {
+    let parse = |it: &str| match it {
+        "on" => Some(true),
+        "off" => Some(false),
+        _ => None,
+    };
+    reader.optional(section, key, "on or off", parse).unwrap_or(false)
+}
+
 /// Default ratio of retries to requests: one in ten, the same as in the node's own
 /// retry budget.
 const DEFAULT_RATIO: f64 = 0.1;
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -18,6 +18,7 @@
 
 use citrongw_state::{
     breaker::BreakerState,
+    early_rejection::PoolLoad,
     id::{AvailabilityZone, InstanceId},
     server_pause::ServerPauses,
     time::Time,
@@ -65,6 +66,15 @@
     pub best: Candidate,
     /// Least loaded of the other servers, if at least two were usable.
     pub runner_up: Option<Candidate>,
+    /// Load of all usable servers.
+    pub pool: PoolLoad,
+}
+
+impl Choice {
+    /// Choice of a gateway that relays the request.
+    pub fn of_gateway(best: Candidate) -> Self {
+        Self { best, runner_up: None, pool: PoolLoad::default() }
+    }
 }
 
 /// Chooses one of the usable servers. `random` returns a number from 0 to 1.
@@ -95,7 +105,12 @@
     let best = leveling::pick(&levels, arrivals, random())?;
     let others = scored.iter().enumerate().filter(|(idx, _)| *idx != best).map(|(_, it)| it);
     let runner_up = others.min_by(|a, b| a.level.load_share.total_cmp(&b.level.load_share));
+    let pool = PoolLoad {
+        requests: scored.iter().map(|it| it.load.requests).sum(),
+        slots: scored.iter().map(|it| f64::from(it.server.slots)).sum(),
+    };
     Some(Choice {
+        pool,
         best: scored[best].to_candidate(),
         runner_up: runner_up.map(Scored::to_candidate),
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod control;
 mod crash_watch;
+mod early_rejection;
 pub mod feed;
 pub mod fleet;
 pub mod gateway_config;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use citrongw_protocol::code::ResultCode;
+use derive_more::Display;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text},
+    encoding::{EncodeLabelSet, EncodeLabelValue, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
@@ -25,6 +26,26 @@
     service: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LateLabels {
+    service: String,
+    outcome: LateOutcome,
+}
+
+/// Why a late request was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EncodeLabelValue)]
+pub(crate) enum LateOutcome {
+    /// The servers had a free slot.
+    #[display("free slot")]
+    FreeSlot,
+    /// The request could not have completed if it had waited longer.
+    #[display("at last")]
+    AtLast,
+    /// Too many late requests waited.
+    #[display("too many wait")]
+    WaitingFull,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CodeLabels {
     code: u16,
@@ -38,6 +59,8 @@
     registry: Arc<Registry>,
     requests: Family<RequestLabels, Counter>,
     refusals: Family<CodeLabels, Counter>,
+    early_rejections: Family<ServiceLabels, Counter>,
+    late_requests: Family<LateLabels, Counter>,
     request_time: ServiceHistograms,
     first_event_time: ServiceHistograms,
     log_lines_dropped: Gauge,
@@ -60,6 +83,18 @@
         Family::new_with_constructor(histogram as fn() -> Histogram);
     registry.register("requests", "Requests by status; 0 if they broke off", requests.clone());
     registry.register("refusals", "Requests refused unread, by result code", refusals.clone());
+    let early_rejections = Family::default();
+    registry.register(
+        "early_rejections",
+        "First tries rejected because they would have been late",
+        early_rejections.clone(),
+    );
+    let late_requests = Family::default();
+    registry.register(
+        "late_requests",
+        "Late requests sent, by why they did not wait longer",
+        late_requests.clone(),
+    );
     registry.register_with_unit(
         "request_time",
         "Time from the request to the end of its answer",
@@ -94,6 +129,8 @@
         registry: Arc::new(registry),
         requests,
         refusals,
+        early_rejections,
+        late_requests,
         request_time,
         first_event_time,
         log_lines_dropped,
@@ -126,6 +163,18 @@
         self.refusals.get_or_create(&CodeLabels { code: code.number() }).inc();
     }
 
+    /// Counts a first try that was rejected early.
+    pub(crate) fn count_early_rejection(&self, service: &str) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.early_rejections.get_or_create(&labels).inc();
+    }
+
+    /// Counts a late request that is sent.
+    pub(crate) fn count_late(&self, service: &str, outcome: LateOutcome) {
+        let labels = LateLabels { service: service.to_owned(), outcome };
+        self.late_requests.get_or_create(&labels).inc();
+    }
+
     /// Counters of calls to the key-value service.
     pub fn store_calls(&self) -> StoreCalls {
         self.store_calls.clone()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,6 +29,7 @@
     adapter::{Adapter, Codec},
     control::{self, plan},
     crash_watch::{self, CrashWatch},
+    early_rejection::EarlyRejection,
     feed::{self, RoutingState},
     links::{self, LinkWatch},
     metered_store::{self, Subjects},
@@ -80,6 +81,8 @@
     pub(crate) links: Arc<LinkWatch>,
     /// Pauses that backend servers requested.
     pub(crate) pauses: RequestedPauses,
+    /// Learned times and waiting requests for the admission of requests.
+    pub(crate) early: Arc<EarlyRejection>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -132,6 +135,7 @@
         links,
         pauses: RequestedPauses::default(),
         peers,
+        early: Arc::default(),
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relays requests of callers to backend servers and the responses back.
 
+mod admission;
 mod attempts;
 mod body;
 mod call;
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::{
+    admission,
     call::Call,
     hop,
     refuse::Refusal,
@@ -106,6 +107,7 @@
         gateway: &Gateway,
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
+        admission::admit(gateway, call, self).await?;
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
@@ -159,7 +161,7 @@
             && self.is_out_of_reach(gateway, call);
         let relay = may_relay.then(|| hop::choose(gateway, &self.tried))??;
         let load = relay.stats.estimate_load(gateway.clock.now(), 0.0);
-        Some(Choice { best: Candidate { server: relay, load }, runner_up: None })
+        Some(Choice::of_gateway(Candidate { server: relay, load }))
     }
 
     /// Whether this gateway does not reach the servers of the request: it hears none at
@@ -257,7 +259,7 @@
         }
     }
 
-    fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
+    pub(super) fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         self.with_criteria(gateway, |criteria| {
             choose(call.servers(&gateway.routing.fleet.load()), criteria, rand::random)
         })
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -75,13 +75,25 @@
     /// Urgency at an engine. It follows from the priority of the key's holder, or
     /// else of the route.
     pub(super) fn urgency(&self, is_resumed: bool) -> u8 {
-        let holder_priority = self.holder.as_ref().and_then(|it| it.priority);
-        let timeliness = match self.meta.remaining {
-            _ if is_resumed => Timeliness::Resumed,
-            Some(left) if left + self.route.target_latency < self.route.timeout => Timeliness::Late,
-            _ => Timeliness::InTime,
+        let timeliness = match is_resumed {
+            true => Timeliness::Resumed,
+            false if self.is_late() => Timeliness::Late,
+            false => Timeliness::InTime,
         };
-        urgency::of(holder_priority.unwrap_or(self.route.priority), timeliness)
+        urgency::of(self.priority(), timeliness)
+    }
+
+    /// Priority of the key's holder, or else of the route; 0 is the highest.
+    pub(super) fn priority(&self) -> u8 {
+        let holder_priority = self.holder.as_ref().and_then(|it| it.priority);
+        holder_priority.unwrap_or(self.route.priority)
+    }
+
+    /// Whether the request had waited for longer than its caller expects when it
+    /// arrived, as by an earlier try.
+    pub(super) fn is_late(&self) -> bool {
+        let is_late = |left: Duration| left + self.route.target_latency < self.route.timeout;
+        self.meta.remaining.is_some_and(is_late)
     }
 
     /// Backend servers that may take the request.
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -18,6 +18,7 @@
 use viz::{Body, Response};
 
 use super::{
+    admission,
     attempts::Attempts,
     body::MAX_BUFFERED_BYTES,
     call::{Call, strip_hop_by_hop},
@@ -128,6 +129,7 @@
         let server = attempts.next_server(gateway, call).await?;
         let unanswered = unanswered::open(gateway, call, &server);
         let sent = attempts.sent();
+        let sent_at = gateway.clock.now();
         let exchange = async {
             let response = send::send(gateway, call, &server, sent, None).await?;
             read_buffered(response).await
@@ -165,7 +167,14 @@
                 }
                 continue;
             }
-            Ok(started) => return Ok(started),
+            Ok(started) => {
+                if started.parts.status.is_success() && started.rest.is_none() {
+                    let took = gateway.clock.now().since(sent_at);
+                    admission::record_first_event(gateway, call, attempts, took);
+                    admission::record_end(gateway, call, attempts, Duration::ZERO);
+                }
+                return Ok(started);
+            }
             Err(failed) => failed,
         };
         if failed.cause == Cause::Interrupted && server.gateway.is_none() {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use viz::{Body, Response};
 
 use super::{
+    admission,
     attempts::Attempts,
     call::{Call, strip_hop_by_hop},
     events::{Event, EventSplitter},
@@ -89,6 +90,7 @@
                 let parts = relay.call.signatures.shared_parts();
                 let all = || signatures::all_of(&relay.call);
                 relay.gateway.crashes.record_success(parts, all);
+                relay.record_end();
                 relay.log.end_with_status(200, &relay.attempts);
                 None
             }
@@ -181,6 +183,10 @@
             Source { body, splitter, first: None, backend, opened_at, _in_flight: in_flight };
         source.first = source.read(gateway).await?;
         source.opened_at = gateway.clock.now();
+        if source.first.is_some() {
+            let took = source.opened_at.since(sent_at);
+            admission::record_first_event(gateway, call, attempts, took);
+        }
         Ok(Ok((parts, source)))
     };
     tokio::pin!(exchange);
@@ -316,6 +322,11 @@
         }
     }
 
+    fn record_end(&self) {
+        let took = self.gateway.clock.now().since(self.source.opened_at);
+        admission::record_end(&self.gateway, &self.call, &self.attempts, took);
+    }
+
     fn record_interrupted(&self, cause: Cause) {
         let age = self.gateway.clock.now().since(self.source.opened_at);
         let is_server = self.source.backend.gateway.is_none();
--- a/crates/protocol/src/code.rs
+++ b/crates/protocol/src/code.rs
@@ -81,6 +81,8 @@
     Quarantined = 2009, 503, NotRun, "part of the request crashes servers";
     /// The servers take no more requests for now, by limits that they state.
     ServersLimited = 2010, 503, NotRun, "limits of the backend servers are reached";
+    /// The servers are full, and the response would be later than callers expect.
+    PoolFull = 2011, 503, NotRun, "servers are full, the response would be late";
     /// The deadline passed while the request was running.
     DeadlinePassed = 3001, 504, Unknown, "deadline passed";
     /// The backend server interrupted the response.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod concurrency;
 pub mod config;
 pub mod crash_suspicion;
+pub mod early_rejection;
 pub mod hash;
 pub mod hedge;
 pub mod id;
