--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -48,6 +48,8 @@
     /// How far requests may exceed what a cold server tolerates; none if cold servers are
     /// not limited.
     pub cold: Option<ColdBounds>,
+    /// Whether requests that would be late are rejected before they are sent.
+    pub reject_early: bool,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
     /// Log level, or a list of `target=level`.
@@ -93,6 +95,7 @@
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
         retries: read_retries(reader),
         cold: read_cold(reader),
+        reject_early: read_switch(reader, "admission", "reject-early"),
         max_connections: reader.count("callers", "max-connections", 1_024),
         log_level: reader.log_level("log", "level", "info"),
     }
@@ -104,6 +107,16 @@
     read.unwrap_or_default()
 }
 
+/// Reads a setting that is off unless it is `on`.
+fn read_switch<'a>(reader: &mut Reader<'a>, section: &'a str, key: &'a str) -> bool {
+    let parse = |it: &str| match it {
+        "on" => Some(true),
+        "off" => Some(false),
+        _ => None,
+    };
+    reader.optional(section, key, "on or off", parse).unwrap_or(false)
+}
+
 /// Default ratio of retries to requests: one in ten, the same as in the node's own
 /// retry budget.
 const DEFAULT_RATIO: f64 = 0.1;
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -19,6 +19,7 @@
 
 use citrongw_state::{
     breaker::BreakerState,
+    early_rejection::PoolLoad,
     evacuation::EvacuatedZones,
     home::Homes,
     id::{AvailabilityZone, InstanceId},
@@ -75,6 +76,15 @@
     pub best: Candidate,
     /// Least loaded of the other servers, if at least two were usable.
     pub runner_up: Option<Candidate>,
+    /// Load of all usable servers.
+    pub pool: PoolLoad,
+}
+
+impl Choice {
+    /// Choice of a gateway that relays the request.
+    pub fn of_gateway(best: Candidate) -> Self {
+        Self { best, runner_up: None, pool: PoolLoad::default() }
+    }
 }
 
 /// Chooses one of the usable servers. `random` returns a number from 0 to 1.
@@ -108,7 +118,12 @@
     let others = scored.iter().zip(&levels).enumerate().filter(|(idx, _)| *idx != best);
     let runner_up =
         others.map(|(_, it)| it).min_by(|(_, a), (_, b)| a.load_share.total_cmp(&b.load_share));
+    let pool = PoolLoad {
+        requests: scored.iter().map(|it| it.load.requests).sum(),
+        slots: scored.iter().map(|it| f64::from(it.server.slots)).sum(),
+    };
     Some(Choice {
+        pool,
         best: scored[best].to_candidate(),
         runner_up: runner_up.map(|(it, _)| it.to_candidate()),
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cold_watch;
 pub mod control;
 mod crash_watch;
+mod early_rejection;
 pub mod feed;
 pub mod fleet;
 pub mod gateway_config;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
     cold_watch,
     control::{self, plan},
     crash_watch::{self, CrashWatch},
+    early_rejection::EarlyRejection,
     feed::{self, RoutingState},
     leaving_servers::StatedDepartures,
     links::{self, LinkWatch},
@@ -84,6 +85,8 @@
     pub(crate) pauses: RequestedPauses,
     /// Backend servers that stated that they are leaving.
     pub(crate) departures: Arc<StatedDepartures>,
+    /// Learned times and waiting requests for the admission of requests.
+    pub(crate) early: Arc<EarlyRejection>,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -143,6 +146,7 @@
         pauses: RequestedPauses::default(),
         departures: Arc::default(),
         peers,
+        early: Arc::default(),
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::{
+    admission,
     call::Call,
     hop,
     refuse::Refusal,
@@ -108,6 +109,7 @@
         gateway: &Gateway,
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
+        admission::admit(gateway, call, self).await?;
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
@@ -143,7 +145,7 @@
         let homes = call.homes(&gateway.settings.zone_regions);
         let relay = may_relay.then(|| hop::choose(gateway, &self.tried, homes))??;
         let load = relay.stats.estimate_load(gateway.clock.now(), 0.0);
-        Some(Choice { best: Candidate { server: relay, load }, runner_up: None })
+        Some(Choice::of_gateway(Candidate { server: relay, load }))
     }
 
     /// Whether this gateway does not reach the servers of the request: it hears none at
@@ -255,7 +257,7 @@
         }
     }
 
-    fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
+    pub(super) fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         self.with_criteria(gateway, call, |criteria| {
             choose(call.servers(&gateway.routing.fleet.load()), criteria, rand::random)
         })
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod concurrency;
 pub mod config;
 pub mod crash_suspicion;
+pub mod early_rejection;
 pub mod evacuation;
 pub mod hash;
 pub mod hedge;
