Choose engines by the predicted time to the first event

Cause: requests are counted when a server is chosen, although a prompt of 5,900 tokens costs an engine a hundred times the work of one of 40. Far below full slots, the time to the first event follows from the prompts that wait at a replica and from the length of its passes.

Change: state::request_cost predicts the time from the engine's figures in the configuration and the cost that the request states, corrected by what is learned by model and route. Gateways follow the prompts that wait at each replica: their own at once, those of others from reports of work, which take the place of reports of counts for gateways that announced that they read them, in no more bytes. The setting by-cost in the section choice turns this on; the default is off.

--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -36,6 +36,11 @@
     pub grace: Duration,
     /// Limits of retries, shared by all gateways.
     pub retries: RetryLimits,
+    /// Whether servers of engines are chosen by the cost of requests.
+    pub by_cost: bool,
+    /// Time that a server of another zone must gain to be chosen by cost: its delay in
+    /// both directions, and what the bytes between zones cost.
+    pub zone_penalty: Duration,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
     /// Log level, or a list of `target=level`.
@@ -74,11 +79,27 @@
         balancer_lag: reader.duration("node", "balancer-lag", Duration::from_millis(2_500)),
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
         retries: read_retries(reader),
+        by_cost: read_switch(reader, "choice", "by-cost"),
+        zone_penalty: reader.duration("choice", "zone-penalty", DEFAULT_ZONE_PENALTY),
         max_connections: reader.count("callers", "max-connections", 1_024),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
 
+/// Default time that a server of another zone must gain: a few milliseconds of delay in
+/// both directions between zones of one region.
+const DEFAULT_ZONE_PENALTY: Duration = Duration::from_millis(10);
+
+/// Reads a setting that is on or off; off if it is absent.
+fn read_switch<'a>(reader: &mut Reader<'a>, section: &'a str, key: &'a str) -> bool {
+    let parse = |it: &str| match it {
+        "on" => Some(true),
+        "off" => Some(false),
+        _ => None,
+    };
+    reader.optional(section, key, "on or off", parse).unwrap_or(false)
+}
+
 /// Default ratio of retries to requests: one in ten, the same as in the node's own
 /// retry budget.
 const DEFAULT_RATIO: f64 = 0.1;
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -41,3 +41,15 @@
     let sample = include_str!("../../../../../contrib/gateway.ini");
     assert_eq!(parse(sample).map(|_| ()), Ok(()));
 }
+
+#[test]
+fn choice_by_cost_is_off_unless_it_is_set() {
+    let settings = parse(SAMPLE).unwrap();
+    assert!(!settings.by_cost);
+    let set =
+        |value| parse(&format!("{SAMPLE}\n[choice]\nby-cost = {value}\nzone-penalty = 3ms\n"));
+    let settings = set("on").unwrap();
+    assert!(settings.by_cost && settings.zone_penalty == Duration::from_millis(3));
+    assert!(!set("off").unwrap().by_cost);
+    assert!(set("yes").is_err());
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -6,6 +6,7 @@
 use citrongw_protocol::store::{Entry, Key, Store};
 use citrongw_state::{
     id::{Epoch, InstanceId, ModelId, OrganisationId, ReplicaId},
+    request_cost::StatedCost,
     server_limit::StatedLimit,
     server_pause::StatedPause,
 };
@@ -36,6 +37,8 @@
     /// Ids of the parts of the prompt, in order. The last one belongs to this
     /// request or its session; other requests share the others.
     pub prompt_parts: Vec<String>,
+    /// Cost that the caller states.
+    pub cost: StatedCost,
 }
 
 /// Metadata that the gateway adds to a forwarded request.
--- a/crates/gateway/src/announced_replicas.rs
+++ b/crates/gateway/src/announced_replicas.rs
@@ -54,6 +54,9 @@
             | PeerMessage::PermitReply(_)
             | PeerMessage::ListForZone(_)
             | PeerMessage::ListMissing { .. }
+            | PeerMessage::ReadsWork(_)
+            | PeerMessage::Work(_)
+            | PeerMessage::ZoneWork { .. }
             | PeerMessage::ZoneLoad { .. } => false,
         }
     }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -8,7 +8,11 @@
 //! what each server got of them (basic load interpretation: Dahlin, "Interpreting
 //! Stale Load Information", 1999). With fresh reports this is the least loaded
 //! server; with old ones it approaches a random server.
+//!
+//! Servers are compared by their requests, or, where the cost of the request is known,
+//! by the predicted time to its first event.
 
+mod by_cost;
 mod leveling;
 
 use std::{
@@ -26,6 +30,7 @@
 
 use self::leveling::Level;
 use crate::{
+    cost::CallCost,
     fleet::{Backend, LoadEstimate},
     peer_loads::{PeerLoads, PeerLoadsView},
 };
@@ -47,6 +52,9 @@
     pub peer_loads: &'a PeerLoads,
     /// Current time of the node's clock.
     pub now: Time,
+    /// Cost of the request, if servers are compared by the time to its first event;
+    /// none if they are compared by their requests.
+    pub cost: Option<&'a CallCost>,
 }
 
 /// Server with the load estimate that the choice used.
@@ -73,34 +81,45 @@
     criteria: &ChoiceCriteria<'_>,
     random: impl FnOnce() -> f64,
 ) -> Option<Choice> {
-    let peer_loads = criteria.peer_loads.view(criteria.now);
+    let mut peer_loads = criteria.peer_loads.view(criteria.now);
     let usable = servers.iter().filter(|it| exclusion(it, criteria).is_none());
     let usable: Vec<&Arc<Backend>> = usable.collect();
     let remote_loads = RemoteLoads::new(&usable, criteria, &peer_loads);
-    let scored: Vec<Scored<'_>> = usable
-        .into_iter()
-        .map(|server| {
-            let remote_requests = remote_loads.requests_at(server, criteria, &peer_loads);
-            let peer_requests = f64::from(peer_loads.zone_requests(server)) + remote_requests;
-            let load = server.stats.estimate_load(criteria.now, peer_requests);
-            let slots = f64::from(server.slots.max(1));
-            let zone_penalty = if server.zone == *criteria.zone { 0.0 } else { ZONE_PENALTY };
-            let level = Level { load_share: load.requests / slots + zone_penalty, slots };
-            Scored { level, load, server }
-        })
-        .collect();
+    let scored: Vec<Scored<'_>> = match criteria.cost {
+        Some(cost) => by_cost::score(&usable, criteria, cost, &remote_loads, &mut peer_loads),
+        None => score_by_requests(&usable, criteria, &remote_loads, &peer_loads),
+    };
     let arrivals = peer_loads.expected_arrivals(scored.iter().map(|it| &**it.server));
     drop(peer_loads);
     let levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
     let best = leveling::pick(&levels, arrivals, random())?;
     let others = scored.iter().enumerate().filter(|(idx, _)| *idx != best).map(|(_, it)| it);
-    let runner_up = others.min_by(|a, b| a.level.load_share.total_cmp(&b.level.load_share));
+    let runner_up = others.min_by(|a, b| a.level.load.total_cmp(&b.level.load));
     Some(Choice {
         best: scored[best].to_candidate(),
         runner_up: runner_up.map(Scored::to_candidate),
     })
 }
 
+/// Scores servers by their requests, relative to their slots.
+fn score_by_requests<'a>(
+    servers: &[&'a Arc<Backend>],
+    criteria: &ChoiceCriteria<'_>,
+    remote_loads: &RemoteLoads<'_>,
+    peer_loads: &PeerLoadsView<'_>,
+) -> Vec<Scored<'a>> {
+    let scored = servers.iter().map(|&server| {
+        let remote_requests = remote_loads.requests_at(server, criteria, peer_loads);
+        let peer_requests = f64::from(peer_loads.zone_requests(server)) + remote_requests;
+        let load = server.stats.estimate_load(criteria.now, peer_requests);
+        let slots = f64::from(server.slots.max(1));
+        let zone_penalty = if server.zone == *criteria.zone { 0.0 } else { ZONE_PENALTY };
+        let level = Level { load: load.requests / slots + zone_penalty, capacity: slots };
+        Scored { level, load, server }
+    });
+    scored.collect()
+}
+
 /// Mean load of the servers in each other zone by requests from outside this zone,
 /// as a share of the slots.
 ///
--- /dev/null
+++ b/crates/gateway/src/choose/by_cost.rs
@@ -0,0 +1,111 @@
+//! Comparison of servers by the predicted time to the first event of a request.
+
+use std::{sync::Arc, time::Duration};
+
+use citrongw_state::{id::AvailabilityZone, request_cost::ServerWork};
+
+use super::{ChoiceCriteria, Level, RemoteLoads, Scored};
+use crate::{
+    cost::CallCost,
+    fleet::{Backend, PredictedTimes},
+    peer_loads::{PeerLoadsView, work::ServerQueue},
+};
+
+const MS_PER_S: f64 = 1_000.0;
+/// Part of the prompts without a first event that is not prefilled: half of those in
+/// progress.
+const UNREAD_SHARE: f64 = 0.5;
+
+/// Scores servers by the time to the first event of a request.
+pub(super) fn score<'a>(
+    servers: &[&'a Arc<Backend>],
+    criteria: &ChoiceCriteria<'_>,
+    cost: &CallCost,
+    remote_loads: &RemoteLoads<'_>,
+    peer_loads: &mut PeerLoadsView<'_>,
+) -> Vec<Scored<'a>> {
+    let remote_rates = RemoteRates::new(servers, criteria, cost, peer_loads);
+    let scored = servers.iter().map(|&server| {
+        let remote_requests = remote_loads.requests_at(server, criteria, peer_loads);
+        let peer_requests = f64::from(peer_loads.zone_requests(server)) + remote_requests;
+        let mut load = server.stats.estimate_load(criteria.now, peer_requests);
+        let is_remote = server.zone != *criteria.zone;
+        let mut queue = match is_remote {
+            true => remote_rates.queue_at(server, cost),
+            false => queue(server, cost, peer_loads),
+        };
+        let own = &server.stats.work;
+        queue.tokens = queue.tokens.max(own.unread_tokens() * UNREAD_SHARE);
+        let others = (load.requests - f64::from(server.stats.in_flight())).max(0.0);
+        let remaining = own.remaining_tokens() + others * cost.mean.output_tokens / 2.0;
+        let work = ServerWork {
+            requests: load.requests,
+            slots: cost.figures.usable_slots(server.slots.max(1).into(), &cost.mean),
+            queued_tokens: queue.tokens,
+            tokens_per_s: queue.tokens_per_s,
+            remaining_output_tokens: remaining / load.requests.max(1.0),
+        };
+        let prediction = cost.figures.predict(&cost.expected, &cost.mean, &work);
+        let slowness = own.slowness(criteria.now);
+        let factor = slowness * cost.time_factor;
+        let crossing_ms = if is_remote { cost.crossing.as_secs_f64() * MS_PER_S } else { 0.0 };
+        let compared_ms = prediction.first_event_ms * factor + crossing_ms;
+        load.predicted = Some(PredictedTimes {
+            first_event: millis(prediction.first_event_ms),
+            event_gap: millis(prediction.event_gap_ms),
+            time_factor: cost.time_factor,
+            compared: millis(compared_ms),
+            queued_tokens: queue.tokens,
+            slowness,
+        });
+        let capacity = 1.0 / (prediction.per_request_ms * factor);
+        Scored { level: Level { load: compared_ms, capacity }, load, server }
+    });
+    scored.collect()
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / MS_PER_S).unwrap_or(Duration::MAX)
+}
+
+fn queue(server: &Backend, cost: &CallCost, peer_loads: &mut PeerLoadsView<'_>) -> ServerQueue {
+    peer_loads.queue(server, cost.figures.prefill_rate(), cost.mean.prompt_tokens)
+}
+
+/// Prompt tokens that arrive at the servers of each other zone.
+///
+/// The sums of a zone arrive later than a prompt waits. So the servers of a zone count as
+/// equal, with the queue that follows from the rate.
+struct RemoteRates<'a> {
+    /// Sum of the rates and number of servers by zone.
+    zones: Vec<(&'a AvailabilityZone, f64, f64)>,
+}
+
+impl<'a> RemoteRates<'a> {
+    fn new(
+        servers: &[&'a Arc<Backend>],
+        criteria: &ChoiceCriteria<'_>,
+        cost: &CallCost,
+        peer_loads: &mut PeerLoadsView<'_>,
+    ) -> Self {
+        let mut zones: Vec<(&AvailabilityZone, f64, f64)> = Vec::new();
+        for server in servers.iter().filter(|it| it.zone != *criteria.zone) {
+            let rate = queue(server, cost, peer_loads).tokens_per_s;
+            match zones.iter_mut().find(|(zone, ..)| **zone == server.zone) {
+                Some((_, sum, count)) => {
+                    *sum += rate;
+                    *count += 1.0;
+                }
+                None => zones.push((&server.zone, rate, 1.0)),
+            }
+        }
+        Self { zones }
+    }
+
+    fn queue_at(&self, server: &Backend, cost: &CallCost) -> ServerQueue {
+        let zone = self.zones.iter().find(|(zone, ..)| **zone == server.zone);
+        let tokens_per_s = zone.map_or(0.0, |(_, sum, count)| sum / count);
+        let tokens = cost.figures.mean_queued_tokens(tokens_per_s, &cost.mean);
+        ServerQueue { tokens, tokens_per_s }
+    }
+}
--- a/crates/gateway/src/choose/leveling/tests.rs
+++ b/crates/gateway/src/choose/leveling/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn levels(load_shares: &[f64]) -> Vec<Level> {
-    load_shares.iter().map(|it| Level { load_share: *it, slots: 10.0 }).collect()
+fn levels(loads: &[f64]) -> Vec<Level> {
+    loads.iter().map(|it| Level { load: *it, capacity: 10.0 }).collect()
 }
 
 /// Share of the choices that each server gets.
@@ -39,6 +39,6 @@
 
 #[test]
 fn server_with_more_slots_gets_more() {
-    let servers = [Level { load_share: 0.0, slots: 30.0 }, Level { load_share: 0.0, slots: 10.0 }];
+    let servers = [Level { load: 0.0, capacity: 30.0 }, Level { load: 0.0, capacity: 10.0 }];
     assert!((shares(&servers, 4.0)[0] - 0.75).abs() < 0.01);
 }
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -34,6 +34,7 @@
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
         now: Time::START,
+        cost: None,
     };
     choose(servers, &criteria, || 0.0).map(|it| it.best.server.id.to_string())
 }
@@ -78,6 +79,7 @@
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
         now: Time::START,
+        cost: None,
     };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
     let loads = [choice.best.load.requests, choice.runner_up.unwrap().load.requests];
@@ -95,17 +97,21 @@
         pauses: &ServerPauses::default(),
         peer_loads: &peer_loads,
         now: Time::from_millis(150),
+        cost: None,
     };
     let choice = choose(&servers, &criteria, || 0.0).unwrap();
     let age = Some(Duration::from_millis(150));
-    assert_eq!(choice.best.load, LoadEstimate { requests: 3.0, reported_age: age });
+    assert_eq!(
+        choice.best.load,
+        LoadEstimate { requests: 3.0, reported_age: age, predicted: None }
+    );
     let runner_up = choice.runner_up.unwrap();
     assert_eq!((runner_up.server.id.as_str(), runner_up.load.requests), ("z", 5.0));
     let late = ChoiceCriteria { now: Time::from_millis(5_000), ..criteria };
     let load = choose(&servers, &late, || 0.0).unwrap().best.load;
     assert_eq!(
         load,
-        LoadEstimate { requests: 0.0, reported_age: None },
+        LoadEstimate { requests: 0.0, reported_age: None, predicted: None },
         "an expired load report does not count"
     );
 }
@@ -134,6 +140,7 @@
             pauses: &pauses,
             peer_loads: &peer_loads,
             now,
+            cost: None,
         };
         exclusion(&server, &criteria)
     };
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -284,6 +284,9 @@
             | PeerMessage::ServerLimit { .. }
             | PeerMessage::PermitRequest(_)
             | PeerMessage::PermitReply(_)
+            | PeerMessage::ReadsWork(_)
+            | PeerMessage::Work(_)
+            | PeerMessage::ZoneWork { .. }
             | PeerMessage::ZoneLoad { .. } => {}
         }
         self.rebuild();
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,6 +5,8 @@
 //! member is open and every other member is listed under the same replica and
 //! epoch.
 
+pub mod work;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
@@ -26,6 +28,8 @@
 
 use tokio::sync::Notify;
 
+pub use self::work::{InFlight, LoadEstimate, PredictedTimes};
+use self::work::{RequestWork, ServerWorkSums};
 use crate::{
     adapter::ServerLoad,
     announced_replicas::AnnouncedReplicas,
@@ -41,21 +45,13 @@
 /// then.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(400);
 
-/// Load of a backend server as this node estimates it.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadEstimate {
-    /// Expected number of requests running or waiting at the server.
-    pub requests: f64,
-    /// Age of the load that the server reported. None if the report was too old
-    /// to be used.
-    pub reported_age: Option<Duration>,
-}
-
 /// State of a backend server as observed by this node's requests.
 #[derive(Debug, Default)]
 pub struct BackendStats {
     /// Circuit breaker of this node's requests to the server.
     pub breaker: Breaker,
+    /// Work of this node's requests at the server.
+    pub work: ServerWorkSums,
     in_flight: AtomicU32,
     begun: AtomicU32,
     reported_load: AtomicU32,
@@ -81,10 +77,16 @@
 
     /// Counts a request as in flight until the guard is dropped.
     pub fn begin_request(self: &Arc<Self>) -> InFlight {
+        self.begin_work(RequestWork::UNKNOWN, Time::START)
+    }
+
+    /// Counts a request and its work as in flight until the guard is dropped.
+    pub fn begin_work(self: &Arc<Self>, work: RequestWork, now: Time) -> InFlight {
+        self.work.begin(&work);
         self.begun.fetch_add(1, Ordering::Relaxed);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent_since_report.fetch_add(1, Ordering::Relaxed);
-        InFlight { stats: Arc::clone(self) }
+        InFlight::new(Arc::clone(self), work, now)
     }
 
     /// Records the load that the server reported in a response.
@@ -163,12 +165,13 @@
         let own = f64::from(self.in_flight()) + peer_requests;
         let reported_at = Time::from_millis(self.reported_at_ms.load(Ordering::Relaxed));
         if MAX_LOAD_AGE < now.since(reported_at) {
-            return LoadEstimate { requests: own, reported_age: None };
+            return LoadEstimate { requests: own, reported_age: None, predicted: None };
         }
         let reported = self.reported_load.load(Ordering::Relaxed);
         let reported = reported + self.sent_since_report.load(Ordering::Relaxed);
         let requests = own.max(f64::from(reported));
-        LoadEstimate { requests, reported_age: Some(now.since(reported_at)) }
+        let reported_age = Some(now.since(reported_at));
+        LoadEstimate { requests, reported_age, predicted: None }
     }
 }
 
@@ -176,18 +179,6 @@
     u64::try_from(time.0.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Guard that counts a request as in flight at a backend server.
-#[derive(Debug)]
-pub struct InFlight {
-    stats: Arc<BackendStats>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.stats.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Replica, under one epoch, that a backend server takes requests for.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReplicaKey {
--- a/crates/gateway/src/gateway_config.rs
+++ b/crates/gateway/src/gateway_config.rs
@@ -3,7 +3,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use citrongw_state::id::{ModelId, OrganisationId, PlainServiceId, Revision};
+use citrongw_state::{
+    id::{ModelId, OrganisationId, PlainServiceId, Revision},
+    request_cost::EngineFigures,
+};
 use citrongw_transport::http_server::ConnectionLimits;
 use derive_more::Display;
 
@@ -157,6 +160,8 @@
     pub loads_per_s: f64,
     /// Time from an `Open` order until a replica serves.
     pub open_time: Duration,
+    /// Speed of the engine, without the pace of a model, if the operators state it.
+    pub figures: Option<EngineFigures>,
 }
 
 impl EngineSpec {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod backoff;
 pub mod choose;
 pub mod control;
+pub mod cost;
 mod crash_watch;
 pub mod feed;
 pub mod fleet;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     refusals: Family<CodeLabels, Counter>,
     request_time: ServiceHistograms,
     first_event_time: ServiceHistograms,
+    predicted_first_event_time: ServiceHistograms,
     log_lines_dropped: Gauge,
     store_calls: StoreCalls,
     unreadable_records: Counter,
@@ -72,6 +73,14 @@
         Unit::Seconds,
         first_event_time.clone(),
     );
+    let predicted_first_event_time: ServiceHistograms =
+        Family::new_with_constructor(histogram as fn() -> Histogram);
+    registry.register_with_unit(
+        "predicted_first_event_time",
+        "Predicted time to the first event at the chosen server, of requests chosen by cost",
+        Unit::Seconds,
+        predicted_first_event_time.clone(),
+    );
     let log_lines_dropped = Gauge::default();
     registry.register(
         "log_lines_dropped",
@@ -96,6 +105,7 @@
         refusals,
         request_time,
         first_event_time,
+        predicted_first_event_time,
         log_lines_dropped,
         store_calls,
         unreadable_records,
@@ -121,6 +131,13 @@
         }
     }
 
+    /// Records the predicted time to the first event of a request that ended.
+    pub fn count_prediction(&self, service: &str, first_event: Duration) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        let histogram = self.predicted_first_event_time.get_or_create(&labels);
+        histogram.observe(first_event.as_secs_f64());
+    }
+
     /// Counts a request that was refused before its body was read.
     pub fn count_refusal(&self, code: ResultCode) {
         self.refusals.get_or_create(&CodeLabels { code: code.number() }).inc();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,6 +28,7 @@
 use crate::{
     adapter::{Adapter, Codec},
     control::{self, plan},
+    cost::{self, RequestCosts},
     crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
     links::{self, LinkWatch},
@@ -66,6 +67,8 @@
     pub retries: RetryWindows,
     /// Requests in flight that the other gateways reported.
     pub peer_loads: Arc<PeerLoads>,
+    /// Costs of requests, as learned from responses.
+    pub costs: RequestCosts,
     /// Link to the other gateways.
     pub peers: Arc<Peers>,
     /// Metrics of the gateway.
@@ -119,6 +122,7 @@
     let gateway = Arc::new(Gateway {
         node,
         peer_loads: Arc::default(),
+        costs: cost::open(settings.zone_penalty),
         settings,
         clock,
         adapter,
@@ -162,6 +166,12 @@
             PeerMessage::ZoneLoad { zone, report } => {
                 peer_loads.record(ReportSource::Zone(zone), report, clock.now());
             }
+            PeerMessage::Work(report) => {
+                peer_loads.record_work(ReportSource::Gateway(from), &report, clock.now());
+            }
+            PeerMessage::ZoneWork { zone, report } => {
+                peer_loads.record_work(ReportSource::Zone(zone), &report, clock.now());
+            }
             PeerMessage::List(change) => {
                 era.record(change.revision.era);
                 routing.queue_change(from, change, clock.now());
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -9,6 +9,7 @@
 //! number of zones, not to all gateways.
 
 pub mod publisher;
+pub mod work;
 
 use std::{
     collections::{HashMap, hash_map::Entry},
@@ -23,6 +24,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::publisher::publish;
+use self::work::{ReplicaQueues, ServerQueue, WorkReport};
 use crate::{
     fleet::{Backend, ReplicaKey},
     lock::lock,
@@ -115,6 +117,8 @@
 struct Reports {
     received: HashMap<(ReportSource, u8), ReceivedReport>,
     totals: HashMap<ReplicaKey, ReplicaTotals>,
+    /// Prompt tokens at the replicas that requests are chosen for by cost.
+    queues: ReplicaQueues,
 }
 
 impl PeerLoads {
@@ -122,19 +126,29 @@
     /// one.
     pub fn record(&self, source: ReportSource, report: LoadReport, now: Time) {
         let mut reports = lock(&self.reports);
-        reports.remove_expired(now);
-        let previous_parts: Vec<_> = reports
-            .received
-            .keys()
-            .filter(|(from, part)| {
-                *from == source && (*part == report.part || report.parts <= *part)
-            })
-            .cloned()
-            .collect();
-        for key in previous_parts {
-            reports.remove(&key);
-        }
-        reports.add((source, report.part), ReceivedReport { received_at: now, report });
+        let latest = reports.latest_begin(&source, report.covers());
+        reports.queues.record_counts(latest, &report, now);
+        reports.record(source, report, now);
+    }
+
+    /// Records a part of a report of work.
+    pub fn record_work(&self, source: ReportSource, report: &WorkReport, now: Time) {
+        let mut reports = lock(&self.reports);
+        let latest = reports.latest_begin(&source, report.covers());
+        reports.queues.record_work(latest, report, now);
+        let counts = reports.queues.counts(report);
+        reports.record(source, counts, now);
+    }
+
+    /// Records that this gateway began a request.
+    pub fn record_begun(&self, replica: &ReplicaKey, prompt_tokens: u32, now: Time) {
+        lock(&self.reports).queues.record_begun(replica, prompt_tokens, now);
+    }
+
+    /// Takes the prompt tokens that the gateways of the zone reported as begun since the
+    /// last call.
+    fn take_zone_tokens(&self) -> HashMap<ReplicaKey, f64> {
+        lock(&self.reports).queues.take_zone_tokens()
     }
 
     /// Loads for one choice. Other users wait until the value is dropped.
@@ -174,6 +188,29 @@
 }
 
 impl Reports {
+    /// Time before a report of a gateway of the zone in which its requests began; none
+    /// for the sums of another zone. A gateway reports at its next interval.
+    fn latest_begin(&self, source: &ReportSource, covers: Duration) -> Option<Duration> {
+        let reporting = self.received.keys().filter(|(from, _)| is_gateway(from)).count();
+        is_gateway(source).then(|| covers.min(publisher::interval(reporting + 1)))
+    }
+
+    fn record(&mut self, source: ReportSource, report: LoadReport, now: Time) {
+        self.remove_expired(now);
+        let previous_parts: Vec<_> = self
+            .received
+            .keys()
+            .filter(|(from, part)| {
+                *from == source && (*part == report.part || report.parts <= *part)
+            })
+            .cloned()
+            .collect();
+        for key in previous_parts {
+            self.remove(&key);
+        }
+        self.add((source, report.part), ReceivedReport { received_at: now, report });
+    }
+
     fn add(&mut self, key: (ReportSource, u8), received: ReceivedReport) {
         let in_zone = is_gateway(&key.0);
         for requests in &received.report.replicas {
@@ -212,6 +249,7 @@
         if !self.received.values().any(is_expired) {
             return;
         }
+        self.queues.remove_idle(now);
         self.received.retain(|_, it| !is_expired(it));
         // Summed anew, so that replicas without reports are forgotten and rounding
         // errors do not add up.
@@ -249,6 +287,13 @@
         begun_per_s * self.mean_age_s()
     }
 
+    /// Prompt tokens that wait at a server that prefills `prefill_rate` of them in a
+    /// second. `mean_prompt` is the mean of its prompts.
+    pub fn queue(&mut self, server: &Backend, prefill_rate: f64, mean_prompt: f64) -> ServerQueue {
+        let Some(key) = server.replica.as_ref() else { return ServerQueue::default() };
+        self.reports.queues.at(key, prefill_rate, mean_prompt, self.now)
+    }
+
     fn totals_at(&self, server: &Backend) -> ReplicaTotals {
         let key = server.replica.as_ref();
         key.and_then(|it| self.reports.totals.get(it)).copied().unwrap_or_default()
--- a/crates/gateway/src/peer_loads/publisher.rs
+++ b/crates/gateway/src/peer_loads/publisher.rs
@@ -6,7 +6,7 @@
 use citrongw_state::{id::NodeId, time::Time};
 use tokio::time::sleep;
 
-use super::{LoadReport, PeerLoads, ReplicaRequests};
+use super::{LoadReport, PeerLoads, ReplicaRequests, work::WorkReport};
 use crate::{
     fleet::{Backend, ReplicaKey},
     node::Gateway,
@@ -25,6 +25,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_100);
 /// Interval between the sums of a zone for the other zones.
 const ZONE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between the messages by which gateways learn who reads reports of work. They
+/// go only to those that are not known to, so there are none once all do.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
 /// Limit on the replicas of one datagram.
 const MAX_REPLICAS: usize = 60;
 
@@ -41,6 +44,10 @@
     pub own: Vec<LoadReport>,
     /// Sums of the zone, for the gateways of the other zones.
     pub zone: Vec<LoadReport>,
+    /// The reports of `own` for gateways that read work.
+    pub own_work: Vec<WorkReport>,
+    /// The reports of `zone` for gateways that read work.
+    pub zone_work: Vec<WorkReport>,
 }
 
 /// Decides what a gateway reports and when.
@@ -49,6 +56,12 @@
     node: NodeId,
     /// Requests begun at each replica by the last report.
     begun: HashMap<ReplicaKey, u32>,
+    /// Prompt tokens begun at each replica by the last report.
+    begun_tokens: HashMap<ReplicaKey, u32>,
+    /// Prompt tokens of this gateway that the next sums of the zone count.
+    unsummed_tokens: HashMap<ReplicaKey, f64>,
+    /// Whether other gateways may read work.
+    reports_work: bool,
     /// Requests in flight in the last report.
     in_flight: HashMap<ReplicaKey, u32>,
     reported_at: Time,
@@ -62,6 +75,9 @@
     LoadPublisher {
         node,
         begun: HashMap::new(),
+        begun_tokens: HashMap::new(),
+        unsummed_tokens: HashMap::new(),
+        reports_work: false,
         in_flight: HashMap::new(),
         reported_at: Time::START,
         zone_reported_at: Time::START,
@@ -70,6 +86,11 @@
 }
 
 impl LoadPublisher {
+    /// Makes the publisher report work too.
+    pub fn with_work(self) -> Self {
+        Self { reports_work: true, ..self }
+    }
+
     /// Reports that are due at `now`. They count as sent.
     pub fn due<'a>(
         &mut self,
@@ -95,20 +116,58 @@
             self.in_flight = in_flight.map(|it| (it.key(), it.requests)).collect();
             self.reported_at = now;
             due.own = split(&current, covers);
+            if self.reports_work {
+                let tokens = self.take_tokens(&servers);
+                let work = |it: &LoadReport| {
+                    WorkReport::new(it, |key| tokens.get(key).copied().unwrap_or_default())
+                };
+                due.own_work = due.own.iter().map(work).collect();
+                for (key, tokens) in tokens {
+                    *self.unsummed_tokens.entry(key).or_default() += tokens;
+                }
+            }
         }
         let covers = now.since(self.zone_reported_at);
-        if ZONE_INTERVAL <= covers && peer_loads.is_reporter(self.node, now) {
+        if ZONE_INTERVAL <= covers && !peer_loads.is_reporter(self.node, now) {
+            self.unsummed_tokens.clear();
+            drop(peer_loads.take_zone_tokens());
+        } else if ZONE_INTERVAL <= covers {
             let sums = zone_sums(peer_loads, &current, now);
             // Before any traffic, each gateway takes itself for the reporter.
             if !sums.is_empty() || self.zone_has_requests {
                 self.zone_has_requests = !sums.is_empty();
                 self.zone_reported_at = now;
                 due.zone = split(&sums, covers);
+                if self.reports_work {
+                    let mut tokens = peer_loads.take_zone_tokens();
+                    for (key, own) in self.unsummed_tokens.drain() {
+                        *tokens.entry(key).or_default() += own;
+                    }
+                    let work = |it: &LoadReport| {
+                        WorkReport::new(it, |key| tokens.get(key).copied().unwrap_or_default())
+                    };
+                    due.zone_work = due.zone.iter().map(work).collect();
+                }
             }
         }
         due
     }
 
+    /// Prompt tokens begun at each replica since the last report.
+    fn take_tokens(
+        &mut self,
+        servers: &[(&ReplicaKey, &Arc<Backend>)],
+    ) -> HashMap<ReplicaKey, f64> {
+        let begun =
+            servers.iter().map(|(key, it)| (ReplicaKey::clone(key), it.stats.work.begun_tokens()));
+        let before = std::mem::replace(&mut self.begun_tokens, begun.collect());
+        let since = self.begun_tokens.iter().map(|(key, begun)| {
+            let before = before.get(key).copied().unwrap_or_default();
+            (key.clone(), f64::from(begun.wrapping_sub(before)))
+        });
+        since.filter(|(_, tokens)| 0.0 < *tokens).collect()
+    }
+
     fn requests_at(&self, key: &ReplicaKey, server: &Backend) -> ReplicaRequests {
         let reported = self.begun.get(key).copied().unwrap_or_default();
         ReplicaRequests {
@@ -170,16 +229,32 @@
 pub(crate) async fn publish(gateway: Arc<Gateway>) {
     let zone = &gateway.settings.zone;
     let mut publisher = open(gateway.node);
+    let by_cost = gateway.settings.by_cost;
+    if by_cost {
+        publisher = publisher.with_work();
+    }
+    let mut announced_at = None;
     loop {
         sleep(interval(gateway.peers.cluster().gateways_of(zone).count())).await;
+        let now = gateway.clock.now();
+        if by_cost && announced_at.is_none_or(|it| ANNOUNCE_INTERVAL <= now.since(it)) {
+            announced_at = Some(now);
+            gateway.peers.announce_work_reader(now).await;
+        }
         let fleet = gateway.routing.fleet.load_full();
-        let due = publisher.due(fleet.replicas(), &gateway.peer_loads, gateway.clock.now());
+        let due = publisher.due(fleet.replicas(), &gateway.peer_loads, now);
+        let mut work = due.own_work.into_iter();
         for part in due.own {
-            gateway.peers.send_to_zone(zone, &PeerMessage::Load(part)).await;
+            let counts = PeerMessage::Load(part);
+            let work = work.next().map(PeerMessage::Work);
+            gateway.peers.send_load(&counts, work.as_ref(), |it| it.zone == *zone).await;
         }
+        let mut work = due.zone_work.into_iter();
         for report in due.zone {
-            let message = PeerMessage::ZoneLoad { zone: zone.clone(), report };
-            gateway.peers.send_to_other_zones(zone, &message).await;
+            let counts = PeerMessage::ZoneLoad { zone: zone.clone(), report };
+            let work =
+                work.next().map(|it| PeerMessage::ZoneWork { zone: zone.clone(), report: it });
+            gateway.peers.send_load(&counts, work.as_ref(), |it| it.zone != *zone).await;
         }
     }
 }
--- a/crates/gateway/src/peer_loads/publisher/tests.rs
+++ b/crates/gateway/src/peer_loads/publisher/tests.rs
@@ -3,7 +3,10 @@
 use citrongw_state::id::{Epoch, ReplicaId};
 
 use super::*;
-use crate::{fleet::BackendStats, peer_loads::ReportSource};
+use crate::{
+    fleet::{BackendStats, work::RequestWork},
+    peer_loads::ReportSource,
+};
 
 fn server(replica: u64) -> Arc<Backend> {
     Arc::new(Backend {
@@ -81,3 +84,26 @@
         open(NodeId(1)).due(std::iter::empty(), &PeerLoads::default(), Time::from_millis(9_000));
     assert_eq!(due.zone, [], "no requests in the zone");
 }
+
+#[test]
+fn work_is_reported_beside_counts_and_summed_for_other_zones() {
+    let server = server(7);
+    let begin = |tokens| {
+        let work = RequestWork { prompt_tokens: tokens, output_tokens: 100, event_tokens: 6 };
+        server.stats.begin_work(work, Time::START)
+    };
+    let _requests = (begin(1_600), begin(320));
+    let peer_loads = PeerLoads::default();
+    let due = |publisher: &mut LoadPublisher| {
+        publisher.due([&server].into_iter(), &peer_loads, Time::from_millis(600))
+    };
+    let without = due(&mut open(NodeId(1)));
+    assert!(without.own_work.is_empty() && without.zone_work.is_empty());
+    let with = due(&mut open(NodeId(1)).with_work());
+    assert_eq!((&with.own, &with.zone), (&without.own, &without.zone));
+    let key = ReplicaKey { replica: ReplicaId(7), epoch: Epoch(1) };
+    for work in [&with.own_work, &with.zone_work] {
+        let expected = WorkReport::new(&with.own[0], |it| if *it == key { 1_920.0 } else { 0.0 });
+        assert_eq!(work, &[expected]);
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 pub mod message;
 mod restored_cluster;
 mod secret;
+pub mod work_readers;
 
 use std::{
     collections::HashMap,
@@ -39,6 +40,7 @@
     cluster_view::{poll_cluster, register_self},
     message::PeerMessage,
     restored_cluster::RestoredCluster,
+    work_readers::WorkReaders,
 };
 use crate::{control::plan::DomainKey, listing::ListChange, lock::lock, store_era::NewestEra};
 
@@ -99,6 +101,8 @@
     listed_at: Mutex<Option<Time>>,
     /// Reporter of each other zone, and when it last sent the zone's load.
     zone_reporters: Mutex<HashMap<AvailabilityZone, (NodeId, Time)>>,
+    /// Gateways that read reports of work.
+    work_readers: Mutex<WorkReaders>,
     /// Senders to the controllers of the domains that this gateway owns.
     suspect_txs: Mutex<HashMap<DomainKey, mpsc::Sender<ReplicaEpoch>>>,
 }
@@ -120,6 +124,7 @@
         digest_differs: Notify::new(),
         listed_at: Mutex::default(),
         zone_reporters: Mutex::default(),
+        work_readers: Mutex::default(),
         suspect_txs: Mutex::default(),
     }
 }
@@ -429,6 +434,13 @@
                 lock(&peers.zone_reporters).insert(zone.clone(), (from, peers.clock.now()));
                 on_message(from, PeerMessage::ZoneLoad { zone, report });
             }
+            PeerMessage::ZoneWork { zone, report } => {
+                lock(&peers.zone_reporters).insert(zone.clone(), (from, peers.clock.now()));
+                on_message(from, PeerMessage::ZoneWork { zone, report });
+            }
+            PeerMessage::ReadsWork(announcement) => {
+                lock(&peers.work_readers).record(from, announcement, peers.clock.now());
+            }
             message => on_message(from, message),
         }
     }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -15,7 +15,11 @@
 use citrongw_transport::peer_udp::Datagram;
 use serde::{Deserialize, Serialize};
 
-use crate::{listing::ListChange, peer_loads::LoadReport};
+use super::work_readers::WorkReaderAnnouncement;
+use crate::{
+    listing::ListChange,
+    peer_loads::{LoadReport, work::WorkReport},
+};
 
 /// Message between gateways.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -90,6 +94,17 @@
     PermitRequest(PermitRequest),
     /// From the granter.
     PermitReply(PermitReply),
+    /// The sender reads reports of work.
+    ReadsWork(WorkReaderAnnouncement),
+    /// From a gateway of the same zone: the work of its requests, in place of `Load`.
+    Work(WorkReport),
+    /// From the reporter of another zone: the work of that zone, in place of `ZoneLoad`.
+    ZoneWork {
+        /// Zone of the requests' gateways.
+        zone: AvailabilityZone,
+        /// Sums of the zone for each replica.
+        report: WorkReport,
+    },
 }
 
 /// Limit of a server, as one gateway reports it to another.
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -259,7 +259,8 @@
 
     fn choose(&self, gateway: &Gateway, call: &Call) -> Option<Choice> {
         self.with_criteria(gateway, |criteria| {
-            choose(call.servers(&gateway.routing.fleet.load()), criteria, rand::random)
+            let criteria = ChoiceCriteria { cost: call.cost.as_ref(), ..*criteria };
+            choose(call.servers(&gateway.routing.fleet.load()), &criteria, rand::random)
         })
     }
 
@@ -274,6 +275,7 @@
             pauses: &gateway.pauses.load(),
             peer_loads: &gateway.peer_loads,
             now: gateway.clock.now(),
+            cost: None,
         })
     }
 
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     adapter::RequestMeta,
+    cost::CallCost,
     fleet::{Backend, Fleet},
     gateway_config::{CallKind, GatewayConfig, KeyHolder, Route},
     node::Gateway,
@@ -52,6 +53,8 @@
     pub(super) arrived_at: Time,
     /// What the request may share with others that crash servers.
     pub(super) signatures: Signatures,
+    /// Expected cost, if servers are chosen by cost and it is known.
+    pub(super) cost: Option<CallCost>,
 }
 
 impl Call {
@@ -118,11 +121,13 @@
     let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
     let read = body::read(body, config.limits.body_bytes);
     let body = tokio::time::timeout(timeout, read).await.map_err(|_| ResultCode::TooSlow)??;
+    let cost = expect_cost(gateway, &config, route, &target.service, &meta);
     let signatures = Signatures::of_prompt(&target.service, &meta.prompt_parts);
     Ok(Call {
         request,
         meta,
         signatures,
+        cost,
         route: Arc::clone(route),
         service: target.service.clone(),
         holder,
@@ -134,6 +139,21 @@
     })
 }
 
+/// Expects the cost of a request to an engine, if servers are chosen by cost.
+fn expect_cost(
+    gateway: &Gateway,
+    config: &GatewayConfig,
+    route: &Route,
+    service: &PlainServiceId,
+    meta: &RequestMeta,
+) -> Option<CallCost> {
+    if !gateway.settings.by_cost {
+        return None;
+    }
+    let engine = config.services.get(service)?.engine.as_ref()?;
+    gateway.costs.expect(engine, meta.model.as_ref()?, &route.name, meta.cost)
+}
+
 fn find_holder(
     config: &GatewayConfig,
     route: &Route,
--- a/crates/gateway/src/relay/log.rs
+++ b/crates/gateway/src/relay/log.rs
@@ -22,6 +22,8 @@
     first_event_after: Option<Duration>,
     is_written: bool,
     metrics: Metrics,
+    /// Expected tokens of the prompt and of the output, if the cost is known.
+    expected_tokens: Option<(f64, f64)>,
 }
 
 impl RequestLog {
@@ -38,6 +40,9 @@
             first_event_after: None,
             is_written: false,
             metrics: metrics.clone(),
+            expected_tokens: call
+                .cost
+                .map(|it| (it.expected.prompt_tokens, it.expected.output_tokens)),
         }
     }
 
@@ -78,6 +83,11 @@
         let best = choice.map(|it| &it.best);
         let runner_up = choice.and_then(|it| it.runner_up.as_ref());
         let age = self.age();
+        let predicted = best.and_then(|it| it.load.predicted);
+        let other_predicted = runner_up.and_then(|it| it.load.predicted);
+        if let Some(predicted) = predicted {
+            self.metrics.count_prediction(&self.service, predicted.compared);
+        }
         self.metrics.count_request(&self.service, status, age, self.first_event_after);
         tracing::info!(
             request = %self.request,
@@ -94,6 +104,13 @@
             load_age_ms = best.and_then(|it| it.load.reported_age).map(|it| it.as_millis()),
             runner_up = runner_up.map(|it| it.server.id.as_str()),
             runner_up_load = runner_up.map(|it| it.load.requests.round()),
+            prompt_tokens = self.expected_tokens.map(|(prompt, _)| prompt.round()),
+            output_tokens = self.expected_tokens.map(|(_, output)| output.round()),
+            predicted_ms = predicted.map(|it| it.compared.as_millis()),
+            queued_tokens = predicted.map(|it| it.queued_tokens.round()),
+            slowness = predicted.map(|it| it.slowness),
+            time_factor = predicted.map(|it| it.time_factor),
+            runner_up_predicted_ms = other_predicted.map(|it| it.compared.as_millis()),
             took_ms = age.as_millis(),
             first_event_ms = self.first_event_after.map(|it| it.as_millis()),
             "request ended"
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -154,7 +154,7 @@
     let sent_at = gateway.clock.now();
     let request = build(gateway, call, backend, resume_after, sent_at)
         .ok_or(AttemptFailure::not_run(Cause::NotReached))?;
-    let in_flight = backend.stats.begin_request();
+    let in_flight = begin(gateway, call, backend, sent_at);
     let may_send = || gateway.pauses.left(backend, gateway.clock.now()).is_none();
     let sent = gateway.adapter.http.send_if(request, may_send).await;
     let now = gateway.clock.now();
@@ -184,6 +184,16 @@
     Ok(BackendResponse { parts, body, backend: Arc::clone(backend), in_flight })
 }
 
+/// Counts a request as in flight, with its work where the cost is known.
+fn begin(gateway: &Gateway, call: &Call, backend: &Backend, now: Time) -> InFlight {
+    let Some(cost) = &call.cost else { return backend.stats.begin_request() };
+    let work = cost.work();
+    if let Some(replica) = &backend.replica {
+        gateway.peer_loads.record_begun(replica, work.prompt_tokens, now);
+    }
+    backend.stats.begin_work(work, now)
+}
+
 fn build(
     gateway: &Gateway,
     call: &Call,
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -89,6 +89,7 @@
                 let parts = relay.call.signatures.shared_parts();
                 let all = || signatures::all_of(&relay.call);
                 relay.gateway.crashes.record_success(parts, all);
+                relay.record_cost();
                 relay.log.end_with_status(200, &relay.attempts);
                 None
             }
@@ -115,7 +116,7 @@
     first: Option<Event>,
     backend: Arc<Backend>,
     opened_at: Time,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 /// Sends the request, with retries, until a server has sent its first event.
@@ -174,11 +175,11 @@
         if !response.parts.status.is_success() {
             return Ok(Err(response));
         }
-        let BackendResponse { parts, body, backend, in_flight } = response;
+        let BackendResponse { parts, body, backend, mut in_flight } = response;
+        in_flight.set_predicted(attempts.last_choice().and_then(|it| it.best.load.predicted));
         let splitter = EventSplitter::default();
         let opened_at = gateway.clock.now();
-        let mut source =
-            Source { body, splitter, first: None, backend, opened_at, _in_flight: in_flight };
+        let mut source = Source { body, splitter, first: None, backend, opened_at, in_flight };
         source.first = source.read(gateway).await?;
         source.opened_at = gateway.clock.now();
         Ok(Ok((parts, source)))
@@ -234,6 +235,7 @@
         let interrupted = || AttemptFailure::may_have_run(Cause::Interrupted);
         loop {
             if let Some(event) = self.splitter.next_event() {
+                self.in_flight.record_event(gateway.clock.now());
                 return Ok(Some(event));
             }
             match self.body.frame().await {
@@ -316,6 +318,15 @@
         }
     }
 
+    /// Records what a complete response cost. One that another server began is left out.
+    fn record_cost(&self) {
+        let (Some(cost), in_flight) = (&self.call.cost, &self.source.in_flight) else { return };
+        if self.attempts.count() == 1 && self.call.meta.last_event.is_none() {
+            let (events, factor) = (in_flight.events(), in_flight.time_factor());
+            self.gateway.costs.record(cost, events, factor, self.gateway.clock.now());
+        }
+    }
+
     fn record_interrupted(&self, cause: Cause) {
         let age = self.gateway.clock.now().since(self.source.opened_at);
         let is_server = self.source.backend.gateway.is_none();
--- a/crates/gateway/src/testing.rs
+++ b/crates/gateway/src/testing.rs
@@ -27,7 +27,7 @@
 }
 
 pub(crate) fn engine(models: Vec<ModelSpec>) -> EngineSpec {
-    EngineSpec { models, loads_per_s: 10.0, open_time: Duration::from_millis(300) }
+    EngineSpec { models, loads_per_s: 10.0, open_time: Duration::from_millis(300), figures: None }
 }
 
 pub(crate) fn gateway_config(engine: EngineSpec) -> GatewayConfig {
--- a/crates/gateway/tests/choice_at_size/fleet.rs
+++ b/crates/gateway/tests/choice_at_size/fleet.rs
@@ -325,6 +325,7 @@
         pauses: &ServerPauses::default(),
         peer_loads: &from.peer_loads,
         now,
+        cost: None,
     };
     let choice = choose(&from.servers, &criteria, || rng.random())?;
     let replica = choice.best.server.replica.as_ref()?;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod repair;
 pub mod replica;
+pub mod request_cost;
 pub mod retry;
 pub mod routing;
 pub mod self_suspicion;
--- /dev/null
+++ b/crates/state/src/request_cost/prefill_queue/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+fn queue() -> PrefillQueue {
+    let mut queue = PrefillQueue::default();
+    queue.set_prefill_rate(50_000.0);
+    queue
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+#[test]
+fn prompts_add_up_and_shrink_at_the_rate_of_the_engine() {
+    let mut queue = queue();
+    queue.add(3_000.0, Duration::ZERO, at(1_000));
+    queue.add(1_000.0, Duration::ZERO, at(1_000));
+    assert_eq!(queue.tokens(), 4_000.0);
+    queue.advance(at(1_040));
+    assert!((queue.tokens() - 2_000.0).abs() < 1.0);
+    queue.advance(at(1_100));
+    assert_eq!(queue.tokens(), 0.0);
+}
+
+// Guards against counting prompts of a late report as if they had just arrived.
+#[test]
+fn reported_prompts_have_shrunk_since_they_began() {
+    let mut queue = queue();
+    queue.add(4_000.0, Duration::from_millis(100), at(1_000));
+    assert!((queue.tokens() - 1_500.0).abs() < 1.0);
+}
+
+#[test]
+fn one_wrong_report_does_not_keep_a_server_without_requests() {
+    let mut queue = queue();
+    queue.add(1e12, Duration::ZERO, at(1_000));
+    queue.advance(at(3_100));
+    assert_eq!(queue.tokens(), 0.0);
+}
+
+#[test]
+fn rate_follows_the_load_and_ends_with_it() {
+    let mut queue = queue();
+    for ms in (0..10_000).step_by(100) {
+        queue.add(1_000.0, Duration::ZERO, at(ms));
+        queue.add_remote(500.0, at(ms));
+    }
+    assert!((queue.tokens_per_s() - 15_000.0).abs() < 1_500.0, "{}", queue.tokens_per_s());
+    assert!(!queue.is_idle(at(10_500)));
+    queue.advance(at(20_000));
+    assert!(queue.tokens_per_s() < 100.0);
+    assert!(queue.is_idle(at(40_000)));
+}
