Report new requests at once where gateways choose by cost

Cause: a prompt waits for about two passes of its engine, less than the interval of the reports between gateways.

Change: a gateway that chooses by cost reports a new request at once if its last report is an interval old, so that there are no more reports than before, and says how long ago its requests began. A queue shrinks over the passes of its engine.

--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -18,6 +18,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::Arc,
+    time::Duration,
 };
 
 use citrongw_state::{
@@ -89,7 +90,10 @@
         Some(cost) => by_cost::score(&usable, criteria, cost, &remote_loads, &mut peer_loads),
         None => score_by_requests(&usable, criteria, &remote_loads, &peer_loads),
     };
-    let arrivals = peer_loads.expected_arrivals(scored.iter().map(|it| &**it.server));
+    let arrivals = peer_loads.expected_arrivals(
+        scored.iter().map(|it| &**it.server),
+        criteria.cost.map_or(Duration::MAX, |_| by_cost::arrivals_age(&scored)),
+    );
     drop(peer_loads);
     let levels: Vec<Level> = scored.iter().map(|it| it.level).collect();
     let best = leveling::pick(&levels, arrivals, random())?;
--- a/crates/gateway/src/choose/by_cost.rs
+++ b/crates/gateway/src/choose/by_cost.rs
@@ -31,8 +31,8 @@
         let mut load = server.stats.estimate_load(criteria.now, peer_requests);
         let is_remote = server.zone != *criteria.zone;
         let mut queue = match is_remote {
-            true => remote_rates.queue_at(server, cost),
-            false => queue(server, cost, peer_loads),
+            true => remote_rates.queue_at(server, load.requests, cost),
+            false => queue(server, load.requests, cost, peer_loads),
         };
         let own = &server.stats.work;
         queue.tokens = queue.tokens.max(own.unread_tokens() * UNREAD_SHARE);
@@ -64,12 +64,32 @@
     scored.collect()
 }
 
+/// Longest time for which arrivals since the reports count. A prompt that began before is
+/// prefilled by now, and half of a later one on average.
+pub(super) fn arrivals_age(scored: &[Scored<'_>]) -> Duration {
+    let per_request_ms = scored.iter().map(|it| 1.0 / it.level.capacity);
+    millis(
+        per_request_ms.fold(f64::INFINITY, f64::min)
+            / std::env::var("ARR").map_or(2.0, |it| it.parse().unwrap()),
+    )
+}
+
 fn millis(ms: f64) -> Duration {
     Duration::try_from_secs_f64(ms / MS_PER_S).unwrap_or(Duration::MAX)
 }
 
-fn queue(server: &Backend, cost: &CallCost, peer_loads: &mut PeerLoadsView<'_>) -> ServerQueue {
-    peer_loads.queue(server, cost.figures.prefill_rate(), cost.mean.prompt_tokens)
+/// Queue of a server, with what is expected of prompts that are in no report.
+fn queue(
+    server: &Backend,
+    requests: f64,
+    cost: &CallCost,
+    peer_loads: &mut PeerLoadsView<'_>,
+) -> ServerQueue {
+    let generating = requests.min(server.slots.into());
+    let speed = cost.figures.queue_speed(generating, &cost.mean);
+    let mut queue = peer_loads.queue(server, speed, cost.mean.prompt_tokens);
+    queue.tokens += cost.figures.mean_queued_tokens(queue.remote_tokens_per_s, &speed);
+    queue
 }
 
 /// Prompt tokens that arrive at the servers of each other zone.
@@ -90,7 +110,8 @@
     ) -> Self {
         let mut zones: Vec<(&AvailabilityZone, f64, f64)> = Vec::new();
         for server in servers.iter().filter(|it| it.zone != *criteria.zone) {
-            let rate = queue(server, cost, peer_loads).tokens_per_s;
+            let requests = f64::from(peer_loads.remote_requests(server));
+            let rate = queue(server, requests, cost, peer_loads).tokens_per_s;
             match zones.iter_mut().find(|(zone, ..)| **zone == server.zone) {
                 Some((_, sum, count)) => {
                     *sum += rate;
@@ -102,10 +123,11 @@
         Self { zones }
     }
 
-    fn queue_at(&self, server: &Backend, cost: &CallCost) -> ServerQueue {
+    fn queue_at(&self, server: &Backend, requests: f64, cost: &CallCost) -> ServerQueue {
         let zone = self.zones.iter().find(|(zone, ..)| **zone == server.zone);
         let tokens_per_s = zone.map_or(0.0, |(_, sum, count)| sum / count);
-        let tokens = cost.figures.mean_queued_tokens(tokens_per_s, &cost.mean);
-        ServerQueue { tokens, tokens_per_s }
+        let speed = cost.figures.queue_speed(requests.min(server.slots.into()), &cost.mean);
+        let tokens = cost.figures.mean_queued_tokens(tokens_per_s, &speed);
+        ServerQueue { tokens, tokens_per_s, remote_tokens_per_s: tokens_per_s }
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -82,7 +82,7 @@
 
     /// Counts a request and its work as in flight until the guard is dropped.
     pub fn begin_work(self: &Arc<Self>, work: RequestWork, now: Time) -> InFlight {
-        self.work.begin(&work);
+        self.work.begin(&work, now);
         self.begun.fetch_add(1, Ordering::Relaxed);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.sent_since_report.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/fleet/work.rs
+++ b/crates/gateway/src/fleet/work.rs
@@ -71,6 +71,7 @@
 pub struct ServerWorkSums {
     /// Prompt tokens begun so far. The count wraps.
     begun_tokens: AtomicU32,
+    last_begun_ms: AtomicU64,
     /// Prompt tokens of requests without a first event.
     unread_tokens: AtomicU64,
     /// Output tokens that are expected to be generated.
@@ -84,6 +85,11 @@
         self.begun_tokens.load(Ordering::Relaxed)
     }
 
+    /// When the last request began.
+    pub fn last_begun_at(&self) -> Time {
+        Time::from_millis(self.last_begun_ms.load(Ordering::Relaxed))
+    }
+
     /// Prompt tokens of requests whose first event has not arrived.
     pub fn unread_tokens(&self) -> f64 {
         self.unread_tokens.load(Ordering::Relaxed) as f64
@@ -100,7 +106,8 @@
         lock(&self.slowness).at(now)
     }
 
-    pub(super) fn begin(&self, work: &RequestWork) {
+    pub(super) fn begin(&self, work: &RequestWork, now: Time) {
+        self.last_begun_ms.store(super::millis(now), Ordering::Relaxed);
         self.begun_tokens.fetch_add(work.prompt_tokens, Ordering::Relaxed);
         self.unread_tokens.fetch_add(work.unread_tokens(), Ordering::Relaxed);
         self.remaining_tokens.fetch_add(work.output_tokens.into(), Ordering::Relaxed);
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -19,9 +19,11 @@
 
 use citrongw_state::{
     id::{AvailabilityZone, Epoch, NodeId, ReplicaId},
+    request_cost::prefill_queue::QueueSpeed,
     time::Time,
 };
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 pub(crate) use self::publisher::publish;
 use self::work::{ReplicaQueues, ServerQueue, WorkReport};
@@ -84,6 +86,8 @@
 struct ReceivedReport {
     received_at: Time,
     report: LoadReport,
+    /// Whether the sender reports new requests at once, unless it has just reported.
+    is_prompt: bool,
 }
 
 impl ReceivedReport {
@@ -111,6 +115,7 @@
 #[derive(Debug, Default)]
 pub struct PeerLoads {
     reports: Mutex<Reports>,
+    begun: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -126,23 +131,28 @@
     /// one.
     pub fn record(&self, source: ReportSource, report: LoadReport, now: Time) {
         let mut reports = lock(&self.reports);
-        let latest = reports.latest_begin(&source, report.covers());
-        reports.queues.record_counts(latest, &report, now);
-        reports.record(source, report, now);
+        let age = reports.begun_age(&source, report.covers());
+        reports.queues.record_counts(age, &report, now);
+        reports.record(source, report, false, now);
     }
 
     /// Records a part of a report of work.
     pub fn record_work(&self, source: ReportSource, report: &WorkReport, now: Time) {
         let mut reports = lock(&self.reports);
-        let latest = reports.latest_begin(&source, report.covers());
-        reports.queues.record_work(latest, report, now);
+        reports.queues.record_work(is_gateway(&source), report, now);
         let counts = reports.queues.counts(report);
-        reports.record(source, counts, now);
+        reports.record(source, counts, true, now);
     }
 
     /// Records that this gateway began a request.
     pub fn record_begun(&self, replica: &ReplicaKey, prompt_tokens: u32, now: Time) {
         lock(&self.reports).queues.record_begun(replica, prompt_tokens, now);
+        self.begun.notify_one();
+    }
+
+    /// Completes once this gateway began a request since the last call.
+    async fn wait_until_begun(&self) {
+        self.begun.notified().await;
     }
 
     /// Takes the prompt tokens that the gateways of the zone reported as begun since the
@@ -188,14 +198,14 @@
 }
 
 impl Reports {
-    /// Time before a report of a gateway of the zone in which its requests began; none
-    /// for the sums of another zone. A gateway reports at its next interval.
-    fn latest_begin(&self, source: &ReportSource, covers: Duration) -> Option<Duration> {
+    /// Mean time from the begin of the requests in a report of counts; none for the sums
+    /// of another zone. A gateway reports at its next interval.
+    fn begun_age(&self, source: &ReportSource, covers: Duration) -> Option<Duration> {
         let reporting = self.received.keys().filter(|(from, _)| is_gateway(from)).count();
-        is_gateway(source).then(|| covers.min(publisher::interval(reporting + 1)))
+        is_gateway(source).then(|| covers.min(publisher::interval(reporting + 1)) / 2)
     }
 
-    fn record(&mut self, source: ReportSource, report: LoadReport, now: Time) {
+    fn record(&mut self, source: ReportSource, report: LoadReport, is_prompt: bool, now: Time) {
         self.remove_expired(now);
         let previous_parts: Vec<_> = self
             .received
@@ -208,7 +218,7 @@
         for key in previous_parts {
             self.remove(&key);
         }
-        self.add((source, report.part), ReceivedReport { received_at: now, report });
+        self.add((source, report.part), ReceivedReport { received_at: now, report, is_prompt });
     }
 
     fn add(&mut self, key: (ReportSource, u8), received: ReceivedReport) {
@@ -281,17 +291,20 @@
     }
 
     /// Requests that the other gateways of the zone are expected to have begun at
-    /// any of `servers` since they last reported.
-    pub fn expected_arrivals<'s>(&self, servers: impl Iterator<Item = &'s Backend>) -> f64 {
+    /// any of `servers` since they last reported, but at most for `max_age`.
+    pub fn expected_arrivals<'s>(
+        &self,
+        servers: impl Iterator<Item = &'s Backend>,
+        max_age: Duration,
+    ) -> f64 {
         let begun_per_s: f64 = servers.map(|it| self.totals_at(it).zone_begun_per_s.max(0.0)).sum();
-        begun_per_s * self.mean_age_s()
+        begun_per_s * self.mean_age_s().min(max_age.as_secs_f64())
     }
 
-    /// Prompt tokens that wait at a server that prefills `prefill_rate` of them in a
-    /// second. `mean_prompt` is the mean of its prompts.
-    pub fn queue(&mut self, server: &Backend, prefill_rate: f64, mean_prompt: f64) -> ServerQueue {
+    /// Prompt tokens that wait at a server. `mean_prompt` is the mean of its prompts.
+    pub fn queue(&mut self, server: &Backend, speed: QueueSpeed, mean_prompt: f64) -> ServerQueue {
         let Some(key) = server.replica.as_ref() else { return ServerQueue::default() };
-        self.reports.queues.at(key, prefill_rate, mean_prompt, self.now)
+        self.reports.queues.at(key, speed, mean_prompt, self.now)
     }
 
     fn totals_at(&self, server: &Backend) -> ReplicaTotals {
@@ -299,11 +312,18 @@
         key.and_then(|it| self.reports.totals.get(it)).copied().unwrap_or_default()
     }
 
-    /// Mean age of the reports of the zone. A gateway that begins no requests does
-    /// not report, so an age counts up to the time that the report covers.
+    /// Mean time of the zone's gateways in which they may have begun requests that are
+    /// not reported. A gateway that begins no requests does not report, so an age counts
+    /// up to the time that the report covers. One that reports new requests at once has
+    /// begun none if its report is older than the interval.
     fn mean_age_s(&self) -> f64 {
-        let of_zone = self.reports.received.iter().filter(|((from, _), _)| is_gateway(from));
-        let ages = of_zone.map(|(_, it)| self.now.since(it.received_at).min(it.report.covers()));
+        let of_zone = || self.reports.received.iter().filter(|((from, _), _)| is_gateway(from));
+        let interval = publisher::interval(of_zone().count() + 1);
+        let ages = of_zone().map(|(_, it)| {
+            let age = self.now.since(it.received_at);
+            let is_complete = it.is_prompt && interval <= age;
+            if is_complete { Duration::ZERO } else { age.min(it.report.covers()) }
+        });
         let (count, sum) =
             ages.fold((0_u32, Duration::ZERO), |(count, sum), it| (count + 1, sum + it));
         sum.as_secs_f64() / f64::from(count.max(1))
--- a/crates/gateway/src/peer_loads/publisher.rs
+++ b/crates/gateway/src/peer_loads/publisher.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use citrongw_state::{id::NodeId, time::Time};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{LoadReport, PeerLoads, ReplicaRequests, work::WorkReport};
 use crate::{
@@ -25,6 +25,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_100);
 /// Interval between the sums of a zone for the other zones.
 const ZONE_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest delay of a report that has only ends of requests, beside the interval, if new
+/// requests are reported at once.
+pub const MAX_REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Interval between the messages by which gateways learn who reads reports of work. They
 /// go only to those that are not known to, so there are none once all do.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
@@ -118,8 +121,9 @@
             due.own = split(&current, covers);
             if self.reports_work {
                 let tokens = self.take_tokens(&servers);
+                let age = begun_age(&servers, &tokens, now);
                 let work = |it: &LoadReport| {
-                    WorkReport::new(it, |key| tokens.get(key).copied().unwrap_or_default())
+                    WorkReport::new(it, age, |key| tokens.get(key).copied().unwrap_or_default())
                 };
                 due.own_work = due.own.iter().map(work).collect();
                 for (key, tokens) in tokens {
@@ -144,7 +148,8 @@
                         *tokens.entry(key).or_default() += own;
                     }
                     let work = |it: &LoadReport| {
-                        WorkReport::new(it, |key| tokens.get(key).copied().unwrap_or_default())
+                        let of = |key: &_| tokens.get(key).copied().unwrap_or_default();
+                        WorkReport::new(it, covers / 2, of)
                     };
                     due.zone_work = due.zone.iter().map(work).collect();
                 }
@@ -188,6 +193,18 @@
     }
 }
 
+/// Mean time since the last request began at each replica with new ones.
+fn begun_age(
+    servers: &[(&ReplicaKey, &Arc<Backend>)],
+    tokens: &HashMap<ReplicaKey, f64>,
+    now: Time,
+) -> Duration {
+    let new = servers.iter().filter(|(key, _)| tokens.contains_key(*key));
+    let ages = new.map(|(_, server)| now.since(server.stats.work.last_begun_at()));
+    let (count, sum) = ages.fold((0, Duration::ZERO), |(count, sum), it| (count + 1, sum + it));
+    sum / count.max(1)
+}
+
 /// Requests of a zone at each replica: those that its other gateways reported,
 /// and `own`.
 fn zone_sums(peer_loads: &PeerLoads, own: &[ReplicaRequests], now: Time) -> Vec<ReplicaRequests> {
@@ -234,8 +251,17 @@
         publisher = publisher.with_work();
     }
     let mut announced_at = None;
+    let mut is_sent = true;
     loop {
-        sleep(interval(gateway.peers.cluster().gateways_of(zone).count())).await;
+        let interval = interval(gateway.peers.cluster().gateways_of(zone).count());
+        if !by_cost || is_sent {
+            sleep(interval).await;
+        }
+        if by_cost {
+            // Prompts wait for less time than the interval, so a new request is reported
+            // at once if the last report is an interval old.
+            let _ = timeout(MAX_REPORT_DELAY, gateway.peer_loads.wait_until_begun()).await;
+        }
         let now = gateway.clock.now();
         if by_cost && announced_at.is_none_or(|it| ANNOUNCE_INTERVAL <= now.since(it)) {
             announced_at = Some(now);
@@ -243,6 +269,7 @@
         }
         let fleet = gateway.routing.fleet.load_full();
         let due = publisher.due(fleet.replicas(), &gateway.peer_loads, now);
+        is_sent = !due.own.is_empty();
         let mut work = due.own_work.into_iter();
         for part in due.own {
             let counts = PeerMessage::Load(part);
--- a/crates/gateway/src/peer_loads/tests.rs
+++ b/crates/gateway/src/peer_loads/tests.rs
@@ -82,7 +82,7 @@
     let server = server(KEY);
     let arrivals = |ms| {
         let view = peer_loads.view(Time::from_millis(ms));
-        view.expected_arrivals([&server].into_iter())
+        view.expected_arrivals([&server].into_iter(), Duration::MAX)
     };
     assert!((arrivals(50) - 3.0).abs() < 1e-9);
     assert!((arrivals(100) - 6.0).abs() < 1e-9);
--- a/crates/gateway/src/peer_loads/work.rs
+++ b/crates/gateway/src/peer_loads/work.rs
@@ -8,7 +8,10 @@
 
 use citrongw_state::{
     id::{Epoch, ReplicaId},
-    request_cost::{NOMINAL_PROMPT_TOKENS, prefill_queue::PrefillQueue},
+    request_cost::{
+        NOMINAL_PROMPT_TOKENS,
+        prefill_queue::{PrefillQueue, QueueSpeed},
+    },
     time::Time,
 };
 use serde::{Deserialize, Serialize};
@@ -16,8 +19,10 @@
 use super::{LoadReport, ReplicaRequests};
 use crate::fleet::ReplicaKey;
 
-/// Unit of the covered time on the wire, so that it takes one byte up to 1.2 s.
-const COVERS_UNIT_MS: u32 = 10;
+/// Unit of times on the wire.
+const TIME_UNIT_MS: u32 = 10;
+/// Bits of a time on the wire.
+const TIME_BITS: u32 = 7;
 /// Tokens of the lowest step of the scale for tokens on the wire.
 const LOWEST_STEP_TOKENS: f64 = 16.0;
 /// Steps of the scale in which the number of tokens doubles.
@@ -58,22 +63,48 @@
     begun: ScaledTokens,
 }
 
+/// Index of a part and number of parts, in one byte for up to 15 parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct PartOf(u16);
+
+impl PartOf {
+    fn new(part: u8, parts: u8) -> Self {
+        let parts = u16::from(parts);
+        Self(parts * parts.saturating_sub(1) / 2 + u16::from(part))
+    }
+
+    /// Index and number.
+    fn parts(self) -> (u8, u8) {
+        let first = |parts: u16| parts * (parts - 1) / 2;
+        let fits = |parts: &u16| self.0 < first(*parts) + parts;
+        let parts = (1..=u16::from(u8::MAX)).find(fits).unwrap_or(1);
+        let part = self.0.saturating_sub(first(parts)).min(parts - 1);
+        (part as u8, parts as u8)
+    }
+}
+
 /// Part of a report of work.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkReport {
-    /// Index of this part.
-    part: u8,
-    /// Number of parts.
-    parts: u8,
-    /// Time since the previous report, in hundredths of a second.
-    covers_cs: u32,
+    part: PartOf,
+    /// Time since the previous report, and mean time since the requests in it began, in
+    /// hundredths of a second up to 1.27 s: seven bits each.
+    times: u16,
     /// Replicas with requests.
     replicas: Vec<ReplicaWork>,
 }
 
 impl WorkReport {
-    /// Adds the tokens begun to a report of counts. `tokens` returns those of a replica.
-    pub(super) fn new(counts: &LoadReport, tokens: impl Fn(&ReplicaKey) -> f64) -> Self {
+    /// Adds the tokens begun, and how long ago that was, to a report of counts. `tokens`
+    /// returns those of a replica.
+    pub(super) fn new(
+        counts: &LoadReport,
+        begun_age: Duration,
+        tokens: impl Fn(&ReplicaKey) -> f64,
+    ) -> Self {
+        let most = (1 << TIME_BITS) - 1;
+        let scaled = |ms: u32| ms.div_ceil(TIME_UNIT_MS).min(most) as u16;
+        let age_ms = u32::try_from(begun_age.as_millis()).unwrap_or(u32::MAX);
         let work = counts.replicas.iter().map(|it| ReplicaWork {
             replica: it.replica,
             epoch: it.epoch,
@@ -81,15 +112,20 @@
             begun: ScaledTokens::new(tokens(&it.key())),
         });
         Self {
-            part: counts.part,
-            parts: counts.parts,
-            covers_cs: counts.covers_ms.div_ceil(COVERS_UNIT_MS),
+            part: PartOf::new(counts.part, counts.parts),
+            times: scaled(counts.covers_ms) << TIME_BITS | scaled(age_ms),
             replicas: work.collect(),
         }
     }
 
-    pub(super) fn covers(&self) -> Duration {
-        Duration::from_millis(u64::from(self.covers_cs) * u64::from(COVERS_UNIT_MS))
+    fn covers_ms(&self) -> u32 {
+        (u32::from(self.times) >> TIME_BITS) * TIME_UNIT_MS
+    }
+
+    /// Mean time from the begin of the requests to the report.
+    fn begun_age(&self) -> Duration {
+        let most = (1 << TIME_BITS) - 1;
+        Duration::from_millis(u64::from((u32::from(self.times) & most) * TIME_UNIT_MS))
     }
 }
 
@@ -100,6 +136,8 @@
     pub tokens: f64,
     /// Tokens that arrive in a second.
     pub tokens_per_s: f64,
+    /// Tokens that arrive in a second and are in no queue.
+    pub remote_tokens_per_s: f64,
 }
 
 #[derive(Debug)]
@@ -128,7 +166,7 @@
     pub(super) fn at(
         &mut self,
         key: &ReplicaKey,
-        prefill_rate: f64,
+        speed: QueueSpeed,
         mean_prompt: f64,
         now: Time,
     ) -> ServerQueue {
@@ -137,9 +175,13 @@
         }
         let Some(it) = self.queues.get_mut(key) else { return ServerQueue::default() };
         it.mean_prompt = mean_prompt.max(1.0);
-        it.queue.set_prefill_rate(prefill_rate);
+        it.queue.set_speed(speed);
         it.queue.advance(now);
-        ServerQueue { tokens: it.queue.tokens(), tokens_per_s: it.queue.tokens_per_s() }
+        ServerQueue {
+            tokens: it.queue.tokens(),
+            tokens_per_s: it.queue.tokens_per_s(),
+            remote_tokens_per_s: it.queue.remote_tokens_per_s(),
+        }
     }
 
     /// Records a request of this gateway.
@@ -149,33 +191,29 @@
         }
     }
 
-    /// Records a report of counts, whose requests began within `latest`; none for the
-    /// sums of another zone. Each request begun counts as a mean one.
-    pub(super) fn record_counts(
-        &mut self,
-        latest: Option<Duration>,
-        report: &LoadReport,
-        now: Time,
-    ) {
+    /// Records a report of counts, whose requests began `age` ago; none for the sums of
+    /// another zone. Each request begun counts as a mean one.
+    pub(super) fn record_counts(&mut self, age: Option<Duration>, report: &LoadReport, now: Time) {
         if self.queues.is_empty() {
             return;
         }
         for requests in report.replicas.iter().filter(|it| it.begun != 0) {
             let Some(it) = self.queues.get_mut(&requests.key()) else { continue };
             let tokens = f64::from(requests.begun) * it.mean_prompt;
-            it.add(latest, tokens, now);
+            it.add(age, tokens, now);
         }
     }
 
-    /// Records a report of work, as one of counts.
-    pub(super) fn record_work(&mut self, latest: Option<Duration>, report: &WorkReport, now: Time) {
+    /// Records a report of work, of a gateway of the zone or the sums of another zone.
+    pub(super) fn record_work(&mut self, in_zone: bool, report: &WorkReport, now: Time) {
+        let age = in_zone.then(|| report.begun_age());
         for work in report.replicas.iter().filter(|it| it.begun.0 != 0) {
             let key = ReplicaKey { replica: work.replica, epoch: work.epoch };
             let tokens = work.begun.tokens();
             if let Some(it) = self.queues.get_mut(&key) {
-                it.add(latest, tokens, now);
+                it.add(age, tokens, now);
             }
-            if latest.is_some() {
+            if in_zone {
                 *self.zone_tokens.entry(key).or_default() += tokens;
             }
         }
@@ -190,12 +228,8 @@
             let begun = (it.begun.tokens() / mean).ceil() as u32;
             ReplicaRequests { replica: it.replica, epoch: it.epoch, requests: it.requests, begun }
         });
-        LoadReport {
-            part: report.part,
-            parts: report.parts,
-            covers_ms: report.covers_cs.saturating_mul(COVERS_UNIT_MS),
-            replicas: replicas.collect(),
-        }
+        let (part, parts) = report.part.parts();
+        LoadReport { part, parts, covers_ms: report.covers_ms(), replicas: replicas.collect() }
     }
 
     pub(super) fn take_zone_tokens(&mut self) -> HashMap<ReplicaKey, f64> {
@@ -208,9 +242,9 @@
 }
 
 impl ReplicaQueue {
-    fn add(&mut self, latest: Option<Duration>, tokens: f64, now: Time) {
-        match latest {
-            Some(latest) => self.queue.add(tokens, latest, now),
+    fn add(&mut self, age: Option<Duration>, tokens: f64, now: Time) {
+        match age {
+            Some(age) => self.queue.add(tokens, age, now),
             None => self.queue.add_remote(tokens, now),
         }
     }
--- a/crates/state/src/request_cost.rs
+++ b/crates/state/src/request_cost.rs
@@ -8,6 +8,8 @@
 pub mod learned;
 pub mod prefill_queue;
 
+use self::prefill_queue::QueueSpeed;
+
 /// Largest share of an engine's time that prefill is assumed to take. Passes would be
 /// infinitely long at one.
 const MAX_PREFILL_SHARE: f64 = 0.8;
@@ -164,12 +166,17 @@
         }
     }
 
-    /// Expected wait for the prompts before a new one, in prompt tokens, at a server
-    /// about which only the rate of its prompt tokens is known: that of a queue with
-    /// independent arrivals and prompts that vary as an exponential distribution does.
-    pub fn mean_queued_tokens(&self, tokens_per_s: f64, mean: &ExpectedCost) -> f64 {
-        let share = (tokens_per_s / self.prefill_rate()).min(MAX_PREFILL_SHARE);
-        share / (1.0 - share) * mean.prompt_tokens
+    /// Expected prompt tokens in the queue of a server about which only the rate of its
+    /// prompt tokens is known: those that arrive in a pass.
+    pub fn mean_queued_tokens(&self, tokens_per_s: f64, speed: &QueueSpeed) -> f64 {
+        let share = (tokens_per_s / speed.prefill_rate).min(MAX_PREFILL_SHARE);
+        share * speed.prefill_rate * speed.pass_s / (1.0 - share)
+    }
+
+    /// Speed of a server with `generating` requests.
+    pub fn queue_speed(&self, generating: f64, mean: &ExpectedCost) -> QueueSpeed {
+        let pass_s = self.stride * self.step_time(generating, mean) / MS_PER_S;
+        QueueSpeed { prefill_rate: self.prefill_rate(), pass_s }
     }
 }
 
--- a/crates/state/src/request_cost/prefill_queue.rs
+++ b/crates/state/src/request_cost/prefill_queue.rs
@@ -2,8 +2,8 @@
 //!
 //! Reports of other gateways are older than the time that a prompt waits. So each
 //! gateway adds the prompts that began, its own at once and those of others as reported,
-//! and lets the queue shrink at the rate at which the engine prefills. Errors do not add
-//! up, because the queue is empty again and again.
+//! and lets the queue shrink as the engine prefills it. Errors do not add up, because the
+//! queue is empty again and again.
 
 use std::time::Duration;
 
@@ -16,6 +16,15 @@
 /// a server without requests.
 const MAX_QUEUE_TIME_S: f64 = 2.0;
 
+/// How fast a server works on its queue.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueSpeed {
+    /// Prompt tokens prefilled in a second.
+    pub prefill_rate: f64,
+    /// Time of a pass without prompts, in seconds.
+    pub pass_s: f64,
+}
+
 /// Queue of prompt tokens at one server.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct PrefillQueue {
@@ -25,27 +34,25 @@
     /// The part of the rate that is known from sums of other zones only.
     remote_rate: f64,
     updated_at: Time,
-    /// Prompt tokens that the server prefills in a second, once known.
-    prefill_rate: Option<f64>,
+    /// Speed of the server, once known.
+    speed: Option<QueueSpeed>,
 }
 
 impl PrefillQueue {
-    /// Sets the prompt tokens that the server prefills in a second.
-    pub fn set_prefill_rate(&mut self, tokens_per_s: f64) {
-        self.prefill_rate = Some(tokens_per_s);
+    /// Sets the speed of the server.
+    pub fn set_speed(&mut self, speed: QueueSpeed) {
+        self.speed = Some(speed);
     }
 
-    /// Adds prompts that began between `covers` before `now` and `now`.
-    pub fn add(&mut self, tokens: f64, covers: Duration, now: Time) {
-        // They began in the middle of the time on average, and shrank since.
-        self.advance(now - covers / 2);
-        self.tokens += tokens;
-        self.rate += tokens / RATE_TIME.as_secs_f64();
+    /// Adds prompts that began `age` before `now`.
+    pub fn add(&mut self, tokens: f64, age: Duration, now: Time) {
         self.advance(now);
+        self.tokens += self.shrink(tokens, age.as_secs_f64());
+        self.rate += tokens / RATE_TIME.as_secs_f64();
     }
 
     /// Adds prompts that are known from a sum over a longer time only. They raise the
-    /// rate, and take their part of the engine's time, but are in no queue.
+    /// rate, but are in no queue.
     pub fn add_remote(&mut self, tokens: f64, now: Time) {
         self.advance(now);
         self.rate += tokens / RATE_TIME.as_secs_f64();
@@ -59,19 +66,28 @@
             return;
         }
         self.updated_at = now;
-        if let Some(prefill_rate) = self.prefill_rate {
-            let rate = (prefill_rate - self.remote_rate).max(prefill_rate / 4.0);
-            let most = prefill_rate * MAX_QUEUE_TIME_S;
-            self.tokens = (self.tokens.min(most) - rate * passed).max(0.0);
-        } else {
-            // Without a known rate nothing is predicted from the queue.
-            self.tokens = 0.0;
-        }
+        self.tokens = self.shrink(self.tokens, passed);
         let kept = (-passed / RATE_TIME.as_secs_f64()).exp();
         self.rate *= kept;
         self.remote_rate *= kept;
     }
 
+    /// What is left of prompts after `passed` seconds.
+    ///
+    /// A prompt delays the requests after it until the end of the pass in which it is
+    /// prefilled. How long ago the present pass began is not known, so on average the
+    /// delay shrinks evenly over a pass. A long queue makes the pass longer.
+    fn shrink(&self, tokens: f64, passed: f64) -> f64 {
+        // Without a known speed nothing is predicted from the queue.
+        let Some(speed) = self.speed else { return 0.0 };
+        let tokens = tokens.min(speed.prefill_rate * MAX_QUEUE_TIME_S);
+        let half = |tokens: f64| {
+            let pass = speed.pass_s + tokens / speed.prefill_rate;
+            tokens * (-passed / 2.0 / pass).exp()
+        };
+        half(half(tokens))
+    }
+
     /// Prompt tokens in the queue when it last changed.
     pub fn tokens(&self) -> f64 {
         self.tokens
@@ -82,6 +98,11 @@
         self.rate
     }
 
+    /// Prompt tokens that arrive in a second and are in no queue.
+    pub fn remote_tokens_per_s(&self) -> f64 {
+        self.remote_rate
+    }
+
     /// Whether nothing has arrived for so long that the queue can be forgotten.
     pub fn is_idle(&self, now: Time) -> bool {
         RATE_TIME * 8 < now.since(self.updated_at)
