Estimate the prompts of other zones where only counts are known

Cause: the sums of a zone whose reporter runs an earlier build have no tokens, so its servers looked idle.

Change: a request at a server of another zone counts at least for the rate of one in the gateway's own zone.

--- a/crates/gateway/src/choose/by_cost.rs
+++ b/crates/gateway/src/choose/by_cost.rs
@@ -105,8 +105,25 @@
 /// The sums of a zone arrive later than a prompt waits. So the servers of a zone count as
 /// equal, with the queue that follows from the rate.
 struct RemoteRates<'a> {
-    /// Sum of the rates and number of servers by zone.
-    zones: Vec<(&'a AvailabilityZone, f64, f64)>,
+    zones: Vec<(&'a AvailabilityZone, ZoneSums)>,
+    /// Sums of this node's zone.
+    own: ZoneSums,
+}
+
+/// Sums over the servers of a zone.
+#[derive(Debug, Clone, Copy, Default)]
+struct ZoneSums {
+    servers: f64,
+    requests: f64,
+    tokens_per_s: f64,
+}
+
+impl ZoneSums {
+    fn add(&mut self, requests: f64, tokens_per_s: f64) {
+        self.servers += 1.0;
+        self.requests += requests;
+        self.tokens_per_s += tokens_per_s;
+    }
 }
 
 impl<'a> RemoteRates<'a> {
@@ -116,24 +133,41 @@
         cost: &CallCost,
         peer_loads: &mut PeerLoadsView<'_>,
     ) -> Self {
-        let mut zones: Vec<(&AvailabilityZone, f64, f64)> = Vec::new();
-        for server in servers.iter().filter(|it| it.zone != *criteria.zone) {
-            let requests = f64::from(peer_loads.remote_requests(server));
+        let mut rates = Self { zones: Vec::new(), own: ZoneSums::default() };
+        if servers.iter().all(|it| it.zone == *criteria.zone) {
+            return rates;
+        }
+        for server in servers {
+            let reported = peer_loads.zone_requests(server) + peer_loads.remote_requests(server);
+            let requests = f64::from(reported + server.stats.in_flight());
             let rate = queue(server, requests, cost, peer_loads).tokens_per_s;
-            match zones.iter_mut().find(|(zone, ..)| **zone == server.zone) {
-                Some((_, sum, count)) => {
-                    *sum += rate;
-                    *count += 1.0;
+            if server.zone == *criteria.zone {
+                rates.own.add(requests, rate);
+                continue;
+            }
+            match rates.zones.iter_mut().find(|(zone, _)| **zone == server.zone) {
+                Some((_, sums)) => sums.add(requests, rate),
+                None => {
+                    let mut sums = ZoneSums::default();
+                    sums.add(requests, rate);
+                    rates.zones.push((&server.zone, sums));
                 }
-                None => zones.push((&server.zone, rate, 1.0)),
             }
         }
-        Self { zones }
+        rates
+    }
+
+    /// Mean rate at the servers of a zone. A gateway of an earlier build reports no tokens
+    /// for its zone, so a request there counts at least for the rate of one here.
+    fn tokens_per_s(&self, zone: &AvailabilityZone) -> f64 {
+        let zone = self.zones.iter().find(|(it, _)| *it == zone);
+        let Some((_, sums)) = zone else { return 0.0 };
+        let per_request = self.own.tokens_per_s / self.own.requests.max(1.0);
+        sums.tokens_per_s.max(sums.requests * per_request) / sums.servers
     }
 
     fn queue_at(&self, server: &Backend, requests: f64, cost: &CallCost) -> ServerQueue {
-        let zone = self.zones.iter().find(|(zone, ..)| **zone == server.zone);
-        let tokens_per_s = zone.map_or(0.0, |(_, sum, count)| sum / count);
+        let tokens_per_s = self.tokens_per_s(&server.zone);
         let speed = cost.figures.queue_speed(requests.min(server.slots.into()), &cost.mean);
         let tokens = cost.figures.mean_queued_tokens(tokens_per_s, &speed);
         ServerQueue { tokens, tokens_per_s, remote_tokens_per_s: tokens_per_s }
--- a/crates/gateway/tests/choice_by_cost/fleet.rs
+++ b/crates/gateway/tests/choice_by_cost/fleet.rs
@@ -135,7 +135,7 @@
         let mut rng = SmallRng::seed_from_u64(load.seed);
         let interval = publisher::interval(load.gateways_per_zone);
         let gateways = load.zones() * load.gateways_per_zone;
-        let is_slow = |it: usize| load.slow_every != 0 && it.is_multiple_of(load.slow_every);
+        let is_slow = |it: usize| load.slow_every != 0 && it % load.slow_every == 0;
         let slow = |it| if is_slow(it) { load.slow_factor } else { 1.0 };
         let engine = |it| Engine::new(load.figures, load.slots, slow(it));
         let pace = load.figures.pace;
--- a/crates/gateway/tests/choice_by_cost/load.rs
+++ b/crates/gateway/tests/choice_by_cost/load.rs
@@ -70,7 +70,7 @@
     }
 
     pub(crate) fn is_older(&self, gateway: usize) -> bool {
-        self.older_every != 0 && gateway.is_multiple_of(self.older_every)
+        self.older_every != 0 && gateway % self.older_every == 0
     }
 }
 
