--- a/crates/gateway/src/peer_loads/work/tests.rs
+++ b/crates/gateway/src/peer_loads/work/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::peer_loads::{PeerLoads, ReportSource};
+use crate::{
+    peer_loads::{PeerLoads, ReportSource},
+    peers::message::PeerMessage,
+};
 use citrongw_state::id::NodeId;
 
 const SPEED: QueueSpeed = QueueSpeed { prefill_rate: 50_000.0, pass_s: 0.04 };
@@ -118,6 +121,15 @@
     assert_eq!(sums.get(&key(1)), Some(&2));
 }
 
+// Guards against messages that gateways of earlier builds misread.
+#[test]
+fn reports_of_counts_keep_their_encoding() {
+    let load = PeerMessage::Load(counts(1, 1));
+    assert_eq!(postcard::to_stdvec(&load).unwrap(), [4, 0, 1, 150, 1, 1, 0, 1, 2, 1]);
+    let zone = PeerMessage::ZoneLoad { zone: "b".into(), report: counts(0, 0) };
+    assert_eq!(postcard::to_stdvec(&zone).unwrap(), [8, 1, b'b', 0, 1, 150, 1, 0]);
+}
+
 #[test]
 fn part_and_number_of_parts_are_read_as_written() {
     for parts in 1..=u8::MAX {
--- a/crates/state/src/request_cost/learned.rs
+++ b/crates/state/src/request_cost/learned.rs
@@ -8,7 +8,7 @@
 use super::{EngineFigures, ExpectedCost, StatedCost};
 use crate::{id::ModelId, time::Time};
 
-/// Limit on the models and routes that figures are kept for: 64 bytes each.
+/// Limit on the models and routes that figures are kept for: about 100 bytes each.
 const MAX_KEYS: usize = 512;
 /// Weight of a new value in an average.
 const WEIGHT: f64 = 0.03;
