Count the wait for a slot before the last one is taken

Cause: the number of requests at a server is known by late reports, so the prediction took servers near full slots for free.

Change: the requests beyond the slots are the mean for a number that is uncertain by 1.5. The played load now also checks that more requests are in time than by requests.

The unit test of a request beyond the slots compares with a server that has free slots for certain; another checks that the wait grows before.

--- a/crates/gateway/tests/choice_by_cost.rs
+++ b/crates/gateway/tests/choice_by_cost.rs
@@ -128,6 +128,7 @@
 #[test]
 fn many_gateways_do_not_wait_longer_before_many_replicas() {
     check_p90(MANY_REPLICAS);
+    check_in_time(MANY_REPLICAS);
     for placement in [Placement::LeastOutstanding, Placement::AllKnowing, Placement::Random] {
         play(MANY_REPLICAS, placement);
     }
--- a/crates/state/src/request_cost.rs
+++ b/crates/state/src/request_cost.rs
@@ -18,6 +18,10 @@
 /// Number of token pairs in the unit of the figure per million pairs.
 const PAIRS_PER_M: f64 = 1e6;
 const MS_PER_S: f64 = 1_000.0;
+/// Uncertainty of the number of requests at a server, which is known by late reports. With
+/// none, servers near full slots count as free: 0.6% were late in the played load with many
+/// replicas, against 0.3% by requests.
+const REQUESTS_UNCERTAINTY: f64 = 1.5;
 
 /// Prompt tokens that a request counts for where no cost is known, in the exchange of
 /// loads between gateways.
@@ -149,12 +153,15 @@
         // A request holds its slot for twice the mean time that is left.
         let passes = 2.0 * work.remaining_output_tokens / self.stride;
         let slot_ms = passes * event_gap_ms / work.slots;
-        let waiting = (work.requests + 1.0 - work.slots).max(0.0);
+        // Mean of the requests beyond the slots, if their number is that uncertain.
+        let beyond = (work.requests + 1.0 - work.slots) / REQUESTS_UNCERTAINTY;
+        let waiting = REQUESTS_UNCERTAINTY * (beyond.max(0.0) + (-beyond.abs()).exp().ln_1p());
+        let waiting_share = 1.0 / (1.0 + (-beyond).exp());
         let step_of_one = self.step_time(1.0, mean) - self.step_time(0.0, mean);
         let passes_to_first = event_gap_ms * 1.5 / step_ms;
         let per_request_ms = mean.prompt_tokens * ms_per_token
             + step_of_one * passes_to_first
-            + if 0.0 < waiting { slot_ms } else { 0.0 };
+            + waiting_share * slot_ms;
         Prediction {
             first_event_ms: waiting * slot_ms
                 + joining_ms
--- a/crates/state/src/request_cost/tests.rs
+++ b/crates/state/src/request_cost/tests.rs
@@ -44,11 +44,20 @@
 
 #[test]
 fn request_beyond_the_slots_waits_for_one() {
-    let last_slot = first_event_ms(&FIGURES, 1_500.0, &work(29.0, 0.0));
+    let free = first_event_ms(&FIGURES, 1_500.0, &work(22.0, 0.0));
     let beyond = first_event_ms(&FIGURES, 1_500.0, &work(36.0, 0.0));
     // A slot is free every 100 / 6 passes of 54 ms / 30.
     let expected = 7.0 * 100.0 / 6.0 * 54.0 / 30.0;
-    assert!((beyond - last_slot - expected).abs() < 15.0, "{last_slot} {beyond} {expected}");
+    assert!((beyond - free - expected).abs() < 15.0, "{free} {beyond} {expected}");
+}
+
+// Guards against taking a server for free whose last slots others may have taken.
+#[test]
+fn wait_for_a_slot_grows_before_the_last_one_is_taken() {
+    let times =
+        [20.0, 27.0, 29.0, 31.0].map(|it| first_event_ms(&FIGURES, 1_500.0, &work(it, 0.0)));
+    let steps = [times[1] - times[0], times[2] - times[1], times[3] - times[2]];
+    assert!(steps[0] < steps[1] && steps[1] < steps[2], "{steps:?}");
 }
 
 #[test]
