Report requests without a known cost at once too

Cause: with by-cost on, requests to engines without figures were reported up to 100 ms later than before, because only those with a known cost woke the publisher.

Change: every request to a replica does, if by-cost is on.

--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -10,7 +10,7 @@
 use super::{call::Call, hop};
 use crate::{
     adapter::{ForwardMeta, ResponseMeta},
-    fleet::{Backend, InFlight},
+    fleet::{Backend, InFlight, work::RequestWork},
     node::Gateway,
 };
 
@@ -186,9 +186,8 @@
 
 /// Counts a request as in flight, with its work where the cost is known.
 fn begin(gateway: &Gateway, call: &Call, backend: &Backend, now: Time) -> InFlight {
-    let Some(cost) = &call.cost else { return backend.stats.begin_request() };
-    let work = cost.work();
-    if let Some(replica) = &backend.replica {
+    let work = call.cost.map_or(RequestWork::UNKNOWN, |it| it.work());
+    if let (true, Some(replica)) = (gateway.settings.by_cost, &backend.replica) {
         gateway.peer_loads.record_begun(replica, work.prompt_tokens, now);
     }
     backend.stats.begin_work(work, now)
--- a/crates/gateway/tests/choice_by_cost.rs
+++ b/crates/gateway/tests/choice_by_cost.rs
@@ -13,8 +13,8 @@
 use citrongw_state::request_cost::EngineFigures;
 
 use self::{
-    fleet::{Outcome, Placement},
-    load::Load,
+    fleet::Placement,
+    load::{Load, Outcome},
 };
 
 const FIGURES: EngineFigures = EngineFigures {
--- a/crates/gateway/tests/choice_by_cost/fleet.rs
+++ b/crates/gateway/tests/choice_by_cost/fleet.rs
@@ -1,6 +1,6 @@
 //! Gateways in zones with some delay between them, before engines whose figures they know.
 
-use std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use citrongw_gateway::{
     adapter::ServerLoad,
@@ -23,7 +23,7 @@
 
 use super::{
     engine::{Engine, EngineEvent, EngineRequest},
-    load::Load,
+    load::{Load, Outcome},
 };
 
 const TICK: Duration = Duration::from_millis(1);
@@ -49,27 +49,6 @@
     Random,
 }
 
-/// What callers got.
-#[derive(Debug)]
-pub(crate) struct Outcome {
-    /// Share of the requests whose first event came in time.
-    pub(crate) in_time: f64,
-    p50: Duration,
-    /// Time in which 9 in 10 callers got their first event.
-    pub(crate) p90: Duration,
-    p99: Duration,
-    /// Share of the requests that another zone served.
-    pub(crate) away: f64,
-}
-
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let ms = [self.p50, self.p90, self.p99].map(|it| it.as_millis());
-        write!(f, "in time {:.3}, p50 {} p90 {} p99 {} ms", self.in_time, ms[0], ms[1], ms[2])?;
-        write!(f, ", away {:.2}", self.away)
-    }
-}
-
 struct Gateway {
     node: NodeId,
     zone: usize,
--- a/crates/gateway/tests/choice_by_cost/load.rs
+++ b/crates/gateway/tests/choice_by_cost/load.rs
@@ -1,6 +1,6 @@
-//! Loads of gateways and engines, and the draws of their requests.
+//! Loads of gateways and engines, the draws of their requests, and what callers got.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use citrongw_state::request_cost::{EngineFigures, StatedCost};
 use rand::{Rng, rngs::SmallRng};
@@ -74,6 +74,27 @@
     }
 }
 
+/// What callers got.
+#[derive(Debug)]
+pub(crate) struct Outcome {
+    /// Share of the requests whose first event came in time.
+    pub(crate) in_time: f64,
+    pub(crate) p50: Duration,
+    /// Time in which 9 in 10 callers got their first event.
+    pub(crate) p90: Duration,
+    pub(crate) p99: Duration,
+    /// Share of the requests that another zone served.
+    pub(crate) away: f64,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = [self.p50, self.p90, self.p99].map(|it| it.as_millis());
+        write!(f, "in time {:.3}, p50 {} p90 {} p99 {} ms", self.in_time, ms[0], ms[1], ms[2])?;
+        write!(f, ", away {:.2}", self.away)
+    }
+}
+
 /// Exponentially distributed value.
 fn exponential(mean: f64, rng: &mut SmallRng) -> f64 {
     -mean * (1.0 - rng.random::<f64>()).ln()
