--- a/crates/bench/src/early_rejection.rs
+++ b/crates/bench/src/early_rejection.rs
@@ -8,6 +8,7 @@
 
 mod gateway;
 mod outcome;
+mod request;
 mod run;
 mod scenario;
 mod server;
--- a/crates/bench/src/early_rejection/run.rs
+++ b/crates/bench/src/early_rejection/run.rs
@@ -11,8 +11,9 @@
 use super::{
     gateway::{self, Gateway},
     outcome::{Ending, Outcome},
+    request::Request,
     scenario::{Policy, Retries, Scenario},
-    server::{Server, Started},
+    server::Server,
 };
 
 const TICK_MS: u64 = 5;
@@ -23,21 +24,6 @@
 /// `Retry-After` if the servers reject a request.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-struct Request {
-    class: usize,
-    arrived: Duration,
-    deadline: Duration,
-    gateway: usize,
-    server: usize,
-    is_return: bool,
-    sent_at: Duration,
-    first_event_at: Option<Duration>,
-    server_had_slot: bool,
-    waits_since: Option<Duration>,
-    expected_wait: Option<Duration>,
-    ended: bool,
-}
-
 /// Runs a scenario.
 pub fn run(scenario: &Scenario, policy: Policy, seed: u64) -> Outcome {
     Run::new(scenario, policy, seed).play()
@@ -163,7 +149,7 @@
             for request in self.servers[server].end_due(self.tick) {
                 self.finish(request, server);
             }
-            while let Some(Started { request }) = self.servers[server].start_next(slots) {
+            while let Some(request) = self.servers[server].start_next(slots) {
                 let deadline = self.requests[request].deadline;
                 if deadline <= self.now {
                     self.gateways[self.requests[request].gateway].own[server] -= 1;
--- a/crates/bench/src/early_rejection/server.rs
+++ b/crates/bench/src/early_rejection/server.rs
@@ -2,13 +2,6 @@
 
 use std::collections::BTreeSet;
 
-/// Request at a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Started {
-    /// Index of the request.
-    pub(super) request: usize,
-}
-
 /// Replica with slots and a queue. Times are in ticks.
 #[derive(Debug, Default)]
 pub(super) struct Server {
@@ -41,11 +34,11 @@
     }
 
     /// Takes the next request of the queue if a slot is free.
-    pub(super) fn start_next(&mut self, slots: usize) -> Option<Started> {
+    pub(super) fn start_next(&mut self, slots: usize) -> Option<usize> {
         if slots <= self.running.len() {
             return None;
         }
-        self.queue.pop_first().map(|(_, _, request)| Started { request })
+        self.queue.pop_first().map(|(_, _, request)| request)
     }
 
     /// Runs a request until a tick.
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// Guards against a deployment that rejects early without having asked for it.
+#[test]
+fn early_rejection_is_off_unless_it_is_set() {
+    let parsed = |value: &str| parse(&format!("{SAMPLE}\n[admission]\nreject-early = {value}\n"));
+    assert!(!parse(SAMPLE).unwrap().reject_early);
+    assert!(!parsed("off").unwrap().reject_early);
+    assert!(parsed("on").unwrap().reject_early);
+    assert!(parsed("true").unwrap_err()[0].to_string().contains("on or off"));
+}
+
 #[test]
 fn sample_file_has_no_fault() {
     let sample = include_str!("../../../../../contrib/gateway.ini");
