--- a/crates/citrongw/src/settings.rs
+++ b/crates/citrongw/src/settings.rs
@@ -5,6 +5,7 @@
 
 pub mod gateway;
 mod lines;
+pub mod memory_size;
 pub mod reader;
 
 use std::{net::SocketAddr, path::Path, time::Duration};
--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -4,7 +4,10 @@
 
 use citrongw_state::{id::AvailabilityZone, retry::window::RetryLimits};
 
-use super::reader::{self, Fault, Reader};
+use super::{
+    memory_size::MemorySize,
+    reader::{self, Fault, Reader},
+};
 use crate::error::Result;
 
 /// Settings of one gateway.
@@ -38,6 +41,11 @@
     pub retries: RetryLimits,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
+    /// Memory of the machine; without it the memory of callers is not limited.
+    pub memory: Option<MemorySize>,
+    /// Descriptors that the process may open; without it connections are limited only
+    /// by `max_connections`.
+    pub max_descriptors: Option<usize>,
     /// Log level, or a list of `target=level`.
     pub log_level: String,
 }
@@ -59,6 +67,12 @@
 /// the difference between the clocks of both sides.
 const STALL_MARGIN: Duration = Duration::from_millis(700);
 
+const MEMORY_ALLOWED: &str = "a size from 16MB such as 112MB";
+const DESCRIPTORS_ALLOWED: &str = "a number from 128";
+/// Lowest limit on descriptors: below it the reserve for the key-value service, gateways
+/// and servers leaves none to callers.
+const MIN_DESCRIPTORS: usize = 128;
+
 fn read(reader: &mut Reader<'_>) -> Settings {
     let stall = reader.positive_duration("control", "stall-time", Duration::from_secs(6));
     Settings {
@@ -75,6 +89,10 @@
         grace: reader.positive_duration("node", "grace", Duration::from_secs(8)),
         retries: read_retries(reader),
         max_connections: reader.count("callers", "max-connections", 1_024),
+        memory: reader.optional("limits", "memory", MEMORY_ALLOWED, |it| it.parse().ok()),
+        max_descriptors: reader.optional("limits", "descriptors", DESCRIPTORS_ALLOWED, |it| {
+            it.parse().ok().filter(|it| MIN_DESCRIPTORS <= *it)
+        }),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -26,6 +26,20 @@
     assert!(Duration::from_secs(6) < settings.stall_time);
 }
 
+#[test]
+fn limits_of_the_machine_are_optional() {
+    let settings = parse(SAMPLE).unwrap();
+    assert_eq!((settings.memory, settings.max_descriptors), (None, None));
+    let settings = parse(&format!("{SAMPLE}\n[limits]\nmemory = 112MB\ndescriptors = 2870\n"));
+    let settings = settings.unwrap();
+    assert_eq!(settings.memory.unwrap().bytes(), 117_440_512);
+    assert_eq!(settings.max_descriptors, Some(2_870));
+    for fault in ["memory = 112", "memory = 1MB", "descriptors = 127"] {
+        let text = format!("{SAMPLE}\n[limits]\n{fault}\n");
+        assert_eq!(parse(&text).unwrap_err().len(), 1, "{fault}");
+    }
+}
+
 #[test]
 fn every_fault_is_named() {
     let text = SAMPLE.replace("zone = a", "zome = a").replace("grace = 8s", "grace = soon");
