Bound the memory and the descriptors that callers of a gateway hold

Cause: nothing bounded what a gateway held for clients that stop, read nothing or pipeline. Read buffers grew to 128 KB for callers and 400 KB for servers, buffered bodies and responses had no common limit, and each connection could take a descriptor for itself and one for a server. A flood of pipelined requests also kept the thread of the process so busy that polls of servers timed out and the links were taken as cut, and a body that its caller broke off counted as a failure of the server.

Change: with [limits] memory and descriptors, every connection has an account with one budget of the process. Connections, long heads, requests, bodies, buffered responses and unread responses are charged to it. Above six eighths, connections that wait for their peers are closed, first those that hold most for the longest time; then bodies, requests and new connections are refused with 503 before they run. A full port closes the connection that waits longest for a new one. Each port has a share of the descriptors. Reads are smaller than the buffer of the HTTP library, so that it does not grow. A body without progress for the idle timeout ends. A connection is closed after 16 requests whose responses it did not wait for, and other tasks run between them; a poll of a server times out only after 16 turns of all tasks. Bodies that callers break off are no failure of the server. Without the settings nothing is charged, refused or closed.

Without the check of broken-off bodies the test of them does not end. The cost of a request has not been measured.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod listing;
 mod lock;
 pub mod log;
+mod machine_limits;
 pub mod metered_store;
 pub mod metrics;
 pub mod node;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -13,7 +13,7 @@
 use tokio::{
     sync::{Mutex, watch},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::sleep,
 };
 
 use crate::{
@@ -28,6 +28,9 @@
 const MAX_POLLED_SERVERS: usize = 12;
 /// Timeout of these polls. Responses take milliseconds.
 const POLL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Turns of all tasks that a poll takes at most: to connect, to send the request and to
+/// read the response, each of them in two tasks.
+const POLL_TURNS: usize = 16;
 /// Interval between checks, and between polls while the links are cut.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without a byte from any server, while requests wait for them, from which on
@@ -81,6 +84,16 @@
     })
 }
 
+/// Completes at the timeout of a poll. While this process is busy, its other tasks get
+/// their turns before, so that responses that have arrived are read: a process that has no
+/// time for them does not count the servers as silent.
+async fn poll_timeout() {
+    sleep(POLL_TIMEOUT).await;
+    for _ in 0..POLL_TURNS {
+        tokio::task::yield_now().await;
+    }
+}
+
 impl LinkWatch {
     /// Whether no server is heard.
     pub(crate) fn is_cut(&self) -> bool {
@@ -153,15 +166,22 @@
 
     /// Polls servers. True if one responds.
     async fn poll(&self, servers: &[Arc<InstanceEntry>]) -> bool {
-        let polls = servers.iter().map(|it| timeout(POLL_TIMEOUT, self.instances.report(it.addr)));
-        let mut polls: FuturesUnordered<_> = polls.collect();
-        while let Some(outcome) = polls.next().await {
-            if matches!(outcome, Ok(Ok(_) | Err(InstanceError::InvalidResponse))) {
-                self.record_heard();
-                return true;
+        let reports = servers.iter().map(|it| self.instances.report(it.addr));
+        let mut reports: FuturesUnordered<_> = reports.collect();
+        let heard = async {
+            while let Some(outcome) = reports.next().await {
+                if matches!(outcome, Ok(_) | Err(InstanceError::InvalidResponse)) {
+                    self.record_heard();
+                    return true;
+                }
             }
+            false
+        };
+        tokio::select! {
+            biased;
+            is_heard = heard => is_heard,
+            () = poll_timeout() => false,
         }
-        false
     }
 
     /// Chooses servers at random, those outside the fabric domain of the silent one
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,12 @@
 //! Counters and latency histograms in the OpenMetrics text form.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citrongw_protocol::code::ResultCode;
+use citrongw_transport::memory_budget::{CloseReason, MemoryBudget, MemoryKind};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -30,6 +34,16 @@
     code: u16,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MemoryLabels {
+    kind: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CloseLabels {
+    reason: String,
+}
+
 type ServiceHistograms = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one gateway. Clones share the values.
@@ -43,6 +57,9 @@
     log_lines_dropped: Gauge,
     store_calls: StoreCalls,
     unreadable_records: Counter,
+    memory: Family<MemoryLabels, Gauge>,
+    memory_limit: Gauge,
+    connections_closed: Family<CloseLabels, Counter>,
 }
 
 fn histogram() -> Histogram {
@@ -90,6 +107,26 @@
         "Records of the platform that could not be read, once a change",
         unreadable_records.clone(),
     );
+    let memory = Family::<MemoryLabels, Gauge>::default();
+    registry.register_with_unit(
+        "callers_memory",
+        "Memory held for callers, by kind",
+        Unit::Bytes,
+        memory.clone(),
+    );
+    let memory_limit = Gauge::default();
+    registry.register_with_unit(
+        "callers_memory_limit",
+        "Memory that may be held for callers; 0 without a limit",
+        Unit::Bytes,
+        memory_limit.clone(),
+    );
+    let connections_closed = Family::<CloseLabels, Counter>::default();
+    registry.register(
+        "connections_closed",
+        "Connections closed and requests refused to stay within the machine, by reason",
+        connections_closed.clone(),
+    );
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -99,6 +136,9 @@
         log_lines_dropped,
         store_calls,
         unreadable_records,
+        memory,
+        memory_limit,
+        connections_closed,
     }
 }
 
@@ -126,6 +166,21 @@
         self.refusals.get_or_create(&CodeLabels { code: code.number() }).inc();
     }
 
+    /// Sets the metrics of the memory held for callers.
+    pub fn set_memory(&self, budget: &MemoryBudget) {
+        let gauge_value = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        for kind in MemoryKind::ALL {
+            let labels = MemoryLabels { kind: kind.to_string() };
+            self.memory.get_or_create(&labels).set(gauge_value(budget.held_for(kind)));
+        }
+        self.memory_limit.set(gauge_value(budget.max_bytes().unwrap_or_default()));
+        for reason in CloseReason::ALL {
+            let labels = CloseLabels { reason: reason.to_string() };
+            let counter = self.connections_closed.get_or_create(&labels);
+            counter.inner().store(budget.closed_for(reason), Ordering::Relaxed);
+        }
+    }
+
     /// Counters of calls to the key-value service.
     pub fn store_calls(&self) -> StoreCalls {
         self.store_calls.clone()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,7 +18,10 @@
     id::NodeId,
     retry::window::{self, RetryWindows},
 };
-use citrongw_transport::http_server::{self, HttpServer, ServerOptions};
+use citrongw_transport::{
+    http_server::{self, DEFAULT_MAX_CONNECTIONS, HttpServer, ServerOptions},
+    memory_budget::{self, MemoryBudget},
+};
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
@@ -31,6 +34,7 @@
     crash_watch::{self, CrashWatch},
     feed::{self, RoutingState},
     links::{self, LinkWatch},
+    machine_limits::{self, PortLimits},
     metered_store::{self, Subjects},
     metrics::{self, Metrics},
     peer_loads::{self, PeerLoads, ReportSource},
@@ -70,6 +74,10 @@
     pub peers: Arc<Peers>,
     /// Metrics of the gateway.
     pub metrics: Metrics,
+    /// Memory held for callers, if the settings limit memory or descriptors.
+    pub memory: Option<Arc<MemoryBudget>>,
+    /// Maximum number of connections at each port.
+    pub(crate) ports: PortLimits,
     /// Watch for requests that crash backend servers.
     pub(crate) crashes: Arc<CrashWatch>,
     /// Limits that backend servers state.
@@ -116,8 +124,14 @@
     let peers = Arc::new(peers::open(node, settings.zone.clone(), clock));
     let links = Arc::new(links::open(&adapter.instances, &routing, clock));
     let crashes = Arc::new(crash_watch::open(&adapter, &peers, &links, clock));
+    let is_limited = settings.memory.is_some() || settings.max_descriptors.is_some();
+    let callers_bytes = settings.memory.map(machine_limits::callers_bytes);
+    let memory = is_limited.then(|| Arc::new(memory_budget::open(callers_bytes)));
+    let ports = machine_limits::port_limits(&settings, DEFAULT_MAX_CONNECTIONS);
     let gateway = Arc::new(Gateway {
         node,
+        memory,
+        ports,
         peer_loads: Arc::default(),
         settings,
         clock,
@@ -136,16 +150,19 @@
     });
     let settings = &gateway.settings;
     let options = ServerOptions {
-        max_connections: settings.max_connections,
+        max_connections: gateway.ports.callers,
         limits: Arc::clone(&gateway.routing.caller_limits),
+        budget: gateway.memory.clone(),
         ..ServerOptions::default()
     };
     let addr = settings.caller_addr;
     let callers = http_server::bind_with(addr, relay::router(&gateway), options)
         .await
         .map_err(|error| could_not("listen for callers", addr, error))?;
-    let ready = bind(settings.ready_addr, relay::ready_router(&gateway, ready_path)).await?;
-    let metrics = bind(settings.metrics_addr, metrics_router(&gateway)).await?;
+    let router = relay::ready_router(&gateway, ready_path);
+    let ready = bind(&gateway, settings.ready_addr, router, gateway.ports.ready).await?;
+    let router = metrics_router(&gateway);
+    let metrics = bind(&gateway, settings.metrics_addr, router, gateway.ports.metrics).await?;
     let mut tasks =
         feed::spawn(&gateway.adapter, &gateway.routing, &gateway.peers, &gateway.metrics, clock);
     let routing = Arc::clone(&gateway.routing);
@@ -216,14 +233,29 @@
     ]
 }
 
-async fn bind(addr: SocketAddr, router: Router) -> Result<HttpServer> {
-    let bound = http_server::bind(addr, router).await;
+/// Listens on a port that responds also while the memory of the process is spent.
+async fn bind(
+    gateway: &Gateway,
+    addr: SocketAddr,
+    router: Router,
+    max_connections: usize,
+) -> Result<HttpServer> {
+    let options = ServerOptions {
+        max_connections,
+        budget: gateway.memory.clone(),
+        refuses_over_budget: false,
+        ..ServerOptions::default()
+    };
+    let bound = http_server::bind_with(addr, router, options).await;
     bound.map_err(|error| could_not("listen", addr, error))
 }
 
 fn metrics_router(gateway: &Arc<Gateway>) -> Router {
     let gateway = Arc::clone(gateway);
     Router::new().get("/metrics", move |_: Request| {
+        if let Some(memory) = &gateway.memory {
+            gateway.metrics.set_memory(memory);
+        }
         let page = gateway.metrics.page();
         async move { Ok::<_, viz::Error>(Response::text(page)) }
     })
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 mod events;
 pub(crate) mod hop;
 mod log;
+mod memory;
 mod plain;
 mod refuse;
 mod send;
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -386,9 +386,11 @@
         Cause::NotReached | Cause::Declined => ResultCode::NotReached,
         Cause::ServerRefused => ResultCode::Overloaded,
         Cause::ReplicaBroken => ResultCode::NoReplica,
-        Cause::Interrupted | Cause::MismatchedResponse | Cause::Stalled | Cause::ReplicaDown => {
-            ResultCode::BrokenOff
-        }
+        Cause::Interrupted
+        | Cause::BodyBrokenOff
+        | Cause::MismatchedResponse
+        | Cause::Stalled
+        | Cause::ReplicaDown => ResultCode::BrokenOff,
         Cause::ServerError => ResultCode::EngineError,
         Cause::DeadlinePassed => ResultCode::DeadlinePassed,
         Cause::Quarantined => ResultCode::Quarantined,
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -9,10 +9,15 @@
 use http_body_util::{BodyExt, Full, Limited};
 use viz::Body;
 
+use super::memory::{BufferCharge, TRANSFER_BYTES};
+
 /// Limit on the buffered bytes of a body: some 16,000 tokens of a prompt as text.
 /// A thousand such bodies at once fit into the memory of a small instance.
 pub(super) const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Size of the pieces in which bodies mostly arrive. The last one may go beyond the limit.
+const MAX_PIECE_BYTES: usize = 8 * 1024;
+
 /// Body of a caller's request.
 #[derive(Debug, Clone)]
 pub(super) enum CallBody {
@@ -27,25 +32,34 @@
     },
 }
 
-/// Reads a body to its end, or up to the limit of the buffer.
-pub(super) async fn read(mut body: Body, max_bytes: usize) -> Result<CallBody, ResultCode> {
+/// Reads a body to its end, or up to the limit of the buffer. It is refused as overloaded
+/// while there is no memory for it.
+pub(super) async fn read(
+    mut body: Body,
+    max_bytes: usize,
+    charge: &mut BufferCharge,
+) -> Result<CallBody, ResultCode> {
     let declared_bytes = hyper::body::Body::size_hint(&body).exact();
     if declared_bytes.is_some_and(|it| (max_bytes as u64) < it) {
         return Err(ResultCode::TooLarge);
     }
     let mut buffered = BytesMut::new();
+    let expected_bytes = expected_buffer(declared_bytes);
     while buffered.len() <= MAX_BUFFERED_BYTES {
         let Some(frame) = body.frame().await else {
             return Ok(CallBody::Buffered(buffered.freeze()));
         };
         let frame = frame.map_err(|_| ResultCode::Malformed)?;
         if let Ok(data) = frame.into_data() {
+            buffered.reserve(data.len().max(expected_bytes.saturating_sub(buffered.len())));
+            charge.grow_to(buffered.capacity()).map_err(|_| ResultCode::Overloaded)?;
             buffered.extend_from_slice(&data);
         }
         if max_bytes < buffered.len() {
             return Err(ResultCode::TooLarge);
         }
     }
+    charge.grow_by(TRANSFER_BYTES).map_err(|_| ResultCode::Overloaded)?;
     // How much is buffered beyond the limit depends on how the body arrived.
     let start_hash = hash_start(&buffered[..MAX_BUFFERED_BYTES], declared_bytes);
     let rest = Limited::new(body, max_bytes - buffered.len());
@@ -53,6 +67,13 @@
     Ok(CallBody::Streamed { body, start_hash })
 }
 
+/// Size of the buffer of a body with a declared length. One allocation of the final size
+/// leaves no holes of the smaller ones.
+pub(super) fn expected_buffer(declared_bytes: Option<u64>) -> usize {
+    let declared_bytes = usize::try_from(declared_bytes.unwrap_or_default());
+    declared_bytes.unwrap_or(usize::MAX).min(MAX_BUFFERED_BYTES + MAX_PIECE_BYTES)
+}
+
 fn hash_start(start: &[u8], declared_bytes: Option<u64>) -> Hash {
     let mut hasher = Hasher::new();
     hasher.update(&declared_bytes.unwrap_or_default().to_le_bytes()).update(start);
@@ -96,6 +117,16 @@
         }
     }
 
+    /// Whether the body ended early at its caller, or exceeded the size limit.
+    pub(super) fn is_broken_off(&self) -> bool {
+        matches!(self.progress(), Some(BodyProgress::Interrupted | BodyProgress::TooLarge))
+    }
+
+    /// Whether the caller still sends the body on to a server.
+    pub(super) fn is_in_transfer(&self) -> bool {
+        self.progress() == Some(BodyProgress::InProgress)
+    }
+
     /// Whether the body exceeded the size limit while it was streamed.
     pub(super) fn is_too_large(&self) -> bool {
         self.progress() == Some(BodyProgress::TooLarge)
--- a/crates/gateway/src/relay/body/tests.rs
+++ b/crates/gateway/src/relay/body/tests.rs
@@ -1,7 +1,9 @@
 use http_body_util::StreamBody;
 use hyper::body::{Body as _, Frame};
 
-use super::*;
+use citrongw_transport::memory_budget::MemoryKind;
+
+use super::{super::memory, *};
 
 /// Guards against a body without a declared length that is longer than the limit and
 /// looks whole where the limit cuts it.
@@ -10,7 +12,8 @@
     let limit = MAX_BUFFERED_BYTES + 1;
     let frames = [limit, 1].map(|bytes| Ok::<_, std::io::Error>(Bytes::from(vec![b'y'; bytes])));
     let body = Body::from_stream(futures::stream::iter(frames));
-    let read = read(body, limit).await.unwrap();
+    let mut charge = memory::open(None, MemoryKind::Body);
+    let read = read(body, limit, &mut charge).await.unwrap();
     let mut sent = read.begin_attempt().unwrap();
     assert_eq!(sent.size_hint().exact(), None);
     assert_eq!(sent.frame().await.unwrap().unwrap().into_data().unwrap().len(), limit);
--- a/crates/gateway/src/relay/call.rs
+++ b/crates/gateway/src/relay/call.rs
@@ -8,11 +8,13 @@
     id::{PlainServiceId, RequestId},
     time::Time,
 };
+use citrongw_transport::memory_budget::{Account, MemoryKind};
 use http::{HeaderMap, Method, Uri, header};
 use viz::Request;
 
 use super::{
     body::{self, CallBody},
+    memory::{self, BufferCharge},
     refuse::Refusal,
     signatures::Signatures,
     urgency::{self, Timeliness},
@@ -48,6 +50,10 @@
     pub(super) headers: HeaderMap,
     /// Body of the request.
     pub(super) body: CallBody,
+    /// Account of the caller's connection, if memory is limited.
+    pub(super) account: Option<Arc<Account>>,
+    /// Charge of the body, held as long as the request.
+    pub(super) body_charge: Option<BufferCharge>,
     /// When the request head arrived.
     pub(super) arrived_at: Time,
     /// What the request may share with others that crash servers.
@@ -116,8 +122,11 @@
     meta.api_key = None;
     let target = route.pick_target(rand::random()).ok_or(ResultCode::NoReplica)?;
     let timeout = meta.remaining.unwrap_or(route.timeout).min(route.timeout);
-    let read = body::read(body, config.limits.body_bytes);
-    let body = tokio::time::timeout(timeout, read).await.map_err(|_| ResultCode::TooSlow)??;
+    let account = parts.extensions.get::<Arc<Account>>().cloned();
+    let mut body_charge = memory::open(account.as_ref(), MemoryKind::Body);
+    let read = body::read(body, config.limits.body_bytes, &mut body_charge);
+    let body = tokio::time::timeout(timeout, read).await.map_err(|_| ResultCode::TooSlow)?;
+    let body = body.map_err(|code| memory::refusal(code, account.as_ref()))?;
     let signatures = Signatures::of_prompt(&target.service, &meta.prompt_parts);
     Ok(Call {
         request,
@@ -130,6 +139,8 @@
         uri: parts.uri,
         headers: strip_hop_by_hop(parts.headers),
         body,
+        account,
+        body_charge: Some(body_charge),
         arrived_at,
     })
 }
--- a/crates/gateway/src/relay/hop.rs
+++ b/crates/gateway/src/relay/hop.rs
@@ -109,7 +109,14 @@
     let addr = gateway.settings.peer_addr;
     let limits = ConnectionLimits::default();
     limits.set(MAX_HEAD_BYTES, HEAD_TIMEOUT, IDLE_TIMEOUT);
-    let options = ServerOptions { limits: Arc::new(limits), ..ServerOptions::default() };
+    // A request that cannot be served is declined, so that its gateway sends it elsewhere.
+    let options = ServerOptions {
+        max_connections: gateway.ports.relays,
+        limits: Arc::new(limits),
+        budget: gateway.memory.clone(),
+        refuses_over_budget: false,
+        ..ServerOptions::default()
+    };
     let shared = || Arc::clone(&gateway);
     loop {
         let (root, rest) = (shared(), shared());
--- a/crates/gateway/src/relay/plain.rs
+++ b/crates/gateway/src/relay/plain.rs
@@ -9,7 +9,10 @@
 
 use bytes::{Bytes, BytesMut};
 use citrongw_protocol::code::ResultCode;
-use citrongw_transport::http_client::PooledBody;
+use citrongw_transport::{
+    http_client::PooledBody,
+    memory_budget::{Account, MemoryKind},
+};
 use futures::stream;
 use http::{HeaderValue, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
@@ -19,10 +22,11 @@
 
 use super::{
     attempts::Attempts,
-    body::MAX_BUFFERED_BYTES,
+    body::{MAX_BUFFERED_BYTES, expected_buffer},
     call::{Call, strip_hop_by_hop},
     hop::Relayed,
     log::RequestLog,
+    memory::{self, BufferCharge},
     refuse::Refusal,
     send::{self, AttemptFailure, BackendResponse, Cause},
     signatures, unanswered,
@@ -48,12 +52,16 @@
     body: PooledBody,
     backend: Arc<Backend>,
     _in_flight: InFlight,
+    /// Charge of the part that is buffered.
+    _charge: BufferCharge,
+    /// Charge of the request body, which may still be in transfer.
+    body_charge: Option<BufferCharge>,
 }
 
 /// Relays a request and its response.
 pub(super) async fn serve(
     gateway: &Arc<Gateway>,
-    call: Call,
+    mut call: Call,
     mut attempts: Attempts,
     mut log: RequestLog,
 ) -> Response {
@@ -67,7 +75,8 @@
         }
     };
     let ResponseStart { parts, buffered, rest } = started;
-    if let Some(rest) = rest {
+    if let Some(mut rest) = rest {
+        rest.body_charge = call.body_charge.take();
         return forward_rest(gateway, &call, parts, buffered, rest, attempts, log);
     }
     if parts.status.is_success() {
@@ -130,7 +139,7 @@
         let sent = attempts.sent();
         let exchange = async {
             let response = send::send(gateway, call, &server, sent, None).await?;
-            read_buffered(response).await
+            read_buffered(response, call.account.as_ref()).await
         };
         let may_abandon = server.gateway.is_none()
             && call.route.kind.may_rerun()
@@ -175,20 +184,30 @@
     }
 }
 
-/// Reads a response to its end, or up to the limit of the buffer.
-async fn read_buffered(response: BackendResponse) -> Result<ResponseStart, AttemptFailure> {
+/// Reads a response to its end, or up to the limit of the buffer. While there is no memory
+/// for it, it is streamed from where the memory ends.
+async fn read_buffered(
+    response: BackendResponse,
+    account: Option<&Arc<Account>>,
+) -> Result<ResponseStart, AttemptFailure> {
     let BackendResponse { parts, mut body, backend, in_flight } = response;
+    let mut charge = memory::open(account, MemoryKind::Response);
     let mut buffered = BytesMut::new();
-    while buffered.len() <= MAX_BUFFERED_BYTES {
+    let expected_bytes = expected_buffer(body.size_hint().exact());
+    let mut has_memory = true;
+    while has_memory && buffered.len() <= MAX_BUFFERED_BYTES {
         let Some(frame) = body.frame().await else {
-            return Ok(ResponseStart { parts, buffered: buffered.freeze(), rest: None });
+            let buffered = buffered.freeze();
+            return Ok(ResponseStart { parts, buffered, rest: None });
         };
         let frame = frame.map_err(|_| AttemptFailure::may_have_run(Cause::Interrupted))?;
         if let Ok(data) = frame.into_data() {
+            buffered.reserve(data.len().max(expected_bytes.saturating_sub(buffered.len())));
             buffered.extend_from_slice(&data);
+            has_memory = charge.grow_to(buffered.capacity()).is_ok();
         }
     }
-    let rest = Rest { body, backend, _in_flight: in_flight };
+    let rest = Rest { body, backend, _in_flight: in_flight, _charge: charge, body_charge: None };
     Ok(ResponseStart { parts, buffered: buffered.freeze(), rest: Some(rest) })
 }
 
@@ -262,7 +281,8 @@
     response: BackendResponse,
     limit: Duration,
 ) -> Option<Response> {
-    let started = timeout(limit, read_buffered(response)).await.ok()?.ok()?;
+    let read = read_buffered(response, call.account.as_ref());
+    let started = timeout(limit, read).await.ok()?.ok()?;
     debug_assert!(started.parts.status != StatusCode::OK);
     let ResponseStart { parts, buffered, rest: None } = started else { return None };
     Some(respond(call, parts, Body::Full(Full::new(buffered))))
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -42,6 +42,9 @@
     /// The connection broke during the exchange.
     #[display("broke off")]
     Interrupted,
+    /// The caller did not send its body to the end.
+    #[display("body of the caller broke off")]
+    BodyBrokenOff,
     /// The response belongs to another request.
     #[display("answer of another request")]
     MismatchedResponse,
@@ -130,6 +133,9 @@
             Ok(BackendResponse { parts, body, backend: Arc::clone(backend), in_flight })
         }
         Err(HttpError::NotReached | HttpError::ConnectionRefused) => declined(),
+        Err(_) if call.body.is_broken_off() => {
+            Err(AttemptFailure::may_have_run(Cause::BodyBrokenOff))
+        }
         // The other gateway never got a byte of the body.
         Err(_) if !call.body.is_buffered() && call.body.can_be_sent() => declined(),
         Err(_) => {
@@ -162,6 +168,10 @@
         Ok(Some(response)) => response.into_parts(),
         // The server has requested a pause meanwhile.
         Ok(None) => return Err(AttemptFailure::not_run(Cause::ServerRefused)),
+        // The server broke no connection, so it is not suspected.
+        Err(_) if call.body.is_broken_off() => {
+            return Err(AttemptFailure::may_have_run(Cause::BodyBrokenOff));
+        }
         Err(error) => return Err(connection_failure(gateway, backend, &error, now)),
     };
     record_received(gateway, backend, now);
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -193,7 +193,7 @@
         }
         () = sleep_until(deadline) => return Err(AttemptFailure::may_have_run(Cause::DeadlinePassed)),
         // Another gateway watches its servers itself.
-        () = wait_for_silence(gateway, server, sent_at, limit), if server.gateway.is_none() => {
+        () = wait_for_no_response(gateway, call, server, sent_at, limit), if server.gateway.is_none() => {
             send::mark_suspect(gateway, server, SILENT_SUSPICION);
             Cause::Stalled
         }
@@ -215,6 +215,24 @@
     }
 }
 
+/// Completes once a server has not begun to respond to a request for `limit`, and sent
+/// nothing to any other. A server that still waits for the caller's body is not silent.
+async fn wait_for_no_response(
+    gateway: &Gateway,
+    call: &Call,
+    server: &Backend,
+    mut since: Time,
+    limit: Duration,
+) {
+    loop {
+        wait_for_silence(gateway, server, since, limit).await;
+        if !call.body.is_in_transfer() {
+            return;
+        }
+        since = gateway.clock.now();
+    }
+}
+
 /// Completes once a server has sent nothing to any request of this node for
 /// `limit`.
 async fn wait_for_silence(gateway: &Gateway, server: &Backend, since: Time, limit: Duration) {
--- a/crates/transport/src/http_client/connection.rs
+++ b/crates/transport/src/http_client/connection.rs
@@ -9,6 +9,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use super::{HttpError, RequestBody, request_body::UploadHandle};
+use crate::small_reads::SmallReads;
 
 /// Maximum time of a TCP connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,6 +34,10 @@
     KEEPALIVE_TIME.as_secs() + KEEPALIVE_INTERVAL.as_secs() * KEEPALIVE_PROBES as u64,
 );
 
+/// Largest head of a response, and bytes of a request body that wait to be written: a
+/// server that reads slowly must not fill the memory.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Open connection that carries one exchange at a time.
 #[derive(Debug)]
 pub(super) struct Connection {
@@ -58,7 +63,8 @@
     if let Err(error) = set_options(&stream) {
         tracing::debug!(%error, %addr, "could not set socket options");
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let builder = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).clone();
+    let handshake = builder.handshake(TokioIo::new(SmallReads(stream))).await;
     let (sender, driver) = handshake.map_err(|_| HttpError::NotReached)?;
     tokio::spawn(async move {
         if let Err(error) = driver.await {
--- a/crates/transport/src/http_server/connection.rs
+++ b/crates/transport/src/http_server/connection.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use citrongw_protocol::{caller::REQUEST_ID_HEADER, code::ResultCode};
 use futures::{FutureExt, future::BoxFuture};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{
     body::{Body as _, Frame, Incoming, SizeHint},
     server::conn::http1,
@@ -27,30 +27,59 @@
     guarded_stream::{GuardedStream, OpenExchange, OpenExchanges},
     stopped,
 };
+use crate::memory_budget::{Account, Charge, MemoryKind, OverBudget};
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
+/// Smallest bound of the read buffer of a connection, and of the responses that wait to
+/// be written.
+const MIN_BUFFER_BYTES: usize = 32 * 1024;
 /// Maximum read buffer of a connection, larger than the head limits that
 /// operators set.
 const MAX_BUFFER_BYTES: usize = 128 * 1024;
+/// Room in the read buffer beyond the largest head.
+const BUFFER_MARGIN: usize = 8 * 1024;
+/// Memory of a request in progress: its parsed head with up to `MAX_HEADERS` fields and
+/// the copy for the server, the part of the response that waits to be written, and the
+/// connection to the server.
+const REQUEST_BYTES: usize = 48 * 1024;
 /// Maximum time for reading and discarding input after the connection ends, so
 /// that a reset doesn't lose the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of bytes read and discarded in that time.
 const LINGER_BYTES: usize = 8 * 1024 * 1024;
+/// The same where memory or descriptors are limited: some socket buffers.
+const LIMITED_LINGER_BYTES: usize = 512 * 1024;
+/// Requests that a peer may send without waiting for the responses before its connection
+/// is closed, where memory or descriptors are limited. Proxies and browsers send one.
+const MAX_PIPELINED: u32 = 16;
 
 /// Serves one connection to its end.
-pub(super) async fn serve<S>(mut port: Port, stream: S, peer: SocketAddr)
-where
+pub(super) async fn serve<S>(
+    mut port: Port,
+    stream: S,
+    peer: SocketAddr,
+    account: Option<Arc<Account>>,
+) where
     S: AsyncRead + AsyncWrite + Unpin + Send,
 {
     let exchanges = OpenExchanges::default();
-    let stream = GuardedStream::new(stream, Arc::clone(&port.options), exchanges.clone());
-    let service =
-        RequestIdService { router: Responder::new(port.tree.clone(), Some(peer)), exchanges };
+    let max_head_bytes = port.options.limits.max_head_bytes();
+    let max_buffer_bytes =
+        max_head_bytes.saturating_add(BUFFER_MARGIN).clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES);
+    let linger_bytes = if account.is_some() { LIMITED_LINGER_BYTES } else { LINGER_BYTES };
+    let options = Arc::clone(&port.options);
+    let refuses_over_budget = options.refuses_over_budget;
+    let stream = GuardedStream::new(stream, options, exchanges.clone(), account.clone());
+    let service = RequestIdService {
+        router: Responder::new(port.tree.clone(), Some(peer)),
+        exchanges,
+        account,
+        refuses_over_budget,
+    };
     let mut connection = http1::Builder::new()
         .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_buf_size(max_buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let res = tokio::select! {
         res = &mut connection => res,
@@ -63,21 +92,21 @@
     if let Err(error) = res {
         tracing::debug!(%error, %peer, "connection ended early");
     }
-    linger(stream).await;
+    linger(stream, linger_bytes).await;
 }
 
 /// Shuts down writing and discards input, so that a peer that is still sending
 /// can read its response before the close.
-async fn linger<S: AsyncRead + AsyncWrite + Unpin>(mut stream: GuardedStream<S>) {
+async fn linger<S: AsyncRead + AsyncWrite + Unpin>(mut stream: GuardedStream<S>, max_bytes: usize) {
     if stream.is_at_end() || stream.shutdown().await.is_err() {
         return;
     }
     let mut buf = [0; 8 * 1024];
     let read = async {
         let mut discarded = 0;
-        while let Ok(count @ 1..) = stream.read(&mut buf).await {
+        while let Ok(count @ 1..) = stream.inner_mut().read(&mut buf).await {
             discarded += count;
-            if LINGER_BYTES < discarded {
+            if max_bytes < discarded {
                 return;
             }
         }
@@ -91,6 +120,20 @@
 struct RequestIdService {
     router: Responder<SocketAddr>,
     exchanges: OpenExchanges,
+    account: Option<Arc<Account>>,
+    refuses_over_budget: bool,
+}
+
+impl RequestIdService {
+    /// Charges a request to the account of the connection.
+    fn charge(&self) -> Result<Option<Charge>, OverBudget> {
+        let Some(account) = &self.account else { return Ok(None) };
+        if !self.refuses_over_budget {
+            return Ok(Some(account.charge_held(MemoryKind::Request, REQUEST_BYTES)));
+        }
+        let charge = account.charge(MemoryKind::Request, REQUEST_BYTES);
+        charge.inspect_err(|_| account.record_refusal()).map(Some)
+    }
 }
 
 impl Service<Request<Incoming>> for RequestIdService {
@@ -98,12 +141,34 @@
     type Error = Infallible;
     type Future = BoxFuture<'static, Result<Response<TrackedBody>, Infallible>>;
 
-    fn call(&self, req: Request<Incoming>) -> Self::Future {
+    fn call(&self, mut req: Request<Incoming>) -> Self::Future {
         let exchange = self.exchanges.begin_exchange();
+        let pipelined = match self.account {
+            Some(_) => self.exchanges.count_pipelined(),
+            None => 0,
+        };
+        let Ok(charge) = self.charge() else {
+            let response = error_response::over_budget();
+            let body = |inner| TrackedBody { inner, _exchange: exchange, _charge: None };
+            return std::future::ready(Ok(response.map(body))).boxed();
+        };
+        if let Some(account) = &self.account {
+            req.extensions_mut().insert(Arc::clone(account));
+        }
         let call = self.router.call(req);
         async move {
-            let response = add_request_id(call.await)?;
-            Ok(response.map(|inner| TrackedBody { inner, _exchange: exchange }))
+            // Otherwise a connection with thousands of short requests would keep its thread
+            // from all other tasks, and polls of servers would time out.
+            if 0 < pipelined {
+                tokio::task::yield_now().await;
+            }
+            let mut response = add_request_id(call.await)?;
+            if MAX_PIPELINED <= pipelined {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            let body = |inner| TrackedBody { inner, _exchange: exchange, _charge: charge };
+            Ok(response.map(body))
         }
         .boxed()
     }
@@ -113,6 +178,7 @@
 struct TrackedBody {
     inner: Body,
     _exchange: OpenExchange,
+    _charge: Option<Charge>,
 }
 
 impl hyper::body::Body for TrackedBody {
--- a/crates/transport/src/http_server/error_response.rs
+++ b/crates/transport/src/http_server/error_response.rs
@@ -7,7 +7,7 @@
     code::ResultCode,
 };
 use citrongw_state::id::RequestId;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use http_body_util::Full;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -17,6 +17,10 @@
 
 /// Retry delay sent to a client in `retry-after`, in seconds.
 const RETRY_AFTER_S: u64 = 1;
+/// Retry delay while the memory of the process is spent, in seconds: connections that
+/// wait for their peers are closed within a second. It is spread so that callers do not
+/// return together.
+const OVER_BUDGET_RETRY_AFTER_S: std::ops::Range<f64> = 0.5..1.5;
 /// Maximum time for sending the response to a connection above the limit and
 /// discarding its input.
 const REFUSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -60,6 +64,16 @@
     response
 }
 
+/// Response to a request that the memory of the process has no room for.
+pub(super) fn over_budget() -> Response<Body> {
+    let mut response = response(ResultCode::Overloaded);
+    let retry_after_s = rand::random_range(OVER_BUDGET_RETRY_AFTER_S);
+    if let Ok(value) = format!("{retry_after_s:.2}").parse() {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
 /// Sends 503 to a connection above the limit and closes it.
 pub(super) async fn refuse_connection(mut stream: TcpStream) {
     let exchange = async {
--- a/crates/transport/src/http_server/framing.rs
+++ b/crates/transport/src/http_server/framing.rs
@@ -10,6 +10,10 @@
 /// Maximum length of a chunk size line or a trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 
+/// Largest buffer that is kept for the next head: most heads fit, and an open connection
+/// does not hold the memory of its longest head.
+const MAX_KEPT_BYTES: usize = 2 * 1024;
+
 /// Framing state of the input of a connection.
 #[derive(Debug)]
 pub(super) struct Framing {
@@ -51,6 +55,16 @@
         self.state == State::Head && !self.line.is_empty()
     }
 
+    /// Whether a body is partly received.
+    pub(super) fn is_in_body(&self) -> bool {
+        self.state != State::Head
+    }
+
+    /// Size of the head or line that is partly received.
+    pub(super) fn partial_bytes(&self) -> usize {
+        self.line.len()
+    }
+
     /// Processes input. An error is the code with which the connection is closed.
     pub(super) fn read(
         &mut self,
@@ -112,6 +126,7 @@
         self.line.truncate(size);
         let body = parse_head(&self.line)?;
         self.line.clear();
+        self.line.shrink_to(MAX_KEPT_BYTES);
         self.state = match body {
             BodyFraming::Length(0) => State::Head,
             BodyFraming::Length(remaining) => State::Body { remaining },
--- a/crates/transport/src/http_server/guarded_stream.rs
+++ b/crates/transport/src/http_server/guarded_stream.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     task::{Context, Poll, ready},
 };
@@ -21,7 +21,9 @@
 use super::{
     ServerOptions, error_response,
     framing::{self, Framing},
+    peer_wait::{self, InputWait, PeerWait},
 };
+use crate::{memory_budget::Account, small_reads};
 
 /// Status lines of the error responses that the HTTP library generates itself.
 const LIBRARY_ERRORS: [(&[u8], ResultCode); 3] = [
@@ -32,27 +34,47 @@
 
 /// Counter of the requests of one connection without a complete response.
 #[derive(Debug, Clone, Default)]
-pub(super) struct OpenExchanges(Arc<AtomicU32>);
+pub(super) struct OpenExchanges(Arc<ExchangeCounts>);
+
+#[derive(Debug, Default)]
+struct ExchangeCounts {
+    open: AtomicU32,
+    has_begun: AtomicBool,
+    /// Requests that have begun since a read last found no input.
+    since_wait: AtomicU32,
+}
 
 impl OpenExchanges {
     /// Counts an exchange until the returned guard is dropped.
     pub(super) fn begin_exchange(&self) -> OpenExchange {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.0.open.fetch_add(1, Ordering::Relaxed);
+        self.0.has_begun.store(true, Ordering::Relaxed);
         OpenExchange(Arc::clone(&self.0))
     }
 
+    /// Records the begin of a request. Returns the number of requests before it whose
+    /// responses its peer did not wait for.
+    pub(super) fn count_pipelined(&self) -> u32 {
+        self.0.since_wait.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether a request has begun so far.
+    fn has_begun(&self) -> bool {
+        self.0.has_begun.load(Ordering::Relaxed)
+    }
+
     fn is_empty(&self) -> bool {
-        self.0.load(Ordering::Relaxed) == 0
+        self.0.open.load(Ordering::Relaxed) == 0
     }
 }
 
 /// Guard of an exchange whose response is not complete.
 #[derive(Debug)]
-pub(super) struct OpenExchange(Arc<AtomicU32>);
+pub(super) struct OpenExchange(Arc<ExchangeCounts>);
 
 impl Drop for OpenExchange {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -63,6 +85,8 @@
     Request,
     /// The rest of a request head.
     Head,
+    /// The next part of a body.
+    Body,
 }
 
 /// Stream with timeouts and framing checks.
@@ -79,6 +103,7 @@
     write_timer: Option<Pin<Box<Sleep>>>,
     replacement: Option<Replacement>,
     at_end: bool,
+    wait: PeerWait,
 }
 
 #[derive(Debug)]
@@ -88,7 +113,12 @@
 }
 
 impl<S> GuardedStream<S> {
-    pub(super) fn new(inner: S, options: Arc<ServerOptions>, exchanges: OpenExchanges) -> Self {
+    pub(super) fn new(
+        inner: S,
+        options: Arc<ServerOptions>,
+        exchanges: OpenExchanges,
+        account: Option<Arc<Account>>,
+    ) -> Self {
         Self {
             inner,
             options,
@@ -99,9 +129,15 @@
             write_timer: None,
             replacement: None,
             at_end: false,
+            wait: peer_wait::open(account),
         }
     }
 
+    /// The stream without checks of its input.
+    pub(super) fn inner_mut(&mut self) -> &mut S {
+        &mut self.inner
+    }
+
     /// Whether the peer has closed its side or the idle timeout has passed.
     pub(super) fn is_at_end(&self) -> bool {
         self.at_end
@@ -120,11 +156,21 @@
             Some(Awaited::Head)
         } else if self.framing.is_between_requests() && self.exchanges.is_empty() {
             Some(Awaited::Request)
+        } else if self.framing.is_in_body() && self.wait.is_limited() {
+            Some(Awaited::Body)
         } else {
             None
         }
     }
 
+    fn input_wait(&self) -> Option<InputWait> {
+        self.awaited_input().map(|it| match it {
+            Awaited::Request if self.exchanges.has_begun() => InputWait::NextRequest,
+            Awaited::Request => InputWait::FirstRequest,
+            Awaited::Head | Awaited::Body => InputWait::Rest,
+        })
+    }
+
     /// Ready when the timeout of the awaited input has passed.
     fn poll_input_timeout(&mut self, cx: &mut Context<'_>) -> Poll<Awaited> {
         let Some(input) = self.awaited_input() else {
@@ -133,7 +179,7 @@
         };
         let limits = &self.options.limits;
         let limit = match input {
-            Awaited::Request => limits.idle_timeout(),
+            Awaited::Request | Awaited::Body => limits.idle_timeout(),
             Awaited::Head => limits.header_timeout(),
         };
         let (_, since, timer) = match &mut self.awaited {
@@ -156,6 +202,7 @@
         cx: &mut Context<'_>,
         polled: Poll<T>,
     ) -> Poll<io::Result<T>> {
+        self.wait.record_write(polled.is_pending());
         if let Poll::Ready(it) = polled {
             self.write_timer = None;
             return Poll::Ready(Ok(it));
@@ -175,13 +222,16 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let Poll::Ready(res) = Pin::new(&mut self.inner).poll_read(cx, buf) else {
+        let Poll::Ready(res) = small_reads::poll_read(Pin::new(&mut self.inner), cx, buf) else {
+            self.exchanges.0.since_wait.store(0, Ordering::Relaxed);
+            let wait = self.input_wait();
+            self.wait.record_no_input(wait);
             return match ready!(self.poll_input_timeout(cx)) {
                 Awaited::Request => {
                     self.at_end = true;
                     Poll::Ready(Ok(()))
                 }
-                Awaited::Head => {
+                Awaited::Head | Awaited::Body => {
                     self.set_final_error(ResultCode::TooSlow);
                     Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
                 }
@@ -191,6 +241,9 @@
         let max_head_bytes = self.options.limits.max_head_bytes();
         // Any input restarts the idle time.
         self.awaited.take_if(|it| it.0 == Awaited::Request);
+        if let Some((Awaited::Body, since, _)) = &mut self.awaited {
+            *since = Instant::now();
+        }
         if buf.filled().len() == before {
             self.at_end = true;
         } else if let Err(code) = self.framing.read(&buf.filled()[before..], max_head_bytes) {
@@ -198,6 +251,9 @@
             self.set_final_error(code);
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
+        let partial_bytes = self.framing.partial_bytes();
+        let is_complete = self.framing.is_between_requests();
+        self.wait.record_input(partial_bytes, is_complete);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/transport/src/http_server/tests.rs
+++ b/crates/transport/src/http_server/tests.rs
@@ -8,6 +8,8 @@
 
 use super::*;
 
+mod memory;
+
 const ANY_PORT: &str = "127.0.0.1:0";
 
 async fn open(options: ServerOptions) -> HttpServer {
