--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -9,7 +9,10 @@
     retry::window::RetryLimits,
 };
 
-use super::reader::{self, Fault, Reader};
+use super::{
+    memory_size::MemorySize,
+    reader::{self, Fault, Reader},
+};
 use crate::error::Result;
 
 /// Settings of one gateway.
@@ -57,6 +60,11 @@
     pub zone_penalty: Duration,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
+    /// Memory of the machine; without it the memory of callers is not limited.
+    pub memory: Option<MemorySize>,
+    /// Descriptors that the process may open; without it connections are limited only
+    /// by `max_connections`.
+    pub max_descriptors: Option<usize>,
     /// Log level, or a list of `target=level`.
     pub log_level: String,
 }
@@ -78,6 +86,12 @@
 /// the difference between the clocks of both sides.
 const STALL_MARGIN: Duration = Duration::from_millis(700);
 
+const MEMORY_ALLOWED: &str = "a size from 16MB such as 112MB";
+const DESCRIPTORS_ALLOWED: &str = "a number from 128";
+/// Lowest limit on descriptors: below it the reserve for the key-value service, gateways
+/// and servers leaves none to callers.
+const MIN_DESCRIPTORS: usize = 128;
+
 fn read(reader: &mut Reader<'_>) -> Settings {
     let stall = reader.positive_duration("control", "stall-time", Duration::from_secs(6));
     let zone_regions = read_zone_regions(reader);
@@ -104,6 +118,10 @@
         by_cost: read_switch(reader, "choice", "by-cost"),
         zone_penalty: reader.duration("choice", "zone-penalty", DEFAULT_ZONE_PENALTY),
         max_connections: reader.count("callers", "max-connections", 1_024),
+        memory: reader.optional("limits", "memory", MEMORY_ALLOWED, |it| it.parse().ok()),
+        max_descriptors: reader.optional("limits", "descriptors", DESCRIPTORS_ALLOWED, |it| {
+            it.parse().ok().filter(|it| MIN_DESCRIPTORS <= *it)
+        }),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,9 +1,14 @@
 //! Counters and latency histograms in the OpenMetrics text form.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::id::AvailabilityZone;
+use citrongw_transport::memory_budget::{CloseReason, MemoryBudget, MemoryKind};
 use derive_more::Display;
 use prometheus_client::{
     encoding::{EncodeLabelSet, EncodeLabelValue, text},
@@ -57,6 +62,16 @@
     zone: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MemoryLabels {
+    kind: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CloseLabels {
+    reason: String,
+}
+
 type ServiceHistograms = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one gateway. Clones share the values.
@@ -75,6 +90,9 @@
     unreadable_records: Counter,
     cold: ColdMetrics,
     evacuated_zones: Family<ZoneLabels, Gauge>,
+    memory: Family<MemoryLabels, Gauge>,
+    memory_limit: Gauge,
+    connections_closed: Family<CloseLabels, Counter>,
 }
 
 fn histogram() -> Histogram {
@@ -150,6 +168,26 @@
         "Requests in flight at servers of each zone under evacuation",
         evacuated_zones.clone(),
     );
+    let memory = Family::<MemoryLabels, Gauge>::default();
+    registry.register_with_unit(
+        "callers_memory",
+        "Memory held for callers, by kind",
+        Unit::Bytes,
+        memory.clone(),
+    );
+    let memory_limit = Gauge::default();
+    registry.register_with_unit(
+        "callers_memory_limit",
+        "Memory that may be held for callers; 0 without a limit",
+        Unit::Bytes,
+        memory_limit.clone(),
+    );
+    let connections_closed = Family::<CloseLabels, Counter>::default();
+    registry.register(
+        "connections_closed",
+        "Connections closed and requests refused to stay within the machine, by reason",
+        connections_closed.clone(),
+    );
     Metrics {
         registry: Arc::new(registry),
         requests,
@@ -164,6 +202,9 @@
         unreadable_records,
         cold,
         evacuated_zones,
+        memory,
+        memory_limit,
+        connections_closed,
     }
 }
 
@@ -210,6 +251,21 @@
         self.late_requests.get_or_create(&labels).inc();
     }
 
+    /// Sets the metrics of the memory held for callers.
+    pub fn set_memory(&self, budget: &MemoryBudget) {
+        let gauge_value = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        for kind in MemoryKind::ALL {
+            let labels = MemoryLabels { kind: kind.to_string() };
+            self.memory.get_or_create(&labels).set(gauge_value(budget.held_for(kind)));
+        }
+        self.memory_limit.set(gauge_value(budget.max_bytes().unwrap_or_default()));
+        for reason in CloseReason::ALL {
+            let labels = CloseLabels { reason: reason.to_string() };
+            let counter = self.connections_closed.get_or_create(&labels);
+            counter.inner().store(budget.closed_for(reason), Ordering::Relaxed);
+        }
+    }
+
     /// Counters of calls to the key-value service.
     pub fn store_calls(&self) -> StoreCalls {
         self.store_calls.clone()
