Accept templates without a value for optional settings

A platform that has no figure for the machine's memory, its descriptors or the regions of the zones leaves the placeholder or a unit alone in the settings file, and the gateway did not start. Such values now count as absent, as those for cold servers did. The new cases of two tests failed before.

--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -118,20 +118,38 @@
         by_cost: read_switch(reader, "choice", "by-cost"),
         zone_penalty: reader.duration("choice", "zone-penalty", DEFAULT_ZONE_PENALTY),
         max_connections: reader.count("callers", "max-connections", 1_024),
-        memory: reader.optional("limits", "memory", MEMORY_ALLOWED, |it| it.parse().ok()),
-        max_descriptors: reader.optional("limits", "descriptors", DESCRIPTORS_ALLOWED, |it| {
-            it.parse().ok().filter(|it| MIN_DESCRIPTORS <= *it)
-        }),
+        memory: read_filled_in(reader, "limits", "memory", MEMORY_ALLOWED, |it| it.parse().ok()),
+        max_descriptors: read_filled_in(
+            reader,
+            "limits",
+            "descriptors",
+            DESCRIPTORS_ALLOWED,
+            |it| it.parse().ok().filter(|it| MIN_DESCRIPTORS <= *it),
+        ),
         log_level: reader.log_level("log", "level", "info"),
     }
 }
 
 fn read_zone_regions(reader: &mut Reader<'_>) -> ZoneRegions {
     let allowed = "zone=region pairs with commas between them";
-    let read = reader.optional("node", "zone-regions", allowed, |it| it.parse().ok());
+    let read = read_filled_in(reader, "node", "zone-regions", allowed, |it| it.parse().ok());
     read.unwrap_or_default()
 }
 
+/// Reads an optional setting that a template fills in. A template may have no value for a
+/// key: the setting is then empty, a unit alone, or still the placeholder.
+fn read_filled_in<'a, T>(
+    reader: &mut Reader<'a>,
+    section: &'a str,
+    key: &'a str,
+    allowed: &str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Option<T> {
+    let is_absent = |it: &str| it.is_empty() || it == "MB" || it.starts_with("{{");
+    let parse = |it: &str| if is_absent(it) { Some(None) } else { parse(it).map(Some) };
+    reader.optional(section, key, allowed, parse).flatten()
+}
+
 /// Default time that a server of another zone must gain. In the played loads 10 ms sent
 /// more requests to other zones and served fewer in time, because the gateways of a zone
 /// know its own servers better.
@@ -165,16 +183,11 @@
     RetryLimits { ratio, slack, window }
 }
 
-/// Reads the bounds for cold servers, which need both figures. A template may have no
-/// figure for a key: its value is then empty, or still the placeholder.
+/// Reads the bounds for cold servers, which need both figures.
 fn read_cold(reader: &mut Reader<'_>) -> Option<ColdBounds> {
-    let is_absent = |it: &str| it.is_empty() || it.starts_with("{{");
     let mut number = |key| {
-        let parse = |it: &str| match is_absent(it) {
-            true => Some(None),
-            false => it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it).map(Some),
-        };
-        reader.optional("cold-servers", key, "a number from 0", parse).flatten()
+        let parse = |it: &str| it.parse().ok().filter(|it: &f64| it.is_finite() && 0.0 <= *it);
+        read_filled_in(reader, "cold-servers", key, "a number from 0", parse)
     };
     let (overage, slack) = (number("overage"), number("slack"));
     Some(ColdBounds { overage: overage?, slack: slack? })
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -34,6 +34,10 @@
     let settings = settings.unwrap();
     assert_eq!(settings.memory.unwrap().bytes(), 117_440_512);
     assert_eq!(settings.max_descriptors, Some(2_870));
+    for absent in ["memory =", "memory = MB", "memory = {{a.b}}MB", "descriptors = {{a.c}}"] {
+        let settings = parse(&format!("{SAMPLE}\n[limits]\n{absent}\n")).unwrap();
+        assert_eq!((settings.memory, settings.max_descriptors), (None, None), "{absent}");
+    }
     for fault in ["memory = 112", "memory = 1MB", "descriptors = 127"] {
         let text = format!("{SAMPLE}\n[limits]\n{fault}\n");
         assert_eq!(parse(&text).unwrap_err().len(), 1, "{fault}");
@@ -100,6 +104,8 @@
     assert_eq!(settings.region, Some("south".into()));
     let settings = with("zone = zone-a\nregion =\nzone-regions =\n").unwrap();
     assert_eq!(settings.region, None);
+    let settings = with("zone = zone-a\nzone-regions = {{zones}}\n").unwrap();
+    assert_eq!(settings.zone_regions, Default::default());
     assert!(with("zone = zone-a\nzone-regions = north\n").is_err());
 }
 
