Leave out earlier starts of a leaving server, and count stated prompts

An older list of instances may still show the start before the one that stated that it is leaving; each response then told all gateways again. The new case of the test of leaving servers failed before.

--- a/crates/state/src/leaving_servers.rs
+++ b/crates/state/src/leaving_servers.rs
@@ -38,9 +38,10 @@
         }
     }
 
-    /// Whether this incarnation of an instance stated that it is leaving.
+    /// Whether this incarnation of an instance, or a later one, stated that it is leaving.
+    /// The earlier one has ended by then.
     pub fn contains(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
-        self.statements.get(instance).is_some_and(|it| it.incarnation == incarnation)
+        self.statements.get(instance).is_some_and(|it| incarnation <= it.incarnation)
     }
 }
 
--- a/crates/state/src/leaving_servers/tests.rs
+++ b/crates/state/src/leaving_servers/tests.rs
@@ -16,6 +16,7 @@
     assert!(contains(&leaving, 2), "a late statement of a former start");
     leaving.record(&server(3), Time::START);
     assert!(contains(&leaving, 3));
+    assert!(contains(&leaving, 1), "ended before the statement of a later start");
 }
 
 /// Instances come under new ids for as long as the process runs.
--- a/crates/state/src/request_cost/learned.rs
+++ b/crates/state/src/request_cost/learned.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Averages {
     responses: u32,
+    /// Requests that stated their prompt tokens.
+    prompts: u32,
     prompt_tokens: f64,
     output_tokens: f64,
     squared_output_tokens: f64,
@@ -82,7 +84,8 @@
         it.used_at = now;
         it.responses = it.responses.saturating_add(1);
         if let Some(tokens) = stated.prompt_tokens {
-            it.prompt_tokens = average(it.prompt_tokens, f64::from(tokens), it.responses);
+            it.prompts = it.prompts.saturating_add(1);
+            it.prompt_tokens = average(it.prompt_tokens, f64::from(tokens), it.prompts);
         }
         it.output_tokens = average(it.output_tokens, output_tokens, it.responses);
         let squared = output_tokens * output_tokens;
@@ -104,7 +107,7 @@
     /// neither is known.
     pub fn mean(&self, key: CostKey, figures: &EngineFigures) -> Option<ExpectedCost> {
         let learned = self.averages.get(&key).filter(|it| MIN_RESPONSES <= it.responses);
-        let prompt = learned.map(|it| it.prompt_tokens).filter(|it| 0.0 < *it);
+        let prompt = learned.filter(|it| MIN_RESPONSES <= it.prompts).map(|it| it.prompt_tokens);
         let output = learned.map(|it| it.output_tokens);
         let output_tokens = output.or(figures.usual_output_tokens)?;
         let output_spread = learned.map_or(output_tokens * UNKNOWN_SPREAD, |it| {
