Check evacuations again before a request is written

A request that waited for its connection while an evacuation became known was still sent; an owner controlled its domain before it knew the evacuations; a zone got requests before its servers were taken as cold; and a gateway that the key-value service refuses granted the whole rate of a cold server by its old list, beside its successor. On a full port the connection that has waited longest is closed, whatever it holds. Times of bodies that callers are still sending do not count as slowness of a server. Found by review; the order of returns has a test.

--- a/crates/gateway/src/control/driver.rs
+++ b/crates/gateway/src/control/driver.rs
@@ -334,7 +334,9 @@
             self.zones = zones;
         }
         let evacuated = self.gateway.routing.evacuations.zones();
-        let is_evacuated = self.zones.iter().any(|it| evacuated.contains(it));
+        // A gateway that has just started may not know the evacuations yet.
+        let is_evacuated =
+            !self.gateway.knows_evacuations() || self.zones.iter().any(|it| evacuated.contains(it));
         if is_evacuated != self.is_evacuated {
             self.is_evacuated = is_evacuated;
             let revision = evacuated.revision.number;
--- a/crates/gateway/src/feed/evacuations.rs
+++ b/crates/gateway/src/feed/evacuations.rs
@@ -53,7 +53,8 @@
         Some(EvacuationUpdate { evacuated: evacuated.clone(), age, must_forward: false })
     }
 
-    /// Applies a set.
+    /// Applies a set. True if it has other zones than the last known one. `before_return` is called for each zone whose evacuation ended, before
+    /// requests may be sent there.
     fn apply(
         &self,
         read: EvacuatedZones,
@@ -61,17 +62,21 @@
         source: Option<NodeId>,
         fleet: &Fleet,
         now: Time,
-    ) -> News {
+        before_return: impl Fn(&AvailabilityZone),
+    ) -> bool {
         let mut state = lock(&self.state);
         let is_first = state.newest().is_none();
         let last_age_ms = state.age(now).map(|it| it.as_millis());
         let revision = read.revision;
         let applied = state.apply(read.clone(), read_at, now);
         if applied == Applied::Outdated {
-            return News::default();
+            return false;
+        }
+        if let Applied::Changed { ended, .. } = &applied {
+            ended.iter().for_each(before_return);
         }
         self.newest.store(Arc::new(read));
-        let Applied::Changed { begun, ended } = applied else { return News::default() };
+        let Applied::Changed { begun, ended } = applied else { return false };
         let (era, age_ms) = (revision.era.0, now.since(read_at).as_millis());
         let source = source.map(|it| it.to_string());
         let source = source.as_deref().unwrap_or("own read");
@@ -91,19 +96,10 @@
                 "evacuation of a zone ended"
             );
         }
-        News { is_new_set: !is_first, ended }
+        !is_first
     }
 }
 
-/// What a set changed for this gateway.
-#[derive(Debug, Default, PartialEq, Eq)]
-struct News {
-    /// Whether it has other zones than the last known set.
-    is_new_set: bool,
-    /// Zones whose evacuation ended.
-    ended: Vec<AvailabilityZone>,
-}
-
 /// Requests of this gateway in flight at the servers of a zone.
 fn count_requests(fleet: &Fleet, zone: &AvailabilityZone) -> u32 {
     fleet.servers_in(zone).map(|it| it.stats.in_flight()).sum()
@@ -126,11 +122,8 @@
         source: Option<NodeId>,
         now: Time,
     ) -> bool {
-        let news = self.evacuations.apply(read, read_at, source, &self.fleet.load(), now);
-        for zone in &news.ended {
-            self.record_returned(zone);
-        }
-        news.is_new_set
+        let fleet = self.fleet.load();
+        self.evacuations.apply(read, read_at, source, &fleet, now, |it| self.record_returned(it))
     }
 }
 
--- a/crates/gateway/src/feed/evacuations/tests.rs
+++ b/crates/gateway/src/feed/evacuations/tests.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::{cell::RefCell, collections::BTreeSet};
 
 use citrongw_state::id::Revision;
 
@@ -23,12 +23,16 @@
 /// Guards against a zone that returns without its servers being taken as cold, and against
 /// a late message that ends an evacuation.
 #[test]
-fn news_has_the_zones_that_return() {
+fn zones_return_before_requests_are_sent_there() {
     let (known, fleet) = (KnownEvacuations::default(), fleet());
     let apply = |set, ms| {
         let now = Time::from_millis(ms);
-        let news = known.apply(set, now, None, &fleet, now);
-        (news.is_new_set, news.ended)
+        let returned = RefCell::new(Vec::new());
+        let is_new_set = known.apply(set, now, None, &fleet, now, |zone| {
+            assert!(known.zones().contains(zone), "no requests yet");
+            returned.borrow_mut().push(zone.clone());
+        });
+        (is_new_set, returned.into_inner())
     };
     assert_eq!(apply(set(1, &[]), 100), (false, vec![]), "no news");
     assert_eq!(apply(set(2, &["a"]), 200), (true, vec![]));
@@ -41,8 +45,8 @@
 #[test]
 fn first_set_is_no_news() {
     let known = KnownEvacuations::default();
-    let news = known.apply(set(2, &["a"]), Time::START, None, &fleet(), Time::START);
-    assert!(!news.is_new_set);
+    let is_new_set = known.apply(set(2, &["a"]), Time::START, None, &fleet(), Time::START, |_| {});
+    assert!(!is_new_set);
     assert!(known.zones().contains(&"a".into()));
 }
 
--- a/crates/gateway/src/relay/send.rs
+++ b/crates/gateway/src/relay/send.rs
@@ -165,12 +165,13 @@
     let may_send = || {
         gateway.pauses.left(backend, gateway.clock.now()).is_none()
             && !gateway.departures.load().contains(&backend.id, backend.incarnation)
+            && !gateway.routing.evacuations.zones().contains(&backend.zone)
     };
     let sent = gateway.adapter.http.send_if(request, may_send).await;
     let now = gateway.clock.now();
     let (parts, body) = match sent {
         Ok(Some(response)) => response.into_parts(),
-        // The server has requested a pause meanwhile, or is leaving.
+        // The server has requested a pause meanwhile, is leaving, or its zone is evacuated.
         Ok(None) => return Err(AttemptFailure::not_run(Cause::ServerRefused)),
         // The server broke no connection, so it is not suspected.
         Err(_) if call.body.is_broken_off() => {
--- a/crates/gateway/src/relay/stream.rs
+++ b/crates/gateway/src/relay/stream.rs
@@ -178,13 +178,16 @@
             return Ok(Err(response));
         }
         let BackendResponse { parts, body, backend, mut in_flight } = response;
-        in_flight.set_predicted(attempts.last_choice().and_then(|it| it.best.load.predicted));
+        // The time that a caller takes to send a long body says nothing of the server.
+        let is_timed = call.body.is_buffered();
+        let predicted = attempts.last_choice().and_then(|it| it.best.load.predicted);
+        in_flight.set_predicted(predicted.filter(|_| is_timed));
         let splitter = EventSplitter::default();
         let opened_at = gateway.clock.now();
         let mut source = Source { body, splitter, first: None, backend, opened_at, in_flight };
         source.first = source.read(gateway).await?;
         source.opened_at = gateway.clock.now();
-        if source.first.is_some() {
+        if source.first.is_some() && is_timed {
             let took = source.opened_at.since(sent_at);
             admission::record_first_event(gateway, call, attempts, took);
         }
--- a/crates/gateway/src/server_limits/cold.rs
+++ b/crates/gateway/src/server_limits/cold.rs
@@ -130,10 +130,12 @@
     }
 
     /// Part that this gateway grants of a server's limit. One that others still take for
-    /// the granter, or only some yet, grants no more than a substitute.
+    /// the granter, or only some yet, grants no more than a substitute. So does one whose
+    /// list is old, because the key-value service refuses it: it may have been replaced.
     fn cold_granter(&self, server: &ServerIncarnation, zone: &AvailabilityZone) -> ColdGranter {
         self.record_cluster();
-        match lock(&self.cold.views).is_granter(self.peers.node(), server, zone) {
+        let is_granter = lock(&self.cold.views).is_granter(self.peers.node(), server, zone);
+        match is_granter && self.peers.is_list_current() {
             true => ColdGranter::Granter,
             false => ColdGranter::Substitute,
         }
--- a/crates/transport/src/memory_budget/victims.rs
+++ b/crates/transport/src/memory_budget/victims.rs
@@ -34,9 +34,10 @@
     }
 }
 
-/// The connection that is closed first.
+/// The connection that is closed to make room for another one. Each frees one place, so
+/// the bytes that it holds do not matter.
 pub(super) fn first(candidates: Vec<Candidate>) -> Option<Candidate> {
-    candidates.into_iter().min_by_key(Candidate::order)
+    candidates.into_iter().min_by_key(|it| (it.is_idle, Reverse(it.waited_ms)))
 }
 
 /// The connections to close for `excess` bytes.
