Send late requests at once in early rejection

A gateway recognises a late request by the time that its caller has left. Callers start with different times, so that many first tries count as late; they waited at the gateway for a free slot, and became late or timed out.

The wait is removed, with its metric late_requests and its log line.

--- a/crates/bench/src/early_rejection/outcome.rs
+++ b/crates/bench/src/early_rejection/outcome.rs
@@ -55,7 +55,7 @@
     pub classes: Vec<ClassOutcome>,
     /// First tries that were rejected before the burst.
     pub rejected_before: u32,
-    /// Longest time that a request waited at a gateway.
+    /// Longest time that a request waited at the omniscient gateway.
     pub longest_wait: Duration,
     /// Requests and those in time by interval of their first try.
     intervals: Vec<(u32, u32)>,
--- a/crates/gateway/src/early_rejection.rs
+++ b/crates/gateway/src/early_rejection.rs
@@ -1,11 +1,6 @@
-//! What this gateway learned of the times at each model or plain service, and the late
-//! requests that wait here for a free slot.
+//! What this gateway learned of the times at each model or plain service.
 
-use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Mutex, time::Duration};
 
 use citrongw_state::{
     early_rejection::{Estimates, ServiceTimes},
@@ -17,10 +12,6 @@
 /// Models and plain services whose times are kept. More of them are admitted as if
 /// nothing was learned.
 const MAX_POOLS: usize = 256;
-/// Late requests that wait at once. Further ones are sent.
-const MAX_WAITING: usize = 64;
-/// Buffered bytes of the requests that wait. Requests beyond are sent.
-const MAX_WAITING_BYTES: usize = 2 * 1024 * 1024;
 
 /// Servers that requests for a model, or of a plain service, may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -31,18 +22,10 @@
     pub(crate) model: Option<ModelId>,
 }
 
-/// Learned times by pool, and the late requests that wait.
+/// Learned times by pool.
 #[derive(Debug, Default)]
 pub(crate) struct EarlyRejection {
     times: Mutex<HashMap<PoolKey, ServiceTimes>>,
-    waiting: Mutex<Waiting>,
-}
-
-#[derive(Debug, Default)]
-struct Waiting {
-    requests: usize,
-    bytes: usize,
-    by_pool: HashMap<PoolKey, usize>,
 }
 
 impl EarlyRejection {
@@ -59,46 +42,6 @@
     pub(crate) fn estimates(&self, pool: &PoolKey, priority: u8) -> Option<Estimates> {
         lock(&self.times).get(pool)?.estimates(priority)
     }
-
-    /// Begins the wait of a request; none if too many wait.
-    pub(crate) fn begin_wait(self: &Arc<Self>, pool: &PoolKey, bytes: usize) -> Option<WaitGuard> {
-        let mut waiting = lock(&self.waiting);
-        if MAX_WAITING <= waiting.requests || MAX_WAITING_BYTES < waiting.bytes + bytes {
-            return None;
-        }
-        waiting.requests += 1;
-        waiting.bytes += bytes;
-        *waiting.by_pool.entry(pool.clone()).or_default() += 1;
-        Some(WaitGuard { early: Arc::clone(self), pool: pool.clone(), bytes })
-    }
-}
-
-/// Request that waits until the guard is dropped.
-#[derive(Debug)]
-pub(crate) struct WaitGuard {
-    early: Arc<EarlyRejection>,
-    pool: PoolKey,
-    bytes: usize,
-}
-
-impl WaitGuard {
-    /// Requests that wait for the same servers, with this one.
-    pub(crate) fn waiting(&self) -> usize {
-        lock(&self.early.waiting).by_pool.get(&self.pool).copied().unwrap_or(1)
-    }
-}
-
-impl Drop for WaitGuard {
-    fn drop(&mut self) {
-        let mut waiting = lock(&self.early.waiting);
-        waiting.requests -= 1;
-        waiting.bytes -= self.bytes;
-        let Some(of_pool) = waiting.by_pool.get_mut(&self.pool) else { return };
-        *of_pool -= 1;
-        if *of_pool == 0 {
-            waiting.by_pool.remove(&self.pool);
-        }
-    }
 }
 
 /// Whether a server with this load has a slot free for one more request, with a margin
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,9 +9,8 @@
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::id::AvailabilityZone;
 use citrongw_transport::memory_budget::{CloseReason, MemoryBudget, MemoryKind};
-use derive_more::Display;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, EncodeLabelValue, text},
+    encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
@@ -32,26 +31,6 @@
     service: String,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct LateLabels {
-    service: String,
-    outcome: LateOutcome,
-}
-
-/// Why a late request was sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EncodeLabelValue)]
-pub(crate) enum LateOutcome {
-    /// The servers had a free slot.
-    #[display("free slot")]
-    FreeSlot,
-    /// The request could not have completed if it had waited longer.
-    #[display("at last")]
-    AtLast,
-    /// Too many late requests waited.
-    #[display("too many wait")]
-    WaitingFull,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CodeLabels {
     code: u16,
@@ -81,7 +60,6 @@
     requests: Family<RequestLabels, Counter>,
     refusals: Family<CodeLabels, Counter>,
     early_rejections: Family<ServiceLabels, Counter>,
-    late_requests: Family<LateLabels, Counter>,
     request_time: ServiceHistograms,
     first_event_time: ServiceHistograms,
     predicted_first_event_time: ServiceHistograms,
@@ -116,12 +94,6 @@
         "First tries rejected because they would have been late",
         early_rejections.clone(),
     );
-    let late_requests = Family::default();
-    registry.register(
-        "late_requests",
-        "Late requests sent, by why they did not wait longer",
-        late_requests.clone(),
-    );
     registry.register_with_unit(
         "request_time",
         "Time from the request to the end of its answer",
@@ -193,7 +165,6 @@
         requests,
         refusals,
         early_rejections,
-        late_requests,
         request_time,
         first_event_time,
         predicted_first_event_time,
@@ -245,12 +216,6 @@
         self.early_rejections.get_or_create(&labels).inc();
     }
 
-    /// Counts a late request that is sent.
-    pub(crate) fn count_late(&self, service: &str, outcome: LateOutcome) {
-        let labels = LateLabels { service: service.to_owned(), outcome };
-        self.late_requests.get_or_create(&labels).inc();
-    }
-
     /// Sets the metrics of the memory held for callers.
     pub fn set_memory(&self, budget: &MemoryBudget) {
         let gauge_value = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -96,8 +96,8 @@
     pub(crate) pauses: RequestedPauses,
     /// Backend servers that stated that they are leaving.
     pub(crate) departures: Arc<StatedDepartures>,
-    /// Learned times and waiting requests for the admission of requests.
-    pub(crate) early: Arc<EarlyRejection>,
+    /// Learned times for the admission of requests.
+    pub(crate) early: EarlyRejection,
     pub(crate) stopping: AtomicBool,
 }
 
@@ -164,7 +164,7 @@
         pauses: RequestedPauses::default(),
         departures: Arc::default(),
         peers,
-        early: Arc::default(),
+        early: EarlyRejection::default(),
         stopping: AtomicBool::new(false),
     });
     let settings = &gateway.settings;
--- a/crates/gateway/src/relay/admission.rs
+++ b/crates/gateway/src/relay/admission.rs
@@ -1,20 +1,18 @@
-//! Admission of a request before its first attempt: early rejection of first tries and
-//! the wait of late requests while the servers are full.
+//! Admission of a request before its first attempt: early rejection of first tries while
+//! the servers are full.
 
 use std::time::Duration;
 
 use citrongw_protocol::code::ResultCode;
 use citrongw_state::{
-    early_rejection::{FirstTry, LateDecision, LateRequest, PoolLoad, judge, judge_late},
+    early_rejection::{FirstTry, PoolLoad, judge},
     id::ModelId,
 };
-use tokio::time::sleep;
 
 use super::{attempts::Attempts, call::Call, refuse::Refusal};
 use crate::{
     early_rejection::{FirstEventSample, PoolKey, has_free_slot},
     fleet::LoadEstimate,
-    metrics::LateOutcome,
     node::Gateway,
 };
 
@@ -28,22 +26,18 @@
     PoolKey { service: call.service.clone(), model: call.meta.model.clone() }
 }
 
-/// Decides whether the request is sent. Returns once it may be; the refusal is for a
-/// request that was never sent.
-pub(super) async fn admit(
-    gateway: &Gateway,
-    call: &Call,
-    attempts: &Attempts,
-) -> Result<(), Refusal> {
+/// Decides whether the request is sent; the refusal is for a request that was never sent.
+/// A late request is always sent: callers start with different times, so that many first
+/// tries count as late, and would be late or time out if they waited here.
+pub(super) fn admit(gateway: &Gateway, call: &Call, attempts: &Attempts) -> Result<(), Refusal> {
     let is_first = attempts.count() == 0 && attempts.sent() == 0 && !attempts.is_relayed();
     if !is_first || call.meta.last_event.is_some() || !applies(gateway, call) {
         return Ok(());
     }
-    let pool = pool_of(call);
     if call.is_late() {
-        wait_for_slot(gateway, call, attempts, &pool).await;
         return Ok(());
     }
+    let pool = pool_of(call);
     gateway.early.update(&pool, |it| it.record_arrival(call.priority()));
     let Some(times) = gateway.early.estimates(&pool, call.priority()) else { return Ok(()) };
     let Some((load, best)) = load_of(gateway, call, attempts) else { return Ok(()) };
@@ -66,41 +60,6 @@
     Err(Refusal::from(ResultCode::PoolFull).after(retry_after))
 }
 
-/// Waits until the pool has a free slot for a late request, or until it has to be sent.
-async fn wait_for_slot(gateway: &Gateway, call: &Call, attempts: &Attempts, pool: &PoolKey) {
-    let mut guard = None;
-    let since = gateway.clock.now();
-    let outcome = loop {
-        let Some(times) = gateway.early.estimates(pool, call.priority()) else { return };
-        let Some((load, _)) = load_of(gateway, call, attempts) else { return };
-        if gateway.is_stopping() || gateway.links.is_cut() {
-            return;
-        }
-        if guard.is_none() {
-            guard = gateway.early.begin_wait(pool, call.body.buffered_bytes());
-        }
-        let Some(guard) = &guard else { break LateOutcome::WaitingFull };
-        let request = LateRequest {
-            remaining: call.deadline().since(gateway.clock.now()),
-            waiting: guard.waiting(),
-            gateways: gateway.peers.gateway_count(),
-        };
-        match judge_late(&request, &load, &times, rand::random(), rand::random()) {
-            LateDecision::Send => break LateOutcome::FreeSlot,
-            LateDecision::SendAtLast => break LateOutcome::AtLast,
-            LateDecision::Wait(interval) => sleep(interval).await,
-        }
-    };
-    gateway.metrics.count_late(call.service.as_str(), outcome);
-    let waited = gateway.clock.now().since(since);
-    if outcome != LateOutcome::FreeSlot || !waited.is_zero() {
-        tracing::info!(
-            request = %call.request, attempt = call.meta.attempt, service = %call.service,
-            waited_ms = waited.as_millis(), %outcome, "late request is sent"
-        );
-    }
-}
-
 /// Load of the usable servers, and that of the server that would be chosen.
 fn load_of(
     gateway: &Gateway,
--- a/crates/gateway/src/relay/attempts.rs
+++ b/crates/gateway/src/relay/attempts.rs
@@ -109,7 +109,7 @@
         gateway: &Gateway,
         call: &Call,
     ) -> Result<Arc<Backend>, Refusal> {
-        admission::admit(gateway, call, self).await?;
+        admission::admit(gateway, call, self)?;
         if gateway.crashes.is_quarantined(|| signatures::all_of(call)) {
             return Err(self.refusal(ResultCode::Quarantined));
         }
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -103,14 +103,6 @@
         matches!(self, Self::Buffered(_))
     }
 
-    /// Number of bytes that are buffered, at most.
-    pub(super) fn buffered_bytes(&self) -> usize {
-        match self {
-            Self::Buffered(body) => body.len(),
-            Self::Streamed { .. } => MAX_BUFFERED_BYTES,
-        }
-    }
-
     /// Whether the body can be sent: it is buffered, or no part of it was sent
     /// yet.
     pub(super) fn can_be_sent(&self) -> bool {
--- a/crates/state/src/early_rejection.rs
+++ b/crates/state/src/early_rejection.rs
@@ -4,9 +4,8 @@
 //! that learn of each other's requests up to half a second late. A queue at a gateway
 //! would order next to nothing, and a common threshold would make all gateways reject
 //! and admit together. So a first try is rejected with a probability that rises with
-//! the wait that the load of the whole pool implies. Requests that are late already
-//! wait at their gateway for a free slot, so that the servers' queues hold requests
-//! that can still be in time.
+//! the wait that the load of the whole pool implies. Requests that are late already are
+//! not judged.
 
 mod service_times;
 
@@ -35,18 +34,6 @@
 const MIN_RETRY_TARGETS: f64 = 1.5;
 /// Largest random extension of `Retry-After`, as a part of it.
 const RETRY_SPREAD: f64 = 1.0;
-/// Time in which the gateways together may fill the pool's free slots with late
-/// requests: that after which all of them know of what the others sent.
-const FILL_TIME: Duration = Duration::from_millis(500);
-/// Interval between checks of a waiting request, before it is spread.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time that a late request needs at its server, as a multiple of the mean time that a
-/// request holds a slot. It is sent, whatever the load, while it has that much left. With
-/// 2.0, late requests took so many slots in a simulated burst of 14 s that 55% of the callers
-/// were served in time, with 1.2 64%. The wait at the servers is not added: each request
-/// sent would bring the next ones forward, and they came in waves.
-const LATE_HOLDS: f64 = 1.2;
-
 /// Load of all usable servers of a request as its gateway estimates it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct PoolLoad {
@@ -57,11 +44,6 @@
 }
 
 impl PoolLoad {
-    /// Slots that no request holds or waits for.
-    pub fn free_slots(&self) -> f64 {
-        (self.slots - self.requests).max(0.0)
-    }
-
     /// Expected wait for a slot of a request that arrives now.
     pub fn wait(&self, hold: Duration) -> Duration {
         if self.slots <= 0.0 {
@@ -116,49 +98,5 @@
     drained.min(longest)
 }
 
-/// Request that is late or whose caller returned.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LateRequest {
-    /// Time that the caller still waits.
-    pub remaining: Duration,
-    /// Late requests that wait at this gateway for the same servers, with this one.
-    pub waiting: usize,
-    /// Gateways that send requests to the servers.
-    pub gateways: usize,
-}
-
-/// Decision on a late request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LateDecision {
-    /// Send it now, as the pool has a free slot for it.
-    Send,
-    /// Send it now, as it could not complete if it waited longer.
-    SendAtLast,
-    /// Wait and decide again after this time.
-    Wait(Duration),
-}
-
-/// Decides on a late request each time that it is checked. `random` and `spread` are
-/// from 0 to 1.
-pub fn judge_late(
-    request: &LateRequest,
-    pool: &PoolLoad,
-    times: &Estimates,
-    random: f64,
-    spread: f64,
-) -> LateDecision {
-    let interval = CHECK_INTERVAL.mul_f64(0.5 + spread);
-    let needed = times.hold.mul_f64(LATE_HOLDS);
-    if request.remaining < needed + interval {
-        return LateDecision::SendAtLast;
-    }
-    let share = CHECK_INTERVAL.as_secs_f64() / FILL_TIME.as_secs_f64();
-    let waiting = (request.waiting.max(1) * request.gateways.max(1)) as f64;
-    if random < pool.free_slots() * share / waiting {
-        return LateDecision::Send;
-    }
-    LateDecision::Wait(interval)
-}
-
 #[cfg(test)]
 mod tests;
