--- a/crates/gateway/src/server_limits/cold/tests.rs
+++ b/crates/gateway/src/server_limits/cold/tests.rs
@@ -2,12 +2,16 @@
 
 use citrongw_state::{
     cold_server::{ColdBounds, ColdStart},
+    id::StoreEra,
     unit::RequestsPerSecond,
 };
 use tokio::time::{Instant, sleep};
 
 use super::*;
-use crate::server_limits::tests::{OTHER, SELF, backend, open_connected, open_listed};
+use crate::{
+    peers::ClusterView,
+    server_limits::tests::{OTHER, SELF, backend, open_connected, open_listed},
+};
 
 const BOUND: usize = 44;
 
@@ -20,11 +24,26 @@
     backend.stats.cold.set(limit(), Some(limits.clock.now() + left));
 }
 
+/// Reads the same list of gateways again, as all gateways do that the key-value service
+/// serves.
+fn read_list(limits: &ServerLimits) {
+    limits.peers.apply_read(StoreEra::default(), ClusterView::clone(&limits.peers.cluster()));
+}
+
 /// Requests that get a permit in a second, of one every two milliseconds.
 async fn granted_in_1s(limits: &ServerLimits, backend: &Backend) -> usize {
+    granted_in_1s_with(limits, backend, || read_list(limits)).await
+}
+
+async fn granted_in_1s_with(
+    limits: &ServerLimits,
+    backend: &Backend,
+    before_each: impl Fn(),
+) -> usize {
     let mut granted = 0;
     for _ in 0..500 {
         sleep(Duration::from_millis(2)).await;
+        before_each();
         granted += usize::from(limits.acquire(backend).await == Permit::Granted);
     }
     granted
@@ -58,6 +77,20 @@
     assert!((18..=26).contains(&granted), "{granted}");
 }
 
+/// A gateway that the key-value service refuses keeps its list, in which it may be the
+/// granter although all others have another one.
+#[tokio::test(start_paused = true)]
+async fn gateway_with_an_old_list_grants_the_part_of_a_substitute() {
+    let limits = open_listed(&[SELF]);
+    limits.record_cluster();
+    read_list(&limits);
+    sleep(Duration::from_secs(3)).await;
+    let backend = backend();
+    set_cold(&limits, &backend, Duration::from_secs(10));
+    let granted = granted_in_1s_with(&limits, &backend, || {}).await;
+    assert!((4..=6).contains(&granted), "{granted}");
+}
+
 /// A request must not wait for each of the granters in turn.
 #[tokio::test(start_paused = true)]
 async fn request_waits_for_two_silent_granters_at_most() {
