Take a region that a template left unrendered as absent

The placeholder itself counted as the name of the region, so that requests with homes reached no server. The new case of the test failed before.

--- a/crates/citrongw/src/settings/gateway.rs
+++ b/crates/citrongw/src/settings/gateway.rs
@@ -96,8 +96,8 @@
     let stall = reader.positive_duration("control", "stall-time", Duration::from_secs(6));
     let zone_regions = read_zone_regions(reader);
     let zone = reader.name("node", "zone").into();
-    let region = reader.text("node", "region", "");
-    let region = Some(region.trim()).filter(|it| !it.is_empty()).map(Region::from);
+    let region = |it: &str| Some(Region::from(it.trim()));
+    let region = read_filled_in(reader, "node", "region", "a name", region);
     Settings {
         name: reader.name("node", "name"),
         region: region.or_else(|| zone_regions.region_of(&zone).cloned()),
--- a/crates/citrongw/src/settings/gateway/tests.rs
+++ b/crates/citrongw/src/settings/gateway/tests.rs
@@ -104,8 +104,8 @@
     assert_eq!(settings.region, Some("south".into()));
     let settings = with("zone = zone-a\nregion =\nzone-regions =\n").unwrap();
     assert_eq!(settings.region, None);
-    let settings = with("zone = zone-a\nzone-regions = {{zones}}\n").unwrap();
-    assert_eq!(settings.zone_regions, Default::default());
+    let settings = with("zone = zone-a\nregion = {{region}}\nzone-regions = {{zones}}\n").unwrap();
+    assert_eq!((settings.region, settings.zone_regions), (None, Default::default()));
     assert!(with("zone = zone-a\nzone-regions = north\n").is_err());
 }
 
