Show that a stream without any event ends as complete

A model server whose answers end with their connection is killed while it reads the prompt. The client gets 200 with an empty stream that ends properly, where the request could have been sent to another replica.

--- a/review/standins-2/src/kv.rs
+++ b/review/standins-2/src/kv.rs
@@ -96,6 +96,14 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes a key, as that of a server that is silent.
+    pub fn delete(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        state.remove(key);
+        self.shared.1.notify_all();
+    }
+
     /// Serves the store on a free port of `ip`.
     pub fn listen(&self, ip: &str) -> SocketAddr {
         let store = self.clone();
@@ -219,6 +227,11 @@
                 state.leases.insert(id, (ttl, Instant::now() + ttl));
                 (200, format!("{{\"lease\":{id},\"ttl_ms\":{ttl_ms}}}"))
             }
+            // Servers write their entries here.
+            path if path.starts_with("/servers/") => {
+                self.put(&path[1..], &String::from_utf8_lossy(&request.body));
+                (200, "{}".into())
+            }
             path => {
                 let mut state = self.lock();
                 let id = path.rsplit('/').next().and_then(|it| it.parse().ok()).unwrap_or(0);
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -20,6 +20,7 @@
 pub const TENANT: &str = "hule930";
 pub const CHARGE: &str = "/rapu33/";
 pub const STATUS: &str = "/cuti104/";
+pub const CHAT: &str = "/lohu930/";
 
 /// First configuration.
 pub fn config(version: u64) -> String {
@@ -35,6 +36,13 @@
     )
 }
 
+/// Configuration with one route to a model whose groups have two members.
+pub fn engine_config(version: u64, model: &str) -> String {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"quote-chat","host":"{HOST}","path_prefix":"{CHAT}","kind":"streaming","stream_resume":true,"timeout_ms":8000,"target_latency_ms":400,"gap_target_ms":250,"priority":1,"service":"reed-model","max_attempts":2,"skip_auth":false}}],"services":[{{"name":"reed-model","health_path":"/health","engine":{{"slots":26,"loads_per_s":100.0,"loads_at_once":8,"form_ms":1.0,"step_ms":6.45,"per_seq_ms":0.0967,"context_per_k":0.00293,"read_per_s":56100.0,"pairs_per_m":0.309,"chunk":2048,"stride":6,"models":[{{"name":"{model}","size":2,"share":1.0,"pace":1.0,"load_s":1.0,"warm_s":0.2}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"{TENANT}","api_keys":["{KEY}"]}}]}}"#
+    )
+}
+
 pub fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(0)
