--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -1,12 +1,15 @@
 //! Model server as a process of its own: `review-case engine ID IP STORE`.
 //!
-//! Its answers have no length and end with their connection. It sends the head of an answer
-//! at once and the first event when it has read the prompt.
+//! Its answers have no length and end with their connection. It answers when it has read the
+//! prompt. After a line on its standard input it truncates some answers.
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -16,10 +19,14 @@
 };
 
 /// Time to read a prompt.
-const PREFILL: Duration = Duration::from_millis(300);
+const PREFILL: Duration = Duration::from_millis(100);
 /// Events of a stream, and the time between them.
 pub const EVENTS: u64 = 8;
 const GAP: Duration = Duration::from_millis(30);
+/// Of so many answers of a server in trouble, one is truncated after its head. The largest
+/// dose of `garble` with `unframed` on lengueta-gw is 0.05, for 5 s.
+const ONE_IN: u64 = 20;
+pub const TROUBLE_TIME: Duration = Duration::from_secs(5);
 
 #[derive(Default)]
 struct State {
@@ -36,6 +43,8 @@
     store: SocketAddr,
     born: u64,
     state: Mutex<State>,
+    troubled_at: OnceLock<Instant>,
+    answers: AtomicU64,
 }
 
 /// Serves until the process is killed.
@@ -47,6 +56,14 @@
         store,
         born: site::unix_ms(),
         state: Mutex::default(),
+        troubled_at: OnceLock::new(),
+        answers: AtomicU64::new(0),
+    });
+    let told = Arc::clone(&engine);
+    std::thread::spawn(move || {
+        if std::io::stdin().lines().next().is_some() {
+            told.troubled_at.get_or_init(Instant::now);
+        }
     });
     let serving = Arc::clone(&engine);
     let addr = http::listen(ip, move |connection| serving.serve(connection));
@@ -153,7 +170,10 @@
                 state.group = Some((name, epoch, rank, "ready"));
                 202
             }
-            "open" if is_own => set(&mut state, "open"),
+            "open" if is_own => {
+                println!("open");
+                set(&mut state, "open")
+            }
             "close" if is_own => set(&mut state, "ready"),
             "open" | "close" => 409,
             "leave" => {
@@ -183,19 +203,23 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Attempt-Id: {attempt}\r\nX-Response-Seal: {}.{attempt}\r\n\r\n",
             self.id
         );
+        std::thread::sleep(PREFILL);
         if connection.write(head.as_bytes()).is_err() {
             return false;
         }
-        println!("head {attempt}");
-        std::thread::sleep(PREFILL);
+        let is_troubled = self.troubled_at.get().is_some_and(|it| it.elapsed() < TROUBLE_TIME);
+        if is_troubled && self.answers.fetch_add(1, Ordering::Relaxed) % ONE_IN == ONE_IN - 1 {
+            println!("truncated {attempt}");
+            return false;
+        }
         for event in after + 1..=EVENTS {
             if connection.write(format!("id: {event}\ndata: word {event}\n\n").as_bytes()).is_err()
             {
                 return false;
             }
-            println!("event {attempt} {event}");
             std::thread::sleep(GAP);
         }
+        println!("whole {attempt}");
         false
     }
 }
--- a/review/standins-2/src/extra.rs
+++ b/review/standins-2/src/extra.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     path::Path,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -21,12 +21,15 @@
 };
 
 /// Of so many answers of the faulty server, one is followed by additional bytes. The
-/// largest dose of `garble` on lengueta-gw is 0.03 of the answers of 0.6 of the servers.
-const ONE_IN: u64 = 50;
-const CLIENTS: usize = 4;
-const PLAY_TIME: Duration = Duration::from_secs(30);
+/// largest dose of `garble` with `extra late` on lengueta-gw is 0.03 of the answers of 0.6
+/// of the servers, for 5 s.
+const ONE_IN: u64 = 40;
+const TROUBLE_AFTER: Duration = Duration::from_secs(2);
+const TROUBLE_TIME: Duration = Duration::from_secs(5);
+const PLAY_TIME: Duration = Duration::from_secs(8);
+const CLIENTS: usize = 6;
 /// Pause of a client between two requests.
-const PAUSE: Duration = Duration::from_millis(40);
+const PAUSE: Duration = Duration::from_millis(5);
 /// Statuses that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -35,6 +38,14 @@
 struct Counts {
     answers: AtomicU64,
     extras: AtomicU64,
+    begun_at: OnceLock<Instant>,
+}
+
+impl Counts {
+    fn is_in_trouble(&self) -> bool {
+        let age = self.begun_at.get().map(Instant::elapsed).unwrap_or_default();
+        TROUBLE_AFTER <= age && age < TROUBLE_AFTER + TROUBLE_TIME
+    }
 }
 
 /// Result of one request at its client.
@@ -60,7 +71,7 @@
                           request: &Request,
                           has_extra: &mut bool| {
             let attempt = request.header("x-request-attempt-id").unwrap_or_default();
-            if std::mem::take(has_extra) {
+            if std::mem::take(has_extra) && counts.is_in_trouble() {
                 let number = counts.extras.fetch_add(1, Ordering::Relaxed);
                 let bytes = match number % 2 {
                     0 => response_bytes(200, &[], b"left over from another run"),
@@ -91,7 +102,7 @@
         return 2;
     }
     std::thread::sleep(Duration::from_secs(3));
-    let until = Instant::now() + PLAY_TIME;
+    let until = *counts.begun_at.get_or_init(Instant::now) + PLAY_TIME;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (record, addr) = (Arc::clone(&record), gateway.callers);
--- a/review/standins-2/src/kv.rs
+++ b/review/standins-2/src/kv.rs
@@ -96,14 +96,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Removes a key, as that of a server that is silent.
-    pub fn delete(&self, key: &str) {
-        let mut state = self.lock();
-        state.revision += 1;
-        state.remove(key);
-        self.shared.1.notify_all();
-    }
-
     /// Serves the store on a free port of `ip`.
     pub fn listen(&self, ip: &str) -> SocketAddr {
         let store = self.clone();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,9 +11,9 @@
 mod json;
 mod kv;
 mod piece;
-mod prefill;
 mod record;
 mod site;
+mod truncated;
 
 use std::{path::Path, time::Duration};
 
@@ -38,7 +38,7 @@
     let code = match name.as_str() {
         "extra" => extra::run(folder, work, is_troubled),
         "piece" => piece::run(folder, work, is_troubled),
-        "prefill" => prefill::run(folder, work, is_troubled),
+        "truncated" => truncated::run(folder, work, is_troubled),
         _ => 2,
     };
     gateway::kill_all();
--- a/review/standins-2/src/prefill.rs
+++ b/review/standins-2/src/truncated.rs
@@ -1,18 +1,19 @@
-//! Model servers are killed while they read a prompt, before the first event.
+//! Model servers truncate some of their answers after the head, before the first event.
 
 use std::{
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Write},
+    net::SocketAddr,
     path::Path,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use crate::{
-    engine::EVENTS,
+    engine::{EVENTS, TROUBLE_TIME},
     gateway,
     http::{self, End, request_bytes},
     kv::Store,
@@ -20,12 +21,10 @@
     site,
 };
 
-/// Model servers: two groups of two, and spares.
+/// Model servers: four groups of two, and a spare. Two heads of the nine get into trouble.
 const SERVERS: usize = 9;
-const KILLS: usize = 3;
-const STREAMS: usize = 40;
-/// After so many streams a server is killed.
-const KILL_EVERY: usize = 10;
+const TROUBLED: usize = 2;
+const CLIENTS: u64 = 30;
 const MODEL: &str = "daka510000";
 
 type Servers = Arc<Mutex<Vec<(String, Child)>>>;
@@ -37,40 +36,28 @@
     store.put("op/config", &site::engine_config(7, MODEL));
     let store_addr = store.listen(&ip);
     let servers: Servers = Arc::default();
-    let must_kill = Arc::new(AtomicBool::new(false));
-    let killed = Arc::new(Mutex::new(Vec::<String>::new()));
+    let heads = Arc::new(Mutex::new(Vec::<String>::new()));
+    let truncated = Arc::new(AtomicUsize::new(0));
     for idx in 0..SERVERS {
         let id = format!("i-02d9e6b{idx}");
         let program = std::env::current_exe().expect("no program");
         let child = Command::new(program)
             .args(["engine", &id, &ip, &store_addr.to_string()])
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn();
         let Ok(mut child) = child else { return end(&servers, 2) };
         let Some(output) = child.stdout.take() else { return end(&servers, 2) };
         servers.lock().unwrap().push((id.clone(), child));
-        let (servers, must_kill, killed) =
-            (Arc::clone(&servers), Arc::clone(&must_kill), Arc::clone(&killed));
-        let (record, store) = (Arc::clone(&record), store.clone());
+        let (heads, truncated, record) =
+            (Arc::clone(&heads), Arc::clone(&truncated), Arc::clone(&record));
         std::thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
-                record.add(format!("{id} sent {line}"));
-                let Some(attempt) = line.strip_prefix("head ") else { continue };
-                if must_kill.swap(false, Ordering::SeqCst) {
-                    std::thread::sleep(Duration::from_millis(100));
-                    let mut servers = servers.lock().unwrap();
-                    if let Some((_, child)) = servers.iter_mut().find(|it| it.0 == id) {
-                        let _ = (child.kill(), child.wait());
-                    }
-                    killed.lock().unwrap().push(attempt.into());
-                    record.add(format!("{id} is killed while it reads the prompt of {attempt}"));
-                    // Its entry is removed after three heartbeats of silence.
-                    let (store, id) = (store.clone(), id.clone());
-                    std::thread::spawn(move || {
-                        std::thread::sleep(Duration::from_millis(3_600));
-                        store.delete(&format!("servers/{id}"));
-                    });
+                record.add(format!("{id}: {line}"));
+                if line == "open" {
+                    heads.lock().unwrap().push(id.clone());
                 }
+                truncated.fetch_add(usize::from(line.starts_with("truncated")), Ordering::Relaxed);
             }
         });
     }
@@ -80,7 +67,7 @@
         return end(&servers, 2);
     }
     let until = Instant::now() + Duration::from_secs(20);
-    while stream(&gateway, "warm-up", &record).0 != 200 {
+    while stream(gateway.callers, "warm-up", &record).0 != 200 {
         if until < Instant::now() {
             record.add("no group took requests");
             return end(&servers, 2);
@@ -88,28 +75,57 @@
         std::thread::sleep(Duration::from_millis(200));
     }
     std::thread::sleep(Duration::from_secs(2));
-    let (mut whole, mut broken) = (0, 0);
-    for number in 0..STREAMS {
-        let kills = killed.lock().unwrap().len();
-        if is_troubled && kills < KILLS && number % KILL_EVERY == KILL_EVERY - 1 {
-            must_kill.store(true, Ordering::SeqCst);
-        }
-        let attempt = format!("{number:016x}");
-        let (status, end, events) = stream(&gateway, &attempt, &record);
-        let expected: Vec<u64> = (1..=EVENTS).collect();
-        let is_complete = (200..300).contains(&status) && end == End::Complete;
-        whole += usize::from(is_complete && events == expected);
-        if is_complete && events != expected {
-            broken += 1;
-            record.add(format!("ORDER: {attempt} ended as complete after the events {events:?}"));
+    let mut heads = heads.lock().unwrap().clone();
+    heads.dedup();
+    if is_troubled {
+        for id in heads.iter().take(TROUBLED) {
+            record.add(format!("{id} gets into trouble"));
+            let mut servers = servers.lock().unwrap();
+            let child = servers.iter_mut().find(|it| it.0 == *id);
+            if let Some(input) = child.and_then(|it| it.1.stdin.as_mut()) {
+                let _ = input.write_all(b"trouble\n");
+            }
         }
     }
-    let kills = killed.lock().unwrap().len();
+    let until = Instant::now() + TROUBLE_TIME;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (record, addr) = (Arc::clone(&record), gateway.callers);
+            std::thread::spawn(move || {
+                let (mut whole, mut broken) = (0, 0);
+                for number in 0u64.. {
+                    if until <= Instant::now() {
+                        break;
+                    }
+                    let attempt = format!("{client:04x}{number:012x}");
+                    let (status, end, events) = stream(addr, &attempt, &record);
+                    let expected: Vec<u64> = (1..=EVENTS).collect();
+                    let is_complete = (200..300).contains(&status) && end == End::Complete;
+                    whole += usize::from(is_complete && events == expected);
+                    if is_complete && events != expected {
+                        broken += 1;
+                        record.add(format!(
+                            "ORDER: {attempt} ended as complete after the events {events:?}"
+                        ));
+                    }
+                }
+                (whole, broken)
+            })
+        })
+        .collect();
+    let (mut whole, mut broken) = (0, 0);
+    for client in clients {
+        let (more_whole, more_broken) = client.join().unwrap_or_default();
+        whole += more_whole;
+        broken += more_broken;
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    let truncated = truncated.load(Ordering::Relaxed);
     record.add(format!(
-        "{STREAMS} streams, {whole} whole, {kills} servers killed, {broken} ended as complete before the last event, gateway ended: {}",
+        "{whole} whole streams, {truncated} truncated after the head, {broken} ended as complete before the last event, gateway ended: {}",
         gateway::has_any_ended()
     ));
-    if whole == 0 || (is_troubled && kills == 0) {
+    if whole == 0 || (is_troubled && truncated == 0) {
         return end(&servers, 2);
     }
     end(&servers, i32::from(0 < broken))
@@ -123,9 +139,9 @@
 }
 
 /// Requests a stream. Returns the status, how it ended, and the ids of its events.
-fn stream(gateway: &gateway::Gateway, attempt: &str, record: &Record) -> (u16, End, Vec<u64>) {
+fn stream(addr: SocketAddr, attempt: &str, record: &Record) -> (u16, End, Vec<u64>) {
     let failed = (0, End::Broken("not sent".into()), Vec::new());
-    let Ok(mut connection) = http::connect(gateway.callers) else { return failed };
+    let Ok(mut connection) = http::connect(addr) else { return failed };
     let headers = [
         ("Host", site::HOST),
         ("X-Request-Attempt-Id", attempt),
